Add the design page and the shared core

Cause: routers, agents and the administration API need one set of messages, error kinds, settings and interfaces before they can be written side by side.

Ruled out: a global index of cached blocks. 100,000 events a second at 20 bytes are 2 MB/s against a control budget of 9 KB/s a node; routers ask the agents instead.

Before: nothing.

Conclusion: the parts can now be built against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= agency
+
+.PHONY: all setup test demo fleet measure format lint types check
+
+all: test
+
+setup: $(VENV)/.stamp
+
+$(VENV)/.stamp: requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+test: setup
+	$(BIN)/python -m unittest discover --start-directory coltsfootfront/tests --top-level-directory .
+
+demo: setup
+	@$(BIN)/python -m coltsfootfront_dev.demo --deployment $(DEPLOYMENT)
+
+fleet: setup
+	@exec $(BIN)/python -m coltsfootfront_dev.fleet --deployment $(DEPLOYMENT)
+
+measure: setup
+	@$(BIN)/python -m coltsfootfront_dev.measure --deployment $(DEPLOYMENT) $(if $(QUICK),--quick)
+
+format: setup
+	$(BIN)/black coltsfootfront coltsfootfront_dev
+
+lint: setup
+	$(BIN)/black --check --quiet coltsfootfront coltsfootfront_dev
+	$(BIN)/ruff check --quiet coltsfootfront coltsfootfront_dev
+
+types: setup
+	$(BIN)/mypy
+
+check: lint types test
--- /dev/null
+++ b/coltsfootfront/channel.py
@@ -0,0 +1,249 @@
+"""Client side of a peer connection: calls and streams multiplexed on one connection."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import TypeVar
+
+import logbook
+
+from coltsfootfront import metrics
+from coltsfootfront.clock import Clock
+from coltsfootfront.connection import Connection, ConnectionLostError, Identity, connect
+from coltsfootfront.logs import event
+from coltsfootfront.messages import Message
+
+log = logbook.Logger(__name__)
+
+M = TypeVar("M", bound=Message)
+
+# Received messages that one stream may hold before the connection counts as misbehaving.
+# The agent's send window keeps a well-behaved stream far below this.
+MAX_STREAM_MESSAGES = 8192
+
+
+class StreamInbox:
+    """Messages of one stream, in order of arrival.
+
+    ``get`` raises :class:`ConnectionLostError` after the connection has ended.
+    """
+
+    __slots__ = ("_channel", "_queue", "stream")
+
+    def __init__(self, stream: int, channel: "Channel") -> None:
+        self.stream = stream
+        self._queue: asyncio.Queue[Message | None] = asyncio.Queue()
+        self._channel = channel
+
+    def put(self, message: Message | None) -> None:
+        """Add one message; None marks the end of the connection."""
+        self._queue.put_nowait(message)
+
+    @property
+    def size(self) -> int:
+        """Number of messages that wait."""
+        return self._queue.qsize()
+
+    async def get(self) -> Message:
+        """Wait for the next message of the stream."""
+        message = await self._queue.get()
+        if message is None:
+            raise ConnectionLostError("connection ended")
+        return message
+
+    def close(self) -> None:
+        """Drop the stream; later messages for it are discarded."""
+        self._channel.drop_stream(self.stream)
+
+
+class Channel:
+    """Connection to one peer, opened on demand and closed when idle.
+
+    :param address: ``host:port`` of the peer.
+    :param identity: identity of this process.
+    :param clock: time source.
+    :param on_revision: called with this channel and the revision on each received message.
+    :param on_request: called with this channel and a message that is neither a reply nor part
+        of a stream, such as a pull from a server that is behind.
+    :param connect_timeout_s: limit for opening the connection.
+    :param idle_close_s: idle time after which the connection is closed.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        identity: Identity,
+        clock: Clock,
+        on_revision: Callable[["Channel", int], None] | None = None,
+        on_request: Callable[["Channel", Message], None] | None = None,
+        connect_timeout_s: float = 1.0,
+        idle_close_s: float = 60.0,
+    ) -> None:
+        self.address = address
+        self._identity = identity
+        self._clock = clock
+        self._on_revision = on_revision
+        self._on_request = on_request
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_close_s = idle_close_s
+        self._numbers = itertools.count(1)
+        self._calls: dict[int, asyncio.Future[Message]] = {}
+        self._streams: dict[int, StreamInbox] = {}
+        self._connection: Connection | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._opening = asyncio.Lock()
+        self.last_used_s = clock.monotonic_s()
+        self.peer_incarnation = ""
+
+    def next_number(self) -> int:
+        """Return a number that is unique for calls and streams of this channel."""
+        return next(self._numbers)
+
+    async def send(self, message: Message) -> int:
+        """Send one message, opening the connection first if needed.
+
+        :returns: bytes written.
+        :raises ConnectionLostError: the peer cannot be reached.
+        """
+        connection = await self._ensure_open()
+        self.last_used_s = self._clock.monotonic_s()
+        return await connection.send(message)
+
+    async def call(self, message: Message, reply_type: type[M], timeout_s: float) -> M:
+        """Send one message and wait for its reply.
+
+        :param message: message whose ``call`` field was taken from :meth:`next_number`.
+        :param reply_type: expected type of the reply.
+        :param timeout_s: limit for the whole call.
+        :raises ConnectionLostError: no connection, a timeout, or another type of reply.
+        """
+        number: int = message.call  # type: ignore[attr-defined]
+        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._calls[number] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.send(message)
+                reply = await future
+        except TimeoutError as error:
+            raise ConnectionLostError(f"no reply from {self.address} in {timeout_s} s") from error
+        finally:
+            self._calls.pop(number, None)
+        if not isinstance(reply, reply_type):
+            raise ConnectionLostError(f"unexpected reply {reply.TYPE}")
+        return reply
+
+    def open_stream(self) -> StreamInbox:
+        """Reserve a stream number and its inbox."""
+        inbox = StreamInbox(self.next_number(), self)
+        self._streams[inbox.stream] = inbox
+        return inbox
+
+    def drop_stream(self, stream: int) -> None:
+        """Forget a stream."""
+        self._streams.pop(stream, None)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection is open, carries nothing and was not used lately."""
+        if self._connection is None or self._calls or self._streams:
+            return False
+        return self._clock.monotonic_s() - self.last_used_s > self._idle_close_s
+
+    async def close(self) -> None:
+        """Close the connection and fail everything that waits on it."""
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.cancel()
+            await asyncio.gather(reader, return_exceptions=True)
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+        self._fail_pending()
+
+    async def _ensure_open(self) -> Connection:
+        connection = self._connection
+        if connection is not None and not connection.is_closing:
+            return connection
+        async with self._opening:
+            connection = self._connection
+            if connection is not None and not connection.is_closing:
+                return connection
+            connection = await connect(self.address, self._identity, self._connect_timeout_s)
+            metrics.CONNECTIONS.inc({"event": "opened"})
+            self._connection = connection
+            self.peer_incarnation = connection.peer_incarnation
+            self._reader = asyncio.create_task(self._read(connection))
+            return connection
+
+    async def _read(self, connection: Connection) -> None:
+        try:
+            while True:
+                message, revision = await connection.receive()
+                if self._on_revision is not None:
+                    self._on_revision(self, revision)
+                self._deliver(message)
+        except ConnectionLostError as error:
+            log.debug(event("channel_lost", address=self.address, reason=error))
+        finally:
+            if self._connection is connection:
+                self._connection = None
+                self._fail_pending()
+            await connection.close()
+
+    def _deliver(self, message: Message) -> None:
+        stream = getattr(message, "stream", None)
+        if stream is not None:
+            inbox = self._streams.get(stream)
+            if inbox is None:
+                metrics.STREAMS.inc({"event": "late_message_dropped"})
+                return
+            if inbox.size >= MAX_STREAM_MESSAGES:
+                raise ConnectionLostError(f"stream {stream} exceeds its window")
+            inbox.put(message)
+            return
+        future = self._calls.get(getattr(message, "call", 0))
+        if future is None:
+            if self._on_request is not None:
+                self._on_request(self, message)
+        elif not future.done():
+            future.set_result(message)
+
+    def _fail_pending(self) -> None:
+        for future in self._calls.values():
+            if not future.done():
+                future.set_exception(ConnectionLostError(f"connection to {self.address} ended"))
+        for inbox in self._streams.values():
+            inbox.put(None)
+
+
+class ChannelPool:
+    """Channels by peer address.
+
+    :param factory: builds the channel for an address.
+    """
+
+    def __init__(self, factory: Callable[[str], Channel]) -> None:
+        self._factory = factory
+        self._channels: dict[str, Channel] = {}
+
+    def get(self, address: str) -> Channel:
+        """Return the channel for an address, made on first use."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._factory(address)
+            self._channels[address] = channel
+        return channel
+
+    async def close_idle(self) -> None:
+        """Close and forget channels that were not used lately."""
+        for address, channel in list(self._channels.items()):
+            if channel.is_idle:
+                del self._channels[address]
+                await channel.close()
+
+    async def close(self) -> None:
+        """Close every channel."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            await channel.close()
--- /dev/null
+++ b/coltsfootfront/errors.py
@@ -0,0 +1,134 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RunState(Enum):
+    """What is known about the execution of a request that failed."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    COMPLETED = "completed"
+
+
+class ErrorKind(Enum):
+    """Every reason for which a request, an order or a change can fail."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    INVALID_DOCUMENT = "invalid_document"
+    CONFLICT = "conflict"
+    IN_PROGRESS = "in_progress"
+    KEY_REUSED = "key_reused"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    NO_TARGET = "no_target"
+    TARGET_LEAVING = "target_leaving"
+    TARGET_WITHDRAWN = "target_withdrawn"
+    WRONG_VERSION = "wrong_version"
+    STALE_REVISION = "stale_revision"
+    UNKNOWN_STREAM = "unknown_stream"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_AMBIGUOUS = "store_ambiguous"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    CONNECTION_LOST = "connection_lost"
+    ENGINE_FAILED = "engine_failed"
+    TARGET_FAILED = "target_failed"
+    TARGET_UNREACHABLE = "target_unreachable"
+    FENCED = "fenced"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How an error kind is answered and whether another target may be tried.
+
+    :param status: HTTP status code.
+    :param retry_elsewhere: another target may succeed if the request has not run.
+    :param retry_after_s: default for the ``Retry-After`` header in seconds, or None.
+    """
+
+    status: int
+    retry_elsewhere: bool = False
+    retry_after_s: float | None = None
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400),
+    ErrorKind.UNAUTHENTICATED: Answer(401),
+    ErrorKind.FORBIDDEN: Answer(403),
+    ErrorKind.NOT_FOUND: Answer(404),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(405),
+    ErrorKind.BODY_TOO_LARGE: Answer(413),
+    ErrorKind.INVALID_DOCUMENT: Answer(422),
+    ErrorKind.CONFLICT: Answer(409),
+    ErrorKind.IN_PROGRESS: Answer(409, retry_after_s=1.0),
+    ErrorKind.KEY_REUSED: Answer(422),
+    ErrorKind.RATE_LIMITED: Answer(429, retry_after_s=1.0),
+    ErrorKind.OVERLOADED: Answer(503, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.NO_TARGET: Answer(503, retry_after_s=1.0),
+    ErrorKind.TARGET_LEAVING: Answer(503, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.TARGET_WITHDRAWN: Answer(503, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.WRONG_VERSION: Answer(503, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.STALE_REVISION: Answer(503, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.UNKNOWN_STREAM: Answer(502, retry_elsewhere=True),
+    ErrorKind.STORE_UNAVAILABLE: Answer(503, retry_after_s=2.0),
+    ErrorKind.STORE_AMBIGUOUS: Answer(503, retry_after_s=2.0),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, retry_after_s=1.0),
+    ErrorKind.CONNECTION_LOST: Answer(502, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.ENGINE_FAILED: Answer(502, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.TARGET_FAILED: Answer(502, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.TARGET_UNREACHABLE: Answer(502, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.FENCED: Answer(409),
+    ErrorKind.CANCELLED: Answer(499),
+    ErrorKind.INTERNAL: Answer(500),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """One failed outcome.
+
+    :param kind: reason out of the closed list.
+    :param message: one sentence for people; carries no keys and no prompt text.
+    :param run: whether the request may have been executed.
+    :param retry_after_s: when to come back, in seconds; None takes the table's default.
+    """
+
+    kind: ErrorKind
+    message: str = ""
+    run: RunState = RunState.NOT_RUN
+    retry_after_s: float | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """Row of the table for this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def wait_s(self) -> float | None:
+        """Value for ``Retry-After`` in seconds, or None."""
+        if self.retry_after_s is not None:
+            return self.retry_after_s
+        return self.answer.retry_after_s
+
+    def with_run(self, run: RunState) -> "Failure":
+        """Return the same failure with another run state."""
+        return Failure(self.kind, self.message, run, self.retry_after_s)
+
+
+class FailureError(Exception):
+    """Carries a :class:`Failure` through code that cannot return a result.
+
+    :param failure: the failed outcome.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(f"{failure.kind.value}: {failure.message}")
+        self.failure = failure
--- /dev/null
+++ b/coltsfootfront/runtime.py
@@ -0,0 +1,66 @@
+"""Start and stop of a long-running program."""
+
+import asyncio
+import signal
+import sys
+from abc import ABC, abstractmethod
+from pathlib import Path
+from typing import TypeVar
+
+from coltsfootfront import logs, settings
+
+T = TypeVar("T")
+
+EXIT_BAD_SETTING = 2
+
+
+class Program(ABC):
+    """A long-running program."""
+
+    @abstractmethod
+    async def start(self) -> None:
+        """Start to serve."""
+
+    @abstractmethod
+    async def drain(self) -> None:
+        """Report not ready, take no new work and finish what is in progress."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Release everything."""
+
+
+def load_or_exit(path: Path, cls: type[T]) -> T:
+    """Read settings; on an error print one line and exit with status 2."""
+    try:
+        return settings.load(path, cls)
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTING)
+
+
+def serve(program: Program, name: str, log_level: str) -> None:
+    """Run a program until SIGTERM or SIGINT, then drain and close it.
+
+    :param program: program to run.
+    :param name: name of the process for log lines.
+    :param log_level: least severe level that is logged.
+    """
+    handler = logs.setup(log_level, name)
+    try:
+        asyncio.run(_serve(program))
+    finally:
+        handler.pop_application()
+
+
+async def _serve(program: Program) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await program.start()
+    try:
+        await stop.wait()
+        await program.drain()
+    finally:
+        await program.close()
--- /dev/null
+++ b/coltsfootfront/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
