--- /dev/null
+++ b/coltsfootfront/httpservice.py
@@ -0,0 +1,93 @@
+"""HTTP adapter of plain services."""
+
+import re
+from collections.abc import AsyncIterator, Iterable
+
+from coltsfootfront.clock import Clock
+from coltsfootfront.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.httpclient import HttpClient
+from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
+
+_HEALTH_PATH = "/healthz"
+_FIRST_ERROR_STATUS = 400
+# RFC 9110, section 7.6.1, and the headers that the client computes itself.
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_NOT_FORWARDED = _HOP_BY_HOP | {"content-length", "expect", "host"}
+# Text that could end the request line or a header early.
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+
+
+def end_to_end(
+    headers: Iterable[tuple[str, str]], dropped: frozenset[str] = _HOP_BY_HOP
+) -> tuple[tuple[str, str], ...]:
+    """Leave out headers that are meant for one connection only.
+
+    :param headers: pairs of header name and value.
+    :param dropped: lower-case names that are left out beside those that ``Connection`` names.
+    """
+    pairs = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped | named)
+
+
+def _check_sendable(request: ServiceCall) -> None:
+    names = [request.method, *(name for name, _ in request.headers)]
+    texts = [request.path, *(value for _, value in request.headers)]
+    valid = all(_TOKEN.fullmatch(name) for name in names) and " " not in request.path
+    if not valid or any(_CONTROL.search(text) for text in texts):
+        raise FailureError(Failure(ErrorKind.BAD_REQUEST, "request line or header is invalid"))
+
+
+class HttpService(PlainService):
+    """A plain service that speaks HTTP.
+
+    :param base_url: address of the service, such as ``http://127.0.0.1:8000``.
+    :param timeout_s: longest silence of the service in seconds.
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(self, base_url: str, timeout_s: float, clock: Clock) -> None:
+        self._client = HttpClient(base_url, timeout_s, clock, ErrorKind.TARGET_FAILED)
+
+    async def call(self, request: ServiceCall) -> AsyncIterator[ServiceHead | bytes]:
+        _check_sendable(request)
+        path = "/" + request.path.lstrip("/")
+        headers = end_to_end(request.headers, _NOT_FORWARDED)
+        body = request.body or None
+        async with self._client.exchange(request.method, path, body, headers) as exchange:
+            response = exchange.response
+            yield ServiceHead(response.status, end_to_end(response.headers.items()))
+            async for piece in exchange.pieces():
+                yield piece
+
+    async def healthy(self) -> bool:
+        try:
+            async with self._client.exchange("GET", _HEALTH_PATH) as exchange:
+                return exchange.response.status < _FIRST_ERROR_STATUS
+        except FailureError:
+            return False
+
+    async def start(self) -> None:
+        await self._client.start()
+
+    async def close(self) -> None:
+        await self._client.close()
