--- /dev/null
+++ b/coltsfootfront/admin.py
@@ -0,0 +1,548 @@
+"""Administration API: the program ``coltsfootfront-admin``.
+
+Stateless; any number of instances may run. Every change goes through the store's
+compare-and-swap, so instances need not know of each other.
+"""
+
+import asyncio
+import json
+import secrets
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import logbook
+from aiohttp import web
+from returns.result import Result, Success
+
+from coltsfootfront import __version__, metrics, runtime, schema
+from coltsfootfront.channel import Channel, ChannelPool
+from coltsfootfront.clock import Clock, SystemClock
+from coltsfootfront.connection import ConnectionLostError, Identity
+from coltsfootfront.entries import Entries, canonical, digest, join, split
+from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.etcd import EtcdStore
+from coltsfootfront.logs import event
+from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
+from coltsfootfront.operators import Authenticated, authenticate
+from coltsfootfront.publisher import Change, Difference, Head, Published, Publisher, Rejection
+from coltsfootfront.revision import Revision
+from coltsfootfront.settings import AdminSettings
+from coltsfootfront.spread import Spread
+from coltsfootfront.store import Store
+from coltsfootfront.supervisor import Supervisor
+
+log = logbook.Logger(__name__)
+
+BODY_TIMEOUT_S = 10.0
+REQUEST_TIMEOUT_S = 60.0
+SHUTDOWN_TIMEOUT_S = 30.0
+# Requests in progress; each may hold a body of max_body_bytes.
+MAX_REQUESTS = 16
+# The document used to authenticate is read again after this time, so that a flood of unknown
+# keys costs the store one read a second.
+AUTHENTICATION_CACHE_S = 1.0
+STATUS_TIMEOUT_S = 1.0
+STATUS_PARALLEL = 64
+EXPLAIN_TIMEOUT_S = 3.0
+GREET_INTERVAL_S = 2.0
+IDLE_CHECK_S = 20.0
+IDLE_CLOSE_S = 30.0
+DRAIN_ATTEMPTS = 5
+DEFAULT_HISTORY = 20
+MAX_OPERATION_ID_CHARACTERS = 128
+
+Json = dict[str, Any]
+
+
+class ApiError(FailureError):
+    """A failure with further fields for the error object of the answer."""
+
+    def __init__(self, failure: Failure, details: Json | None = None) -> None:
+        super().__init__(failure)
+        self.details = details or {}
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One authenticated request.
+
+    :param body: decoded JSON object, empty for ``GET``.
+    """
+
+    request: web.Request
+    operator: Authenticated
+    body: Json
+
+
+Handler = Callable[[Call], Awaitable[Json]]
+
+
+def _bad_request(message: str) -> ApiError:
+    return ApiError(Failure(ErrorKind.BAD_REQUEST, message))
+
+
+def _unwrap(result: Result[Any, Failure]) -> Any:
+    if isinstance(result, Success):
+        return result.unwrap()
+    raise ApiError(result.failure())
+
+
+def _error_response(failure: Failure, request_id: str, details: Json) -> web.Response:
+    metrics.refused(failure.kind.value)
+    error = {
+        "kind": failure.kind.value,
+        "message": failure.message,
+        "run": failure.run.value,
+        "request_id": request_id,
+        **details,
+    }
+    headers = {}
+    if failure.wait_s is not None:
+        headers["Retry-After"] = str(max(1, round(failure.wait_s)))
+    return web.json_response({"error": error}, status=failure.answer.status, headers=headers)
+
+
+def _failure_of_status(error: web.HTTPException) -> Failure:
+    kinds = {
+        404: ErrorKind.NOT_FOUND,
+        405: ErrorKind.METHOD_NOT_ALLOWED,
+        413: ErrorKind.BODY_TOO_LARGE,
+    }
+    kind = kinds.get(error.status, ErrorKind.BAD_REQUEST)
+    return Failure(kind, error.reason)
+
+
+class Admin(runtime.Program):
+    """The administration API.
+
+    :param settings: checked settings.
+    :param clock: time source.
+    :param store: key-value service; None makes the adapter for the address in the settings.
+    """
+
+    def __init__(self, settings: AdminSettings, clock: Clock, store: Store | None = None) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._store = store or EtcdStore(settings.store_address, settings.store_timeout_s)
+        self._publisher = Publisher(self._store, clock)
+        self._revision = Revision()
+        self._identity = Identity(
+            "admin",
+            settings.name,
+            settings.data_centre,
+            settings.peer_secret,
+            lambda: self._revision.number,
+        )
+        self._pool = ChannelPool(self._make_channel)
+        self._spread = Spread(
+            self._identity,
+            self._revision,
+            self._pool,
+            clock,
+            settings.seed_addresses,
+            "",
+            GREET_INTERVAL_S,
+        )
+        self._supervisor = Supervisor("admin", clock)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._runner: web.AppRunner | None = None
+        self._refreshing = asyncio.Lock()
+        self._refreshed_s: float | None = None
+        self._requests = 0
+        self._draining = False
+        self.address = ""
+
+    async def start(self) -> None:
+        """Start to serve; works without the store."""
+        await self._store.start()
+        await self._spread.start()
+        self._supervisor.add("idle_channels", self._close_idle_channels)
+        await self._supervisor.start()
+        self._runner = web.AppRunner(
+            self._application(), access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
+        await self._runner.setup()
+        host, _, port = self._settings.http_address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        name = self._runner.addresses[0]
+        self.address = f"{name[0]}:{name[1]}"
+        log.info(event("admin_started", address=self.address))
+
+    async def drain(self) -> None:
+        """Report not ready and give the load balancer time to notice."""
+        self._draining = True
+        await self._clock.sleep(self._settings.drain_wait_s)
+
+    async def close(self) -> None:
+        """Finish requests in progress and release everything."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.close()
+        await self._spread.close()
+        await self._pool.close()
+        await self._store.close()
+
+    def _make_channel(self, address: str) -> Channel:
+        return Channel(
+            address,
+            self._identity,
+            self._clock,
+            on_revision=self._spread.note_revision,
+            on_request=self._spread.answer,
+            idle_close_s=IDLE_CLOSE_S,
+        )
+
+    async def _close_idle_channels(self) -> None:
+        while True:
+            await self._clock.sleep(IDLE_CHECK_S)
+            await self._pool.close_idle()
+
+    def _application(self) -> web.Application:
+        app = web.Application(
+            client_max_size=self._settings.max_body_bytes, middlewares=[self._guard]
+        )
+        routes: list[tuple[str, str, Handler]] = [
+            ("GET", "/v1/schema", self._get_schema),
+            ("GET", "/v1/document", self._get_document),
+            ("POST", "/v1/validate", self._validate),
+            ("POST", "/v1/diff", self._diff),
+            ("POST", "/v1/apply", self._apply),
+            ("GET", "/v1/history", self._history),
+            ("POST", "/v1/rollback", self._rollback),
+            ("GET", "/v1/status", self._status),
+            ("POST", "/v1/drain", self._drain_target),
+            ("POST", "/v1/explain", self._explain),
+        ]
+        for method, path, handler in routes:
+            app.router.add_route(method, path, self._authenticated(handler))
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        app.router.add_get("/metrics", metrics.handle_metrics)
+        return app
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        request_id = secrets.token_hex(8)
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                return await handler(request)
+        except ApiError as error:
+            return _error_response(error.failure, request_id, error.details)
+        except FailureError as error:
+            return _error_response(error.failure, request_id, {})
+        except web.HTTPException as error:
+            return _error_response(_failure_of_status(error), request_id, {})
+        except TimeoutError:
+            message = f"not finished within {REQUEST_TIMEOUT_S:.0f} s"
+            failure = Failure(ErrorKind.DEADLINE_EXCEEDED, message, RunState.UNKNOWN)
+            return _error_response(failure, request_id, {})
+        except Exception as error:
+            log.error(event("request_failed", request=request_id, reason=repr(error)))
+            failure = Failure(ErrorKind.INTERNAL, "internal error", RunState.UNKNOWN)
+            return _error_response(failure, request_id, {})
+
+    def _authenticated(
+        self, handler: Handler
+    ) -> Callable[[web.Request], Coroutine[Any, Any, web.Response]]:
+        async def serve(request: web.Request) -> web.Response:
+            if self._requests >= MAX_REQUESTS:
+                raise ApiError(Failure(ErrorKind.OVERLOADED, "too many requests in progress"))
+            self._requests += 1
+            try:
+                operator = await self._find_operator(request)
+                body = await _read_body(request) if request.method == "POST" else {}
+                return web.json_response(await handler(Call(request, operator, body)))
+            finally:
+                self._requests -= 1
+
+        return serve
+
+    async def _find_operator(self, request: web.Request) -> Authenticated:
+        now_s = self._clock.monotonic_s()
+        last_s = self._refreshed_s
+        if last_s is None or now_s - last_s > AUTHENTICATION_CACHE_S:
+            result = await self._refresh()
+            # Without any document it is not known whether the bootstrap key still counts.
+            if not isinstance(result, Success) and self._revision.number == 0:
+                raise ApiError(result.failure())
+        operator: Authenticated = _unwrap(
+            authenticate(
+                request.headers.get("Authorization", ""),
+                self._revision.document,
+                self._settings.bootstrap_key_hash,
+            )
+        )
+        return operator
+
+    async def _refresh(self) -> Result[Head, Failure]:
+        """Bring the document in force up to the store's head."""
+        async with self._refreshing:
+            result = await self._publisher.read_head()
+            if not isinstance(result, Success):
+                return result
+            head = result.unwrap()
+            if head.record is not None and head.revision > self._revision.number:
+                entries = await self._publisher.read_entries(head.record, self._revision.entries)
+                if not isinstance(entries, Success):
+                    return entries.map(lambda _: head)
+                self._revision.adopt(head.revision, entries.unwrap(), head.record.digest)
+            self._refreshed_s = self._clock.monotonic_s()
+            return result
+
+    async def _refresh_if_possible(self) -> None:
+        result = await self._refresh()
+        if not isinstance(result, Success) and self._revision.number == 0:
+            raise ApiError(result.failure())
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return web.json_response({"ok": True})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        ready = not self._draining
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _get_schema(self, call: Call) -> Json:
+        return schema.SCHEMA
+
+    async def _get_document(self, call: Call) -> Json:
+        await self._refresh_if_possible()
+        return {
+            "revision": self._revision.number,
+            "digest": self._revision.digest,
+            "document": join(self._revision.entries),
+        }
+
+    async def _validate(self, call: Call) -> Json:
+        entries = await _valid_entries(call.body)
+        return {"valid": True, "digest": digest(entries)}
+
+    async def _diff(self, call: Call) -> Json:
+        entries = await _valid_entries(call.body)
+        await self._refresh_if_possible()
+        old = self._revision.entries
+        found = Difference.between(old, entries)
+        details = {
+            key: {"old": _decoded(old.get(key)), "new": _decoded(entries.get(key))}
+            for key in [*found.added, *found.changed, *found.removed]
+        }
+        return {
+            "revision": self._revision.number,
+            "difference": found.as_json(),
+            "entries": details,
+        }
+
+    async def _apply(self, call: Call) -> Json:
+        _require_may_apply(call)
+        change = _change_of(call)
+        entries = await _valid_entries(call.body)
+        await self._refresh()
+        return self._finish(await self._publisher.apply(entries, change), call)
+
+    async def _history(self, call: Call) -> Json:
+        text = call.request.query.get("limit", str(DEFAULT_HISTORY))
+        if not text.isdigit() or int(text) < 1:
+            raise _bad_request("limit: allowed: an integer from 1")
+        records = _unwrap(await self._publisher.history(int(text)))
+        revisions = [asdict(record) for record in records]
+        for revision in revisions:
+            del revision["chunks"]
+        return {"revisions": revisions}
+
+    async def _rollback(self, call: Call) -> Json:
+        _require_may_apply(call)
+        change = _change_of(call)
+        revision = _integer(call.body, "revision", 1)
+        await self._refresh()
+        old: Published = _unwrap(await self._publisher.read(revision, self._revision.entries))
+        await _require_valid(join(old.entries))
+        result = await self._publisher.apply(old.entries, change, restored=revision)
+        return self._finish(result, call)
+
+    async def _drain_target(self, call: Call) -> Json:
+        _require_may_apply(call)
+        target = call.body.get("target")
+        withdrawn = call.body.get("withdrawn", True)
+        if not isinstance(target, str) or not isinstance(withdrawn, bool):
+            raise _bad_request("target: allowed: a name; withdrawn: allowed: true or false")
+        operation_id = _operation_id(call.body)
+        for _ in range(DRAIN_ATTEMPTS):
+            _unwrap(await self._refresh())
+            result = await self._set_withdrawn(call, target, withdrawn, operation_id)
+            if isinstance(result, Success):
+                return self._finish(result, call)
+            # The change concerns one entry, so it is made again on top of a newer document.
+            if result.failure().failure.kind is not ErrorKind.CONFLICT:
+                break
+            metrics.retried(ErrorKind.CONFLICT.value)
+        return self._finish(result, call)
+
+    async def _set_withdrawn(
+        self, call: Call, target: str, withdrawn: bool, operation_id: str
+    ) -> Result[Published, Rejection]:
+        key = f"targets/{target}"
+        value = self._revision.entries.get(key)
+        if value is None:
+            raise ApiError(Failure(ErrorKind.NOT_FOUND, f"target {target!r} does not exist"))
+        entry = {**json.loads(value), "withdrawn": withdrawn}
+        entries = {**self._revision.entries, key: canonical(entry)}
+        change = Change(operation_id, call.operator.name, self._revision.number)
+        return await self._publisher.apply(entries, change)
+
+    def _finish(self, result: Result[Published, Rejection], call: Call) -> Json:
+        if not isinstance(result, Success):
+            raise _rejected(result.failure())
+        published = result.unwrap()
+        record = published.record
+        base = self._revision.number
+        if self._revision.adopt(record.revision, published.entries, record.digest):
+            self._spawn(self._tell_seeds(base))
+        log.info(event("change_applied", revision=record.revision, operator=call.operator.name))
+        return {
+            "revision": record.revision,
+            "digest": record.digest,
+            "operation_id": record.operation_id,
+        }
+
+    async def _tell_seeds(self, base: int) -> None:
+        seeds = self._settings.seed_addresses
+        await asyncio.gather(*(self._spread.send_delta(address, base) for address in seeds))
+
+    def _spawn(self, body: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(body)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _status(self, call: Call) -> Json:
+        await self._refresh_if_possible()
+        limit = asyncio.Semaphore(STATUS_PARALLEL)
+        asked = {address: "" for address in self._settings.seed_addresses}
+        for name, target in self._revision.document.targets.items():
+            asked[target.agent_address] = name
+        rows = await asyncio.gather(
+            *(self._ask_status(address, target, limit) for address, target in asked.items())
+        )
+        return {"revision": self._revision.number, "processes": rows}
+
+    async def _ask_status(self, address: str, target: str, limit: asyncio.Semaphore) -> Json:
+        row: Json = {"address": address, "target": target}
+        async with limit:
+            channel = self._pool.get(address)
+            try:
+                status = Status(channel.next_number())
+                reply = await channel.call(status, StatusReply, STATUS_TIMEOUT_S)
+                state = json.loads(reply.state)
+            except (ConnectionLostError, ValueError) as error:
+                return {**row, "name": "", "revision": None, "ready": False, "error": str(error)}
+        if not isinstance(state, dict):
+            return {**row, "name": "", "revision": None, "ready": False, "error": "bad state"}
+        return {**row, **state}
+
+    async def _explain(self, call: Call) -> Json:
+        question = {key: call.body.get(key, "") for key in ("customer", "model", "prompt")}
+        if not all(isinstance(value, str) for value in question.values()):
+            raise _bad_request("customer, model and prompt: allowed: text")
+        body = canonical(question)
+        for address in self._settings.seed_addresses:
+            channel = self._pool.get(address)
+            try:
+                message = Explain(channel.next_number(), body)
+                reply = await channel.call(message, ExplainReply, EXPLAIN_TIMEOUT_S)
+                answer = json.loads(reply.body)
+            except (ConnectionLostError, ValueError) as error:
+                log.info(event("explain_failed", peer=address, reason=error))
+                continue
+            return answer if isinstance(answer, dict) else {"answer": answer}
+        raise ApiError(Failure(ErrorKind.TARGET_UNREACHABLE, "no router answered"))
+
+
+def _decoded(value: bytes | None) -> Any:
+    return None if value is None else json.loads(value)
+
+
+async def _read_body(request: web.Request) -> Json:
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            data = await request.read()
+    except TimeoutError as error:
+        raise _bad_request(f"body was not received within {BODY_TIMEOUT_S:.0f} s") from error
+    try:
+        body = schema.parse(data)
+    except (ValueError, RecursionError) as error:
+        raise _bad_request(f"body: {error}: allowed: a JSON object") from error
+    if not isinstance(body, dict):
+        raise _bad_request("body: allowed: a JSON object")
+    return body
+
+
+async def _valid_entries(body: Json) -> Entries:
+    document = body.get("document")
+    if not isinstance(document, dict):
+        raise _bad_request("document: allowed: a JSON object")
+    await _require_valid(document)
+    return split(document)
+
+
+async def _require_valid(document: Json) -> None:
+    # Checking a full-size document takes long enough to delay other requests.
+    faults = await asyncio.to_thread(schema.validate, document)
+    if faults:
+        details = {"faults": [fault.as_json() for fault in faults]}
+        raise ApiError(Failure(ErrorKind.INVALID_DOCUMENT, str(faults[0])), details)
+
+
+def _require_may_apply(call: Call) -> None:
+    if not call.operator.may_apply:
+        message = f"operator {call.operator.name} may not change the document"
+        raise ApiError(Failure(ErrorKind.FORBIDDEN, message))
+
+
+def _integer(body: Json, key: str, minimum: int) -> int:
+    value = body.get(key)
+    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
+        raise _bad_request(f"{key}: allowed: an integer from {minimum}")
+    return value
+
+
+def _operation_id(body: Json) -> str:
+    value = body.get("operation_id", "")
+    if not isinstance(value, str) or len(value) > MAX_OPERATION_ID_CHARACTERS:
+        limit = MAX_OPERATION_ID_CHARACTERS
+        raise _bad_request(f"operation_id: allowed: text of at most {limit} characters")
+    return value or secrets.token_hex(16)
+
+
+def _change_of(call: Call) -> Change:
+    expected = _integer(call.body, "expected_revision", 0)
+    return Change(_operation_id(call.body), call.operator.name, expected)
+
+
+def _rejected(rejection: Rejection) -> ApiError:
+    details: Json = {}
+    if rejection.failure.kind is ErrorKind.CONFLICT:
+        details["revision"] = rejection.revision
+        if rejection.difference is not None:
+            details["difference"] = rejection.difference.as_json()
+    return ApiError(rejection.failure, details)
+
+
+@cappa.command(name="coltsfootfront-admin")
+@dataclass
+class Arguments:
+    """Administration API of coltsfootfront."""
+
+    config: Annotated[Path, cappa.Arg(long=True, help="TOML settings file.")]
+
+
+def main() -> None:
+    """Run the program until SIGTERM."""
+    arguments = cappa.parse(Arguments, version=__version__)
+    settings = runtime.load_or_exit(arguments.config, AdminSettings)
+    runtime.serve(Admin(settings, SystemClock()), settings.name, settings.log_level)
--- /dev/null
+++ b/coltsfootfront/etcd.py
@@ -0,0 +1,269 @@
+"""Adapter of :class:`Store` to the JSON gateway of the etcd v3 API."""
+
+import base64
+import json
+import math
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from coltsfootfront import metrics
+from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.store import (
+    Compare,
+    KeyValue,
+    Outcome,
+    Put,
+    Store,
+    Transaction,
+    WatchEvent,
+)
+
+# Largest answer that is read; the store's values are at most 1 MB, a listing may hold many.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Longest line of a watch: one value of 1 MB in base64 with some room.
+MAX_WATCH_LINE_BYTES = 2 * 1024 * 1024
+HTTP_BAD_REQUEST = 400
+HTTP_NOT_FOUND = 404
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_SERVER_ERROR = 500
+
+Json = dict[str, Any]
+
+
+def _to_base64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _range_end(prefix: str) -> str:
+    data = bytearray(prefix.encode())
+    while data:
+        if data[-1] < 0xFF:
+            data[-1] += 1
+            return _to_base64(bytes(data))
+        data.pop()
+    return _to_base64(b"\0")
+
+
+def _key_value(kv: Json) -> KeyValue:
+    return KeyValue(
+        key=base64.b64decode(kv["key"]).decode(),
+        value=base64.b64decode(kv.get("value", "")),
+        create_revision=int(kv.get("create_revision", 0)),
+        mod_revision=int(kv.get("mod_revision", 0)),
+        lease=int(kv.get("lease", 0)),
+    )
+
+
+def _compare(compare: Compare) -> Json:
+    return {
+        "key": _to_base64(compare.key.encode()),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(compare.mod_revision),
+    }
+
+
+def _put(put: Put) -> Json:
+    body = {"key": _to_base64(put.key.encode()), "value": _to_base64(put.value)}
+    if put.lease:
+        body["lease"] = str(put.lease)
+    return {"request_put": body}
+
+
+def _transaction(transaction: Transaction) -> Json:
+    deletes = [
+        {"request_delete_range": {"key": _to_base64(key.encode())}} for key in transaction.deletes
+    ]
+    reads = [
+        {"request_range": {"key": _to_base64(key.encode())}} for key in transaction.read_on_failure
+    ]
+    return {
+        "compare": [_compare(compare) for compare in transaction.compares],
+        "success": [_put(put) for put in transaction.puts] + deletes,
+        "failure": reads,
+    }
+
+
+def _outcome(answer: Json) -> Outcome:
+    read = [
+        _key_value(kv)
+        for response in answer.get("responses", [])
+        for kv in response.get("response_range", {}).get("kvs", [])
+    ]
+    succeeded = bool(answer.get("succeeded", False))
+    return Outcome(succeeded, int(answer["header"]["revision"]), [] if succeeded else read)
+
+
+def _unavailable(message: str) -> Failure:
+    return Failure(ErrorKind.STORE_UNAVAILABLE, message)
+
+
+def _ambiguous(message: str) -> Failure:
+    return Failure(ErrorKind.STORE_AMBIGUOUS, message, RunState.UNKNOWN)
+
+
+class EtcdStore(Store):
+    """Store behind the JSON gateway of the etcd v3 API.
+
+    :param address: base URL, for example ``http://10.0.0.5:2379``.
+    :param timeout_s: limit for each call, and for opening a watch.
+    """
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        self._address = address.rstrip("/")
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Prepare the HTTP session; opens no connection."""
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+
+    async def close(self) -> None:
+        """Close every connection; open watches end."""
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
+    async def get(self, key: str) -> Result[KeyValue | None, Failure]:
+        body = {"key": _to_base64(key.encode())}
+        result = await self._call("get", "/v3/kv/range", body, writes=False)
+        return result.map(lambda answer: next(map(_key_value, answer.get("kvs", [])), None))
+
+    async def list_prefix(self, prefix: str) -> Result[list[KeyValue], Failure]:
+        body = {"key": _to_base64(prefix.encode()), "range_end": _range_end(prefix)}
+        body |= {"sort_order": "ASCEND", "sort_target": "KEY"}
+        result = await self._call("list", "/v3/kv/range", body, writes=False)
+        return result.map(lambda answer: [_key_value(kv) for kv in answer.get("kvs", [])])
+
+    async def commit(self, transaction: Transaction) -> Result[Outcome, Failure]:
+        writes = bool(transaction.puts or transaction.deletes)
+        body = _transaction(transaction)
+        result = await self._call("commit", "/v3/kv/txn", body, writes)
+        return result.map(_outcome)
+
+    async def grant_lease(self, life_s: float) -> Result[int, Failure]:
+        body = {"TTL": str(math.ceil(life_s)), "ID": "0"}
+        result = await self._call("grant_lease", "/v3/lease/grant", body, writes=True)
+        return result.map(lambda answer: int(answer["ID"]))
+
+    async def keep_alive(self, lease: int) -> Result[float, Failure]:
+        body = {"ID": str(lease)}
+        result = await self._call("keep_alive", "/v3/lease/keepalive", body, writes=True)
+        return result.map(lambda answer: float(answer.get("result", {}).get("TTL", 0)))
+
+    async def revoke_lease(self, lease: int) -> Result[None, Failure]:
+        body = {"ID": str(lease)}
+        result = await self._call("revoke_lease", "/v3/lease/revoke", body, True, absent_ok=True)
+        return result.map(lambda answer: None)
+
+    async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
+        body = {
+            "create_request": {
+                "key": _to_base64(prefix.encode()),
+                "range_end": _range_end(prefix),
+            }
+        }
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
+        session = self._require_session()
+        try:
+            async with session.post(
+                f"{self._address}/v3/watch",
+                json=body,
+                timeout=timeout,
+                read_bufsize=MAX_WATCH_LINE_BYTES,
+            ) as response:
+                self._count("watch", "ok" if response.ok else "refused")
+                if not response.ok:
+                    raise FailureError(_unavailable(f"watch refused: HTTP {response.status}"))
+                async for line in response.content:
+                    for found in _watch_events(line):
+                        yield found
+        except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError) as error:
+            raise FailureError(_unavailable(f"watch ended: {error!r}")) from error
+        raise FailureError(_unavailable("watch was closed by the store"))
+
+    def _require_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            raise FailureError(_unavailable("the store adapter is not started"))
+        return self._session
+
+    async def _call(
+        self, name: str, path: str, body: Json, writes: bool, absent_ok: bool = False
+    ) -> Result[Json, Failure]:
+        lost = _ambiguous if writes else _unavailable
+        try:
+            session = self._require_session()
+            async with session.post(self._address + path, json=body) as response:
+                data = await read_bounded(response, MAX_ANSWER_BYTES)
+                if response.status == HTTP_NOT_FOUND and absent_ok:
+                    result: Result[Json, Failure] = Success({})
+                else:
+                    result = _interpret(response.status, data, lost)
+        except FailureError as error:
+            result = Failed(error.failure)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # The request was not sent, so a write certainly had no effect.
+            result = Failed(_unavailable(f"store cannot be reached: {error}"))
+        except TimeoutError:
+            result = Failed(lost(f"no answer from the store in {self._timeout_s} s"))
+        except (aiohttp.ClientError, OSError) as error:
+            result = Failed(lost(f"answer of the store was lost: {error!r}"))
+        self._count(name, _outcome_label(result))
+        return result
+
+    def _count(self, name: str, outcome: str) -> None:
+        metrics.STORE_CALLS.inc({"call": name, "outcome": outcome})
+
+
+def _outcome_label(result: Result[Json, Failure]) -> str:
+    if isinstance(result, Success):
+        return "ok"
+    return result.failure().kind.value
+
+
+async def read_bounded(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
+    """Read the body of an answer.
+
+    :raises aiohttp.ClientPayloadError: it is larger than the limit, or was cut off.
+    """
+    data = bytearray()
+    async for piece in response.content.iter_chunked(65536):
+        data += piece
+        if len(data) > limit_bytes:
+            raise aiohttp.ClientPayloadError("answer exceeds the size limit")
+    return bytes(data)
+
+
+def _interpret(status: int, data: bytes, lost: Any) -> Result[Json, Failure]:
+    try:
+        answer = json.loads(data)
+    except ValueError:
+        answer = None
+    if status == HTTP_TOO_MANY_REQUESTS:
+        return Failed(_unavailable("store refused the call: rate limit"))
+    if status >= HTTP_SERVER_ERROR or not isinstance(answer, dict):
+        return Failed(lost(f"store answered HTTP {status}"))
+    if status >= HTTP_BAD_REQUEST:
+        return Failed(_unavailable(f"store answered HTTP {status}: {answer.get('message', '')}"))
+    return Success(answer)
+
+
+def _watch_events(line: bytes) -> list[WatchEvent]:
+    if not line.strip():
+        return []
+    message = json.loads(line)
+    if "error" in message:
+        raise FailureError(_unavailable(f"watch ended: {message['error']}"))
+    result = message.get("result", {})
+    if result.get("canceled"):
+        raise FailureError(_unavailable("watch was cancelled by the store"))
+    events = []
+    for item in result.get("events", []):
+        value = _key_value(item["kv"])
+        events.append(WatchEvent(value.key, None if item.get("type") == "DELETE" else value))
+    return events
--- a/coltsfootfront/messages.py
+++ b/coltsfootfront/messages.py
@@ -435,6 +435,30 @@
     state: bytes
 
 
+@_message
+class Explain(Message):
+    """Asks a router how it would place a request.
+
+    :param body: JSON object with ``customer``, ``model`` and ``prompt``.
+    """
+
+    TYPE = "explain"
+    call: int
+    body: bytes
+
+
+@_message
+class ExplainReply(Message):
+    """Answers :class:`Explain`.
+
+    :param body: JSON object with the candidates and the choice.
+    """
+
+    TYPE = "explain_reply"
+    call: int
+    body: bytes
+
+
 def fail_message(stream: int, attempt: int, failure: Failure) -> Fail:
     """Build the message for a failure."""
     return Fail(
--- a/coltsfootfront/metrics.py
+++ b/coltsfootfront/metrics.py
@@ -14,6 +14,9 @@
 PREFIX_BLOCKS = Counter("coltsfootfront_prefix_blocks_total", "Prompt blocks by cache outcome.")
 LINK_BYTES = Counter("coltsfootfront_link_bytes_total", "Bytes sent between regions.")
 CACHE_EVENTS = Counter("coltsfootfront_cache_events_total", "Cache events by kind.")
+CONFIGURATION = Counter(
+    "coltsfootfront_configuration_events_total", "Spread of the configuration by event."
+)
 REVISION = Gauge("coltsfootfront_revision", "Configuration revision in force.")
 
 
--- /dev/null
+++ b/coltsfootfront/publisher.py
@@ -0,0 +1,498 @@
+"""Publishes configuration revisions in the store: apply, rollback and history.
+
+The document is stored as compressed chunks that are named by their content, and a head record
+that lists them. The update of the head is the commit point. A copy of each head record stays
+under its revision number, written in the same transaction.
+"""
+
+import json
+import random
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field, fields
+from typing import Any
+
+import logbook
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from coltsfootfront import metrics
+from coltsfootfront.clock import Clock
+from coltsfootfront.entries import Entries, EntriesError, difference, digest, pack, unpack
+from coltsfootfront.errors import ErrorKind, Failure, RunState
+from coltsfootfront.logs import event
+from coltsfootfront.store import Compare, KeyValue, Outcome, Put, Store, Transaction
+
+log = logbook.Logger(__name__)
+
+HEAD_KEY = "config/head"
+BLOB_PREFIX = "config/blob/"
+RECORD_PREFIX = "config/revision/"
+
+# A chunk ends before it would exceed this size, so that with a largest entry of the same size
+# a chunk stays below 512 KiB before compression.
+CHUNK_BYTES = 256 * 1024
+# On average one key in this many begins a new chunk. The boundaries depend on the keys alone, so
+# a change rewrites one small chunk instead of the whole document.
+KEYS_PER_CHUNK = 64
+# No key has this modification revision: a transaction with this condition only reads, and reads
+# the newest values, while a plain read may be answered with an older one.
+NEVER_REVISION = 2**62
+# Time within which an ambiguous write is settled before its outcome is reported as unknown.
+SETTLE_S = 6.0
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 1.0
+# Records returned by the history; reading it costs one call for each.
+MAX_HISTORY = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Head record of one revision.
+
+    :param revision: number of the revision, from 1.
+    :param parent: digest of the entries of the revision before, empty for the first.
+    :param digest: digest of the entries.
+    :param chunks: names of the chunks that hold the entries.
+    :param operation_id: identifier of the change, chosen by whoever asked for it.
+    :param operator: name of the operator.
+    :param time: wall-clock time in ISO 8601.
+    :param restored: revision whose content a rollback restored, 0 for other changes.
+    """
+
+    revision: int
+    parent: str
+    digest: str
+    chunks: list[str]
+    operation_id: str
+    operator: str
+    time: str
+    restored: int = 0
+
+    def encode(self) -> bytes:
+        """Encode the record as JSON."""
+        return json.dumps(asdict(self), sort_keys=True).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Record":
+        """Decode a record; unknown fields are ignored.
+
+        :raises ValueError: the data is not a record.
+        """
+        body = json.loads(data)
+        if not isinstance(body, dict):
+            raise ValueError("record is not an object")
+        known = {item.name for item in fields(cls)}
+        try:
+            record = cls(**{name: value for name, value in body.items() if name in known})
+        except TypeError as error:
+            raise ValueError(f"record is incomplete: {error}") from error
+        if not isinstance(record.revision, int) or not isinstance(record.chunks, list):
+            raise ValueError("record has a field of a wrong type")
+        return record
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A revision with its entries."""
+
+    record: Record
+    entries: Entries
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Who asks for a change, and on top of which revision.
+
+    :param operation_id: identifier of the change; a repeat with the same one has no effect.
+    :param expected_revision: revision that the change was made for, 0 for none.
+    """
+
+    operation_id: str
+    operator: str
+    expected_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """Entry keys in which two revisions differ."""
+
+    added: list[str] = field(default_factory=list)
+    changed: list[str] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+
+    @classmethod
+    def between(cls, old: Mapping[str, bytes], new: Mapping[str, bytes]) -> "Difference":
+        """Compare two sets of entries."""
+        put, removed = difference(old, new)
+        added = sorted(key for key in put if key not in old)
+        changed = sorted(key for key in put if key in old)
+        return cls(added, changed, removed)
+
+    def as_json(self) -> dict[str, Any]:
+        """JSON form."""
+        return asdict(self)
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A change that was not accepted, or whose outcome is unknown.
+
+    :param difference: for a conflict, what changed since the expected revision.
+    :param revision: for a conflict, the revision in the store.
+    """
+
+    failure: Failure
+    difference: Difference | None = None
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The head as it stands in the store.
+
+    :param record: None when nothing was ever published.
+    :param mod_revision: store revision of its last change, 0 when it does not exist.
+    """
+
+    record: Record | None
+    mod_revision: int
+
+    @property
+    def revision(self) -> int:
+        """Number of the revision, 0 for none."""
+        return self.record.revision if self.record else 0
+
+
+def record_key(revision: int) -> str:
+    """Key of the history record of a revision."""
+    return f"{RECORD_PREFIX}{revision:012d}"
+
+
+def split_chunks(entries: Mapping[str, bytes]) -> dict[str, Entries]:
+    """Divide entries into chunks.
+
+    :returns: chunk name (digest of its entries) to entries, in key order.
+    """
+    chunks: dict[str, Entries] = {}
+    chunk: Entries = {}
+    size = 0
+    for key in sorted(entries):
+        length = len(key) + len(entries[key])
+        if chunk and (size + length > CHUNK_BYTES or _begins_chunk(key)):
+            chunks[digest(chunk)] = chunk
+            chunk, size = {}, 0
+        chunk[key] = entries[key]
+        size += length
+    if chunk:
+        chunks[digest(chunk)] = chunk
+    return chunks
+
+
+def _begins_chunk(key: str) -> bool:
+    return int(digest({key: b""})[:8], 16) % KEYS_PER_CHUNK == 0
+
+
+def decode_head(found: KeyValue | None) -> Head:
+    """Read the head out of its key.
+
+    :raises ValueError: the value is not a record.
+    """
+    if found is None:
+        return Head(None, 0)
+    return Head(Record.decode(found.value), found.mod_revision)
+
+
+def _failed(kind: ErrorKind, message: str, run: RunState = RunState.NOT_RUN) -> Rejection:
+    return Rejection(Failure(kind, message, run))
+
+
+class Publisher:
+    """Reads and writes configuration revisions.
+
+    :param store: the platform's key-value service.
+    :param clock: time source.
+    """
+
+    def __init__(self, store: Store, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    async def read_head(self) -> Result[Head, Failure]:
+        """Read the head; never an older value than the newest."""
+        result = await self._read_newest([HEAD_KEY])
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        return _decode_result(result.unwrap().get(HEAD_KEY))
+
+    async def read_head_loosely(self) -> Result[Head, Failure]:
+        """Read the head with a plain read, which the store may answer with an older value."""
+        result = await self._store.get(HEAD_KEY)
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        return _decode_result(result.unwrap())
+
+    async def read_entries(
+        self, record: Record, known: Mapping[str, bytes]
+    ) -> Result[Entries, Failure]:
+        """Read the entries of a revision.
+
+        :param known: entries at hand; chunks that equal them are not read.
+        """
+        at_hand = split_chunks(known)
+        entries: Entries = {}
+        for name in record.chunks:
+            chunk = at_hand.get(name)
+            if chunk is None:
+                result = await self._read_chunk(name)
+                if not isinstance(result, Success):
+                    return result
+                chunk = result.unwrap()
+            entries.update(chunk)
+        if digest(entries) != record.digest:
+            return Failed(_damaged(f"digest of revision {record.revision} does not match"))
+        return Success(entries)
+
+    async def read(self, revision: int, known: Mapping[str, bytes]) -> Result[Published, Failure]:
+        """Read one revision out of the history."""
+        result = await self._read_record(revision)
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        record = result.unwrap()
+        if record is None:
+            return Failed(Failure(ErrorKind.NOT_FOUND, f"revision {revision} does not exist"))
+        entries = await self.read_entries(record, known)
+        return entries.map(lambda found: Published(record, found))
+
+    async def history(self, limit: int) -> Result[list[Record], Failure]:
+        """Read the latest records, the newest first.
+
+        :param limit: number of records, at most ``MAX_HISTORY``.
+        """
+        head = await self.read_head()
+        if not isinstance(head, Success):
+            return Failed(head.failure())
+        records: list[Record] = []
+        newest = head.unwrap().revision
+        for revision in range(newest, max(newest - min(limit, MAX_HISTORY), 0), -1):
+            result = await self._read_record(revision)
+            if not isinstance(result, Success):
+                return Failed(result.failure())
+            record = result.unwrap()
+            if record is not None:
+                records.append(record)
+        return Success(records)
+
+    async def rollback(self, revision: int, change: Change) -> Result[Published, Rejection]:
+        """Publish the content of an old revision as a new one.
+
+        :param revision: revision whose content is restored.
+        """
+        old = await self.read(revision, {})
+        if not isinstance(old, Success):
+            return Failed(Rejection(old.failure()))
+        return await self.apply(old.unwrap().entries, change, restored=revision)
+
+    async def apply(
+        self, entries: Entries, change: Change, restored: int = 0
+    ) -> Result[Published, Rejection]:
+        """Publish a document that has been validated.
+
+        Either the whole change is accepted, or nothing of it takes effect. With run state
+        ``unknown`` in the rejection the store did not tell which; a repeat with the same
+        operation id tells.
+
+        :param entries: the whole document.
+        :param restored: revision that a rollback restores, 0 for other changes.
+        """
+        result = await self.read_head()
+        if not isinstance(result, Success):
+            return Failed(Rejection(result.failure()))
+        head = result.unwrap()
+        if head.revision != change.expected_revision:
+            return await self._settle_lost(entries, change)
+        chunks = split_chunks(entries)
+        written = await self._write_chunks(chunks, head.record.chunks if head.record else [])
+        if not isinstance(written, Success):
+            return Failed(Rejection(written.failure()))
+        record = Record(
+            revision=head.revision + 1,
+            parent=head.record.digest if head.record else "",
+            digest=digest(entries),
+            chunks=list(chunks),
+            operation_id=change.operation_id,
+            operator=change.operator,
+            time=self._clock.now().isoformat(),
+            restored=restored,
+        )
+        return await self._commit(record, entries, head, change)
+
+    async def _commit(
+        self, record: Record, entries: Entries, head: Head, change: Change
+    ) -> Result[Published, Rejection]:
+        transaction = _head_transaction(record, head)
+        deadline_s = self._clock.monotonic_s() + SETTLE_S
+        delay_s = FIRST_RETRY_S
+        ambiguous = False
+        while True:
+            result = await self._store.commit(transaction)
+            if isinstance(result, Success):
+                return await self._judge(result.unwrap(), record, entries, change)
+            failure = result.failure()
+            ambiguous = ambiguous or failure.kind is ErrorKind.STORE_AMBIGUOUS
+            if not ambiguous:
+                return Failed(Rejection(failure))
+            if self._clock.monotonic_s() + delay_s > deadline_s:
+                return Failed(_unknown_outcome(failure))
+            metrics.retried(failure.kind.value)
+            await self._clock.sleep(random.uniform(0, delay_s))
+            delay_s = min(delay_s * 2, MAX_RETRY_S)
+
+    async def _judge(
+        self, outcome: Outcome, record: Record, entries: Entries, change: Change
+    ) -> Result[Published, Rejection]:
+        if outcome.succeeded:
+            return self._accepted(record, entries)
+        for found in outcome.read:
+            if found.key == record_key(record.revision):
+                stored = Record.decode(found.value)
+                if stored.operation_id == change.operation_id:
+                    return self._accepted(stored, entries)
+        return await self._settle_lost(entries, change)
+
+    async def _settle_lost(self, entries: Entries, change: Change) -> Result[Published, Rejection]:
+        """Tell a repeat of an accepted change from a conflict."""
+        own_key = record_key(change.expected_revision + 1)
+        result = await self._read_newest([HEAD_KEY, own_key])
+        if not isinstance(result, Success):
+            return Failed(Rejection(result.failure()))
+        found = result.unwrap()
+        own = found.get(own_key)
+        if own is not None:
+            record = Record.decode(own.value)
+            if record.operation_id == change.operation_id:
+                stored = await self.read_entries(record, entries)
+                return stored.map(lambda content: Published(record, content)).alt(Rejection)
+        return await self._conflict(_decode_result(found.get(HEAD_KEY)), entries, change)
+
+    async def _conflict(
+        self, result: Result[Head, Failure], entries: Entries, change: Change
+    ) -> Result[Published, Rejection]:
+        if not isinstance(result, Success):
+            return Failed(Rejection(result.failure()))
+        head = result.unwrap()
+        message = f"expected revision {change.expected_revision}, found {head.revision}"
+        failure = Failure(ErrorKind.CONFLICT, message)
+        changed = await self._changed_since(change.expected_revision, head)
+        log.info(event("apply_conflict", revision=head.revision, operator=change.operator))
+        return Failed(Rejection(failure, changed, head.revision))
+
+    async def _changed_since(self, revision: int, head: Head) -> Difference | None:
+        if head.record is None:
+            return None
+        newest = await self.read_entries(head.record, {})
+        if not isinstance(newest, Success):
+            return None
+        if revision == 0:
+            return Difference.between({}, newest.unwrap())
+        expected = await self.read(revision, newest.unwrap())
+        if not isinstance(expected, Success):
+            return None
+        return Difference.between(expected.unwrap().entries, newest.unwrap())
+
+    def _accepted(self, record: Record, entries: Entries) -> Result[Published, Rejection]:
+        log.info(
+            event(
+                "revision_accepted",
+                revision=record.revision,
+                operator=record.operator,
+                operation=record.operation_id,
+            )
+        )
+        return Success(Published(record, entries))
+
+    async def _write_chunks(
+        self, chunks: dict[str, Entries], present: list[str]
+    ) -> Result[None, Failure]:
+        for name, chunk in chunks.items():
+            if name in present:
+                continue
+            result = await self._write_chunk(name, pack(chunk))
+            if not isinstance(result, Success):
+                return result
+        return Success(None)
+
+    async def _write_chunk(self, name: str, data: bytes) -> Result[None, Failure]:
+        key = BLOB_PREFIX + name
+        transaction = Transaction(compares=[Compare(key, 0)], puts=[Put(key, data)])
+        result = await self._store.commit(transaction)
+        if not isinstance(result, Success):
+            # The same content under the same key: repeating an ambiguous write is harmless.
+            metrics.retried(result.failure().kind.value)
+            await self._clock.sleep(random.uniform(0, 2 * FIRST_RETRY_S))
+            result = await self._store.commit(transaction)
+        if isinstance(result, Success):
+            return Success(None)
+        # Without the head the chunk means nothing, so the change has certainly not run.
+        message = f"chunk could not be written: {result.failure().message}"
+        return Failed(Failure(ErrorKind.STORE_UNAVAILABLE, message))
+
+    async def _read_chunk(self, name: str) -> Result[Entries, Failure]:
+        result = await self._store.get(BLOB_PREFIX + name)
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        found = result.unwrap()
+        if found is None:
+            return Failed(_damaged(f"chunk {name} is missing"))
+        try:
+            chunk = unpack(found.value)
+        except EntriesError as error:
+            return Failed(_damaged(f"chunk {name}: {error}"))
+        if digest(chunk) != name:
+            return Failed(_damaged(f"chunk {name} has other content"))
+        return Success(chunk)
+
+    async def _read_record(self, revision: int) -> Result[Record | None, Failure]:
+        result = await self._store.get(record_key(revision))
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        found = result.unwrap()
+        if found is None:
+            return Success(None)
+        try:
+            return Success(Record.decode(found.value))
+        except ValueError as error:
+            return Failed(_damaged(f"record of revision {revision}: {error}"))
+
+    async def _read_newest(self, keys: list[str]) -> Result[dict[str, KeyValue], Failure]:
+        transaction = Transaction(
+            compares=[Compare(HEAD_KEY, NEVER_REVISION)], read_on_failure=keys
+        )
+        result = await self._store.commit(transaction)
+        return result.map(lambda outcome: {found.key: found for found in outcome.read})
+
+
+def _head_transaction(record: Record, head: Head) -> Transaction:
+    own_key = record_key(record.revision)
+    data = record.encode()
+    return Transaction(
+        compares=[Compare(HEAD_KEY, head.mod_revision), Compare(own_key, 0)],
+        puts=[Put(HEAD_KEY, data), Put(own_key, data)],
+        read_on_failure=[own_key],
+    )
+
+
+def _decode_result(found: KeyValue | None) -> Result[Head, Failure]:
+    try:
+        return Success(decode_head(found))
+    except ValueError as error:
+        return Failed(_damaged(f"head: {error}"))
+
+
+def _damaged(message: str) -> Failure:
+    log.error(event("configuration_damaged", reason=message))
+    return Failure(ErrorKind.INTERNAL, message)
+
+
+def _unknown_outcome(failure: Failure) -> Rejection:
+    message = f"outcome of the write is unknown, repeat with the operation id: {failure.message}"
+    return Rejection(Failure(ErrorKind.STORE_AMBIGUOUS, message, RunState.UNKNOWN))
--- a/coltsfootfront/settings.py
+++ b/coltsfootfront/settings.py
@@ -5,6 +5,7 @@
 is allowed.
 """
 
+import re
 import tomllib
 from dataclasses import MISSING, Field, dataclass, field, fields
 from pathlib import Path
@@ -12,6 +13,7 @@
 
 T = TypeVar("T")
 
+_KEY_HASH = re.compile("[0-9a-f]{64}")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -251,6 +253,8 @@
         addresses = value if isinstance(value, list) else [value]
         if not all(_is_address(address) for address in addresses if address):
             raise fault
+    if meta["unit"] == "SHA-256 hex" and value and not _KEY_HASH.fullmatch(value):
+        raise fault
     if item.default is MISSING and item.default_factory is MISSING and value == "":
         raise fault
 
--- /dev/null
+++ b/coltsfootfront/tests/test_store.py
@@ -0,0 +1,190 @@
+"""Contract of :class:`Store` that every adapter has to meet, and faults of the etcd adapter."""
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+
+from returns.result import Result, Success
+
+from coltsfootfront.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.etcd import EtcdStore
+from coltsfootfront.store import Compare, Put, Store, Transaction, WatchEvent
+from coltsfootfront_dev.store import StoreStandIn
+
+WATCH_TIMEOUT_S = 3.0
+
+
+def kind_of(result: Result[Any, Failure]) -> ErrorKind | None:
+    """Error kind of a result, None for a success."""
+    return None if isinstance(result, Success) else result.failure().kind
+
+
+def create(key: str, value: bytes, lease: int = 0) -> Transaction:
+    """Transaction that creates a key which must not exist."""
+    return Transaction([Compare(key, 0)], [Put(key, value, lease)], [], [key])
+
+
+async def next_event(events: AsyncIterator[WatchEvent]) -> WatchEvent:
+    """Wait for the next event of a watch."""
+    async with asyncio.timeout(WATCH_TIMEOUT_S):
+        return await anext(events)
+
+
+class Contracts:
+    """Holds abstract test cases, so that the test loader does not run them by themselves."""
+
+    class StoreContract(unittest.IsolatedAsyncioTestCase):
+        """Subclasses provide ``make_store`` and ``expire_leases``."""
+
+        async def make_store(self) -> Store:
+            """A store without keys, started; closed by the subclass."""
+            raise NotImplementedError
+
+        async def expire_leases(self) -> None:
+            """Let every lease lapse, as when its holder was paused for long."""
+            raise NotImplementedError
+
+        async def asyncSetUp(self) -> None:
+            self.store = await self.make_store()
+
+        async def test_absent_key_reads_as_none(self) -> None:
+            """Guards against taking a missing key for a failure."""
+            self.assertEqual(Success(None), await self.store.get("a/absent"))
+
+        async def test_create_only_once(self) -> None:
+            """Guards against two creators that both believe they won."""
+            first = (await self.store.commit(create("a/b", b"1"))).unwrap()
+            second = (await self.store.commit(create("a/b", b"2"))).unwrap()
+            self.assertTrue(first.succeeded)
+            self.assertFalse(second.succeeded)
+            self.assertEqual([b"1"], [found.value for found in second.read])
+
+        async def test_compare_and_swap(self) -> None:
+            """Guards against an update on top of a value that was changed meanwhile."""
+            await self.store.commit(create("k", b"1"))
+            old = (await self.store.get("k")).unwrap()
+            assert old is not None
+            swap = Transaction([Compare("k", old.mod_revision)], [Put("k", b"2")])
+            self.assertTrue((await self.store.commit(swap)).unwrap().succeeded)
+            self.assertFalse((await self.store.commit(swap)).unwrap().succeeded)
+            new = (await self.store.get("k")).unwrap()
+            assert new is not None
+            self.assertEqual(b"2", new.value)
+            self.assertEqual(old.create_revision, new.create_revision)
+            self.assertGreater(new.mod_revision, old.mod_revision)
+
+        async def test_transaction_is_all_or_nothing(self) -> None:
+            """Guards against a part of a transaction taking effect."""
+            await self.store.commit(create("k", b"1"))
+            both = Transaction([Compare("k", 0)], [Put("x", b""), Put("y", b"")], ["k"])
+            self.assertFalse((await self.store.commit(both)).unwrap().succeeded)
+            self.assertEqual(Success([]), await self.store.list_prefix("x"))
+
+        async def test_list_prefix_is_ordered_and_exact(self) -> None:
+            """Guards against keys of a neighbouring prefix in a listing."""
+            for key in ("p/2", "p/1", "p0", "o/9"):
+                await self.store.commit(create(key, key.encode()))
+            found = (await self.store.list_prefix("p/")).unwrap()
+            self.assertEqual(["p/1", "p/2"], [item.key for item in found])
+
+        async def test_fencing_number_grows_with_each_creation(self) -> None:
+            """Guards against a successor with the fencing number of its predecessor."""
+            await self.store.commit(create("l", b"1"))
+            first = (await self.store.get("l")).unwrap()
+            await self.store.commit(Transaction(deletes=["l"]))
+            await self.store.commit(create("l", b"2"))
+            second = (await self.store.get("l")).unwrap()
+            assert first is not None and second is not None
+            self.assertGreater(second.create_revision, first.create_revision)
+
+        async def test_lease_removes_its_keys(self) -> None:
+            """Guards against keys that outlive their lease."""
+            lease = (await self.store.grant_lease(60)).unwrap()
+            await self.store.commit(create("l", b"1", lease))
+            self.assertGreater((await self.store.keep_alive(lease)).unwrap(), 0)
+            self.assertEqual(Success(None), await self.store.revoke_lease(lease))
+            self.assertEqual(Success(None), await self.store.get("l"))
+            self.assertEqual(Success(None), await self.store.revoke_lease(lease))
+
+        async def test_lapsed_lease(self) -> None:
+            """Guards against a holder that was paused and goes on with a lapsed lease."""
+            lease = (await self.store.grant_lease(60)).unwrap()
+            await self.store.commit(create("l", b"1", lease))
+            await self.expire_leases()
+            self.assertEqual(Success(None), await self.store.get("l"))
+            self.assertEqual(Success(0.0), await self.store.keep_alive(lease))
+            late = await self.store.commit(create("l", b"2", lease))
+            self.assertEqual(ErrorKind.STORE_UNAVAILABLE, kind_of(late))
+            self.assertEqual(Success(None), await self.store.get("l"))
+
+        async def test_watch_reports_changes_and_removals(self) -> None:
+            """Guards against missed and foreign events."""
+            events = self.store.watch("w/")
+            pending = asyncio.create_task(next_event(events))
+            await asyncio.sleep(0.1)
+            await self.store.commit(create("v", b"other"))
+            await self.store.commit(create("w/1", b"1"))
+            await self.store.commit(Transaction(deletes=["w/1"]))
+            first = await pending
+            self.assertEqual("w/1", first.key)
+            assert first.value is not None
+            self.assertEqual(b"1", first.value.value)
+            self.assertEqual(WatchEvent("w/1", None), await next_event(events))
+
+
+class EtcdStoreTest(Contracts.StoreContract):
+    """The adapter of the etcd gateway against the stand-in."""
+
+    async def make_store(self) -> Store:
+        self.stand_in = StoreStandIn()
+        address = await self.stand_in.start("127.0.0.1:0")
+        store = EtcdStore(f"http://{address}", 0.5)
+        await store.start()
+        self.addAsyncCleanup(self.stand_in.close)
+        self.addAsyncCleanup(store.close)
+        return store
+
+    async def expire_leases(self) -> None:
+        self.stand_in.control({"expire_leases": True})
+
+    async def test_faults(self) -> None:
+        """Guards against a wrong claim about the effect of a call that failed."""
+        unavailable, ambiguous = ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_AMBIGUOUS
+        table: tuple[tuple[dict[str, Any], ErrorKind | None, ErrorKind, bool], ...] = (
+            ({"outage": True}, unavailable, ambiguous, False),
+            ({"delay_s": 1.0}, unavailable, ambiguous, True),
+            ({"rate_limit_per_s": 0}, unavailable, unavailable, False),
+            ({"lose_answers": 1}, None, ambiguous, True),
+        )
+        for number, (fault, read, write, has_effect) in enumerate(table):
+            with self.subTest(fault=fault):
+                key = f"f/{number}"
+                self.stand_in.control(fault)
+                self.assertEqual(read, kind_of(await self.store.get(key)))
+                self.assertEqual(write, kind_of(await self.store.commit(create(key, b""))))
+                self.stand_in.control(
+                    {"outage": False, "delay_s": 0, "rate_limit_per_s": None, "lose_answers": 0}
+                )
+                await asyncio.sleep(0.8 if "delay_s" in fault else 0)
+                found = (await self.store.get(key)).unwrap()
+                self.assertEqual(has_effect, found is not None)
+
+    async def test_refused_connection_has_no_effect(self) -> None:
+        """Guards against calling a write ambiguous that never left this process."""
+        await self.stand_in.close()
+        result = await self.store.commit(create("k", b""))
+        self.assertEqual(ErrorKind.STORE_UNAVAILABLE, kind_of(result))
+
+    async def test_closed_watch_raises(self) -> None:
+        """Guards against a watcher that waits for ever on a watch that has ended."""
+        pending = asyncio.create_task(next_event(self.store.watch("w/")))
+        await asyncio.sleep(0.1)
+        self.stand_in.control({"close_watches": True})
+        with self.assertRaises(FailureError) as caught:
+            await pending
+        self.assertEqual(ErrorKind.STORE_UNAVAILABLE, caught.exception.failure.kind)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/coltsfootfront_dev/vms.py
@@ -0,0 +1,106 @@
+"""Stand-in of the platform's lagging list of live and leaving VMs.
+
+``POST /control`` takes ``vms`` (the whole list), ``update`` (entries that replace those with the
+same name), ``remove`` (names) and ``lag_s``; changes show in the list after the lag.
+"""
+
+import asyncio
+import json
+import signal
+import time
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import cappa
+from aiohttp import web
+
+Json = dict[str, Any]
+
+
+class VmStandIn:
+    """HTTP server of the stand-in."""
+
+    def __init__(self) -> None:
+        self._newest: dict[str, Json] = {}
+        self._shown: dict[str, Json] = {}
+        self._pending: deque[tuple[float, dict[str, Json]]] = deque()
+        self._lag_s = 0.0
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: str) -> str:
+        """Start to listen.
+
+        :returns: address in use as ``host:port``.
+        """
+        app = web.Application()
+        app.router.add_get("/v1/vms", self._handle_list)
+        app.router.add_post("/control", self._handle_control)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.5)
+        await self._runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        name = self._runner.addresses[0]
+        return f"{name[0]}:{name[1]}"
+
+    async def close(self) -> None:
+        """Stop to listen."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def control(self, settings: Json) -> None:
+        """Change the list or its lag."""
+        self._lag_s = float(settings.get("lag_s", self._lag_s))
+        vms = dict(self._newest)
+        if "vms" in settings:
+            vms = {vm["name"]: vm for vm in settings["vms"]}
+        vms |= {vm["name"]: vm for vm in settings.get("update", [])}
+        for name in settings.get("remove", []):
+            vms.pop(name, None)
+        self._newest = vms
+        self._pending.append((time.monotonic() + self._lag_s, vms))
+
+    def vms(self) -> list[Json]:
+        """The list as it shows now."""
+        while self._pending and self._pending[0][0] <= time.monotonic():
+            self._shown = self._pending.popleft()[1]
+        return list(self._shown.values())
+
+    async def _handle_list(self, request: web.Request) -> web.Response:
+        return web.json_response({"vms": self.vms()})
+
+    async def _handle_control(self, request: web.Request) -> web.Response:
+        try:
+            self.control(await request.json())
+        except (ValueError, KeyError, TypeError) as error:
+            return web.json_response({"message": repr(error)}, status=400)
+        return web.json_response({})
+
+
+@cappa.command(name="coltsfootfront_dev.vms", default_long=True)
+@dataclass
+class Arguments:
+    """Stand-in of the platform's list of VMs."""
+
+    address: str = "127.0.0.1:0"
+
+
+async def _serve(address: str) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    stand_in = VmStandIn()
+    print(json.dumps({"address": await stand_in.start(address)}), flush=True)
+    await stop.wait()
+    await stand_in.close()
+
+
+def main() -> None:
+    """Run the stand-in until SIGTERM."""
+    arguments = cappa.parse(Arguments)
+    asyncio.run(_serve(arguments.address))
+
+
+if __name__ == "__main__":
+    main()
