Add the router: HTTP front end, placement, attempts and relay

Callers need one address that places their requests on lent targets. The router authenticates bearer keys, limits rates, probes candidate agents chosen by rendezvous hashing at several depths, sends the request to the agent with the lowest estimated time to first token, and relays the answer as JSON, as server-sent events or as a raw body of a plain service.

A request goes to another target only when its run state allows it: a non-idempotent one after not_run, an idempotent one within the retry budget. After a cut connection the same agent is asked to resume; a model's answer goes on elsewhere with the text so far.

Ruled out: the whole chain as home of a prompt. With a tail of its own each prompt would have another home, and the first request of a prefix would be computed on as many targets as there are tails; the home is the rank at the largest power of two within the chain.

--- a/coltsfootfront/channel.py
+++ b/coltsfootfront/channel.py
@@ -99,6 +99,15 @@
         """Return a number that is unique for calls and streams of this channel."""
         return next(self._numbers)
 
+    async def open(self) -> str:
+        """Open the connection if it is not open.
+
+        :returns: incarnation of the peer at the other end of this very connection.
+        :raises ConnectionLostError: the peer cannot be reached; no byte of a message was written.
+        """
+        connection = await self._ensure_open()
+        return connection.peer_incarnation
+
     async def send(self, message: Message) -> int:
         """Send one message, opening the connection first if needed.
 
--- /dev/null
+++ b/coltsfootfront/dispatch.py
@@ -0,0 +1,243 @@
+"""Attempts of one request: place, send, retry elsewhere, or give up at once.
+
+A non-idempotent request goes to another target only after ``not_run``. An idempotent one may
+go elsewhere at any time, within the retry budget; a model's answer that has begun goes on with
+the text so far.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+import logbook
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from coltsfootfront import metrics
+from coltsfootfront.attempt import Attempt, AttemptLimits
+from coltsfootfront.breaker import Breaker, Incarnation
+from coltsfootfront.channel import ChannelPool
+from coltsfootfront.clock import Clock
+from coltsfootfront.errors import ErrorKind, Failure, RunState
+from coltsfootfront.job import KIND_SERVICE, Job
+from coltsfootfront.link import LinkBudget
+from coltsfootfront.liveness import Liveness
+from coltsfootfront.logs import event
+from coltsfootfront.messages import End
+from coltsfootfront.placer import Place, Placer, Plan, earliest
+from coltsfootfront.probes import LoadTable
+from coltsfootfront.relay import Caller, Completion, Progress, Usage
+from coltsfootfront.retries import RetryBudget, delay_s
+from coltsfootfront.revision import Revision
+
+log = logbook.Logger(__name__)
+
+# Failures that say something about the target's health.
+FAULTS = frozenset(
+    {
+        ErrorKind.TARGET_UNREACHABLE,
+        ErrorKind.CONNECTION_LOST,
+        ErrorKind.ENGINE_FAILED,
+        ErrorKind.TARGET_FAILED,
+    }
+)
+
+
+@dataclass(slots=True)
+class _Course:
+    """State of one request over its attempts."""
+
+    job: Job
+    caller: Caller
+    progress: Progress = field(default_factory=Progress)
+    places: list[Place] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    failures: list[Failure] = field(default_factory=list)
+    attempts: int = 0
+
+    def final(self, failure: Failure) -> Failure:
+        """The failure to answer with: true run state and the earliest time to come back."""
+        states = {item.run for item in self.failures}
+        run = failure.run
+        if self.progress.is_started or RunState.UNKNOWN in states:
+            run = RunState.UNKNOWN
+        waits = [item.wait_s for item in [*self.failures, failure] if item.wait_s is not None]
+        if failure.wait_s is None:
+            return failure.with_run(run)
+        return Failure(failure.kind, failure.message, run, min(waits, default=None))
+
+
+class Dispatcher:
+    """Executes requests.
+
+    :param revision: configuration in force.
+    :param placer: finds places.
+    :param pool: channels to agents.
+    :param max_attempts: attempts for one request.
+    """
+
+    def __init__(
+        self,
+        revision: Revision,
+        placer: Placer,
+        pool: ChannelPool,
+        table: LoadTable,
+        breaker: Breaker,
+        budget: RetryBudget,
+        link: LinkBudget,
+        liveness: Liveness,
+        clock: Clock,
+        limits: AttemptLimits,
+        max_attempts: int,
+        generator: random.Random,
+    ) -> None:
+        self._revision = revision
+        self._placer = placer
+        self._pool = pool
+        self._table = table
+        self._breaker = breaker
+        self._budget = budget
+        self._link = link
+        self._liveness = liveness
+        self._clock = clock
+        self._limits = limits
+        self._max_attempts = max_attempts
+        self._generator = generator
+
+    async def execute(self, job: Job, caller: Caller) -> Result[Completion, Failure]:
+        """Execute one request.
+
+        :param caller: receives the answer while it arrives.
+        :returns: the end of a complete answer, or a failure with a true run state.
+        :raises CallerGoneError: the caller has gone.
+        """
+        self._budget.note_request()
+        course = _Course(job, caller)
+        while True:
+            place = await self._next_place(course)
+            if isinstance(place, Failed):
+                return Failed(course.final(self._reason(course, place.failure())))
+            outcome = await self._try(course, place.unwrap())
+            if isinstance(outcome, Success):
+                return Success(self._complete(course, place.unwrap(), outcome.unwrap()))
+            failure = outcome.failure()
+            course.failures.append(failure)
+            if not self._may_retry(course, failure):
+                return Failed(course.final(failure))
+            await self._clock.sleep(delay_s(course.attempts, self._generator))
+
+    async def explain(self, job: Job) -> Result[Plan, Failure]:
+        """Find out where a request would go, without a reservation."""
+        return await self._placer.place(job, set(), hold=False)
+
+    def _reason(self, course: _Course, refusal: Failure) -> Failure:
+        """After failed attempts, a plan without places is no better reason than theirs."""
+        if not course.failures or refusal.kind is not ErrorKind.NO_TARGET:
+            return refusal
+        return earliest(course.failures)
+
+    async def _next_place(self, course: _Course) -> Result[Place, Failure]:
+        while True:
+            if not course.places:
+                placed = await self._placer.place(course.job, course.tried)
+                if isinstance(placed, Failed):
+                    return Failed(placed.failure())
+                plan = placed.unwrap()
+                course.places = plan.places
+                self._log_plan(course, plan)
+            place = course.places.pop(0)
+            course.tried.add(place.target)
+            if self._breaker.begin(place.target):
+                return Success(place)
+
+    def _log_plan(self, course: _Course, plan: Plan) -> None:
+        log.info(
+            event(
+                "request_placed",
+                request_id=course.job.request_id,
+                customer=course.job.customer,
+                target=plan.places[0].target,
+                revision=self._revision.number,
+                attempt=course.attempts + 1,
+                reason=plan.reason,
+            )
+        )
+
+    async def _try(self, course: _Course, place: Place) -> Result[End, Failure]:
+        course.attempts += 1
+        job = course.job
+        attempt = Attempt(
+            self._pool.get(place.address),
+            job,
+            place,
+            course.attempts,
+            job.keys(place.version, self._revision.document),
+            course.progress,
+            course.caller,
+            self._limits,
+            self._liveness,
+            self._clock,
+        )
+        load = self._table.get(place.target)
+        load.in_flight += 1
+        outcome: Result[End, Failure] | None = None
+        try:
+            outcome = await attempt.run()
+            return outcome
+        finally:
+            load.in_flight -= 1
+            self._settle(place, attempt, outcome)
+            if place.is_remote:
+                self._link.charge(len(job.body) + attempt.received_bytes, place.region)
+
+    def _settle(self, place: Place, attempt: Attempt, outcome: Result[End, Failure] | None) -> None:
+        """Tell the breaker how an attempt ended."""
+        incarnation = Incarnation(attempt.agent, attempt.engine)
+        self._breaker.seen(place.target, incarnation)
+        if isinstance(outcome, Success):
+            self._breaker.succeeded(place.target, incarnation)
+        elif isinstance(outcome, Failed) and outcome.failure().kind in FAULTS:
+            self._breaker.failed(place.target, incarnation)
+        else:
+            self._breaker.abandon(place.target)
+
+    def _may_retry(self, course: _Course, failure: Failure) -> bool:
+        job = course.job
+        if not failure.answer.retry_elsewhere or course.attempts >= self._max_attempts:
+            return False
+        if not job.idempotent and failure.run is not RunState.NOT_RUN:
+            return False
+        if course.progress.is_started:
+            if job.kind == KIND_SERVICE:
+                return False
+            # Refusing would cut an answer that the caller is reading; such continuations are
+            # bounded by the number of attempts and count in the budget.
+            self._budget.charge(failure.kind.value)
+            return True
+        if self._clock.unix_s() >= job.deadline_unix_s:
+            return False
+        return self._budget.take(failure.kind.value)
+
+    def _complete(self, course: _Course, place: Place, end: End) -> Completion:
+        if course.job.kind == KIND_SERVICE:
+            return Completion(end.finish_reason)
+        usage = Usage(
+            _count(end, "prompt_tokens"),
+            max(course.progress.tokens, _count(end, "completion_tokens")),
+            _count(end, "cached_tokens"),
+        )
+        self._count_blocks(course, place, usage)
+        return Completion(end.finish_reason, usage)
+
+    def _count_blocks(self, course: _Course, place: Place, usage: Usage) -> None:
+        """Count the prompt's blocks as cached or computed, from the engine's own word."""
+        blocks = len(course.job.keys(place.version, self._revision.document))
+        if not blocks or not usage.prompt_tokens:
+            return
+        share = min(1.0, usage.cached_tokens / usage.prompt_tokens)
+        metrics.PREFIX_BLOCKS.add({"outcome": "cached"}, blocks * share)
+        metrics.PREFIX_BLOCKS.add({"outcome": "computed"}, blocks * (1 - share))
+
+
+def _count(end: End, name: str) -> int:
+    value = end.usage.get(name, 0)
+    return value if isinstance(value, int) and value >= 0 else 0
--- a/coltsfootfront/placement.py
+++ b/coltsfootfront/placement.py
@@ -75,6 +75,12 @@
 
     uses_probes: bool = False
 
+    def depths(self, request: PlacementRequest) -> list[int]:
+        """Numbers of leading blocks that a probe describes, ascending."""
+        blocks = len(request.keys)
+        powers = [1 << power for power in range(blocks.bit_length())]
+        return sorted({depth for depth in (*powers, blocks) if 0 < depth <= blocks})
+
     @abstractmethod
     def candidates(
         self, request: PlacementRequest, grants: list[Grant], loads: dict[str, TargetLoad]
@@ -94,3 +100,7 @@
         :param candidates: result of :meth:`candidates`.
         :param answers: answers that arrived in time; empty for policies without probes.
         """
+
+    def placed(self, request: PlacementRequest) -> None:
+        """Note that a request was placed; policies that learn nothing do nothing."""
+        return None
--- /dev/null
+++ b/coltsfootfront/placer.py
@@ -0,0 +1,312 @@
+"""Placement of one request: terms, regions, probes and the policy's choice put together."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from coltsfootfront.breaker import Breaker, Incarnation
+from coltsfootfront.depthpolicy import estimate_s
+from coltsfootfront.document import Document, Grant
+from coltsfootfront.errors import ErrorKind, Failure
+from coltsfootfront.job import KIND_SERVICE, Job
+from coltsfootfront.link import LinkBudget
+from coltsfootfront.membership import Membership
+from coltsfootfront.placement import Candidate, PlacementRequest, Policy
+from coltsfootfront.probes import Answered, LoadTable, ProbeQuestion, Prober, ProbeTarget
+from coltsfootfront.revision import Revision
+
+# Rounds of probes within the region before a request is refused or leaves the region.
+LOCAL_ROUNDS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """One target that a request may be sent to.
+
+    :param version: weights version; empty for plain services.
+    :param region: region of the target.
+    :param is_remote: whether the target is in another region than this router.
+    """
+
+    target: str
+    address: str
+    version: str
+    region: str
+    is_remote: bool
+
+
+@dataclass(slots=True)
+class Plan:
+    """Places in the order in which they are tried.
+
+    :param reason: why the first one is the first.
+    :param answers: replies of the agents that were asked.
+    :param refusals: refusals by target name.
+    """
+
+    places: list[Place]
+    reason: str
+    answers: list[Answered] = field(default_factory=list)
+    refusals: dict[str, Failure] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Survey:
+    """What one round of probes found."""
+
+    asked: list[str] = field(default_factory=list)
+    willing: list[str] = field(default_factory=list)
+    silent: list[str] = field(default_factory=list)
+    reason: str = ""
+    best_s: float | None = None
+    answers: list[Answered] = field(default_factory=list)
+    refusals: dict[str, Failure] = field(default_factory=dict)
+
+    @property
+    def order(self) -> list[str]:
+        """Targets that may be tried, those that answered first."""
+        return [*self.willing, *self.silent]
+
+    def extend(self, other: "_Survey") -> None:
+        """Add a later round."""
+        self.asked += other.asked
+        self.willing += other.willing
+        self.silent += other.silent
+        self.reason = other.reason if other.willing else self.reason or other.reason
+        self.best_s = other.best_s if self.best_s is None else self.best_s
+        self.answers += other.answers
+        self.refusals.update(other.refusals)
+
+
+class Placer:
+    """Finds places for requests.
+
+    :param revision: configuration in force.
+    :param data_centre: data centre of this router.
+    :param policy: placement policy.
+    """
+
+    def __init__(
+        self,
+        revision: Revision,
+        data_centre: str,
+        policy: Policy,
+        prober: Prober,
+        table: LoadTable,
+        breaker: Breaker,
+        membership: Membership,
+        link: LinkBudget,
+    ) -> None:
+        self._revision = revision
+        self._data_centre = data_centre
+        self._policy = policy
+        self._prober = prober
+        self._table = table
+        self._breaker = breaker
+        self._membership = membership
+        self._link = link
+
+    async def place(self, job: Job, tried: set[str], hold: bool = True) -> Result[Plan, Failure]:
+        """Find places for a request.
+
+        :param tried: targets that are not to be tried again.
+        :param hold: whether agents shall hold a soft reservation.
+        :returns: a plan with at least one place, or the refusal to answer with.
+        """
+        document = self._revision.document
+        grants = job.grants(document)
+        if not grants:
+            return Failed(_no_grant(job, document))
+        usable = [grant for grant in grants if self._is_usable(grant, tried)]
+        local = [grant for grant in usable if not self._is_remote(grant, document)]
+        remote = [grant for grant in usable if self._is_remote(grant, document)]
+        survey = await self._survey_local(job, document, local, hold)
+        order = survey.order
+        if remote and self._may_leave(job, document, survey):
+            away = await self._survey(job, document, remote, hold)
+            order = self._merge(document, survey, away)
+        if not order:
+            return Failed(self._refusal(grants, survey.refusals))
+        places = [self._place(name, grants, document) for name in order]
+        return Success(Plan(places, survey.reason, survey.answers, survey.refusals))
+
+    async def _survey_local(
+        self, job: Job, document: Document, grants: list[Grant], hold: bool
+    ) -> _Survey:
+        total = _Survey()
+        for _ in range(LOCAL_ROUNDS):
+            rest = [grant for grant in grants if grant.target not in total.asked]
+            if not rest or total.willing:
+                break
+            total.extend(await self._survey(job, document, rest, hold))
+        return total
+
+    async def _survey(
+        self, job: Job, document: Document, grants: list[Grant], hold: bool
+    ) -> _Survey:
+        """Ask the policy's candidates among some targets."""
+        version = _main_version(grants)
+        request = PlacementRequest(
+            job.customer,
+            job.model,
+            job.adapter,
+            job.salt(version),
+            job.keys(version, document),
+            min(grant.priority for grant in grants),
+        )
+        names = self._policy.candidates(request, grants, self._table.loads)
+        if not self._policy.uses_probes:
+            choice = self._policy.choose(request, names, [])
+            return _Survey(names, list(choice.targets), [], choice.reason)
+        replies = await self._probe(job, document, request, grants, names, hold)
+        survey = _Survey(asked=names, answers=replies)
+        candidates = self._sort_replies(survey, replies, names)
+        silent = [name for name in names if name not in {reply.target for reply in replies}]
+        self._choose(survey, request, names, candidates, silent)
+        self._policy.placed(request)
+        return survey
+
+    def _sort_replies(
+        self, survey: _Survey, replies: list[Answered], names: list[str]
+    ) -> list[Candidate]:
+        candidates = []
+        for reply in replies:
+            self._breaker.seen(reply.target, Incarnation(reply.agent, reply.reply.engine))
+            refusal = reply.refusal()
+            if refusal is None:
+                candidates.append(reply.candidate(reply.target == names[0]))
+            else:
+                survey.refusals[reply.target] = refusal
+        return candidates
+
+    def _choose(
+        self,
+        survey: _Survey,
+        request: PlacementRequest,
+        names: list[str],
+        candidates: list[Candidate],
+        silent: list[str],
+    ) -> None:
+        choice = self._policy.choose(request, names, candidates)
+        willing = {candidate.target for candidate in candidates}
+        survey.willing = [name for name in choice.targets if name in willing]
+        survey.silent = [name for name in choice.targets if name in silent]
+        survey.reason = choice.reason
+        for candidate in candidates:
+            if survey.willing and candidate.target == survey.willing[0]:
+                survey.best_s = estimate_s(request, candidate)
+
+    async def _probe(
+        self,
+        job: Job,
+        document: Document,
+        request: PlacementRequest,
+        grants: list[Grant],
+        names: list[str],
+        hold: bool,
+    ) -> list[Answered]:
+        question = ProbeQuestion(
+            job.customer,
+            job.model,
+            job.adapter,
+            job.service,
+            len(request.keys),
+            request.priority,
+            hold,
+        )
+        depths = tuple(self._policy.depths(request))
+        versions = {grant.target: grant.version for grant in grants}
+        targets = []
+        for name in names:
+            keys = job.keys(versions[name], document)
+            address = document.targets[name].agent_address
+            asked = tuple(keys[depth - 1] for depth in depths)
+            targets.append(ProbeTarget(name, address, versions[name], depths, asked))
+        result = await self._prober.ask(question, targets)
+        return result.answers
+
+    def _is_usable(self, grant: Grant, tried: set[str]) -> bool:
+        if grant.target in tried or self._membership.is_leaving(grant.target):
+            return False
+        return self._breaker.is_available(grant.target)
+
+    def _is_remote(self, grant: Grant, document: Document) -> bool:
+        own = document.region_of(self._data_centre)
+        return document.region_of(document.targets[grant.target].data_centre) != own
+
+    def _may_leave(self, job: Job, document: Document, local: _Survey) -> bool:
+        """Whether it is worth asking another region: local targets first, within the budget."""
+        if local.willing:
+            least_s = document.policy.cross_region_s
+            if local.best_s is None or local.best_s <= least_s:
+                return False
+        return self._link.allows(len(job.body))
+
+    def _merge(self, document: Document, local: _Survey, away: _Survey) -> list[str]:
+        """Order local and remote targets; the plan's reason becomes that of the first."""
+        local.answers += away.answers
+        local.refusals.update(away.refusals)
+        if not local.willing:
+            local.reason = away.reason if away.willing else local.reason or away.reason
+            return [*away.willing, *local.silent, *away.silent]
+        if local.best_s is None or away.best_s is None:
+            return local.order
+        if away.best_s + document.policy.cross_region_s >= local.best_s:
+            return local.order
+        local.reason = f"{away.reason}; saves {local.best_s - away.best_s:.3f} s across regions"
+        return [*away.willing, *local.order]
+
+    def _place(self, name: str, grants: list[Grant], document: Document) -> Place:
+        grant = next(grant for grant in grants if grant.target == name)
+        target = document.targets[name]
+        region = document.region_of(target.data_centre)
+        is_remote = self._is_remote(grant, document)
+        return Place(name, target.agent_address, grant.version, region, is_remote)
+
+    def _refusal(self, grants: list[Grant], refusals: dict[str, Failure]) -> Failure:
+        """The refusal with the earliest time to come back."""
+        if refusals:
+            return earliest(list(refusals.values()))
+        waits = [self._breaker.wait_s(grant.target) for grant in grants]
+        wait_s = min((wait for wait in waits if wait > 0), default=None)
+        return Failure(
+            ErrorKind.NO_TARGET, "no target can take the request now", retry_after_s=wait_s
+        )
+
+
+def earliest(failures: list[Failure]) -> Failure:
+    """The failure with the earliest time to come back; one that names no time comes last."""
+
+    def order(failure: Failure) -> tuple[bool, float]:
+        return failure.wait_s is None, failure.wait_s or 0.0
+
+    return min(failures, key=order)
+
+
+def _main_version(grants: list[Grant]) -> str:
+    """The version of most targets; every router computes the same one from the document."""
+    counts = Counter(grant.version for grant in grants)
+    return max(counts, key=lambda version: (counts[version], version))
+
+
+def _no_grant(job: Job, document: Document) -> Failure:
+    """Tell apart an unknown name, a customer without terms and terms without a target."""
+    terms = [item for item in document.terms.values() if job.customer in item.customers]
+    if job.kind == KIND_SERVICE:
+        if job.service not in document.services:
+            return Failure(ErrorKind.NOT_FOUND, f"service {job.service} does not exist")
+        names = {name for item in terms for name in item.targets}
+        targets = [document.targets[name] for name in names if name in document.targets]
+        is_covered = any(target.service == job.service for target in targets)
+    else:
+        if job.model not in document.models:
+            return Failure(ErrorKind.NOT_FOUND, f"model {job.model} does not exist")
+        is_covered = any(
+            job.model in item.models and (not job.adapter or job.adapter in item.adapters)
+            for item in terms
+        )
+    if is_covered:
+        return Failure(ErrorKind.NO_TARGET, "no target serves this under the customer's terms now")
+    return Failure(ErrorKind.FORBIDDEN, "no terms allow this request")
--- /dev/null
+++ b/coltsfootfront/router.py
@@ -0,0 +1,372 @@
+"""The program ``coltsfootfront-router``: takes callers' requests on an entry VM."""
+
+import asyncio
+import importlib
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Protocol
+
+import logbook
+from aiohttp import web
+
+from coltsfootfront import __version__
+from coltsfootfront.attempt import AttemptLimits
+from coltsfootfront.breaker import Breaker
+from coltsfootfront.channel import Channel, ChannelPool
+from coltsfootfront.clock import Clock, SystemClock
+from coltsfootfront.connection import Connection, Identity, Listener
+from coltsfootfront.depthpolicy import DepthPolicy
+from coltsfootfront.dispatch import Dispatcher
+from coltsfootfront.document import Region
+from coltsfootfront.frontend import Frontend
+from coltsfootfront.httpserver import CallerServer
+from coltsfootfront.leaving import VmList
+from coltsfootfront.link import LinkBudget
+from coltsfootfront.liveness import Liveness
+from coltsfootfront.logs import event
+from coltsfootfront.membership import Membership
+from coltsfootfront.messages import Greet, Message, Status, StatusReply
+from coltsfootfront.placement import Policy
+from coltsfootfront.placer import Placer
+from coltsfootfront.probes import LoadTable, Prober
+from coltsfootfront.ratelimit import RateLimiter
+from coltsfootfront.retries import RetryBudget
+from coltsfootfront.revision import InForce, Revision
+from coltsfootfront.runtime import Program, load_or_exit, serve
+from coltsfootfront.settings import RouterSettings
+from coltsfootfront.supervisor import Supervisor
+
+log = logbook.Logger(__name__)
+
+PROGRAM = "coltsfootfront-router"
+BOOTSTRAP_TIMEOUT_S = 2.0
+# Full jitter between attempts to get a first configuration, so that many restarted routers do
+# not ask the same peers at once.
+BOOTSTRAP_PAUSE_S = 0.5
+# Agents asked for the configuration when no router has one.
+BOOTSTRAP_AGENTS = 3
+CLOSE_IDLE_INTERVAL_S = 10.0
+DRAIN_POLL_S = 0.05
+# Callers whose connection stays open after a drain are idle.
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+class ConfigurationSpread(Protocol):
+    """What the router needs of the gossip that spreads the configuration."""
+
+    def note_revision(self, channel: Channel, number: int) -> None:
+        """Note a peer's revision; pulls when it is ahead."""
+
+    def answer(self, channel: Channel, message: Message) -> None:
+        """Answer a message that a server sent on our own connection."""
+
+    async def handle(self, connection: Connection, message: Message, revision: int) -> bool:
+        """Handle a peer's message; False when it is of another kind."""
+
+    def set_peers(self, addresses: list[str]) -> None:
+        """Set the peers to greet."""
+
+    async def bootstrap(self, timeout_s: float) -> bool:
+        """Get the highest valid revision from several peers."""
+
+    async def pull_from(self, address: str) -> bool:
+        """Get the configuration from one peer."""
+
+    async def start(self) -> None:
+        """Start to greet."""
+
+    async def close(self) -> None:
+        """Stop to greet."""
+
+
+SpreadFactory = Callable[[Identity, Revision, ChannelPool, Clock, list[str], str, float], object]
+
+
+class Router(Program):
+    """Wires the parts of a router together.
+
+    :param settings: checked settings.
+    :param clock: time source.
+    :param spread_factory: builds the gossip part; None takes ``coltsfootfront.spread``.
+    :param vm_list: the platform's list of VMs, or None to do without it.
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        clock: Clock,
+        spread_factory: SpreadFactory | None = None,
+        vm_list: VmList | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._generator = random.Random()
+        self._spread_factory = spread_factory
+        self._vm_list = vm_list
+        self._is_draining = False
+        self.revision = Revision()
+        self._identity = Identity(
+            "router",
+            settings.name,
+            settings.data_centre,
+            settings.peer_secret,
+            lambda: self.revision.number,
+        )
+        self._pool = ChannelPool(self._open_channel)
+        self._liveness = Liveness(clock, settings.accept_timeout_s)
+        self._table = LoadTable(clock)
+        self._breaker = Breaker(clock)
+        self._link = LinkBudget(clock)
+        self._limiter = RateLimiter(clock)
+        self._prober = Prober(
+            self._pool, self._table, clock, settings.probe_timeout_s, settings.connect_timeout_s
+        )
+        self._membership = Membership(
+            settings.name,
+            settings.data_centre,
+            clock,
+            vm_list,
+            settings.vm_list_interval_s,
+            settings.greet_interval_s,
+            self._members_changed,
+        )
+        self._policy = _build_policy(settings, clock, self._generator)
+        self.frontend = self._build_frontend()
+        self._listener = Listener(settings.peer_address, self._identity, self._serve_peer)
+        self._tree = Supervisor("router", clock)
+        self._spread: ConfigurationSpread | None = None
+        self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+        self.peer_address = ""
+        self.http_address = ""
+
+    async def start(self) -> None:
+        self.peer_address = await self._listener.start()
+        own_address = self._settings.advertised_address or self.peer_address
+        self._spread = self._build_spread(own_address)
+        self.revision.changes.subscribe(on_next=self._configuration_changed)
+        if self._vm_list is not None:
+            await self._vm_list.start()
+        await self._spread.start()
+        self._tree.add("membership", self._membership.run)
+        self._tree.add("bootstrap", self._bootstrap)
+        self._tree.add("idle_channels", self._close_idle_channels)
+        await self._tree.start()
+        await self._start_http()
+        log.info(event("router_started", peer=self.peer_address, http=self.http_address))
+
+    async def drain(self) -> None:
+        self._is_draining = True
+        self.frontend.is_draining = True
+        log.info(event("drain_started", in_progress=self.frontend.in_progress))
+        await self._clock.sleep(self._settings.drain_wait_s)
+        if self._site is not None:
+            await self._site.stop()
+        while self.frontend.in_progress:
+            await self._clock.sleep(DRAIN_POLL_S)
+        log.info(event("drain_finished"))
+
+    async def close(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self._tree.close()
+        if self._spread is not None:
+            await self._spread.close()
+        await self._listener.close()
+        await self._prober.close()
+        await self._liveness.close()
+        await self._pool.close()
+        if self._vm_list is not None:
+            await self._vm_list.close()
+
+    def unready_reason(self) -> str:
+        """Why this router takes no new work, or an empty string."""
+        if self._is_draining:
+            return "draining"
+        if not self.revision.number:
+            return "no configuration"
+        return ""
+
+    def _build_frontend(self) -> Frontend:
+        settings = self._settings
+        placer = Placer(
+            self.revision,
+            settings.data_centre,
+            self._policy,
+            self._prober,
+            self._table,
+            self._breaker,
+            self._membership,
+            self._link,
+        )
+        dispatcher = Dispatcher(
+            self.revision,
+            placer,
+            self._pool,
+            self._table,
+            self._breaker,
+            RetryBudget(self._clock, settings.retry_ratio, settings.retry_floor_per_s),
+            self._link,
+            self._liveness,
+            self._clock,
+            AttemptLimits(settings.accept_timeout_s, settings.stream_idle_timeout_s),
+            settings.max_attempts,
+            self._generator,
+        )
+        return Frontend(
+            settings, self.revision, dispatcher, self._limiter, self._clock, self.unready_reason
+        )
+
+    def _build_spread(self, own_address: str) -> ConfigurationSpread:
+        factory = self._spread_factory
+        if factory is None:
+            factory = importlib.import_module("coltsfootfront.spread").Spread
+        spread: ConfigurationSpread = factory(  # type: ignore[assignment]
+            self._identity,
+            self.revision,
+            self._pool,
+            self._clock,
+            self._settings.seed_addresses,
+            own_address,
+            self._settings.greet_interval_s,
+        )
+        return spread
+
+    async def _start_http(self) -> None:
+        settings = self._settings
+        server = CallerServer(
+            self.frontend.handle,
+            settings.max_connections,
+            settings.max_header_bytes,
+            settings.max_body_bytes,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+        await self._runner.setup()
+        host, _, port = settings.http_address.rpartition(":")
+        self._site = web.TCPSite(self._runner, host, int(port))
+        await self._site.start()
+        name = self._runner.addresses[0]
+        self.http_address = f"{name[0]}:{name[1]}"
+
+    def _open_channel(self, address: str) -> Channel:
+        return Channel(
+            address,
+            self._identity,
+            self._clock,
+            self._note_revision,
+            self._answer,
+            self._settings.connect_timeout_s,
+        )
+
+    def _note_revision(self, channel: Channel, number: int) -> None:
+        self._liveness.heard(channel.address)
+        if self._spread is not None:
+            self._spread.note_revision(channel, number)
+
+    def _answer(self, channel: Channel, message: Message) -> None:
+        if self._spread is not None:
+            self._spread.answer(channel, message)
+
+    async def _serve_peer(self, connection: Connection) -> None:
+        spread = self._spread
+        assert spread is not None
+        while True:
+            message, number = await connection.receive()
+            if isinstance(message, Greet):
+                self._membership.note_greeting(message)
+            if isinstance(message, Status):
+                await connection.send(StatusReply(message.call, self._state()))
+            elif not await spread.handle(connection, message, number):
+                log.debug(event("message_ignored", peer=connection.peer, type=message.TYPE))
+
+    def _state(self) -> bytes:
+        state = {
+            "role": "router",
+            "name": self._settings.name,
+            "data_centre": self._settings.data_centre,
+            "revision": self.revision.number,
+            "digest": self.revision.digest,
+            "ready": not self.unready_reason(),
+            "in_progress": self.frontend.in_progress,
+            "routers": self._membership.routers(),
+        }
+        return json.dumps(state).encode()
+
+    def _configuration_changed(self, in_force: InForce) -> None:
+        document = in_force.document
+        targets = set(document.targets)
+        self._table.keep_only(targets)
+        self._breaker.keep_only(targets)
+        self._limiter.keep_only(set(document.customers))
+        self._liveness.keep_only({item.agent_address for item in document.targets.values()})
+        if isinstance(self._policy, DepthPolicy):
+            self._policy.hysteresis_s = document.policy.hysteresis_s
+        self._share_link()
+
+    def _members_changed(self) -> None:
+        if self._spread is not None:
+            self._spread.set_peers(self._membership.peers())
+        self._share_link()
+
+    def _share_link(self) -> None:
+        document = self.revision.document
+        own = document.region_of(self._settings.data_centre)
+        region = document.regions.get(own, Region())
+        data_centres = region.data_centres or [self._settings.data_centre]
+        count = self._membership.count_routers(data_centres)
+        self._link.set_rate(region.link_bytes_per_s, count)
+
+    async def _bootstrap(self) -> None:
+        """Get a first configuration from peers and agents; the store is not needed."""
+        spread = self._spread
+        assert spread is not None
+        while not self.revision.number:
+            if not await spread.bootstrap(BOOTSTRAP_TIMEOUT_S):
+                await self._pull_from_agents(spread)
+            if not self.revision.number:
+                await self._clock.sleep(self._generator.uniform(0, BOOTSTRAP_PAUSE_S))
+
+    async def _pull_from_agents(self, spread: ConfigurationSpread) -> None:
+        agents = self._membership.agents()
+        chosen = self._generator.sample(agents, min(BOOTSTRAP_AGENTS, len(agents)))
+        await asyncio.gather(*(spread.pull_from(address) for address in chosen))
+
+    async def _close_idle_channels(self) -> None:
+        while True:
+            await self._clock.sleep(CLOSE_IDLE_INTERVAL_S)
+            await self._pool.close_idle()
+
+
+def _build_policy(settings: RouterSettings, clock: Clock, generator: random.Random) -> Policy:
+    return DepthPolicy(settings.probe_count, clock, generator)
+
+
+def main() -> None:
+    """Run the program."""
+    import cappa
+
+    @cappa.command(name=PROGRAM, help="Takes callers' requests and routes them to targets.")
+    @dataclass
+    class Command:
+        config: Annotated[Path, cappa.Arg(long=True, help="Settings file in TOML.")]
+
+    command = cappa.parse(Command, version=__version__, completion=False)
+    settings = load_or_exit(command.config, RouterSettings)
+    clock = SystemClock()
+    vm_list = _build_vm_list(settings)
+    serve(Router(settings, clock, vm_list=vm_list), settings.name, settings.log_level)
+
+
+def _build_vm_list(settings: RouterSettings) -> VmList | None:
+    if not settings.vm_list_url:
+        return None
+    module = importlib.import_module("coltsfootfront.leaving")
+    vm_list: VmList = module.HttpVmList(settings.vm_list_url, settings.vm_list_interval_s)
+    return vm_list
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/coltsfootfront/tests/fakeagent.py
@@ -0,0 +1,236 @@
+"""A scripted agent for tests of the router's side of the protocol."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from coltsfootfront.channel import Channel, ChannelPool
+from coltsfootfront.clock import SystemClock
+from coltsfootfront.connection import Connection, Identity, Listener
+from coltsfootfront.document import Document, build
+from coltsfootfront.entries import digest, split
+from coltsfootfront.messages import (
+    Accepted,
+    Acknowledge,
+    Cancel,
+    Chunk,
+    End,
+    Fail,
+    Head,
+    Message,
+    Probe,
+    ProbeReply,
+    Resume,
+    Run,
+    Status,
+    StatusReply,
+)
+from coltsfootfront.revision import Revision
+
+SECRET = "shared"
+
+Script = Callable[["FakeAgent", Connection, Run], Awaitable[None]]
+
+
+def identity(role: str, name: str) -> Identity:
+    return Identity(role, name, "dc-1", SECRET, lambda: 1)
+
+
+def pool() -> ChannelPool:
+    def make(address: str) -> Channel:
+        return Channel(address, identity("router", "r1"), SystemClock(), connect_timeout_s=0.3)
+
+    return ChannelPool(make)
+
+
+async def answer_text(agent: "FakeAgent", connection: Connection, run: Run) -> None:
+    """Answer with the agent's pieces from the end of the text that was delivered before."""
+    pieces = agent.pieces_after(run.resume_text)
+    await connection.send(Accepted(run.stream, run.attempt, "e1"))
+    await connection.send(Head(run.stream, run.attempt, 200, [["Content-Type", "text/plain"]]))
+    await agent.send_chunks(connection, run.stream, run.attempt, pieces)
+    await agent.send_end(connection, run.stream, run.attempt, pieces)
+
+
+class FakeAgent:
+    """An agent whose answer to each run is a script.
+
+    :param script: coroutine function that answers a run.
+    """
+
+    def __init__(self, name: str = "t1", script: Script = answer_text) -> None:
+        self.name = name
+        self.script = script
+        self.pieces = [b"one ", b"two ", b"three"]
+        self.runs: list[Run] = []
+        self.resumes: list[Resume] = []
+        self.cancels: list[Cancel] = []
+        self.acknowledged: list[Acknowledge] = []
+        self.probes: list[Probe] = []
+        self.reply: dict[str, Any] = {}
+        self.answers_probes = True
+        self.answers_status = True
+        self.on_resume: Callable[[Connection, Resume], Awaitable[None]] = self._refuse_resume
+        self.on_cancel: Callable[[Connection, Cancel], Awaitable[None]] | None = None
+        self.connections: list[Connection] = []
+        self.address = "127.0.0.1:0"
+        self._listener: Listener | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.identity = identity("agent", name)
+
+    async def start(self) -> str:
+        """Listen; a second start after a stop has the same address and a new incarnation."""
+        self.identity = identity("agent", self.name)
+        self._listener = Listener(self.address, self.identity, self._serve)
+        self.address = await self._listener.start()
+        return self.address
+
+    async def stop(self) -> None:
+        """End every connection and refuse new ones."""
+        for task in self._tasks:
+            task.cancel()
+        if self._listener is not None:
+            await self._listener.close()
+
+    async def cut(self) -> None:
+        """End every connection and go on listening."""
+        connections, self.connections = self.connections, []
+        for connection in connections:
+            await connection.close()
+
+    async def send_chunks(
+        self, connection: Connection, stream: int, attempt: int, pieces: list[bytes], first: int = 0
+    ) -> None:
+        offset = sum(len(piece) for piece in pieces[:first])
+        for seq, piece in enumerate(pieces[first:], first):
+            await connection.send(Chunk(stream, attempt, seq, offset, piece, 1))
+            offset += len(piece)
+
+    async def send_end(
+        self, connection: Connection, stream: int, attempt: int, pieces: list[bytes]
+    ) -> None:
+        total = sum(len(piece) for piece in pieces)
+        usage = {
+            "prompt_tokens": 10,
+            "completion_tokens": len(self.pieces),
+            "cached_tokens": 4,
+        }
+        await connection.send(End(stream, attempt, len(pieces), total, "stop", usage))
+
+    def pieces_after(self, text: str) -> list[bytes]:
+        whole = b"".join(self.pieces)
+        delivered = text.encode()
+        if not delivered:
+            return self.pieces
+        assert whole.startswith(delivered)
+        return [whole[len(delivered) :]]
+
+    async def _serve(self, connection: Connection) -> None:
+        self.connections.append(connection)
+        while True:
+            message, _ = await connection.receive()
+            await self._handle(connection, message)
+
+    async def _handle(self, connection: Connection, message: Message) -> None:
+        if isinstance(message, Probe):
+            self.probes.append(message)
+            if self.answers_probes:
+                await connection.send(self._probe_reply(message.call))
+        elif isinstance(message, Run):
+            self.runs.append(message)
+            self._spawn(self.script(self, connection, message))
+        elif isinstance(message, Resume):
+            self.resumes.append(message)
+            await self.on_resume(connection, message)
+        elif isinstance(message, Cancel):
+            self.cancels.append(message)
+            if self.on_cancel is not None:
+                await self.on_cancel(connection, message)
+        elif isinstance(message, Acknowledge):
+            self.acknowledged.append(message)
+        elif isinstance(message, Status) and self.answers_status:
+            await connection.send(StatusReply(message.call, b"{}"))
+
+    def _probe_reply(self, call: int) -> ProbeReply:
+        fields: dict[str, Any] = {
+            "matched": 0,
+            "wait_s": 0.0,
+            "prefill_s": 0.01,
+            "refusal": "",
+            "engine": "e1",
+            "load": 0.0,
+        }
+        return ProbeReply(call, **{**fields, **self.reply})
+
+    async def _refuse_resume(self, connection: Connection, message: Resume) -> None:
+        is_same = message.incarnation == self.identity.incarnation
+        run = "not_run" if is_same else "unknown"
+        text = "unknown stream"
+        fail = Fail(message.stream, message.attempt, "unknown_stream", text, run)
+        await connection.send(fail)
+
+    def _spawn(self, body: Awaitable[None]) -> None:
+        async def run() -> None:
+            await body
+
+        task = asyncio.create_task(run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def entries_of(agents: list[FakeAgent], **changes: Any) -> dict[str, dict[str, Any]]:
+    """A document with one target for each agent.
+
+    Engines are ``t1`` …; targets named ``s…`` are plain servers of the service ``desk``, and
+    those named ``far…`` are in another region.
+    """
+    from coltsfootfront.authentication import hash_key
+
+    document: dict[str, dict[str, Any]] = {
+        "owners": {"o": {}},
+        "regions": {
+            "near": {"data_centres": ["dc-1"]},
+            "away": {"data_centres": ["dc-9"]},
+        },
+        "models": {"m": {"block_bytes": 8, "max_output_tokens": 100}},
+        "services": {
+            "llm": {"kind": "engine"},
+            "desk": {"kind": "service", "idempotent_paths": ["/read"]},
+        },
+        "customers": {
+            "c": {"key_hashes": [hash_key("key-c")], "requests_per_s": 10000},
+            "none": {"key_hashes": [hash_key("key-none")]},
+        },
+        "targets": {},
+        "terms": {"lend": {"owner": "o", "customers": ["c"], "targets": [], "models": ["m"]}},
+    }
+    for agent in agents:
+        is_service = agent.name.startswith("s")
+        document["targets"][agent.name] = {
+            "owner": "o",
+            "service": "desk" if is_service else "llm",
+            "data_centre": "dc-9" if agent.name.startswith("far") else "dc-1",
+            "agent_address": agent.address,
+            "models": [] if is_service else [{"model": "m", "version": "v1"}],
+        }
+        document["terms"]["lend"]["targets"].append(agent.name)
+    for section, entries in changes.items():
+        document.setdefault(section, {}).update(entries)
+    return document
+
+
+def revision_of(agents: list[FakeAgent], **changes: Any) -> Revision:
+    """A revision in force with one target for each agent."""
+    revision = Revision()
+    entries = split(entries_of(agents, **changes))
+    assert revision.adopt(1, entries, digest(entries))
+    return revision
+
+
+def document_of(agents: list[FakeAgent], **changes: Any) -> Document:
+    """The typed document with one target for each agent."""
+    sections = {
+        section: {name: build(section, value) for name, value in entries.items()}
+        for section, entries in entries_of(agents, **changes).items()
+    }
+    return Document({**{name: {} for name in Document.empty()._sections}, **sections})
