--- a/coltsfootfront/attempt.py
+++ b/coltsfootfront/attempt.py
@@ -10,7 +10,7 @@
 from coltsfootfront import metrics
 from coltsfootfront.channel import Channel, StreamInbox
 from coltsfootfront.clock import Clock
-from coltsfootfront.connection import ConnectionLostError
+from coltsfootfront.connection import MAX_FRAME_BYTES, ConnectionLostError
 from coltsfootfront.errors import ErrorKind, Failure, RunState
 from coltsfootfront.job import KIND_SERVICE, Job
 from coltsfootfront.liveness import Liveness
@@ -44,6 +44,8 @@
 RECONNECTS = 2
 RECONNECTS_NOT_IDEMPOTENT = 6
 RECONNECT_DELAY_S = 0.1
+# Room for the fields of a run besides body, text, headers and keys.
+RUN_OVERHEAD_BYTES = 64 * 1024
 # Time for an agent to answer a cancel.
 CANCEL_TIMEOUT_S = 0.5
 # Time beyond the deadline after which an agent that has not started the request is given up.
@@ -127,6 +129,10 @@
         :returns: the end mark, or a failure whose run state is true.
         :raises CallerGoneError: the caller has gone; the agent has been told to stop.
         """
+        if self._run_bytes() > MAX_FRAME_BYTES:
+            # A frame that is too large would end the connection and every stream on it.
+            message = "request and the text so far are too large to go on elsewhere"
+            return Failed(Failure(ErrorKind.BODY_TOO_LARGE, message, RunState.NOT_RUN))
         try:
             self.agent = await self._channel.open()
         except ConnectionLostError as error:
@@ -159,6 +165,14 @@
                 break
         return Failed(self._lost())
 
+    def _run_bytes(self) -> int:
+        """Upper estimate of the size of the run message."""
+        job = self._job
+        headers = sum(len(name) + len(value) + 8 for name, value in job.headers)
+        text = len(self._progress.text.encode())
+        keys = 16 * len(self._keys)
+        return len(job.body) + text + keys + headers + len(job.path) + RUN_OVERHEAD_BYTES
+
     def _lost(self) -> Failure:
         message = f"connection to the agent of {self._place.target} was lost"
         return Failure(ErrorKind.CONNECTION_LOST, message, RunState.UNKNOWN)
--- a/coltsfootfront/breaker.py
+++ b/coltsfootfront/breaker.py
@@ -115,6 +115,9 @@
             # seen() runs before each request, so an incarnation that differs is an older one.
             return
         state.incarnation = state.incarnation.merged(incarnation)
+        if state.open_until_s is not None and not state.trial:
+            # Requests that were under way when the target opened must not prolong its delay.
+            return
         state.failures += 1
         if state.trial or state.failures >= FAILURES_TO_OPEN:
             self._open(state)
--- a/coltsfootfront/dispatch.py
+++ b/coltsfootfront/dispatch.py
@@ -53,6 +53,16 @@
     tried: set[str] = field(default_factory=set)
     failures: list[Failure] = field(default_factory=list)
     attempts: int = 0
+    version: str | None = None
+
+    def note_version(self, place: Place) -> None:
+        """Bind the rest of an answer to the weights version that has begun it.
+
+        Other weights would go on with other text, and the whole would be neither one's answer.
+        """
+        if self.progress.has_text and self.version is None:
+            self.version = place.version
+            self.places = [item for item in self.places if item.version == place.version]
 
     def final(self, failure: Failure) -> Failure:
         """The failure to answer with: true run state and the earliest time to come back."""
@@ -121,6 +131,7 @@
                 return Success(self._complete(course, place.unwrap(), outcome.unwrap()))
             failure = outcome.failure()
             course.failures.append(failure)
+            course.note_version(place.unwrap())
             if not self._may_retry(course, failure):
                 return Failed(course.final(failure))
             await self._clock.sleep(delay_s(course.attempts, self._generator))
@@ -138,7 +149,7 @@
     async def _next_place(self, course: _Course) -> Result[Place, Failure]:
         while True:
             if not course.places:
-                placed = await self._placer.place(course.job, course.tried)
+                placed = await self._placer.place(course.job, course.tried, course.version)
                 if isinstance(placed, Failed):
                     return Failed(placed.failure())
                 plan = placed.unwrap()
@@ -223,7 +234,7 @@
         usage = Usage(
             _count(end, "prompt_tokens"),
             max(course.progress.tokens, _count(end, "completion_tokens")),
-            _count(end, "cached_tokens"),
+            min(_count(end, "cached_tokens"), _count(end, "prompt_tokens")),
         )
         self._count_blocks(course, place, usage)
         return Completion(end.finish_reason, usage)
--- a/coltsfootfront/frontend.py
+++ b/coltsfootfront/frontend.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-import json
 import secrets
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -29,7 +28,6 @@
 from coltsfootfront.httpserver import error_response
 from coltsfootfront.job import KIND_CHAT, KIND_COMPLETION, KIND_SERVICE, Job
 from coltsfootfront.logs import event
-from coltsfootfront.placer import Plan
 from coltsfootfront.ratelimit import RateLimiter
 from coltsfootfront.relay import CallerGoneError, ModelFormat
 from coltsfootfront.revision import Revision
@@ -99,7 +97,6 @@
             "/v1/models": _Route(get, self._models),
             "/v1/completions": _Route(post, self._completions),
             "/v1/chat/completions": _Route(post, self._chat),
-            "/v1/explain": _Route(post, self._explain),
         }
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -117,6 +114,7 @@
 
     async def _answer(self, request: web.BaseRequest, context: Context) -> web.StreamResponse:
         try:
+            self._check_headers(request)
             return await self._route(request).respond(request, context)
         except FailureError as error:
             return self._refuse(error.failure, context)
@@ -134,6 +132,11 @@
             failure = Failure(ErrorKind.INTERNAL, "internal error", RunState.UNKNOWN)
             return self._refuse(failure, context)
 
+    def _check_headers(self, request: web.BaseRequest) -> None:
+        limit = self._settings.max_header_bytes
+        if sum(len(name) + len(value) for name, value in request.raw_headers) > limit:
+            raise modelbody.refuse(f"headers exceed {limit} bytes in all")
+
     def _route(self, request: web.BaseRequest) -> _Route:
         path = request.raw_path.partition("?")[0]
         route = self._routes.get(path)
@@ -301,21 +304,6 @@
             idempotency_key=key_hash,
         )
 
-    async def _explain(self, request: web.BaseRequest, context: Context) -> web.StreamResponse:
-        """Say where a request would go and why; takes the body of either model call."""
-        document = self._admit(request, context)
-        data = await self._read_body(request)
-        chat = b'"messages"' in data
-        body = modelbody.parse(data, chat, document)
-        job = _model_job(context, body, data, chat, self._deadline(request))
-        placed = await self._dispatcher.explain(job)
-        if isinstance(placed, Failed):
-            return self._refuse(placed.failure(), context)
-        return web.Response(
-            body=json.dumps(_explanation(placed.unwrap(), self._revision.number)).encode(),
-            content_type="application/json",
-        )
-
     def _admit(self, request: web.BaseRequest, context: Context) -> Document:
         """Authenticate and apply the limits of this router before the body is read."""
         document = self._revision.document
@@ -387,23 +375,6 @@
     )
 
 
-def _explanation(plan: Plan, revision: int) -> dict[str, object]:
-    answers = [
-        {
-            "target": answer.target,
-            "matched_blocks": answer.reply.matched,
-            "wait_s": answer.reply.wait_s,
-            "prefill_s": answer.reply.prefill_s,
-            "load": answer.reply.load,
-            "refusal": answer.reply.refusal,
-            "latency_s": answer.latency_s,
-        }
-        for answer in plan.answers
-    ]
-    targets = [place.target for place in plan.places]
-    return {"revision": revision, "targets": targets, "reason": plan.reason, "answers": answers}
-
-
 def _too_large(limit: int) -> FailureError:
     return FailureError(Failure(ErrorKind.BODY_TOO_LARGE, f"body exceeds {limit} bytes"))
 
--- a/coltsfootfront/membership.py
+++ b/coltsfootfront/membership.py
@@ -65,6 +65,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._leaving_routers: frozenset[str] = frozenset()
         self._greeted: dict[str, _Greeted] = {}
+        self._announced = self._state()
 
     @property
     def leaving(self) -> frozenset[str]:
@@ -115,11 +116,11 @@
             self._forget_silent()
             if len(self._greeted) >= MAX_GREETED:
                 return
-        is_new = greet.name not in self._live_greeted()
+        known = self._greeted.get(greet.name)
         now_s = self._clock.monotonic_s()
         self._greeted[greet.name] = _Greeted(greet.data_centre, greet.address, now_s)
-        if is_new and self._on_change is not None:
-            self._on_change()
+        if known is None or known.address != greet.address:
+            self._announce()
 
     async def run(self) -> None:
         """Read the list again and again."""
@@ -132,13 +133,22 @@
 
         :returns: False when it could not be read; what was known stays in force.
         """
-        before = (self.routers(), self.peers(), self._leaving)
         self._forget_silent()
         is_read = await self._read_list()
-        if self._on_change is not None and before != (self.routers(), self.peers(), self._leaving):
-            self._on_change()
+        self._announce()
         return is_read
 
+    def _state(self) -> tuple[list[str], list[str], frozenset[str]]:
+        return self.routers(), self.peers(), self._leaving
+
+    def _announce(self) -> None:
+        state = self._state()
+        if state == self._announced:
+            return
+        self._announced = state
+        if self._on_change is not None:
+            self._on_change()
+
     async def _read_list(self) -> bool:
         if self._vm_list is None:
             return True
--- a/coltsfootfront/placer.py
+++ b/coltsfootfront/placer.py
@@ -108,10 +108,13 @@
         self._membership = membership
         self._link = link
 
-    async def place(self, job: Job, tried: set[str], hold: bool = True) -> Result[Plan, Failure]:
+    async def place(
+        self, job: Job, tried: set[str], version: str | None = None, hold: bool = True
+    ) -> Result[Plan, Failure]:
         """Find places for a request.
 
         :param tried: targets that are not to be tried again.
+        :param version: the only weights version that may go on with an answer, or None.
         :param hold: whether agents shall hold a soft reservation.
         :returns: a plan with at least one place, or the refusal to answer with.
         """
@@ -120,6 +123,8 @@
         if not grants:
             return Failed(_no_grant(job, document))
         usable = [grant for grant in grants if self._is_usable(grant, tried)]
+        if version is not None:
+            usable = [grant for grant in usable if grant.version == version]
         local = [grant for grant in usable if not self._is_remote(grant, document)]
         remote = [grant for grant in usable if self._is_remote(grant, document)]
         survey = await self._survey_local(job, document, local, hold)
--- a/coltsfootfront/relay.py
+++ b/coltsfootfront/relay.py
@@ -97,6 +97,11 @@
         """Text delivered so far."""
         return "".join(self._parts)
 
+    @property
+    def has_text(self) -> bool:
+        """Whether any text has been delivered."""
+        return any(self._parts)
+
     @property
     def is_started(self) -> bool:
         """Whether the caller has seen a part of the answer."""
--- a/coltsfootfront/router.py
+++ b/coltsfootfront/router.py
@@ -1,13 +1,11 @@
 """The program ``coltsfootfront-router``: takes callers' requests on an entry VM."""
 
 import asyncio
-import importlib
 import json
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Protocol
+from typing import Annotated
 
 import logbook
 from aiohttp import web
@@ -21,14 +19,16 @@
 from coltsfootfront.depthpolicy import DepthPolicy
 from coltsfootfront.dispatch import Dispatcher
 from coltsfootfront.document import Region
+from coltsfootfront.etcd import EtcdStore
+from coltsfootfront.explain import explain
 from coltsfootfront.frontend import Frontend
 from coltsfootfront.httpserver import CallerServer
-from coltsfootfront.leaving import VmList
+from coltsfootfront.leaving import HttpVmList, VmList
 from coltsfootfront.link import LinkBudget
 from coltsfootfront.liveness import Liveness
 from coltsfootfront.logs import event
 from coltsfootfront.membership import Membership
-from coltsfootfront.messages import Greet, Message, Status, StatusReply
+from coltsfootfront.messages import Explain, ExplainReply, Greet, Message, Status, StatusReply
 from coltsfootfront.placement import Policy
 from coltsfootfront.placer import Placer
 from coltsfootfront.probes import LoadTable, Prober
@@ -37,11 +37,15 @@
 from coltsfootfront.revision import InForce, Revision
 from coltsfootfront.runtime import Program, load_or_exit, serve
 from coltsfootfront.settings import RouterSettings
+from coltsfootfront.spread import Spread
+from coltsfootfront.store import Store
 from coltsfootfront.supervisor import Supervisor
+from coltsfootfront.watcher import Watcher
 
 log = logbook.Logger(__name__)
 
 PROGRAM = "coltsfootfront-router"
+STORE_TIMEOUT_S = 2.0
 BOOTSTRAP_TIMEOUT_S = 2.0
 # Full jitter between attempts to get a first configuration, so that many restarted routers do
 # not ask the same peers at once.
@@ -54,58 +58,27 @@
 SHUTDOWN_TIMEOUT_S = 1.0
 
 
-class ConfigurationSpread(Protocol):
-    """What the router needs of the gossip that spreads the configuration."""
-
-    def note_revision(self, channel: Channel, number: int) -> None:
-        """Note a peer's revision; pulls when it is ahead."""
-
-    def answer(self, channel: Channel, message: Message) -> None:
-        """Answer a message that a server sent on our own connection."""
-
-    async def handle(self, connection: Connection, message: Message, revision: int) -> bool:
-        """Handle a peer's message; False when it is of another kind."""
-
-    def set_peers(self, addresses: list[str]) -> None:
-        """Set the peers to greet."""
-
-    async def bootstrap(self, timeout_s: float) -> bool:
-        """Get the highest valid revision from several peers."""
-
-    async def pull_from(self, address: str) -> bool:
-        """Get the configuration from one peer."""
-
-    async def start(self) -> None:
-        """Start to greet."""
-
-    async def close(self) -> None:
-        """Stop to greet."""
-
-
-SpreadFactory = Callable[[Identity, Revision, ChannelPool, Clock, list[str], str, float], object]
-
-
 class Router(Program):
     """Wires the parts of a router together.
 
     :param settings: checked settings.
     :param clock: time source.
-    :param spread_factory: builds the gossip part; None takes ``coltsfootfront.spread``.
     :param vm_list: the platform's list of VMs, or None to do without it.
+    :param store: the platform's key-value service, or None to do without it.
     """
 
     def __init__(
         self,
         settings: RouterSettings,
         clock: Clock,
-        spread_factory: SpreadFactory | None = None,
         vm_list: VmList | None = None,
+        store: Store | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._generator = random.Random()
-        self._spread_factory = spread_factory
         self._vm_list = vm_list
+        self._store = store
         self._is_draining = False
         self.revision = Revision()
         self._identity = Identity(
@@ -134,10 +107,19 @@
             self._members_changed,
         )
         self._policy = _build_policy(settings, clock, self._generator)
-        self.frontend = self._build_frontend()
+        self._dispatcher = self._build_dispatcher()
+        self.frontend = Frontend(
+            settings,
+            self.revision,
+            self._dispatcher,
+            self._limiter,
+            clock,
+            self.unready_reason,
+        )
         self._listener = Listener(settings.peer_address, self._identity, self._serve_peer)
         self._tree = Supervisor("router", clock)
-        self._spread: ConfigurationSpread | None = None
+        self._spread: Spread | None = None
+        self._watcher: Watcher | None = None
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
         self.peer_address = ""
@@ -155,6 +137,7 @@
         self._tree.add("bootstrap", self._bootstrap)
         self._tree.add("idle_channels", self._close_idle_channels)
         await self._tree.start()
+        await self._start_watcher()
         await self._start_http()
         log.info(event("router_started", peer=self.peer_address, http=self.http_address))
 
@@ -173,6 +156,8 @@
         if self._runner is not None:
             await self._runner.cleanup()
         await self._tree.close()
+        if self._watcher is not None:
+            await self._watcher.close()
         if self._spread is not None:
             await self._spread.close()
         await self._listener.close()
@@ -181,6 +166,8 @@
         await self._pool.close()
         if self._vm_list is not None:
             await self._vm_list.close()
+        if self._store is not None:
+            await self._store.close()
 
     def unready_reason(self) -> str:
         """Why this router takes no new work, or an empty string."""
@@ -190,7 +177,7 @@
             return "no configuration"
         return ""
 
-    def _build_frontend(self) -> Frontend:
+    def _build_dispatcher(self) -> Dispatcher:
         settings = self._settings
         placer = Placer(
             self.revision,
@@ -202,7 +189,7 @@
             self._membership,
             self._link,
         )
-        dispatcher = Dispatcher(
+        return Dispatcher(
             self.revision,
             placer,
             self._pool,
@@ -216,15 +203,9 @@
             settings.max_attempts,
             self._generator,
         )
-        return Frontend(
-            settings, self.revision, dispatcher, self._limiter, self._clock, self.unready_reason
-        )
 
-    def _build_spread(self, own_address: str) -> ConfigurationSpread:
-        factory = self._spread_factory
-        if factory is None:
-            factory = importlib.import_module("coltsfootfront.spread").Spread
-        spread: ConfigurationSpread = factory(  # type: ignore[assignment]
+    def _build_spread(self, own_address: str) -> Spread:
+        return Spread(
             self._identity,
             self.revision,
             self._pool,
@@ -233,7 +214,20 @@
             own_address,
             self._settings.greet_interval_s,
         )
-        return spread
+
+    async def _start_watcher(self) -> None:
+        if self._store is None:
+            return
+        await self._store.start()
+        self._watcher = Watcher(
+            self._settings.name,
+            self._settings.data_centre,
+            self._store,
+            self.revision,
+            self._clock,
+            self._membership.routers,
+        )
+        await self._watcher.start()
 
     async def _start_http(self) -> None:
         settings = self._settings
@@ -279,6 +273,10 @@
                 self._membership.note_greeting(message)
             if isinstance(message, Status):
                 await connection.send(StatusReply(message.call, self._state()))
+            elif isinstance(message, Explain):
+                number = self.revision.number
+                answer = await explain(message.body, self._dispatcher, self._clock, number)
+                await connection.send(ExplainReply(message.call, answer))
             elif not await spread.handle(connection, message, number):
                 log.debug(event("message_ignored", peer=connection.peer, type=message.TYPE))
 
@@ -329,7 +327,7 @@
             if not self.revision.number:
                 await self._clock.sleep(self._generator.uniform(0, BOOTSTRAP_PAUSE_S))
 
-    async def _pull_from_agents(self, spread: ConfigurationSpread) -> None:
+    async def _pull_from_agents(self, spread: Spread) -> None:
         agents = self._membership.agents()
         chosen = self._generator.sample(agents, min(BOOTSTRAP_AGENTS, len(agents)))
         await asyncio.gather(*(spread.pull_from(address) for address in chosen))
@@ -355,17 +353,10 @@
 
     command = cappa.parse(Command, version=__version__, completion=False)
     settings = load_or_exit(command.config, RouterSettings)
-    clock = SystemClock()
-    vm_list = _build_vm_list(settings)
-    serve(Router(settings, clock, vm_list=vm_list), settings.name, settings.log_level)
-
-
-def _build_vm_list(settings: RouterSettings) -> VmList | None:
-    if not settings.vm_list_url:
-        return None
-    module = importlib.import_module("coltsfootfront.leaving")
-    vm_list: VmList = module.HttpVmList(settings.vm_list_url, settings.vm_list_interval_s)
-    return vm_list
+    vm_list = HttpVmList(settings.vm_list_url) if settings.vm_list_url else None
+    store = EtcdStore(settings.store_address, STORE_TIMEOUT_S)
+    router = Router(settings, SystemClock(), vm_list, store)
+    serve(router, settings.name, settings.log_level)
 
 
 if __name__ == "__main__":
--- a/coltsfootfront/tests/fakeagent.py
+++ b/coltsfootfront/tests/fakeagent.py
@@ -4,10 +4,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from coltsfootfront.authentication import hash_key
 from coltsfootfront.channel import Channel, ChannelPool
 from coltsfootfront.clock import SystemClock
 from coltsfootfront.connection import Connection, Identity, Listener
-from coltsfootfront.document import Document, build
 from coltsfootfront.entries import digest, split
 from coltsfootfront.messages import (
     Accepted,
@@ -16,10 +16,13 @@
     Chunk,
     End,
     Fail,
+    Greet,
+    GreetReply,
     Head,
     Message,
     Probe,
     ProbeReply,
+    Pull,
     Resume,
     Run,
     Status,
@@ -73,6 +76,7 @@
         self.on_resume: Callable[[Connection, Resume], Awaitable[None]] = self._refuse_resume
         self.on_cancel: Callable[[Connection, Cancel], Awaitable[None]] | None = None
         self.connections: list[Connection] = []
+        self.revision: Revision | None = None
         self.address = "127.0.0.1:0"
         self._listener: Listener | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -148,6 +152,14 @@
                 await self.on_cancel(connection, message)
         elif isinstance(message, Acknowledge):
             self.acknowledged.append(message)
+        else:
+            await self._handle_peer(connection, message)
+
+    async def _handle_peer(self, connection: Connection, message: Message) -> None:
+        if isinstance(message, Greet):
+            await connection.send(GreetReply(message.call, self.name))
+        elif isinstance(message, Pull) and self.revision is not None:
+            await connection.send(self.revision.delta_since(message.have, message.call))
         elif isinstance(message, Status) and self.answers_status:
             await connection.send(StatusReply(message.call, b"{}"))
 
@@ -184,8 +196,6 @@
     Engines are ``t1`` …; targets named ``s…`` are plain servers of the service ``desk``, and
     those named ``far…`` are in another region.
     """
-    from coltsfootfront.authentication import hash_key
-
     document: dict[str, dict[str, Any]] = {
         "owners": {"o": {}},
         "regions": {
@@ -225,12 +235,3 @@
     entries = split(entries_of(agents, **changes))
     assert revision.adopt(1, entries, digest(entries))
     return revision
-
-
-def document_of(agents: list[FakeAgent], **changes: Any) -> Document:
-    """The typed document with one target for each agent."""
-    sections = {
-        section: {name: build(section, value) for name, value in entries.items()}
-        for section, entries in entries_of(agents, **changes).items()
-    }
-    return Document({**{name: {} for name in Document.empty()._sections}, **sections})
--- /dev/null
+++ b/coltsfootfront/tests/test_depthpolicy.py
@@ -0,0 +1,207 @@
+"""Tests of placement by depth, of rendezvous hashing, and of probes."""
+
+import asyncio
+import random
+import time
+import unittest
+from collections import Counter
+from typing import Any
+
+from coltsfootfront.clock import SystemClock
+from coltsfootfront.depthpolicy import DepthPolicy
+from coltsfootfront.document import Grant
+from coltsfootfront.messages import Probe, ProbeReply, encode
+from coltsfootfront.placement import Candidate, PlacementRequest, TargetLoad
+from coltsfootfront.probes import LoadTable, ProbeQuestion, Prober, ProbeTarget
+from coltsfootfront.rendezvous import rank
+from coltsfootfront.tests.fakeagent import FakeAgent, pool
+from coltsfootfront.tests.support import ManualClock
+from coltsfootfront.tests.test_dispatch import Harness, model_job, started
+
+GRANTS = [Grant(f"t{n:02}", "lend", 5, "v1") for n in range(40)]
+
+
+def request(*levels: tuple[str, int]) -> PlacementRequest:
+    """A request whose prompt has named levels of some blocks each."""
+    keys: list[bytes] = []
+    for name, blocks in levels:
+        keys += [f"{name}-{n}".encode().ljust(8)[:8] for n in range(blocks)]
+    return PlacementRequest("c", "m", "", "salt", tuple(keys))
+
+
+def answer(
+    target: str, matched: int = 0, wait_s: float = 0.0, home: bool = False, latency_s: float = 0.0
+) -> Candidate:
+    return Candidate(target, matched, wait_s, 0.1, 0.0, latency_s, home)
+
+
+class RendezvousTest(unittest.TestCase):
+    def test_removal_moves_only_the_removed_name(self) -> None:
+        """Guards against a lost target that changes the place of every prefix."""
+        names = [f"t{n}" for n in range(20)]
+        for number in range(200):
+            key = str(number).encode()
+            before = rank(key, names)
+            self.assertEqual(before[1:], rank(key, [n for n in names if n != before[0]]))
+            self.assertEqual(before[:3], rank(key, reversed(names), 3))
+
+    def test_keys_are_spread_evenly(self) -> None:
+        """Guards against a hash that prefers some targets."""
+        names = [f"t{n}" for n in range(10)]
+        counts = Counter(rank(str(n).encode(), names, 1)[0] for n in range(5000))
+        self.assertGreater(min(counts.values()), 400)
+        self.assertLess(max(counts.values()), 600)
+
+
+class DepthPolicyTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.policy = self.make()
+
+    def make(self, probe_count: int = 5, seed: int = 1) -> DepthPolicy:
+        return DepthPolicy(probe_count, self.clock, random.Random(seed))
+
+    def test_routers_agree_on_the_home(self) -> None:
+        """Guards against routers that spread one prefix over many targets."""
+        homes = set()
+        for seed in range(20):
+            asked = request(("standard", 8), ("dossier", 12), (f"tail{seed}", 2))
+            homes.add(self.make(seed=seed).candidates(asked, GRANTS, {})[0])
+        self.assertEqual(1, len(homes))
+
+    def test_nested_prefixes_share_candidates(self) -> None:
+        """Guards against a shared prefix that no common candidate holds."""
+        first = request(("standard", 8), ("dossier-a", 20))
+        second = request(("standard", 8), ("dossier-b", 20))
+        common = rank(first.keys[7], [grant.target for grant in GRANTS], 1)[0]
+        for asked in (first, second):
+            self.assertIn(common, self.make(8).candidates(asked, GRANTS, {}))
+
+    def test_a_prefix_seen_before_has_a_candidate_of_its_own(self) -> None:
+        """Guards against a level that ends between two powers of two and is never found."""
+        first = request(("dossier", 21), ("tail-a", 9))
+        second = request(("dossier", 21), ("tail-b", 9))
+        self.policy.placed(first)
+        self.assertIn(21, self.policy.depths(second))
+        expected = rank(second.keys[20], [grant.target for grant in GRANTS], 1)[0]
+        self.assertIn(expected, self.policy.candidates(second, GRANTS, {}))
+
+    def test_candidates_are_bounded_and_distinct(self) -> None:
+        """Guards against probes beyond the control budget."""
+        for count in (1, 2, 5, 6):
+            for blocks in (0, 1, 3, 30, 500):
+                with self.subTest(count=count, blocks=blocks):
+                    asked = request(("p", blocks))
+                    found = self.make(count).candidates(asked, GRANTS, {})
+                    self.assertEqual((count, count), (len(found), len(set(found))))
+                    self.assertLessEqual(len(self.policy.depths(asked)), 11)
+
+    def test_a_loaded_home_gets_the_next_rank(self) -> None:
+        """Guards against a hot prefix that overloads one target."""
+        asked = request(("hot", 1))
+        ranked = rank(asked.keys[0], [grant.target for grant in GRANTS], 3)
+        now_s = self.clock.monotonic_s()
+        cases = ((0.5, now_s, 1), (1.0, now_s, 2), (1.0, now_s - 10, 1), (1.0, None, 1))
+        for load, seen_s, width in cases:
+            with self.subTest(load=load, seen_s=seen_s):
+                loads = {ranked[0]: TargetLoad(load=load, seen_s=seen_s)}
+                found = self.make(4).candidates(asked, GRANTS, loads)
+                self.assertEqual(ranked[:width], found[:width])
+
+    def test_the_least_loaded_target_is_asked_too(self) -> None:
+        """Guards against idle targets that get no work."""
+        now_s = self.clock.monotonic_s()
+        loads = {
+            grant.target: TargetLoad(load=0.8 if grant.target != "t07" else 0.1, seen_s=now_s)
+            for grant in GRANTS
+        }
+        for blocks in (0, 30):
+            found = self.policy.candidates(request(("p", blocks)), GRANTS, loads)
+            self.assertIn("t07", found)
+
+    def test_choice_by_estimated_time(self) -> None:
+        """Guards against a choice that recomputes a prefix or joins a long queue needlessly."""
+        cases = {
+            "cached beats idle": ([answer("a", 4, 0.2), answer("b")], "a"),
+            "a long queue loses": ([answer("a", 4, 0.9), answer("b")], "b"),
+            "latency counts both ways": ([answer("a", latency_s=0.02), answer("b")], "b"),
+            "home wins a near tie": ([answer("a"), answer("b", 0, 0.01, True)], "b"),
+            "home loses beyond the hysteresis": ([answer("a"), answer("b", 0, 0.03, True)], "a"),
+            "rank order decides a tie": ([answer("b"), answer("a")], "a"),
+            "no answers": ([], "a"),
+        }
+        self.policy.hysteresis_s = 0.02
+        for name, (answers, first) in cases.items():
+            with self.subTest(name):
+                choice = self.policy.choose(request(("p", 8)), ["a", "b", "c"], answers)
+                self.assertEqual(first, choice.targets[0])
+                self.assertEqual({"a", "b", "c"}, set(choice.targets))
+
+
+class ProbesTest(unittest.IsolatedAsyncioTestCase):
+    def test_a_probe_stays_small(self) -> None:
+        """Guards against probes that exceed the control traffic of a node.
+
+        17 probes and replies a second may take 9 KB, less what greetings and deltas need.
+        """
+        depths = [1, 2, 4, 8, 16, 21, 30]
+        keys = [bytes(range(8))] * len(depths)
+        probe = Probe(123456, "agency-lab", "assessor-large", "", "2026-11", depths, keys, 30)
+        reply = ProbeReply(123456, 24, 0.0123, 0.2, "", "a3f4b5c6d7e8f901", 0.5, 0.0)
+        sizes = [len(encode(message, 1234)) + 4 for message in (probe, reply)]
+        self.assertLessEqual(sizes[0], 220)
+        self.assertLessEqual(sum(sizes) * 17, 6300)
+
+    async def test_a_late_reply_feeds_the_load_table_only(self) -> None:
+        """Guards against a frozen agent that delays placement, and against lost load reports."""
+        agents = await started(FakeAgent("t1"), FakeAgent("t2"))
+        agents[1].answers_probes = False
+        channels = pool()
+        clock = SystemClock()
+        table = LoadTable(clock)
+        prober = Prober(channels, table, clock, 0.1, 0.5)
+        question = ProbeQuestion("c", "m", "", "", 0, 5, True)
+        targets = [ProbeTarget(agent.name, agent.address, "v1", (), ()) for agent in agents]
+        began = time.monotonic()
+        result = await prober.ask(question, targets)
+        elapsed_s = time.monotonic() - began
+        agents[1].reply = {"load": 0.7}
+        connection, probe = agents[1].connections[0], agents[1].probes[0]
+        await connection.send(agents[1]._probe_reply(probe.call))
+        await asyncio.sleep(0.05)
+        await prober.close()
+        await channels.close()
+        for agent in agents:
+            await agent.stop()
+        self.assertEqual(["t1"], [found.target for found in result.answers])
+        self.assertLess(elapsed_s, 0.3)
+        self.assertEqual(0.7, table.get("t2").load)
+
+    async def test_placement_with_probes(self) -> None:
+        """Guards against answers of agents that do not reach the choice."""
+        agents = await started(*(FakeAgent(f"t{n}") for n in range(4)), FakeAgent("far1"))
+        policy = DepthPolicy(5, SystemClock(), random.Random(1))
+        harness = Harness(agents, policy)
+        cases: dict[str, tuple[dict[str, dict[str, Any]], str]] = {
+            "cached": ({"t2": {"matched": 8}}, "t2"),
+            "refusing ones are passed over": (
+                {f"t{n}": {"refusal": "overloaded"} for n in (0, 1, 2)},
+                "t3",
+            ),
+            "another region is used when it saves enough": (
+                {f"t{n}": {"wait_s": 3.0} for n in range(4)},
+                "far1",
+            ),
+            "all local ones refuse": (
+                {f"t{n}": {"refusal": "overloaded"} for n in range(4)},
+                "far1",
+            ),
+        }
+        for number, (name, (replies, first)) in enumerate(cases.items()):
+            with self.subTest(name):
+                for agent in agents:
+                    agent.reply = replies.get(agent.name, {})
+                job = model_job(number, b"x" * 64)
+                plan = (await harness.dispatcher.explain(job)).unwrap()
+                self.assertEqual(first, plan.places[0].target)
+        await harness.close()
--- /dev/null
+++ b/coltsfootfront/tests/test_dispatch.py
@@ -0,0 +1,574 @@
+"""Tests of the attempts of one request against scripted agents."""
+
+import asyncio
+import random
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns.result import Failure as Failed
+
+from coltsfootfront.attempt import AttemptLimits
+from coltsfootfront.breaker import Breaker
+from coltsfootfront.callers import CollectCaller
+from coltsfootfront.clock import SystemClock
+from coltsfootfront.connection import Connection
+from coltsfootfront.dispatch import Dispatcher
+from coltsfootfront.document import Grant
+from coltsfootfront.errors import ErrorKind, RunState
+from coltsfootfront.job import KIND_COMPLETION, KIND_SERVICE, Job
+from coltsfootfront.link import LinkBudget
+from coltsfootfront.liveness import Liveness
+from coltsfootfront.membership import Membership
+from coltsfootfront.messages import Accepted, Cancel, Chunk, End, Fail, Head, Resume, Run
+from coltsfootfront.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
+from coltsfootfront.placer import Placer
+from coltsfootfront.probes import LoadTable, Prober
+from coltsfootfront.relay import CallerGoneError
+from coltsfootfront.retries import RetryBudget
+from coltsfootfront.tests.fakeagent import FakeAgent, answer_text, pool, revision_of
+
+TEXT = "one two three"
+ACCEPT_S = 0.15
+
+
+class ByName(Policy):
+    """Tries targets in the order of their names, without probes."""
+
+    def candidates(
+        self, request: PlacementRequest, grants: list[Grant], loads: dict[str, TargetLoad]
+    ) -> list[str]:
+        return [grant.target for grant in grants]
+
+    def choose(
+        self, request: PlacementRequest, candidates: list[str], answers: list[Candidate]
+    ) -> Choice:
+        return Choice(tuple(candidates))
+
+
+class Harness:
+    """A dispatcher over scripted agents."""
+
+    def __init__(
+        self,
+        agents: list[FakeAgent],
+        policy: Policy | None = None,
+        ratio: float = 1.0,
+        floor_per_s: float = 10.0,
+        attempts: int = 4,
+        breaker: Breaker | None = None,
+        **changes: Any,
+    ) -> None:
+        clock = SystemClock()
+        self.agents = agents
+        self.pool = pool()
+        self.revision = revision_of(agents, **changes)
+        self.table = LoadTable(clock)
+        self.breaker = breaker or Breaker(clock)
+        self.link = LinkBudget(clock)
+        self.link.set_rate(1_000_000, 1)
+        self.liveness = Liveness(clock, ACCEPT_S)
+        self.prober = Prober(self.pool, self.table, clock, 0.1, 0.3)
+        self.membership = Membership("r1", "dc-1", clock, None, 1.0, 1.0)
+        placer = Placer(
+            self.revision,
+            "dc-1",
+            policy or ByName(),
+            self.prober,
+            self.table,
+            self.breaker,
+            self.membership,
+            self.link,
+        )
+        self.dispatcher = Dispatcher(
+            self.revision,
+            placer,
+            self.pool,
+            self.table,
+            self.breaker,
+            RetryBudget(clock, ratio, floor_per_s),
+            self.link,
+            self.liveness,
+            clock,
+            AttemptLimits(ACCEPT_S, 0.5),
+            attempts,
+            random.Random(1),
+        )
+
+    async def run(self, job: Job, caller: CollectCaller | None = None) -> tuple[str, Any]:
+        """Execute a job; returns the text so far and the outcome."""
+        used = caller or CollectCaller()
+        outcome = await asyncio.wait_for(self.dispatcher.execute(job, used), 20)
+        return used.text, outcome
+
+    async def close(self) -> None:
+        await self.prober.close()
+        await self.liveness.close()
+        await self.pool.close()
+        for agent in self.agents:
+            await agent.stop()
+
+
+async def started(*agents: FakeAgent) -> list[FakeAgent]:
+    for agent in agents:
+        await agent.start()
+    return list(agents)
+
+
+def model_job(number: int = 1, prompt: bytes = b"") -> Job:
+    return Job(
+        f"id-{number}", "c", KIND_COMPLETION, time.time() + 10, b"{}", model="m", prompt=prompt
+    )
+
+
+def service_job(method: str = "POST", number: int = 1) -> Job:
+    return Job(
+        f"id-{number}",
+        "c",
+        KIND_SERVICE,
+        time.time() + 10,
+        b"{}",
+        service="desk",
+        method=method,
+        path="/file",
+        idempotent=method == "GET",
+    )
+
+
+Step = Callable[[FakeAgent, Connection, Run], Awaitable[None]]
+
+
+async def _front(connection: Connection, run: Run) -> None:
+    await connection.send(Accepted(run.stream, run.attempt, "e1"))
+    await connection.send(Head(run.stream, run.attempt))
+
+
+def _resumes(agent: FakeAgent) -> None:
+    """Let the agent answer a resume with the rest of its answer."""
+
+    async def resume(connection: Connection, message: Resume) -> None:
+        stream, attempt = message.stream, message.attempt
+        await connection.send(Accepted(stream, attempt, "e1"))
+        await connection.send(Head(stream, attempt))
+        await agent.send_chunks(connection, stream, attempt, agent.pieces, message.next_seq)
+        await agent.send_end(connection, stream, attempt, agent.pieces)
+
+    agent.on_resume = resume
+
+
+async def cut_before(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    _resumes(agent)
+    await agent.cut()
+
+
+async def cut_between(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    _resumes(agent)
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:1])
+    await agent.cut()
+
+
+async def cut_after(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    _resumes(agent)
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces)
+    await agent.cut()
+
+
+async def duplicated(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await connection.send(Head(run.stream, run.attempt))
+    for _ in range(2):
+        await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:2])
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces, 1)
+    await agent.send_end(connection, run.stream, run.attempt, agent.pieces)
+
+
+async def reordered(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    _resumes(agent)
+    await _front(connection, run)
+    await connection.send(Chunk(run.stream, run.attempt, 1, 4, b"two "))
+    await connection.send(Chunk(run.stream, run.attempt, 0, 0, b"one "))
+
+
+async def crossed(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await connection.send(Chunk(run.stream, run.attempt + 1, 0, 0, b"other attempt"))
+    await connection.send(Chunk(run.stream + 999, run.attempt, 0, 0, b"other stream"))
+    await connection.send(End(run.stream, run.attempt + 1, 0, 0))
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces)
+    await agent.send_end(connection, run.stream, run.attempt, agent.pieces)
+
+
+async def late_frames(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    """Send frames of the first stream number after the stream was resumed."""
+    _resumes(agent)
+    resume = agent.on_resume
+
+    async def late(connection: Connection, message: Resume) -> None:
+        await connection.send(Chunk(run.stream, run.attempt, 1, 4, b"late"))
+        await connection.send(End(run.stream, run.attempt, 2, 8))
+        await resume(connection, message)
+
+    agent.on_resume = late
+    await _front(connection, run)
+    await connection.send(Chunk(run.stream, run.attempt, 0, 0, b"one ", 1))
+    await connection.send(End(run.stream, run.attempt, 2, 8))
+
+
+async def end_too_early(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    _resumes(agent)
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:1])
+    await agent.send_end(connection, run.stream, run.attempt, agent.pieces)
+
+
+async def end_without_totals(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:2])
+    await connection.send(End(run.stream, run.attempt, 0, 0))
+
+
+async def end_with_wrong_bytes(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:2])
+    await connection.send(End(run.stream, run.attempt, 2, 9))
+
+
+async def wrong_offset(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await connection.send(Chunk(run.stream, run.attempt, 0, 0, b"one ", 1))
+    await connection.send(Chunk(run.stream, run.attempt, 1, 5, b"two ", 1))
+
+
+async def not_text(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await connection.send(Chunk(run.stream, run.attempt, 0, 0, b"\xff", 1))
+
+
+async def dies(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:1])
+    await asyncio.sleep(0.02)
+    asyncio.get_running_loop().create_task(agent.stop())
+
+
+async def restarts(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:1])
+    await asyncio.sleep(0.02)
+
+    async def restart() -> None:
+        await agent.stop()
+        await agent.start()
+
+    agent.restart = asyncio.create_task(restart())  # type: ignore[attr-defined]
+
+
+async def silent(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    agent.answers_status = False
+
+
+async def freezes(agent: FakeAgent, connection: Connection, run: Run) -> None:
+    agent.answers_status = False
+
+    async def ignore(connection: Connection, message: Resume) -> None:
+        return None
+
+    agent.on_resume = ignore
+    await _front(connection, run)
+    await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:1])
+
+
+def fails(kind: str, run_state: str, after: int = 0, retry_after_s: float = 0.0) -> Step:
+    """Fail, after some chunks."""
+
+    async def script(agent: FakeAgent, connection: Connection, run: Run) -> None:
+        if after:
+            await _front(connection, run)
+            await agent.send_chunks(connection, run.stream, run.attempt, agent.pieces[:after])
+        fail = Fail(run.stream, run.attempt, kind, "", run_state, retry_after_s)
+        await connection.send(fail)
+
+    return script
+
+
+class ModelFaultsTest(unittest.IsolatedAsyncioTestCase):
+    async def check(self, script: Step, elsewhere: bool) -> None:
+        harness = Harness(await started(FakeAgent("t1", script), FakeAgent("t2")))
+        try:
+            text, outcome = await harness.run(model_job())
+        finally:
+            await harness.close()
+        self.assertEqual(TEXT, text, outcome)
+        self.assertEqual("stop", outcome.unwrap().finish_reason)
+        self.assertEqual((1, int(elsewhere)), tuple(len(agent.runs) for agent in harness.agents))
+
+    async def test_every_fault_ends_in_a_complete_answer(self) -> None:
+        """Guards against lost, repeated or foreign text after a fault, and needless reruns."""
+        cases: dict[str, tuple[Step, bool]] = {
+            "connection cut before frames": (cut_before, False),
+            "connection cut between frames": (cut_between, False),
+            "connection cut after frames": (cut_after, False),
+            "duplicated frames": (duplicated, False),
+            "reordered frames": (reordered, False),
+            "crossed frames": (crossed, False),
+            "late frames after a resume": (late_frames, False),
+            "end before its chunks": (end_too_early, False),
+            "end without totals": (end_without_totals, True),
+            "end with wrong bytes": (end_with_wrong_bytes, True),
+            "chunk with a wrong offset": (wrong_offset, True),
+            "chunk that is not UTF-8": (not_text, True),
+            "agent dies within the stream": (dies, True),
+            "agent restarts within the stream": (restarts, True),
+            "agent never accepts": (silent, True),
+            "agent freezes within the stream": (freezes, True),
+            "engine fails within the stream": (fails("engine_failed", "unknown", 2), True),
+            "overloaded": (fails("overloaded", "not_run"), True),
+            "stale revision": (fails("stale_revision", "not_run"), True),
+            "wrong version": (fails("wrong_version", "not_run"), True),
+            "target leaving": (fails("target_leaving", "not_run"), True),
+        }
+        for name, (script, elsewhere) in cases.items():
+            with self.subTest(name):
+                await self.check(script, elsewhere)
+
+    async def test_a_refusal_by_terms_is_final(self) -> None:
+        """Guards against shopping for a target after the agent, the authority, said no."""
+        agents = await started(FakeAgent("t1", fails("forbidden", "not_run")), FakeAgent("t2"))
+        harness = Harness(agents)
+        _, outcome = await harness.run(model_job())
+        await harness.close()
+        self.assertEqual(ErrorKind.FORBIDDEN, outcome.failure().kind)
+        self.assertEqual([], agents[1].runs)
+
+    async def test_other_weights_do_not_continue_an_answer(self) -> None:
+        """Guards against one answer made of the texts of two weights versions."""
+        agents = await started(FakeAgent("t1", dies), FakeAgent("t2"))
+        harness = Harness(agents)
+        target = harness.revision.document.targets["t2"]
+        target.models[0].version = "v2"
+        text, outcome = await harness.run(model_job())
+        await harness.close()
+        self.assertEqual(("one ", []), (text, agents[1].runs))
+        self.assertEqual(RunState.UNKNOWN, outcome.failure().run)
+
+    async def test_the_earliest_time_to_come_back_is_given(self) -> None:
+        """Guards against a refusal that keeps callers away for longer than the agents said."""
+        agents = await started(
+            FakeAgent("t1", fails("overloaded", "not_run", 0, 7.0)),
+            FakeAgent("t2", fails("overloaded", "not_run", 0, 3.0)),
+            FakeAgent("t3", fails("overloaded", "not_run", 0, 5.0)),
+        )
+        harness = Harness(agents)
+        began = time.monotonic()
+        _, outcome = await harness.run(model_job())
+        await harness.close()
+        failure = outcome.failure()
+        self.assertEqual((3.0, RunState.NOT_RUN), (failure.wait_s, failure.run))
+        self.assertLess(time.monotonic() - began, 1.0)
+
+    async def test_a_caller_that_goes_away_cancels(self) -> None:
+        """Guards against engines that work on for nobody."""
+
+        class Gone(CollectCaller):
+            async def write(self, data: bytes) -> None:
+                raise CallerGoneError("gone")
+
+        agents = await started(FakeAgent("t1"))
+        harness = Harness(agents)
+        with self.assertRaises(CallerGoneError):
+            await harness.run(model_job(), Gone())
+        await asyncio.sleep(0.05)
+        await harness.close()
+        self.assertEqual([("id-1", 1)], [(c.request_id, c.attempt) for c in agents[0].cancels])
+
+    async def test_a_slow_caller_holds_back_acknowledgements(self) -> None:
+        """Guards against a window that opens although the caller has read nothing."""
+        gate = asyncio.Event()
+
+        class Slow(CollectCaller):
+            async def write(self, data: bytes) -> None:
+                await gate.wait()
+                await super().write(data)
+
+        agents = await started(FakeAgent("t1"))
+        agents[0].pieces = [b"x" * 3000, b"y" * 10]
+        harness = Harness(agents)
+        task = asyncio.create_task(harness.run(model_job(), Slow()))
+        await asyncio.sleep(0.1)
+        before = list(agents[0].acknowledged)
+        gate.set()
+        text, _ = await task
+        await asyncio.sleep(0.02)
+        await harness.close()
+        self.assertEqual(([], 3010), (before, len(text)))
+        self.assertEqual([3000], [message.offset for message in agents[0].acknowledged])
+
+    async def test_many_calls_on_one_connection_with_shuffled_replies(self) -> None:
+        """Guards against an answer that reaches the caller of another request."""
+        count = 60
+        waiting: list[tuple[Connection, Run]] = []
+
+        async def gather(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            waiting.append((connection, run))
+            if len(waiting) < count:
+                return
+            frames = []
+            for peer, item in waiting:
+                data = f"text of {item.request_id}".encode()
+                frames.append(
+                    [
+                        (peer, Accepted(item.stream, item.attempt, "e1")),
+                        (peer, Head(item.stream, item.attempt)),
+                        (peer, Chunk(item.stream, item.attempt, 0, 0, data, 1)),
+                        (peer, End(item.stream, item.attempt, 1, len(data))),
+                    ]
+                )
+            generator = random.Random(5)
+            while frames:
+                chosen = generator.choice(frames)
+                peer, message = chosen.pop(0)
+                await peer.send(message)
+                if not chosen:
+                    frames.remove(chosen)
+
+        agents = await started(FakeAgent("t1", gather))
+        harness = Harness(agents)
+        results = await asyncio.gather(*(harness.run(model_job(n)) for n in range(count)))
+        connections = len(agents[0].connections)
+        await harness.close()
+        self.assertEqual([f"text of id-{n}" for n in range(count)], [text for text, _ in results])
+        self.assertEqual(1, connections)
+
+    async def test_remote_targets_are_used_within_the_budget(self) -> None:
+        """Guards against requests that leave the region needlessly or beyond the link's budget."""
+        agents = await started(FakeAgent("far1"))
+        harness = Harness(agents)
+        text, _ = await harness.run(model_job())
+        harness.link.charge(10_000_000, "away")
+        _, outcome = await harness.run(model_job(2))
+        await harness.close()
+        self.assertEqual((TEXT, 1), (text, len(agents[0].runs)))
+        self.assertEqual(ErrorKind.NO_TARGET, outcome.failure().kind)
+
+
+class NotIdempotentTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_runs_at_most_once(self) -> None:
+        """Guards against a second execution, and against a refusal that wrongly says not run."""
+
+        async def unknown_here(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await agent.cut()
+
+        async def cancelled(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            async def confirm(connection: Connection, message: Cancel) -> None:
+                stream, attempt = message.stream, message.attempt
+                await connection.send(Fail(stream, attempt, "cancelled", "", "not_run"))
+
+            agent.on_cancel = confirm
+
+        lost = RunState.UNKNOWN
+        cases: dict[str, tuple[Step, int, RunState | None]] = {
+            "agent never got it": (unknown_here, 1, None),
+            "cancelled before it was forwarded": (cancelled, 1, None),
+            "overloaded": (fails("overloaded", "not_run"), 1, None),
+            "no answer to run nor cancel": (silent, 0, lost),
+            "agent dies": (dies, 0, lost),
+            "agent restarts": (restarts, 0, lost),
+            "agent freezes": (freezes, 0, lost),
+            "target fails": (fails("target_failed", "unknown"), 0, lost),
+            "claim in progress": (fails("in_progress", "unknown"), 0, lost),
+            "store is down": (fails("store_unavailable", "not_run"), 0, RunState.NOT_RUN),
+            "end without totals": (end_without_totals, 0, lost),
+            "failure that claims not run after an answer": (
+                fails("overloaded", "not_run", 1),
+                0,
+                lost,
+            ),
+        }
+        for name, (script, second, state) in cases.items():
+            with self.subTest(name):
+                agents = await started(FakeAgent("s1", script), FakeAgent("s2"))
+                harness = Harness(agents)
+                _, outcome = await harness.run(service_job())
+                await harness.close()
+                self.assertEqual((1, second), (len(agents[0].runs), len(agents[1].runs)))
+                seen = outcome.failure().run if isinstance(outcome, Failed) else None
+                self.assertEqual(state, seen)
+
+    async def test_an_agent_that_cannot_be_reached_is_passed_over(self) -> None:
+        """Guards against giving up although no byte of the request was written."""
+        agents = await started(FakeAgent("s1"), FakeAgent("s2"))
+        harness = Harness(agents)
+        await agents[0].stop()
+        text, _ = await harness.run(service_job())
+        await harness.close()
+        self.assertEqual((TEXT, 1), (text, len(agents[1].runs)))
+
+    async def test_an_idempotent_call_goes_elsewhere_at_once(self) -> None:
+        """Guards against an unknown outcome for a call that may simply be repeated."""
+        agents = await started(FakeAgent("s1", fails("target_failed", "unknown")), FakeAgent("s2"))
+        harness = Harness(agents)
+        text, _ = await harness.run(service_job("GET"))
+        await harness.close()
+        self.assertEqual(TEXT, text)
+
+
+class RetryAmplificationTest(unittest.IsolatedAsyncioTestCase):
+    async def amplification(self, dead: int, breaks: bool) -> tuple[float, float]:
+        """Attempts for each request, and the share of requests that were answered."""
+        failing = fails("engine_failed", "unknown")
+        agents = await started(
+            *(FakeAgent(f"t{n}", failing if n < dead else answer_text) for n in range(8))
+        )
+        shuffled = _Shuffled(random.Random(3))
+        breaker = None if breaks else _AlwaysClosed(SystemClock())
+        harness = Harness(agents, shuffled, 0.2, 1.0, breaker=breaker)
+        answered = 0
+        for number in range(300):
+            text, _ = await harness.run(model_job(number))
+            answered += text == TEXT
+        attempts = sum(len(agent.runs) for agent in agents)
+        await harness.close()
+        return attempts / 300, answered / 300
+
+    async def test_retries_stay_within_the_budget(self) -> None:
+        """Guards against retries that multiply the load while targets are dead.
+
+        Measured for 300 requests with a budget of 0.2 and a floor of 1/s: 0.08 attempts for each
+        request with all of 8 targets dead and 1.05 with half of them dead; with breakers that
+        never open 1.23 in both cases, which is 1 + 0.2 and the floor of 10 retries.
+        """
+        cases = (
+            ("all dead", 8, True, 0.0),
+            ("half dead", 4, True, 0.9),
+            ("all dead, no breaker", 8, False, 0.0),
+            ("half dead, no breaker", 4, False, 0.5),
+        )
+        for name, dead, breaks, least in cases:
+            with self.subTest(name):
+                attempts, answered = await self.amplification(dead, breaks)
+                self.assertLess(attempts, 1.25)
+                self.assertGreaterEqual(answered, least)
+
+
+class _AlwaysClosed(Breaker):
+    """Lets every request through, so that the budget alone limits retries."""
+
+    def is_available(self, target: str) -> bool:
+        return True
+
+
+class _Shuffled(ByName):
+    """Tries targets in random order."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def candidates(
+        self, request: PlacementRequest, grants: list[Grant], loads: dict[str, TargetLoad]
+    ) -> list[str]:
+        names = super().candidates(request, grants, loads)
+        self._generator.shuffle(names)
+        return names
--- /dev/null
+++ b/coltsfootfront/tests/test_frontend.py
@@ -0,0 +1,389 @@
+"""Tests of callers' requests through a whole router, with scripted agents."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+import aiohttp
+
+from coltsfootfront import metrics
+from coltsfootfront.channel import Channel
+from coltsfootfront.clock import SystemClock
+from coltsfootfront.connection import Connection
+from coltsfootfront.messages import Accepted, Chunk, End, Explain, ExplainReply, Head, Run
+from coltsfootfront.router import Router
+from coltsfootfront.settings import RouterSettings
+from coltsfootfront.tests.fakeagent import SECRET, FakeAgent, answer_text, identity, revision_of
+
+KEY = {"Authorization": "Bearer key-c"}
+BODY: dict[str, Any] = {"model": "m", "prompt": "a prompt of several blocks"}
+
+
+def settings(**changes: Any) -> RouterSettings:
+    values: dict[str, Any] = {
+        "http_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "max_body_bytes": 4096,
+        "max_header_bytes": 2048,
+        "body_timeout_s": 0.3,
+        "write_timeout_s": 0.3,
+        "drain_wait_s": 0.1,
+        **changes,
+    }
+    return RouterSettings("r1", "dc-1", SECRET, "http://127.0.0.1:1", **values)
+
+
+class FrontendTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.agents = [FakeAgent("t1"), FakeAgent("t2"), FakeAgent("s1")]
+        await self.start()
+
+    async def start(self, **changes: Any) -> None:
+        for agent in self.agents:
+            await agent.start()
+        self.agents[0].revision = revision_of(self.agents)
+        seeds = [self.agents[0].address]
+        self.router = Router(settings(seed_addresses=seeds, **changes), SystemClock())
+        await self.router.start()
+        for _ in range(200):
+            if self.router.revision.number:
+                break
+            await asyncio.sleep(0.02)
+        url = f"http://{self.router.http_address}"
+        self.session = aiohttp.ClientSession(url, headers=KEY)
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        await self.router.close()
+        for agent in self.agents:
+            await agent.stop()
+
+    async def restart(self, **changes: Any) -> None:
+        await self.asyncTearDown()
+        await self.start(**changes)
+
+    async def post(self, path: str, body: Any, **options: Any) -> tuple[int, str, Any]:
+        async with self.session.post(path, json=body, **options) as response:
+            return response.status, await response.text(), response.headers
+
+    async def raw(self, data: bytes, timeout_s: float = 2.0) -> bytes:
+        """Send bytes on a connection of its own and read until it ends or is silent."""
+        host, _, port = self.router.http_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        received = b""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while chunk := await reader.read(65536):
+                    received += chunk
+        except (TimeoutError, ConnectionError):
+            pass
+        writer.close()
+        return received
+
+    def request(self, path: str, body: Any) -> bytes:
+        data = json.dumps(body).encode()
+        return (
+            f"POST {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-c\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        ).encode() + data
+
+    async def test_answers_of_both_calls(self) -> None:
+        """Guards against answers that OpenAI clients cannot read."""
+        chat = {"model": "m", "messages": [{"role": "user", "content": "hi"}]}
+        for path, body in (("/v1/completions", BODY), ("/v1/chat/completions", chat)):
+            with self.subTest(path):
+                status, text, headers = await self.post(path, body)
+                answer = json.loads(text)
+                choice = answer["choices"][0]
+                got = choice["message"]["content"] if "message" in choice else choice["text"]
+                self.assertEqual(
+                    (200, "one two three", "stop"), (status, got, choice["finish_reason"])
+                )
+                self.assertEqual(13, answer["usage"]["total_tokens"])
+                self.assertIn(headers["X-Request-Id"], answer["id"])
+                status, text, _ = await self.post(path, {**body, "stream": True})
+                self.assertTrue(text.endswith("data: [DONE]\n\n"))
+                self.assertNotIn("usage", text)
+
+    async def test_bad_input_is_refused_with_one_shape(self) -> None:
+        """Guards against bad input that ends a process, hangs, or gets an answer of its own."""
+        long_text = "x" * 5000
+        chat = "/v1/chat/completions"
+        cases: list[tuple[str, Any, int, str]] = [
+            ("/v1/completions", {"model": "m"}, 400, "bad_request"),
+            ("/v1/completions", {"prompt": "x"}, 400, "bad_request"),
+            ("/v1/completions", [1], 400, "bad_request"),
+            ("/v1/completions", {**BODY, "prompt": "\ud800"}, 400, "bad_request"),
+            ("/v1/completions", {**BODY, "max_tokens": 101}, 400, "bad_request"),
+            ("/v1/completions", {**BODY, "max_tokens": True}, 400, "bad_request"),
+            ("/v1/completions", {**BODY, "stream": "yes"}, 400, "bad_request"),
+            ("/v1/completions", {**BODY, "stream_options": 1}, 400, "bad_request"),
+            ("/v1/completions", {**BODY, "n": 2}, 400, "bad_request"),
+            ("/v1/completions", {**BODY, "prompt": long_text}, 413, "body_too_large"),
+            ("/v1/completions", {**BODY, "model": "other"}, 404, "not_found"),
+            ("/v1/completions", {**BODY, "model": "m:adapter"}, 403, "forbidden"),
+            (chat, {"model": "m", "messages": [1]}, 400, "bad_request"),
+            (chat, {"model": "m", "messages": [{"role": "u", "content": 1}]}, 400, "bad_request"),
+            ("/v1/nothing", {}, 404, "not_found"),
+            ("/v1/models", {}, 405, "method_not_allowed"),
+            ("/services/none/x", {}, 404, "not_found"),
+            ("/services/llm/x", {}, 404, "not_found"),
+            ("/services/desk/a/%2e%2e/b", {}, 400, "bad_request"),
+            ("/services/desk/a%2fb", {}, 400, "bad_request"),
+        ]
+        for path, body, status, kind in cases:
+            with self.subTest(path=path, body=str(body)[:60]):
+                before = metrics.REFUSALS.values.get({"reason": kind}) or 0
+                url = f"http://{self.router.http_address}{path}"
+                async with self.session.post(_as_is(url), json=body) as response:
+                    error = (await response.json())["error"]
+                    self.assertEqual((status, kind), (response.status, error["kind"]))
+                    self.assertEqual("not_run", error["run"])
+                    self.assertEqual(response.headers["X-Request-Id"], error["request_id"])
+                self.assertEqual(before + 1, metrics.REFUSALS.values[{"reason": kind}])
+        self.assertEqual([], [run for agent in self.agents for run in agent.runs])
+
+    async def test_keys_are_checked(self) -> None:
+        """Guards against callers without a key, and customers without terms."""
+        cases = (
+            ("", 401),
+            ("Basic key-c", 401),
+            ("Bearer", 401),
+            ("Bearer wrong", 401),
+            ("Bearer " + "x" * 300, 401),
+            ("Bearer key-none", 403),
+        )
+        for value, status in cases:
+            with self.subTest(value):
+                headers = {"Authorization": value}
+                found, _, _ = await self.post("/v1/completions", BODY, headers=headers)
+                self.assertEqual(status, found)
+
+    async def test_malformed_http(self) -> None:
+        """Guards against bytes that are not HTTP, endless heads and bodies that never come."""
+        head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-c\r\n"
+        deep = b"[" * 3000
+        cases = {
+            "garbage": b"\x16\x03\x01\x00garbage\r\n\r\n",
+            "long header": head + b"X: " + b"y" * 4000 + b"\r\n\r\n",
+            "many headers": head + b"".join(b"X-%d: y\r\n" % n for n in range(500)) + b"\r\n",
+            "body that never comes": head + b"Content-Length: 10\r\n\r\nabc",
+            "body that is not JSON": head + b"Content-Length: 3\r\n\r\nabc",
+            "deep nesting": head + b"Content-Length: 3000\r\n\r\n" + deep,
+            "bad chunks": head + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+            "bad timeout": head + b"X-Request-Timeout: x\r\nContent-Length: 0\r\n\r\n",
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                answer = await self.raw(data, 1.0)
+                self.assertIn(b" 400 ", answer.split(b"\r\n")[0])
+                self.assertIn(b'"kind": "bad_request"', answer)
+        status, _, _ = await self.post("/v1/completions", BODY)
+        self.assertEqual(200, status)
+
+    async def test_limits_are_answered_at_once(self) -> None:
+        """Guards against overload that shows as waiting instead of a refusal."""
+        release = asyncio.Event()
+
+        async def hold(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await release.wait()
+            await answer_text(agent, connection, run)
+
+        await self.restart(max_requests=1, accept_timeout_s=5.0)
+        for agent in self.agents:
+            agent.script = hold
+        first = asyncio.create_task(self.post("/v1/completions", BODY))
+        await asyncio.sleep(0.1)
+        status, text, headers = await self.post("/v1/completions", BODY)
+        release.set()
+        self.assertEqual(200, (await first)[0])
+        self.assertEqual((503, "1"), (status, headers["Retry-After"]))
+        self.assertIn("overloaded", text)
+
+    async def test_connections_beyond_the_limit_are_refused(self) -> None:
+        """Guards against callers that take every file descriptor."""
+        await self.restart(max_connections=2)
+        host, _, port = self.router.http_address.rpartition(":")
+        kept = [await asyncio.open_connection(host, int(port)) for _ in range(2)]
+        await asyncio.sleep(0.05)
+        answer = await self.raw(b"")
+        for _, writer in kept:
+            writer.close()
+        self.assertIn(b" 503 ", answer)
+        await asyncio.sleep(0.05)
+        self.assertEqual(200, (await self.post("/v1/completions", BODY))[0])
+
+    async def test_rate_limit_of_a_customer(self) -> None:
+        """Guards against one customer that takes the router's whole capacity."""
+        self.router.revision.document.customers["c"].requests_per_s = 2.0
+        results = [await self.post("/v1/completions", BODY) for _ in range(3)]
+        self.assertEqual([200, 200, 429], [status for status, _, _ in results])
+        self.assertEqual("1", results[2][2]["Retry-After"])
+
+    async def test_refusals_of_all_agents_are_answered_at_once(self) -> None:
+        """Guards against a request that is held although no agent will take it."""
+        for agent, wait_s in zip(self.agents, (9.0, 4.0, 1.0), strict=True):
+            agent.reply = {"refusal": "overloaded", "retry_after_s": wait_s}
+        status, text, headers = await asyncio.wait_for(self.post("/v1/completions", BODY), 1.0)
+        self.assertEqual((503, "4"), (status, headers["Retry-After"]))
+        self.assertEqual("not_run", json.loads(text)["error"]["run"])
+
+    async def test_a_failed_stream_has_no_clean_end(self) -> None:
+        """Guards against a truncated answer that a caller takes as complete."""
+
+        async def broken(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await connection.send(Accepted(run.stream, run.attempt, "e1"))
+            await connection.send(Head(run.stream, run.attempt, 200, []))
+            await connection.send(Chunk(run.stream, run.attempt, 0, 0, b"part"))
+            await connection.send(End(run.stream, run.attempt, 1, 99))
+
+        for agent in self.agents:
+            agent.script = broken
+        answer = await self.raw(self.request("/v1/completions", {**BODY, "stream": True}))
+        self.assertIn(b"event: error\ndata: ", answer)
+        self.assertIn(b'"run":"unknown"', answer)
+        self.assertNotIn(b"[DONE]", answer)
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+        answer = await self.raw(self.request("/services/desk/file", {}))
+        self.assertIn(b"part", answer)
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+
+    async def test_a_short_body_is_cut(self) -> None:
+        """Guards against a kept connection whose next answer is read as the rest of this one."""
+
+        async def short(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await connection.send(Accepted(run.stream, run.attempt, ""))
+            head = Head(run.stream, run.attempt, 200, [["Content-Length", "10"], ["X\r\nY", "1"]])
+            await connection.send(head)
+            await connection.send(Chunk(run.stream, run.attempt, 0, 0, b"part"))
+            await connection.send(End(run.stream, run.attempt, 1, 4))
+
+        self.agents[2].script = short
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.post("/services/desk/file", {})
+
+    async def test_calls_to_services(self) -> None:
+        """Guards against changed paths, leaked keys, and calls taken for repeatable ones."""
+        cases: list[tuple[str, str, dict[str, str], bool, bool]] = [
+            ("POST", "/file?x=%20y", {"Idempotency-Key": "k"}, False, True),
+            ("POST", "/file", {}, False, False),
+            ("POST", "/read/x", {"Idempotency-Key": "k"}, True, False),
+            ("POST", "/readable", {}, False, False),
+            ("PATCH", "/file", {}, False, False),
+            ("GET", "/file", {}, True, False),
+            ("PUT", "/file", {}, True, False),
+        ]
+        for method, path, headers, idempotent, has_key in cases:
+            with self.subTest(method=method, path=path):
+                url = _as_is(f"http://{self.router.http_address}/services/desk{path}")
+                async with self.session.request(method, url, headers=headers) as response:
+                    self.assertEqual("one two three", await response.text())
+                run = self.agents[2].runs[-1]
+                self.assertEqual((method, path), (run.method, run.path))
+                self.assertEqual(idempotent, run.idempotent)
+                self.assertEqual(has_key, len(run.idempotency_key) == 64)
+                self.assertNotIn("authorization", [name.lower() for name, _ in run.headers])
+
+    async def test_a_caller_that_goes_away_cancels(self) -> None:
+        """Guards against engines that work on for a closed connection, streamed or not."""
+
+        async def hold(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await connection.send(Accepted(run.stream, run.attempt, "e1"))
+
+        for agent in self.agents:
+            agent.script = hold
+        for stream in (False, True):
+            await self.raw(self.request("/v1/completions", {**BODY, "stream": stream}), 0.2)
+        await asyncio.sleep(0.1)
+        self.assertEqual(2, sum(len(agent.cancels) for agent in self.agents))
+        self.assertEqual(0, self.router.frontend.in_progress)
+
+    async def test_a_caller_that_reads_nothing_is_given_up(self) -> None:
+        """Guards against a caller that holds a stream and its buffers for good."""
+
+        async def flood(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            pieces = [b"x" * 60000] * 400
+            await connection.send(Accepted(run.stream, run.attempt, ""))
+            await connection.send(Head(run.stream, run.attempt))
+            await agent.send_chunks(connection, run.stream, run.attempt, pieces)
+
+        self.agents[2].script = flood
+        host, _, port = self.router.http_address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        writer.write(self.request("/services/desk/file", {}))
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            if self.agents[2].cancels:
+                break
+        writer.close()
+        self.assertEqual(1, len(self.agents[2].cancels))
+
+    async def test_drain_finishes_requests(self) -> None:
+        """Guards against a planned stop that breaks a request."""
+
+        async def slow(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await asyncio.sleep(0.3)
+            await answer_text(agent, connection, run)
+
+        for agent in self.agents:
+            agent.script = slow
+        running = asyncio.create_task(self.post("/v1/completions", BODY))
+        await asyncio.sleep(0.05)
+        drain = asyncio.create_task(self.router.drain())
+        await asyncio.sleep(0.02)
+        async with self.session.get("/readyz") as response:
+            self.assertEqual(503, response.status)
+        await asyncio.wait_for(drain, 5)
+        self.assertEqual(200, (await running)[0])
+        with self.assertRaises(aiohttp.ClientError):
+            async with aiohttp.ClientSession() as session:
+                await session.get(f"http://{self.router.http_address}/healthz")
+
+    async def test_explain_sends_nothing(self) -> None:
+        """Guards against an explanation that runs the request or holds a reservation."""
+        channel = Channel(self.router.peer_address, identity("admin", "a"), SystemClock())
+        question = {"customer": "c", "model": "m", "prompt": "a prompt of several blocks"}
+        cases = ((json.dumps(question).encode(), "targets"), (b"[", "error"), (b"{}", "error"))
+        for body, field in cases:
+            message = Explain(channel.next_number(), body)
+            reply = await channel.call(message, ExplainReply, 2.0)
+            self.assertIn(field, json.loads(reply.body))
+        await channel.close()
+        self.assertEqual([False], sorted({probe.hold for a in self.agents for probe in a.probes}))
+        self.assertEqual([], [run for agent in self.agents for run in agent.runs])
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    async def test_start_without_store_and_peers(self) -> None:
+        """Guards against a router that ends, or takes requests, without a configuration."""
+        agent = FakeAgent("t1")
+        await agent.start()
+        await agent.stop()
+        router = Router(settings(seed_addresses=[agent.address]), SystemClock())
+        await router.start()
+        url = f"http://{router.http_address}"
+        async with aiohttp.ClientSession(url, headers=KEY) as session:
+            async with session.get("/readyz") as response:
+                self.assertEqual(503, response.status)
+            async with session.post("/v1/completions", json=BODY) as response:
+                self.assertEqual((503, "1"), (response.status, response.headers["Retry-After"]))
+            await agent.start()
+            agent.revision = revision_of([agent])
+            for _ in range(100):
+                await asyncio.sleep(0.05)
+                async with session.get("/readyz") as response:
+                    if response.status == 200:
+                        break
+            async with session.post("/v1/completions", json=BODY) as response:
+                self.assertEqual(200, response.status)
+        await router.close()
+        await agent.stop()
+
+
+def _as_is(url: str) -> Any:
+    """A URL whose escapes the client keeps."""
+    from yarl import URL
+
+    return URL(url, encoded=True)
