--- a/coltsfootfront/httpservice.py
+++ b/coltsfootfront/httpservice.py
@@ -25,9 +25,10 @@
     )
 )
 _NOT_FORWARDED = _HOP_BY_HOP | {"content-length", "expect", "host"}
-# Text that could end the request line or a header early.
-_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 _TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+_PATH = re.compile(r"[!-~]*")
+# Control characters could end a header early; surrogates stand for bytes that are not UTF-8.
+_NOT_IN_VALUE = re.compile("[\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]")
 
 
 def end_to_end(
@@ -49,10 +50,14 @@
 
 
 def _check_sendable(request: ServiceCall) -> None:
-    names = [request.method, *(name for name, _ in request.headers)]
-    texts = [request.path, *(value for _, value in request.headers)]
-    valid = all(_TOKEN.fullmatch(name) for name in names) and " " not in request.path
-    if not valid or any(_CONTROL.search(text) for text in texts):
+    names = (request.method, *(name for name, _ in request.headers))
+    values = (value for _, value in request.headers)
+    valid = (
+        all(_TOKEN.fullmatch(name) for name in names)
+        and _PATH.fullmatch(request.path)
+        and not any(_NOT_IN_VALUE.search(value) for value in values)
+    )
+    if not valid:
         raise FailureError(Failure(ErrorKind.BAD_REQUEST, "request line or header is invalid"))
 
 
--- a/coltsfootfront/tests/support.py
+++ b/coltsfootfront/tests/support.py
@@ -1,6 +1,8 @@
 """Shared parts of the tests."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from datetime import UTC, datetime, timedelta
 
 from coltsfootfront.clock import Clock
@@ -34,3 +36,27 @@
         for _, future in due:
             if not future.done():
                 future.set_result(None)
+
+
+@asynccontextmanager
+async def canned_server(reply: bytes) -> AsyncIterator[str]:
+    """Serve HTTP with the same bytes for each request, then close the connection.
+
+    :returns: base URL.
+    """
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        _, _, rest = head.lower().partition(b"content-length:")
+        await reader.readexactly(int(rest.split(b"\r\n")[0] or 0))
+        writer.write(reply)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"http://127.0.0.1:{port}"
+    finally:
+        server.close()
+        await server.wait_closed()
--- a/coltsfootfront/tests/test_engine.py
+++ b/coltsfootfront/tests/test_engine.py
@@ -1,19 +1,28 @@
 """Contract of engines, and the OpenAI-style adapter against the engine stand-in."""
 
+import asyncio
 import json
 import unittest
 from abc import ABC, abstractmethod
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
 from dataclasses import dataclass, replace
-from typing import Any
+from itertools import pairwise
+from typing import Any, TypeVar, cast
+
+from returns.pipeline import is_successful
 
 from coltsfootfront import blocks
 from coltsfootfront.clock import SystemClock
-from coltsfootfront.engine import Engine, Finish, GenerateRequest, Piece
+from coltsfootfront.engine import CacheEvent, Engine, Finish, GenerateRequest, Order, Piece
 from coltsfootfront.errors import ErrorKind, FailureError, RunState
 from coltsfootfront.openai import OpenAiEngine
+from coltsfootfront.tests.support import canned_server
 from coltsfootfront_dev.engine import EngineStandIn, Options
 from coltsfootfront_dev.text import expected_text
 
+T = TypeVar("T")
+
 MODEL, ADAPTER, VERSION = "assessor", "short", "v1"
 PROMPT = "standard " * 1000  # 9,000 bytes: two full blocks and a rest.
 SALT = blocks.salt("mill", MODEL, "", VERSION)
@@ -41,6 +50,11 @@
     finish: Finish | None = None
     failure: tuple[ErrorKind, RunState] | None = None
 
+    @property
+    def cached_tokens(self) -> int | None:
+        """Prompt tokens that the engine reused."""
+        return self.finish.cached_tokens if self.finish else None
+
 
 async def collect(engine: Engine, request: GenerateRequest) -> Outcome:
     """Run a generation to its end."""
@@ -57,6 +71,11 @@
     return outcome
 
 
+def closing(items: AsyncIterator[T]) -> aclosing[AsyncGenerator[T, None]]:
+    """Close an engine's iterator at the end of a block."""
+    return aclosing(cast(AsyncGenerator[T, None], items))
+
+
 class Contract:
     """Keeps the abstract cases away from the test loader."""
 
@@ -88,6 +107,177 @@
                     self.assertEqual("".join(expected(request)), outcome.text)
                     self.assertEqual(len(expected(request)), outcome.tokens)
 
+        async def test_failures_name_what_is_known(self) -> None:
+            """Guards against a short answer taken for a whole one and a false ``not_run``."""
+            failed = (ErrorKind.ENGINE_FAILED, RunState.UNKNOWN)
+            wrong_version = (ErrorKind.WRONG_VERSION, RunState.NOT_RUN)
+            bad_request = (ErrorKind.BAD_REQUEST, RunState.NOT_RUN)
+            no_count = json.dumps({"prompt": PROMPT, "max_tokens": "many"}).encode()
+            cases: list[tuple[str, dict[str, Any], GenerateRequest, Any]] = [
+                ("other version", {}, replace(REQUEST, version="v0"), wrong_version),
+                ("other model", {}, replace(REQUEST, model="unknown"), wrong_version),
+                ("other adapter", {}, replace(REQUEST, adapter="unknown"), wrong_version),
+                ("not JSON", {}, replace(REQUEST, body=b"{"), bad_request),
+                ("not an object", {}, replace(REQUEST, body=b"[]"), bad_request),
+                ("engine refuses", {}, replace(REQUEST, body=no_count), bad_request),
+                ("dies", {"die_after_tokens": 5, "refuse_s": 0.0}, REQUEST, failed),
+                ("ends without a mark", {"cut_after_tokens": 5}, REQUEST, failed),
+                ("stays silent", {"cut_after_tokens": 0, "stall_s": 1.0}, REQUEST, failed),
+            ]
+            for name, faults, request, failure in cases:
+                with self.subTest(name):
+                    await self.set_fault(**faults)
+                    outcome = await collect(self.engine, request)
+                    self.assertEqual(failure, outcome.failure)
+                    self.assertIsNone(outcome.finish)
+                    self.assertTrue("".join(expected(REQUEST)).startswith(outcome.text))
+
+        async def test_an_engine_that_is_down_has_not_run_the_request(self) -> None:
+            """Guards against an unsent request that is not tried elsewhere."""
+            before = (await self.engine.state()).unwrap()
+            await collect(self.engine, REQUEST)
+            await self.set_fault(crash={"refuse_s": 0.2})
+            outcome = await collect(self.engine, REQUEST)
+            self.assertEqual((ErrorKind.TARGET_UNREACHABLE, RunState.NOT_RUN), outcome.failure)
+            self.assertEqual(
+                ErrorKind.TARGET_UNREACHABLE, (await self.engine.state()).failure().kind
+            )
+            await asyncio.sleep(0.3)
+            outcome = await collect(self.engine, REQUEST)
+            self.assertEqual(0, outcome.cached_tokens)
+            after = (await self.engine.state()).unwrap()
+            self.assertNotEqual(before.incarnation, after.incarnation)
+
+        async def test_a_resumed_answer_goes_on_behind_the_text(self) -> None:
+            """Guards against repeated or missing text after a resume."""
+            tokens = expected(REQUEST)
+            for count in (0, 1, 7, len(tokens) - 1):
+                with self.subTest(count):
+                    request = replace(
+                        REQUEST, resume_text="".join(tokens[:count]), resume_tokens=count
+                    )
+                    outcome = await collect(self.engine, request)
+                    self.assertEqual("".join(tokens[count:]), outcome.text)
+                    self.assertEqual(len(tokens) - count, outcome.tokens)
+
+        async def test_closing_the_iterator_cancels(self) -> None:
+            """Guards against an engine that goes on for a caller that has left."""
+            body = json.dumps({"prompt": PROMPT, "max_tokens": 5000}).encode()
+            async with closing(self.engine.generate(replace(REQUEST, body=body))) as items:
+                await anext(items)
+            await self.until(lambda: self.counted_one("cancelled"))
+
+        async def test_cached_blocks_are_reused_within_a_salt_only(self) -> None:
+            """Guards against blocks of another customer or of older weights being reused."""
+            newer = replace(REQUEST, version="v2", cache_salt="salt of v2")
+            same_salt = replace(REQUEST, version="v2")
+            load = Order("load", MODEL, "v2", fencing=1)
+            steps: list[tuple[str, Order | None, GenerateRequest, int]] = [
+                ("first", None, REQUEST, 0),
+                ("again", None, REQUEST, 2000),
+                ("other salt", None, replace(REQUEST, cache_salt="other"), 0),
+                ("newer weights", load, newer, 0),
+                ("older salt with newer weights", None, same_salt, 0),
+            ]
+            for name, order, request, cached_tokens in steps:
+                with self.subTest(name):
+                    if order is not None:
+                        self.assertTrue(is_successful(await self.engine.order(order)))
+                    outcome = await collect(self.engine, request)
+                    self.assertEqual(cached_tokens, outcome.cached_tokens)
+                    self.assertEqual("".join(expected(request)), outcome.text)
+
+        async def test_cache_events_follow_the_cache(self) -> None:
+            """Guards against an index of blocks that the engine does not hold."""
+            keys = blocks.short(blocks.chain(SALT, PROMPT.encode(), 4000))
+            async with closing(self.engine.cache_events()) as events:
+                following = asyncio.create_task(_take(events, 3))
+                await self.until(lambda: self.counted_one("event_subscribers"))
+                await collect(self.engine, REQUEST)
+                await self.engine.order(Order("load", MODEL, "v2", fencing=1))
+                taken = await following
+            state = (await self.engine.state()).unwrap()
+            self.assertEqual({state.incarnation}, {event.incarnation for event in taken})
+            self.assertEqual(["stored", "stored", "removed"], [event.kind for event in taken])
+            self.assertEqual(keys, [key for event in taken[:2] for key in event.keys])
+            self.assertEqual(set(keys), set(taken[2].keys))
+            self.assertEqual([1, 2], [event.seq - taken[0].seq for event in taken[1:]])
+
+        async def test_lost_events_leave_a_gap_and_a_crash_ends_the_stream(self) -> None:
+            """Guards against lost events and a new incarnation passing unnoticed."""
+            async with closing(self.engine.cache_events()) as events:
+                following = asyncio.create_task(_take(events, 4))
+                await self.until(lambda: self.counted_one("event_subscribers"))
+                await collect(self.engine, REQUEST)
+                await self.set_fault(event_drop_share=1.0)
+                await collect(self.engine, replace(REQUEST, cache_salt="lost"))
+                await self.set_fault(event_drop_share=0.0)
+                await collect(self.engine, replace(REQUEST, cache_salt="third"))
+                taken = await following
+                self.assertEqual([1, 3, 1], _differences([event.seq for event in taken]))
+                await self.set_fault(crash={"refuse_s": 0.0})
+                with self.assertRaises(FailureError) as caught:
+                    await anext(events)
+            self.assertEqual(ErrorKind.ENGINE_FAILED, caught.exception.failure.kind)
+
+        async def test_orders_take_effect_before_they_return(self) -> None:
+            """Guards against routing to a model that is not loaded yet."""
+            orders: list[tuple[Order, dict[str, Any], str]] = [
+                (Order("load", "second", "v9"), {"second": ("v9", ())}, "serve"),
+                (Order("load_adapter", "second", adapter="x"), {"second": ("v9", ("x",))}, "serve"),
+                (Order("unload_adapter", "second", adapter="x"), {"second": ("v9", ())}, "serve"),
+                (Order("role", role="standby"), {"second": ("v9", ())}, "standby"),
+            ]
+            for order, models, role in orders:
+                with self.subTest(order.kind):
+                    self.assertTrue(is_successful(await self.engine.order(order)))
+                    state = (await self.engine.state()).unwrap()
+                    self.assertEqual({MODEL: (VERSION, (ADAPTER,)), **models}, state.models)
+                    self.assertEqual(role, state.role)
+
+        async def test_an_order_with_an_old_fencing_number_is_refused(self) -> None:
+            """Guards against an agent that was paused undoing its successor's orders."""
+            self.assertTrue(
+                is_successful(await self.engine.order(Order("role", role="a", fencing=7)))
+            )
+            refused = await self.engine.order(Order("role", role="b", fencing=6))
+            self.assertEqual(
+                (ErrorKind.FENCED, RunState.NOT_RUN),
+                (refused.failure().kind, refused.failure().run),
+            )
+            self.assertEqual("a", (await self.engine.state()).unwrap().role)
+
+        async def test_an_import_serves_only_its_salt_and_version(self) -> None:
+            """Guards against KV cache of another customer or of older weights coming back."""
+            await collect(self.engine, REQUEST)
+            keys = blocks.short(blocks.chain(SALT, PROMPT.encode(), 4000))
+            data = (await self.engine.export_blocks(SALT, [*keys, b"missing."])).unwrap()
+            await self.set_fault(crash={"refuse_s": 0.0})
+            await self.until(self.reachable)
+            self.assertEqual(0, (await self.engine.import_blocks("other", data)).unwrap())
+            self.assertEqual(2, (await self.engine.import_blocks(SALT, data)).unwrap())
+            self.assertEqual(2000, (await collect(self.engine, REQUEST)).cached_tokens)
+            await self.engine.order(Order("load", MODEL, "v2", fencing=1))
+            self.assertEqual(0, (await self.engine.import_blocks(SALT, data)).unwrap())
+            damaged = await self.engine.import_blocks(SALT, b"damaged")
+            self.assertFalse(is_successful(damaged))
+
+        async def until(self, condition: Callable[[], Awaitable[bool]]) -> None:
+            """Wait for a condition."""
+            for _ in range(1000):
+                if await condition():
+                    return
+                await asyncio.sleep(0.005)
+            self.fail("the condition did not come true")
+
+        async def reachable(self) -> bool:
+            """Whether the engine answers."""
+            return is_successful(await self.engine.state())
+
+        async def counted_one(self, name: str) -> bool:
+            """Whether a counter of the engine has reached 1."""
+            return self.count(name) == 1
+
         async def test_the_state_names_what_the_engine_runs(self) -> None:
             """Guards against orders being compared with a wrong state."""
             state = (await self.engine.state()).unwrap()
@@ -95,12 +285,27 @@
             self.assertTrue(state.incarnation)
 
 
+async def _take(events: AsyncIterator[CacheEvent], count: int) -> list[CacheEvent]:
+    return [await anext(events) for _ in range(count)]
+
+
+def _differences(numbers: list[int]) -> list[int]:
+    return [after - before for before, after in pairwise(numbers)]
+
+
 class OpenAiEngineTest(Contract.EngineCases):
     async def asyncSetUp(self) -> None:
-        options = Options(model=[f"{MODEL}={VERSION}:{ADAPTER}"], block_ms=2, step_ms=1, load_s=0)
+        options = Options(
+            model=[f"{MODEL}={VERSION}:{ADAPTER}"],
+            block_ms=2,
+            step_ms=1,
+            load_s=0.01,
+            event_delay_s=0.01,
+            checks_fencing=True,
+        )
         self.stand_in = EngineStandIn(options)
         address = await self.stand_in.start("127.0.0.1:0")
-        self.engine = OpenAiEngine(f"http://{address}", 5.0, SystemClock())
+        self.engine = OpenAiEngine(f"http://{address}", 0.4, SystemClock())
         await self.engine.start()
 
     async def asyncTearDown(self) -> None:
@@ -112,3 +317,55 @@
 
     def count(self, name: str) -> int:
         return int(getattr(self.stand_in.counters, name))
+
+
+def _chunked(*events: bytes, end: bytes = b"0\r\n\r\n") -> bytes:
+    head = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    lines = [b"data: " + event + b"\n\n" for event in events]
+    return head + b"".join(b"%x\r\n%s\r\n" % (len(line), line) for line in lines) + end
+
+
+TEXT = b'{"choices": [{"index": 0, "text": "abc ", "finish_reason": null}]}'
+LAST = b'{"choices": [{"index": 0, "text": "", "finish_reason": "stop"}]}'
+DONE = b"[DONE]"
+
+
+class OpenAiStreamTest(unittest.IsolatedAsyncioTestCase):
+    async def collect_from(self, reply: bytes) -> Outcome:
+        async with canned_server(reply) as url:
+            engine = OpenAiEngine(url, 0.5, SystemClock())
+            await engine.start()
+            try:
+                return await collect(engine, REQUEST)
+            finally:
+                await engine.close()
+
+    async def test_only_a_complete_stream_is_an_answer(self) -> None:
+        """Guards against a clean end of an incomplete or invalid stream."""
+        cases = {
+            "no mark": _chunked(TEXT, TEXT),
+            "no finish reason": _chunked(TEXT, DONE),
+            "no [DONE]": _chunked(TEXT, LAST),
+            "cut within the body": _chunked(TEXT, LAST, DONE, end=b"")[:-9],
+            "no last chunk": _chunked(TEXT, LAST, end=b""),
+            "invalid JSON": _chunked(TEXT, b"{", LAST, DONE),
+            "not an object": _chunked(TEXT, b"1", LAST, DONE),
+            "error within the stream": _chunked(TEXT, b'{"error": {}}', LAST, DONE),
+            "short body": b"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\ndata: " + TEXT + b"\n\n",
+            "not HTTP": b"abc\r\n\r\n",
+            "nothing": b"",
+            "error without a word": b"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}",
+        }
+        for name, reply in cases.items():
+            with self.subTest(name):
+                outcome = await self.collect_from(reply)
+                self.assertEqual((ErrorKind.ENGINE_FAILED, RunState.UNKNOWN), outcome.failure)
+                self.assertIsNone(outcome.finish)
+
+    async def test_several_tokens_in_a_chunk_are_counted(self) -> None:
+        """Guards against a resume at the wrong token."""
+        chunk = TEXT[:-1] + b', "usage": {"completion_tokens": 3}}'
+        outcome = await self.collect_from(_chunked(chunk, TEXT, LAST, DONE))
+        self.assertEqual((4, "abc abc "), (outcome.tokens, outcome.text))
--- /dev/null
+++ b/coltsfootfront/tests/test_keptcache.py
@@ -0,0 +1,79 @@
+"""Contract of kept-cache services, and the HTTP adapter against its stand-in."""
+
+import unittest
+from abc import ABC, abstractmethod
+from typing import Any
+
+from returns.pipeline import is_successful
+from returns.result import Success
+
+from coltsfootfront.clock import SystemClock
+from coltsfootfront.errors import ErrorKind
+from coltsfootfront.httpkeptcache import HttpKeptCache
+from coltsfootfront.keptcache import KeptCache
+from coltsfootfront_dev.keptcache import KeptCacheStandIn, Options
+
+KEY, OTHER_KEY = b"12345678", b"87654321"
+CAPACITY_BYTES = 1000
+
+
+class Contract:
+    """Keeps the abstract cases away from the test loader."""
+
+    class KeptCacheCases(unittest.IsolatedAsyncioTestCase, ABC):
+        """Cases that every adapter passes; it keeps 1,000 bytes and its timeout is 0.2 s."""
+
+        cache: KeptCache
+
+        @abstractmethod
+        async def set_fault(self, **faults: Any) -> None:
+            """Switch faults of the service, as ``POST /control`` names them."""
+
+        async def test_data_comes_back_under_its_salt_and_key_only(self) -> None:
+            """Guards against KV cache of another customer or prefix."""
+            self.assertTrue(is_successful(await self.cache.put("salt", KEY, b"\0data")))
+            cases = [
+                ("salt", KEY, b"\0data"),
+                ("other", KEY, None),
+                ("salt", OTHER_KEY, None),
+            ]
+            for salt, key, data in cases:
+                with self.subTest(salt=salt, key=key):
+                    self.assertEqual(Success(data), await self.cache.get(salt, key))
+
+        async def test_old_data_gives_way(self) -> None:
+            """Guards against evicted data being taken for a failure."""
+            await self.cache.put("salt", KEY, b"a" * CAPACITY_BYTES)
+            await self.cache.put("salt", OTHER_KEY, b"b" * CAPACITY_BYTES)
+            self.assertEqual(Success(None), await self.cache.get("salt", KEY))
+            kept = (await self.cache.get("salt", OTHER_KEY)).unwrap()
+            self.assertEqual(b"b" * CAPACITY_BYTES, kept)
+
+        async def test_faults_are_failures(self) -> None:
+            """Guards against a fault being taken for a miss or raised as an exception."""
+            cases: list[tuple[str, dict[str, Any], ErrorKind]] = [
+                ("error status", {"status": 500}, ErrorKind.TARGET_FAILED),
+                ("silent", {"status": 0, "delay_s": 0.4}, ErrorKind.TARGET_FAILED),
+                ("down", {"crash": {"refuse_s": 5.0}}, ErrorKind.TARGET_UNREACHABLE),
+            ]
+            for name, faults, kind in cases:
+                with self.subTest(name):
+                    await self.set_fault(**faults)
+                    self.assertEqual(kind, (await self.cache.get("salt", KEY)).failure().kind)
+                    put = await self.cache.put("salt", KEY, b"data")
+                    self.assertEqual(kind, put.failure().kind)
+
+
+class HttpKeptCacheTest(Contract.KeptCacheCases):
+    async def asyncSetUp(self) -> None:
+        self.stand_in = KeptCacheStandIn(Options(capacity_bytes=CAPACITY_BYTES))
+        address = await self.stand_in.start("127.0.0.1:0")
+        self.cache = HttpKeptCache(f"http://{address}", 0.2, SystemClock())
+        await self.cache.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.cache.close()
+        await self.stand_in.close()
+
+    async def set_fault(self, **faults: Any) -> None:
+        await self.stand_in.control(faults, None)
--- a/coltsfootfront_dev/batch.py
+++ b/coltsfootfront_dev/batch.py
@@ -40,6 +40,7 @@
     orders_fenced: int = 0
     blocks_imported: int = 0
     blocks_exported: int = 0
+    event_subscribers: int = 0
 
 
 @dataclass
--- a/coltsfootfront_dev/engine.py
+++ b/coltsfootfront_dev/engine.py
@@ -72,10 +72,12 @@
     :param cut_after_tokens: tokens after which streams end cleanly but without an end mark;
         0 for never.
     :param refuse_s: seconds for which connections are refused after ``die_after_tokens``.
+    :param forget_weights: whether a crash brings back the models of the start.
     """
 
     cut_after_tokens: int = 0
     refuse_s: float = 0.5
+    forget_weights: bool = False
 
 
 class EngineStandIn(StandIn):
@@ -106,19 +108,20 @@
             self._is_current,
             self._die,
         )
-        self._models = dict(_parse_model(text) for text in options.model)
+        self._models = _parse_models(options.model)
         self._role = options.role
         self._highest_fencing = 0
         self._incarnation = ""
         self._load = (0, 0)
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._orders: set[asyncio.Task[None]] = set()
 
     def routes(self) -> list[web.RouteDef]:
         return [
             web.post("/v1/completions", self._handle_completion),
             web.post("/v1/chat/completions", self._handle_chat),
             web.get("/engine/state", self._handle_state),
-            web.get("/engine/cache_events", self._feed.handle),
+            web.get("/engine/cache_events", self._handle_events),
             web.post("/engine/orders", self._handle_order),
             web.post("/engine/export", self._handle_export),
             web.post("/engine/import", self._handle_import),
@@ -130,12 +133,18 @@
             self._keep(asyncio.create_task(endless))
 
     async def after_close(self) -> None:
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._orders]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def on_crash(self) -> None:
         self._batch.clear()
+        for task in self._orders:
+            task.cancel()
+        if self.faults.forget_weights:
+            self._models = _parse_models(self._options.model)
+            self._role = self._options.role
         self._begin_incarnation()
 
     def _begin_incarnation(self) -> None:
@@ -268,7 +277,11 @@
         await response.write(_stream_end(generation, body, chat) + _DONE)
         return response
 
-    # State, orders and cache transfer.
+    # State, cache events, orders and cache transfer.
+
+    async def _handle_events(self, request: web.Request) -> web.StreamResponse:
+        self.counters.event_subscribers += 1
+        return await self._feed.handle(request)
 
     async def _handle_state(self, request: web.Request) -> web.Response:
         models = {
@@ -289,7 +302,8 @@
     async def _handle_order(self, request: web.Request) -> web.Response:
         # An order goes on when its sender disconnects.
         task = asyncio.create_task(self._carry_out(await json_object(request)))
-        self._keep(task)
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
         await asyncio.shield(task)
         return web.json_response({})
 
@@ -389,10 +403,13 @@
         raise RefusedError(_BAD_REQUEST, "bad_request", "no block keys") from error
 
 
-def _parse_model(text: str) -> tuple[str, Model]:
-    name, _, rest = text.partition("=")
-    version, _, adapters = rest.partition(":")
-    return name, Model(version, set(filter(None, adapters.split(","))))
+def _parse_models(texts: list[str]) -> dict[str, Model]:
+    models = {}
+    for text in texts:
+        name, _, rest = text.partition("=")
+        version, _, adapters = rest.partition(":")
+        models[name] = Model(version, set(filter(None, adapters.split(","))))
+    return models
 
 
 def _text(body: dict[str, Any], name: str) -> str:
--- a/coltsfootfront_dev/standin.py
+++ b/coltsfootfront_dev/standin.py
@@ -45,6 +45,9 @@
     except RefusedError as error:
         body = {"kind": error.kind, "message": str(error), "run": "not_run"}
         return web.json_response({"error": body}, status=error.status)
+    except ConnectionError:
+        # The client has left or a fault has cut the connection; nobody reads this answer.
+        return web.Response()
 
 
 async def json_object(request: web.Request) -> dict[str, Any]:
