--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/admin.py
@@ -375,6 +375,8 @@
         operation_id = _operation_id(call.body)
         for _ in range(DRAIN_ATTEMPTS):
             _unwrap(await self._refresh())
+            if self._is_withdrawn(target) is withdrawn:
+                return {"revision": self._revision.number, "digest": self._revision.digest}
             result = await self._set_withdrawn(call, target, withdrawn, operation_id)
             if isinstance(result, Success):
                 return self._finish(result, call)
@@ -384,14 +386,17 @@
             metrics.retried(ErrorKind.CONFLICT.value)
         return self._finish(result, call)
 
+    def _is_withdrawn(self, target: str) -> bool:
+        found = self._revision.document.targets.get(target)
+        if found is None:
+            raise ApiError(Failure(ErrorKind.NOT_FOUND, f"target {target!r} does not exist"))
+        return found.withdrawn
+
     async def _set_withdrawn(
         self, call: Call, target: str, withdrawn: bool, operation_id: str
     ) -> Result[Published, Rejection]:
         key = f"targets/{target}"
-        value = self._revision.entries.get(key)
-        if value is None:
-            raise ApiError(Failure(ErrorKind.NOT_FOUND, f"target {target!r} does not exist"))
-        entry = {**json.loads(value), "withdrawn": withdrawn}
+        entry = {**json.loads(self._revision.entries[key]), "withdrawn": withdrawn}
         entries = {**self._revision.entries, key: canonical(entry)}
         change = Change(operation_id, call.operator.name, self._revision.number)
         return await self._publisher.apply(entries, change)
--- a/coltsfootfront/publisher.py
+++ b/coltsfootfront/publisher.py
@@ -41,6 +41,7 @@
 SETTLE_S = 6.0
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
+CHUNK_ATTEMPTS = 4
 # Records returned by the history; reading it costs one call for each.
 MAX_HISTORY = 100
 
@@ -424,16 +425,18 @@
     async def _write_chunk(self, name: str, data: bytes) -> Result[None, Failure]:
         key = BLOB_PREFIX + name
         transaction = Transaction(compares=[Compare(key, 0)], puts=[Put(key, data)])
-        result = await self._store.commit(transaction)
-        if not isinstance(result, Success):
-            # The same content under the same key: repeating an ambiguous write is harmless.
-            metrics.retried(result.failure().kind.value)
-            await self._clock.sleep(random.uniform(0, 2 * FIRST_RETRY_S))
+        for attempt in range(CHUNK_ATTEMPTS):
             result = await self._store.commit(transaction)
-        if isinstance(result, Success):
-            return Success(None)
+            if isinstance(result, Success):
+                return Success(None)
+            failure = result.failure()
+            if failure.kind is not ErrorKind.STORE_AMBIGUOUS:
+                break
+            # The same content under the same key: repeating an ambiguous write is harmless.
+            metrics.retried(failure.kind.value)
+            await self._clock.sleep(random.uniform(0, FIRST_RETRY_S * 2**attempt))
         # Without the head the chunk means nothing, so the change has certainly not run.
-        message = f"chunk could not be written: {result.failure().message}"
+        message = f"chunk could not be written: {failure.message}"
         return Failed(Failure(ErrorKind.STORE_UNAVAILABLE, message))
 
     async def _read_chunk(self, name: str) -> Result[Entries, Failure]:
--- a/coltsfootfront/schema.py
+++ b/coltsfootfront/schema.py
@@ -48,8 +48,9 @@
     allowed: str
 
     def __str__(self) -> str:
-        place = "/".join(part for part in (self.section, self.entry) if part) or "document"
-        key = f": {self.key}" if self.key else ""
+        parts = [_one_line(part) for part in (self.section, self.entry) if part]
+        place = "/".join(parts) or "document"
+        key = f": {_one_line(self.key)}" if self.key else ""
         return f"{place}{key} = {self.value}: allowed: {self.allowed}"
 
     def as_json(self) -> dict[str, str]:
@@ -226,6 +227,10 @@
     return text[: MAX_SHOWN_CHARACTERS - 3] + "..."
 
 
+def _one_line(name: str) -> str:
+    return json.dumps(name)[1:-1][:MAX_SHOWN_CHARACTERS]
+
+
 def _fault(error: ValidationError) -> Fault:
     path = [str(part) for part in error.absolute_path]
     section = path[0] if path else ""
--- a/coltsfootfront/spread.py
+++ b/coltsfootfront/spread.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 import logbook
 from reactivex.abc import DisposableBase
@@ -24,6 +24,8 @@
 
 log = logbook.Logger(__name__)
 
+T = TypeVar("T")
+
 GREET_TIMEOUT_S = 1.0
 # A pull that is not answered within this time may be repeated, also from the same peer.
 PULL_TIMEOUT_S = 2.0
@@ -74,7 +76,7 @@
         self._turn: list[str] = []
         self._seen: dict[str, int] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._client_pulls: set[str] = set()
+        self._client_pulls: dict[str, asyncio.Task[bool]] = {}
         self._server_pulls: dict[str, float] = {}
         self._server_calls = 0
         self._bootstrapping = False
@@ -167,10 +169,27 @@
             self._bootstrapping = False
 
     async def pull_from(self, address: str) -> bool:
-        """Pull from one peer.
+        """Pull from one peer, or wait for the pull from it that is outstanding.
 
         :returns: whether this process now has at least the revision that the peer sent.
         """
+        task = self._client_pulls.get(address) or self._begin_pull(address)
+        return await asyncio.shield(task)
+
+    async def send_delta(self, address: str, base: int) -> bool:
+        """Send a peer the delta from a revision to the one in force.
+
+        :returns: whether it was sent.
+        """
+        return await self._send(self._pool.get(address), self._revision.delta_since(base, 0))
+
+    def _begin_pull(self, address: str) -> asyncio.Task[bool]:
+        task = self._spawn(self._pull(address))
+        self._client_pulls[address] = task
+        task.add_done_callback(lambda _: self._client_pulls.pop(address, None))
+        return task
+
+    async def _pull(self, address: str) -> bool:
         channel = self._pool.get(address)
         have: int | None = self._revision.number
         sent = 0
@@ -186,13 +205,6 @@
             return False
         return self._revision.number >= sent
 
-    async def send_delta(self, address: str, base: int) -> bool:
-        """Send a peer the delta from a revision to the one in force.
-
-        :returns: whether it was sent.
-        """
-        return await self._send(self._pool.get(address), self._revision.delta_since(base, 0))
-
     def _adopt(self, delta: Delta) -> int | None:
         """Put a delta in force.
 
@@ -217,14 +229,7 @@
     def _pull_soon(self, address: str) -> None:
         if address in self._client_pulls or len(self._client_pulls) >= MAX_PULLS:
             return
-        self._client_pulls.add(address)
-        self._spawn(self._pull_once(address))
-
-    async def _pull_once(self, address: str) -> None:
-        try:
-            await self.pull_from(address)
-        finally:
-            self._client_pulls.discard(address)
+        self._begin_pull(address)
 
     async def _pull_from_client(self, connection: Connection, have: int) -> None:
         now_s = self._clock.monotonic_s()
@@ -324,10 +329,11 @@
         await self._clock.sleep(random.uniform(0, BOOTSTRAP_JITTER_S))
         return await self._greet(address)
 
-    def _spawn(self, body: Coroutine[Any, Any, Any]) -> None:
+    def _spawn(self, body: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         task = asyncio.create_task(body)
         self._tasks.add(task)
         task.add_done_callback(self._ended)
+        return task
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
--- /dev/null
+++ b/coltsfootfront/tests/test_admin.py
@@ -0,0 +1,311 @@
+"""Tests of the administration API."""
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+import aiohttp
+
+from coltsfootfront.admin import Admin
+from coltsfootfront.clock import SystemClock
+from coltsfootfront.connection import Connection
+from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
+from coltsfootfront.operators import hash_key
+from coltsfootfront.settings import AdminSettings
+from coltsfootfront.tests.test_schema import example
+from coltsfootfront.tests.test_spread import Node
+from coltsfootfront_dev.store import StoreStandIn
+
+KEY = "operator-example-key"
+AUDITOR_KEY = "auditor-example-key"
+BOOTSTRAP_KEY = "bootstrap-key"
+MAX_BODY_BYTES = 100_000
+
+Json = dict[str, Any]
+
+
+class Process(Node):
+    """A router that also answers the requests of the administration API."""
+
+    async def serve(self, connection: Connection) -> None:
+        while True:
+            message, revision = await connection.receive()
+            await self.spread.handle(connection, message, revision)
+            if isinstance(message, Status):
+                state = {"name": self.identity.name, "role": "router", "ready": True}
+                state["revision"] = self.revision.number
+                await connection.send(StatusReply(message.call, json.dumps(state).encode()))
+            elif isinstance(message, Explain):
+                await connection.send(ExplainReply(message.call, message.body))
+
+
+class AdminCase(unittest.IsolatedAsyncioTestCase):
+    """Set-up: an instance, the stand-in of the store and a router as seed."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand_in = StoreStandIn()
+        self.store_address = await self.stand_in.start("127.0.0.1:0")
+        self.addAsyncCleanup(self.stand_in.close)
+        self.router = Process("router-1")
+        await self.router.start([])
+        self.addAsyncCleanup(self.router.close)
+        self.admin = await self.make_admin("admin-1")
+
+    async def make_admin(self, name: str) -> Admin:
+        """A started instance."""
+        settings = AdminSettings(
+            name,
+            "brasov-a",
+            "s",
+            f"http://{self.store_address}",
+            http_address="127.0.0.1:0",
+            seed_addresses=[self.router.address],
+            bootstrap_key_hash=hash_key(BOOTSTRAP_KEY),
+            max_body_bytes=MAX_BODY_BYTES,
+            store_timeout_s=0.5,
+            drain_wait_s=0,
+        )
+        admin = Admin(settings, SystemClock())
+        await admin.start()
+        self.addAsyncCleanup(admin.close)
+        return admin
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Json | bytes | None = None,
+        key: str = KEY,
+        admin: Admin | None = None,
+    ) -> tuple[int, Json]:
+        """Call the API; return status and decoded body."""
+        address = (admin or self.admin).address
+        data = json.dumps(body).encode() if isinstance(body, dict) else body
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method, f"http://{address}{path}", data=data, headers=headers
+            ) as response,
+        ):
+            answer: Json = await response.json()
+            return response.status, answer
+
+    async def apply(self, document: Json, expected: int, **fields: Any) -> tuple[int, Json]:
+        """Call apply with the operator's key, or the bootstrap key at first."""
+        body = {"document": document, "expected_revision": expected, **fields}
+        return await self.call("POST", "/v1/apply", body, KEY if expected else BOOTSTRAP_KEY)
+
+    async def revision(self) -> int:
+        """Revision in the store, as the API tells."""
+        _, answer = await self.call("GET", "/v1/document")
+        return int(answer["revision"])
+
+
+class AdminTest(AdminCase):
+    """The API as an operator's program sees it."""
+
+    async def test_apply_spreads_to_the_seeds(self) -> None:
+        """Guards against an accepted change that waits for a watch or a greeting."""
+        status, answer = await self.apply(example(), 0)
+        self.assertEqual((200, 1), (status, answer["revision"]))
+        await self.router.reach(1)
+        status, answer = await self.call("POST", "/v1/drain", {"target": "assessor-1"})
+        self.assertEqual((200, 2), (status, answer["revision"]))
+        await self.router.reach(2)
+        self.assertTrue(self.router.revision.document.targets["assessor-1"].withdrawn)
+        status, answer = await self.call("POST", "/v1/drain", {"target": "assessor-1"})
+        self.assertEqual((200, 2), (status, answer["revision"]))
+
+    async def test_bootstrap_key_ends_with_the_first_operator(self) -> None:
+        """Guards against a bootstrap key that stays valid."""
+        status, _ = await self.call("GET", "/v1/document", key=BOOTSTRAP_KEY)
+        self.assertEqual(200, status)
+        await self.apply(example(), 0)
+        status, answer = await self.call("GET", "/v1/document", key=BOOTSTRAP_KEY)
+        self.assertEqual((401, "unauthenticated"), (status, answer["error"]["kind"]))
+
+    async def test_bootstrap_key_needs_the_store(self) -> None:
+        """Guards against the bootstrap key while it is not known whether it still counts."""
+        self.stand_in.control({"outage": True})
+        status, answer = await self.call("GET", "/v1/document", key=BOOTSTRAP_KEY)
+        self.assertEqual((503, "store_unavailable"), (status, answer["error"]["kind"]))
+
+    async def test_two_operators_race(self) -> None:
+        """Guards against both changes counting, and a loser who does not learn what changed."""
+        await self.apply(example(), 0)
+        other = await self.make_admin("admin-2")
+        documents = [example(), example()]
+        documents[0]["targets"]["assessor-1"]["slots"] = 9
+        documents[1]["targets"]["assessor-2"]["slots"] = 9
+        bodies = [{"document": item, "expected_revision": 1} for item in documents]
+        answers = await asyncio.gather(
+            self.call("POST", "/v1/apply", bodies[0]),
+            self.call("POST", "/v1/apply", bodies[1], admin=other),
+        )
+        self.assertEqual([200, 409], sorted(status for status, _ in answers))
+        winner = 0 if answers[0][0] == 200 else 1
+        error = answers[1 - winner][1]["error"]
+        self.assertEqual("conflict", error["kind"])
+        self.assertEqual([f"targets/assessor-{winner + 1}"], error["difference"]["changed"])
+        _, answer = await self.call("GET", "/v1/document")
+        loser = f"assessor-{2 - winner}"
+        self.assertEqual(8, answer["document"]["targets"][loser]["slots"])
+
+    async def test_lost_answers(self) -> None:
+        """Guards against a change that fails or counts twice when the store's answer is lost."""
+        for lost in (1, 2, 3):
+            with self.subTest(lost=lost):
+                base = 0 if lost == 1 else lost - 1
+                document = example()
+                document["targets"]["assessor-1"]["slots"] = 10 + lost
+                self.stand_in.control({"lose_answers": lost if lost < 3 else 1})
+                status, answer = await self.apply(document, base)
+                self.assertEqual((200, base + 1), (status, answer.get("revision")))
+
+    async def test_nothing_of_a_rejected_document_takes_effect(self) -> None:
+        """Guards against a faulty document in force."""
+        await self.apply(example(), 0)
+        document = example()
+        document["targets"]["assessor-1"]["slots"] = 11
+        document["terms"]["registry-office-calls"]["owner"] = "nobody"
+        status, answer = await self.apply(document, 1)
+        error = answer["error"]
+        self.assertEqual(
+            (422, "invalid_document", "not_run"), (status, error["kind"], error["run"])
+        )
+        self.assertIn("terms/registry-office-calls: owner", error["message"])
+        self.assertTrue(error["faults"])
+        self.assertEqual(1, await self.revision())
+
+    async def test_store_down(self) -> None:
+        """Guards against changes without the store, and against a document that vanishes."""
+        await self.apply(example(), 0)
+        self.stand_in.control({"outage": True})
+        status, answer = await self.apply(example(), 1)
+        error = answer["error"]
+        self.assertEqual((503, "not_run"), (status, error["run"]))
+        self.assertEqual(1, await self.revision())
+        self.stand_in.control({"outage": False})
+        self.assertEqual(1, await self.revision())
+
+    async def test_older_value_of_the_store(self) -> None:
+        """Guards against showing or building on an older document."""
+        await self.apply(example(), 0)
+        await self.call("POST", "/v1/drain", {"target": "assessor-1"})
+        self.stand_in.control({"stale_reads": True})
+        self.assertEqual(2, await self.revision())
+        status, _ = await self.apply(example(), 1)
+        self.assertEqual(409, status)
+
+    async def test_rollback_and_history(self) -> None:
+        """Guards against a rollback that is no new revision."""
+        await self.apply(example(), 0)
+        await self.call("POST", "/v1/drain", {"target": "assessor-1"})
+        body = {"revision": 1, "expected_revision": 2, "operation_id": "undo"}
+        for _ in range(2):
+            status, answer = await self.call("POST", "/v1/rollback", body)
+            self.assertEqual((200, 3), (status, answer["revision"]))
+        _, answer = await self.call("GET", "/v1/history?limit=2")
+        numbers = [item["revision"] for item in answer["revisions"]]
+        self.assertEqual([3, 2], numbers)
+        self.assertEqual(
+            ("duty", 1), (answer["revisions"][0]["operator"], answer["revisions"][0]["restored"])
+        )
+        _, answer = await self.call("GET", "/v1/document")
+        self.assertEqual(example(), answer["document"])
+
+    async def test_status_and_explain(self) -> None:
+        """Guards against one silent process that hides the others."""
+        await self.apply(example(), 0)
+        await self.router.reach(1)
+        status, answer = await self.call("GET", "/v1/status")
+        rows = answer["processes"]
+        self.assertEqual((200, 11), (status, len(rows)))
+        ready = [(row["name"], row["revision"]) for row in rows if row["ready"]]
+        self.assertEqual([("router-1", 1)], ready)
+        self.assertTrue(all("error" in row for row in rows if not row["ready"]))
+        question = {"customer": "archive", "model": "dossier-large", "prompt": "x"}
+        self.assertEqual((200, question), await self.call("POST", "/v1/explain", question))
+
+    async def test_diff(self) -> None:
+        """Guards against a difference that shows other entries than those that change."""
+        await self.apply(example(), 0)
+        document = example()
+        document["targets"]["assessor-1"]["slots"] = 11
+        del document["operators"]["auditor"]
+        document["owners"]["new"] = {}
+        _, answer = await self.call("POST", "/v1/diff", {"document": document})
+        expected = {
+            "added": ["owners/new"],
+            "changed": ["targets/assessor-1"],
+            "removed": ["operators/auditor"],
+        }
+        self.assertEqual(expected, answer["difference"])
+        self.assertEqual(11, answer["entries"]["targets/assessor-1"]["new"]["slots"])
+
+    async def test_bad_calls(self) -> None:
+        """Guards against bad input that is answered with another shape or ends the process."""
+        await self.apply(example(), 0)
+        document = example()
+        table: tuple[tuple[str, str, Json | bytes | None, str, int, str], ...] = (
+            ("GET", "/v1/document", None, "", 401, "unauthenticated"),
+            ("GET", "/v1/document", None, "wrong", 401, "unauthenticated"),
+            ("GET", "/v1/document", None, "x" * 600, 401, "unauthenticated"),
+            ("GET", "/v1/nothing", None, KEY, 404, "not_found"),
+            ("PUT", "/v1/apply", {}, KEY, 405, "method_not_allowed"),
+            ("POST", "/v1/apply", b"{", KEY, 400, "bad_request"),
+            ("POST", "/v1/apply", b"[" * 50_000, KEY, 400, "bad_request"),
+            ("POST", "/v1/apply", b"\xff\xfe", KEY, 400, "bad_request"),
+            ("POST", "/v1/apply", b"[]", KEY, 400, "bad_request"),
+            ("POST", "/v1/apply", {"document": document}, KEY, 400, "bad_request"),
+            ("POST", "/v1/apply", {"document": 3, "expected_revision": 1}, KEY, 400, "bad_request"),
+            ("POST", "/v1/apply", b" " * (MAX_BODY_BYTES + 1), KEY, 413, "body_too_large"),
+            (
+                "POST",
+                "/v1/apply",
+                {"document": document, "expected_revision": 1},
+                AUDITOR_KEY,
+                403,
+                "forbidden",
+            ),
+            (
+                "POST",
+                "/v1/apply",
+                {"document": document, "expected_revision": 1, "operation_id": "x" * 200},
+                KEY,
+                400,
+                "bad_request",
+            ),
+            ("POST", "/v1/drain", {"target": "none"}, KEY, 404, "not_found"),
+            ("POST", "/v1/drain", {"target": 3}, KEY, 400, "bad_request"),
+            ("GET", "/v1/history?limit=x", None, KEY, 400, "bad_request"),
+            (
+                "POST",
+                "/v1/rollback",
+                {"revision": 9, "expected_revision": 1},
+                KEY,
+                404,
+                "not_found",
+            ),
+        )
+        for method, path, body, key, expected_status, kind in table:
+            with self.subTest(path=path, key=key[:10], kind=kind):
+                status, answer = await self.call(method, path, body, key)
+                error = answer["error"]
+                self.assertEqual((expected_status, kind), (status, error["kind"]))
+                self.assertEqual("not_run", error["run"])
+                self.assertTrue(error["request_id"])
+        self.assertEqual(1, await self.revision())
+
+    async def test_readiness_ends_with_the_drain(self) -> None:
+        """Guards against a load balancer that sends operators to a stopping instance."""
+        self.assertEqual(200, (await self.call("GET", "/readyz", key=""))[0])
+        await self.admin.drain()
+        self.assertEqual(503, (await self.call("GET", "/readyz", key=""))[0])
+        self.assertEqual(200, (await self.call("GET", "/healthz", key=""))[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/coltsfootfront/tests/test_watcher.py
@@ -0,0 +1,168 @@
+"""Tests of the routers that follow the head in the store."""
+
+import asyncio
+import unittest
+
+from coltsfootfront import metrics
+from coltsfootfront.clock import SystemClock
+from coltsfootfront.etcd import EtcdStore
+from coltsfootfront.publisher import Change, Publisher
+from coltsfootfront.revision import Revision
+from coltsfootfront.watcher import Watcher, watchers_of
+from coltsfootfront_dev.store import StoreStandIn
+
+DEADLINE_S = 5.0
+SPEED = 30
+
+
+class FastClock(SystemClock):
+    """Runs faster than real time, so that half a minute passes within a second."""
+
+    def monotonic_s(self) -> float:
+        return super().monotonic_s() * SPEED
+
+    async def sleep(self, delay_s: float) -> None:
+        await asyncio.sleep(delay_s / SPEED)
+
+
+def count_of(name: str) -> float:
+    """Value of a counter of configuration events."""
+    return float(metrics.CONFIGURATION.values.get({"event": name}) or 0)
+
+
+class ChoiceTest(unittest.TestCase):
+    """The choice of watchers."""
+
+    def test_two_watchers_and_little_movement(self) -> None:
+        """Guards against more watches than the store's rates allow."""
+        routers = [f"r-{number}" for number in range(32)]
+        chosen = watchers_of("a", routers)
+        self.assertEqual(2, len(chosen))
+        self.assertEqual(chosen, watchers_of("a", reversed(routers)))
+        without_first = watchers_of("a", [name for name in routers if name != chosen[0]])
+        self.assertEqual(chosen[1], without_first[0])
+        for bystander in set(routers) - set(chosen):
+            self.assertEqual(
+                chosen, watchers_of("a", [name for name in routers if name != bystander])
+            )
+
+
+class WatcherTest(unittest.IsolatedAsyncioTestCase):
+    """One watcher against the stand-in of the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand_in = StoreStandIn()
+        self.address = await self.stand_in.start("127.0.0.1:0")
+        self.addAsyncCleanup(self.stand_in.close)
+        operator_store = EtcdStore(f"http://{self.address}", 1.0)
+        await operator_store.start()
+        self.addAsyncCleanup(operator_store.close)
+        self.publisher = Publisher(operator_store, SystemClock())
+        self.published = 0
+
+    async def publish(self) -> int:
+        """Publish one more revision."""
+        entries = {"owners/o": b'{"contact":"%d"}' % self.published}
+        change = Change(f"op-{self.published}", "duty", self.published)
+        result = await self.publisher.apply(entries, change)
+        self.published = result.unwrap().record.revision
+        return self.published
+
+    async def make_watcher(self, routers: list[str]) -> tuple[Watcher, Revision]:
+        """A started watcher named r-0."""
+        store = EtcdStore(f"http://{self.address}", 1.0)
+        await store.start()
+        self.addAsyncCleanup(store.close)
+        revision = Revision()
+        watcher = Watcher("r-0", "a", store, revision, FastClock(), lambda: routers)
+        await watcher.start()
+        self.addAsyncCleanup(watcher.close)
+        return watcher, revision
+
+    async def reach(self, revision: Revision, number: int) -> None:
+        """Wait until a revision is in force."""
+        reached = asyncio.Event()
+        subscription = revision.changes.subscribe(
+            lambda in_force: reached.set() if in_force.number >= number else None
+        )
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                await reached.wait()
+        finally:
+            subscription.dispose()
+
+    async def watch_is_open(self) -> None:
+        """Wait until the stand-in holds a watch."""
+        async with asyncio.timeout(DEADLINE_S):
+            while not self.stand_in.keys.watches:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def test_reads_the_head_and_follows_the_watch(self) -> None:
+        """Guards against a watcher that misses the state before or after its start."""
+        await self.publish()
+        _, revision = await self.make_watcher([])
+        await self.reach(revision, 1)
+        await self.watch_is_open()
+        reads = self.stand_in.counters["/v3/kv/range"]
+        await self.publish()
+        await self.reach(revision, 2)
+        self.assertLess(self.stand_in.counters["/v3/kv/range"] - reads, 5)
+
+    async def test_others_make_no_calls(self) -> None:
+        """Guards against routers outside the top two that use up the store's rates."""
+        routers = [f"r-{number}" for number in range(40)]
+        self.assertNotIn("r-0", watchers_of("a", routers))
+        watcher, _ = await self.make_watcher(routers)
+        await asyncio.sleep(0.2)
+        self.assertFalse(watcher.is_watching)
+        self.assertEqual({}, dict(self.stand_in.counters))
+        routers.clear()
+        await self.watch_is_open()
+
+    async def test_faults_of_the_store(self) -> None:
+        """Guards against a watcher that stays behind after a fault of the store."""
+        table: tuple[tuple[dict[str, object], dict[str, object]], ...] = (
+            ({"outage": True, "close_watches": True}, {"outage": False}),
+            ({"silent_watches": True}, {}),
+            ({"silent_watches": True}, {"silent_watches": False, "close_watches": True}),
+            ({"rate_limit_per_s": 0, "close_watches": True}, {"rate_limit_per_s": None}),
+        )
+        _, revision = await self.make_watcher([])
+        await self.watch_is_open()
+        for fault, end in table:
+            with self.subTest(fault=fault, end=end):
+                self.stand_in.control(fault)
+                await asyncio.sleep(0.2)
+                if "silent_watches" not in fault:
+                    self.stand_in.control(end)
+                number = await self.publish()
+                if "silent_watches" in fault:
+                    self.stand_in.control(end)
+                await self.reach(revision, number)
+
+    async def test_older_head_is_ignored_and_counted(self) -> None:
+        """Guards against going back when the store returns an older value."""
+        _, revision = await self.make_watcher([])
+        for number in (1, 2):
+            await self.publish()
+            await self.reach(revision, number)
+        before = count_of("older_head_ignored")
+        self.stand_in.control({"stale_reads": True})
+        async with asyncio.timeout(DEADLINE_S):
+            while count_of("older_head_ignored") == before:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        self.assertEqual(2, revision.number)
+
+    async def test_reconnects_are_spread_out(self) -> None:
+        """Guards against a stampede of watchers when the store comes back."""
+        await self.make_watcher([])
+        await self.watch_is_open()
+        self.stand_in.control({"outage": True, "close_watches": True})
+        before = self.stand_in.counters["/v3/watch"]
+        # 0.5 s are 15 s of the watcher's clock; at full backoff a retry takes 2.5 s on average.
+        await asyncio.sleep(0.5)
+        self.assertLess(self.stand_in.counters["/v3/watch"] - before, 25)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/coltsfootfront/watcher.py
+++ b/coltsfootfront/watcher.py
@@ -144,7 +144,9 @@
         try:
             async for found in events:
                 if found.key == HEAD_KEY and found.value is not None:
-                    await self._take(decode_head(found.value))
+                    failure = await self._take(decode_head(found.value))
+                    if failure:
+                        return failure
         except FailureError as error:
             return str(error)
         except ValueError as error:
