--- /dev/null
+++ b/coltsfootfront/execution.py
@@ -0,0 +1,397 @@
+"""One attempt from admission to its end."""
+
+import asyncio
+import hashlib
+from abc import ABC, abstractmethod
+from contextlib import aclosing
+from enum import Enum
+from typing import Any, cast
+
+import logbook
+from returns.result import Success
+
+from coltsfootfront import metrics
+from coltsfootfront.blocks import salt
+from coltsfootfront.claims import Claim, Claims, StoredOutcome
+from coltsfootfront.clock import Clock
+from coltsfootfront.document import Grant
+from coltsfootfront.engine import Engine, Finish, GenerateRequest, Piece
+from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.fairqueue import FairQueue, Ticket
+from coltsfootfront.gate import Ask, Gate
+from coltsfootfront.index import CacheIndex
+from coltsfootfront.logs import event
+from coltsfootfront.messages import Run
+from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
+from coltsfootfront.streams import Attempt
+
+log = logbook.Logger(__name__)
+
+KIND_CHAT = "chat"
+KIND_SERVICE_CALL = "service"
+# Weight of the latest observation in the running mean of prefill times.
+PREFILL_SMOOTHING = 0.2
+# Assumed time to compute one block until one has been observed.
+INITIAL_PREFILL_S = 0.05
+# Cost of a queued request in addition to the blocks that must be computed.
+BASE_COST = 1.0
+
+
+class Phase(Enum):
+    """How far an execution has come."""
+
+    WAITING = "waiting"
+    CLAIMING = "claiming"
+    FORWARDED = "forwarded"
+    ENDED = "ended"
+
+
+class Backend(ABC):
+    """The target behind this agent, as an execution sees it."""
+
+    @abstractmethod
+    def cost(self, run: Run) -> float:
+        """Work of a request relative to others."""
+
+    @abstractmethod
+    async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> "Answer":
+        """Hand a request to the target and its answer to the attempt's buffer.
+
+        :returns: the answer in the form in which a claim keeps it.
+        :raises FailureError: as the target's adapter does.
+        """
+
+
+class Answer:
+    """Answer of a plain service, as far as a claim keeps it.
+
+    :param limit_bytes: larger bodies are not kept.
+    """
+
+    __slots__ = ("_limit_bytes", "body", "headers", "status", "too_large")
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self.status = 200
+        self.headers: list[list[str]] = []
+        self.body = bytearray()
+        self.too_large = False
+
+    def add(self, data: bytes) -> None:
+        """Add a piece of the body."""
+        if len(self.body) + len(data) > self._limit_bytes:
+            self.too_large = True
+            self.body.clear()
+        if not self.too_large:
+            self.body += data
+
+
+class EngineBackend(Backend):
+    """A model engine.
+
+    :param engine: adapter of the engine.
+    :param index: estimate of its cached blocks.
+    :param clock: time source.
+    """
+
+    def __init__(self, engine: Engine, index: CacheIndex, clock: Clock) -> None:
+        self._engine = engine
+        self.index = index
+        self._clock = clock
+        self.prefill_s = INITIAL_PREFILL_S
+        """Observed time to compute one block."""
+
+    def cost(self, run: Run) -> float:
+        return BASE_COST + len(run.keys) - self.index.match_chain(run.keys)
+
+    async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> Answer:
+        predicted = self.index.match_chain(run.keys)
+        incarnation = self.index.incarnation
+        started_s = self._clock.monotonic_s()
+        first_s = 0.0
+        pieces = self._engine.generate(_generate_request(run, grant))
+        async with aclosing(cast(Any, pieces)):
+            async for piece in pieces:
+                if not first_s:
+                    first_s = self._clock.monotonic_s() - started_s
+                    attempt.begin()
+                if isinstance(piece, Piece):
+                    attempt.append(piece.text.encode(), piece.tokens)
+                    continue
+                self._finish(run, attempt, piece)
+                if incarnation == self.index.incarnation:
+                    cached = self.index.cached_blocks(
+                        len(run.keys), piece.prompt_tokens, piece.cached_tokens
+                    )
+                    self.index.correct(run.keys, predicted, cached)
+                    self._observe(len(run.keys), cached, first_s)
+                return Answer(0)
+        raise FailureError(
+            Failure(ErrorKind.ENGINE_FAILED, "the stream had no end mark", RunState.UNKNOWN)
+        )
+
+    def _finish(self, run: Run, attempt: Attempt, finish: Finish) -> None:
+        usage = {
+            "prompt_tokens": finish.prompt_tokens,
+            "completion_tokens": finish.completion_tokens,
+            "cached_tokens": finish.cached_tokens,
+        }
+        attempt.finish(finish.finish_reason, usage)
+
+    def _observe(self, blocks: int, cached: int, first_s: float) -> None:
+        metrics.PREFIX_BLOCKS.add({"outcome": "cached"}, cached)
+        metrics.PREFIX_BLOCKS.add({"outcome": "computed"}, blocks - cached)
+        if blocks > cached:
+            observed_s = first_s / (blocks - cached)
+            self.prefill_s += (observed_s - self.prefill_s) * PREFILL_SMOOTHING
+
+
+class ServiceBackend(Backend):
+    """A plain service.
+
+    :param service: adapter of the service.
+    :param outcome_bytes: largest body that a claim keeps.
+    """
+
+    def __init__(self, service: PlainService, outcome_bytes: int) -> None:
+        self._service = service
+        self._outcome_bytes = outcome_bytes
+
+    def cost(self, run: Run) -> float:
+        return BASE_COST
+
+    async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> Answer:
+        answer = Answer(self._outcome_bytes)
+        headers = tuple((pair[0], pair[1]) for pair in run.headers if len(pair) == 2)
+        call = ServiceCall(run.request_id, run.method, run.path, headers, run.body)
+        parts = self._service.call(call)
+        async with aclosing(cast(Any, parts)):
+            async for part in parts:
+                if isinstance(part, ServiceHead):
+                    answer.status = part.status
+                    answer.headers = [list(pair) for pair in part.headers]
+                    attempt.begin(part.status, answer.headers)
+                    continue
+                attempt.append(part)
+                answer.add(part)
+        attempt.finish()
+        return answer
+
+
+class Execution:
+    """Runs one attempt that has passed the gate.
+
+    :param run: message of the router.
+    :param ask: what the gate judged.
+    :param grant: the gate's decision.
+    :param attempt: buffer of the answer.
+    :param backend: the target.
+    :param gate: judges once more before the request is forwarded.
+    :param queue: queue in front of the target.
+    :param claims: idempotency claims.
+    :param clock: time source.
+    """
+
+    def __init__(
+        self,
+        run: Run,
+        ask: Ask,
+        grant: Grant,
+        attempt: Attempt,
+        backend: Backend,
+        gate: Gate,
+        queue: FairQueue,
+        claims: Claims,
+        clock: Clock,
+    ) -> None:
+        self._run = run
+        self._ask = ask
+        self._grant = grant
+        self._attempt = attempt
+        self._backend = backend
+        self._gate = gate
+        self._queue = queue
+        self._claims = claims
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+        self.phase = Phase.WAITING
+
+    def start(self) -> asyncio.Task[None]:
+        """Enter the queue, in the same step as the gate's decision, and go on in a task."""
+        ticket = self._queue.enter(
+            self._gate.share(self._run.customer, self._grant), self._backend.cost(self._run)
+        )
+        self._attempt.accept(self._gate.engine_incarnation)
+        self._task = asyncio.create_task(self._execute(ticket))
+        return self._task
+
+    @property
+    def may_be_stopped(self) -> bool:
+        """Whether nothing is lost when the caller no longer waits."""
+        return self._run.idempotent
+
+    def cancel(self, failure: Failure) -> RunState:
+        """Stop the attempt.
+
+        A call that must not be repeated is left to finish, since breaking its connection would
+        hide its outcome from the claim.
+
+        :param failure: recorded with the run state that is returned.
+        """
+        run = RunState.UNKNOWN if self._attempt.forwarded else RunState.NOT_RUN
+        self._attempt.fail(failure.with_run(run))
+        interruptible = self.phase is Phase.WAITING or (
+            self.phase is Phase.FORWARDED and self._run.idempotent
+        )
+        if interruptible and self._task is not None:
+            self._task.cancel()
+        return run
+
+    async def close(self) -> None:
+        """End the task at once; used when the process ends."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _execute(self, ticket: Ticket) -> None:
+        failure: Failure | None = None
+        try:
+            await self._wait(ticket)
+            await self._run_claimed()
+        except FailureError as error:
+            failure = error.failure
+        except asyncio.CancelledError:
+            failure = Failure(ErrorKind.CANCELLED, "the attempt was stopped", self._run_state())
+            raise
+        except Exception as error:
+            failure = Failure(ErrorKind.INTERNAL, "the agent failed", self._run_state())
+            log.error(event("execution_failed", reason=repr(error), **self._log_fields()))
+        finally:
+            self.phase = Phase.ENDED
+            self._queue.leave(ticket)
+            if failure is not None:
+                self._attempt.fail(failure)
+            self._report()
+
+    async def _wait(self, ticket: Ticket) -> None:
+        limit_s = self._gate.wait_limit_s(self._run.deadline_unix_s)
+        try:
+            await asyncio.wait_for(ticket.wait(), max(limit_s, 0))
+        except TimeoutError as error:
+            raise FailureError(
+                Failure(ErrorKind.OVERLOADED, "the queue moved slower than estimated")
+            ) from error
+
+    async def _run_claimed(self) -> None:
+        if self._run.idempotent or not self._run.idempotency_key:
+            await self._forward()
+            return
+        self.phase = Phase.CLAIMING
+        claimed = await self._claims.claim(
+            self._run.customer, self._run.service, self._run.idempotency_key, digest_of(self._run)
+        )
+        if not isinstance(claimed, Success):
+            raise FailureError(claimed.failure())
+        claim = claimed.unwrap()
+        if isinstance(claim, StoredOutcome):
+            self._replay(claim)
+            return
+        await self._forward_claimed(claim)
+
+    async def _forward_claimed(self, claim: Claim) -> None:
+        try:
+            answer = await self._forward()
+        except BaseException as error:
+            if _is_not_run(error) or not self._attempt.forwarded:
+                await self._claims.release(claim)
+            else:
+                self._claims.record_unknown(claim)
+            raise
+        outcome = StoredOutcome(answer.status, answer.headers, bytes(answer.body), answer.too_large)
+        self._claims.record(claim, outcome)
+
+    async def _forward(self) -> Answer:
+        judged = self._gate.confirm(self._ask)
+        if not isinstance(judged, Success):
+            raise FailureError(judged.failure())
+        if self._attempt.ended_s is not None:
+            raise FailureError(Failure(ErrorKind.CANCELLED, "the caller has gone"))
+        # The last step before the adapter: an agent that resumes from a pause must not run what
+        # the router has already given up.
+        if self._clock.unix_s() >= self._run.deadline_unix_s:
+            raise FailureError(Failure(ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed"))
+        self.phase = Phase.FORWARDED
+        self._attempt.forwarded = True
+        try:
+            return await self._backend.forward(self._run, judged.unwrap(), self._attempt)
+        except FailureError as error:
+            if error.failure.run is RunState.NOT_RUN:
+                self._attempt.forwarded = False
+            raise
+
+    def _replay(self, outcome: StoredOutcome) -> None:
+        if outcome.too_large:
+            raise FailureError(
+                Failure(
+                    ErrorKind.CONFLICT,
+                    "the request has run; its answer was too large to be kept",
+                    RunState.COMPLETED,
+                )
+            )
+        self._attempt.begin(outcome.status, outcome.headers)
+        self._attempt.append(outcome.body)
+        self._attempt.finish()
+
+    def _run_state(self) -> RunState:
+        return RunState.UNKNOWN if self._attempt.forwarded else RunState.NOT_RUN
+
+    def _report(self) -> None:
+        failure = self._attempt.failure
+        outcome = "completed" if failure is None else failure.kind.value
+        metrics.REQUESTS.inc({"customer": self._run.customer, "outcome": outcome})
+        if failure is not None and failure.run is RunState.NOT_RUN:
+            metrics.refused(failure.kind.value)
+        log.info(event("request_ended", outcome=outcome, **self._log_fields()))
+
+    def _log_fields(self) -> dict[str, object]:
+        return {
+            "request_id": self._run.request_id,
+            "attempt": self._run.attempt,
+            "customer": self._run.customer,
+            "target": self._grant.target,
+        }
+
+
+def digest_of(run: Run) -> str:
+    """Digest of what a call asks for; a repeat with the same key must have the same."""
+    total = hashlib.sha256()
+    for part in (run.method.encode(), run.path.encode(), run.body):
+        total.update(len(part).to_bytes(8, "big") + part)
+    return total.hexdigest()
+
+
+def ask_of(run: Run) -> Ask:
+    """What a run message asks the gate for."""
+    if run.kind == KIND_SERVICE_CALL:
+        return Ask(run.customer, run.service)
+    return Ask(run.customer, "", run.model, run.adapter, run.version)
+
+
+def _generate_request(run: Run, grant: Grant) -> GenerateRequest:
+    cache_salt = salt(run.customer, run.model, run.adapter, grant.version)
+    return GenerateRequest(
+        f"{run.request_id}-{run.attempt}",
+        run.body,
+        run.kind == KIND_CHAT,
+        run.model,
+        run.adapter,
+        grant.version,
+        cache_salt,
+        grant.priority,
+        run.resume_text,
+        run.resume_tokens,
+    )
+
+
+def _is_not_run(error: BaseException) -> bool:
+    return isinstance(error, FailureError) and error.failure.run is RunState.NOT_RUN
--- a/coltsfootfront/tests/support.py
+++ b/coltsfootfront/tests/support.py
@@ -1,11 +1,29 @@
 """Shared parts of the tests."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from datetime import UTC, datetime, timedelta
+from typing import Any
 
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from coltsfootfront import entries
 from coltsfootfront.clock import Clock
+from coltsfootfront.engine import (
+    CacheEvent,
+    Engine,
+    EngineState,
+    Finish,
+    GenerateRequest,
+    Order,
+    Piece,
+)
+from coltsfootfront.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.revision import Revision
+from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
+from coltsfootfront.store import KeyValue, Outcome, Store, Transaction, WatchEvent
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 
@@ -38,6 +56,237 @@
                 future.set_result(None)
 
 
+def make_revision(sections: dict[str, dict[str, Any]]) -> Revision:
+    """Put a document in force as revision 1."""
+    revision = Revision()
+    put_in_force(revision, 1, sections)
+    return revision
+
+
+def put_in_force(revision: Revision, number: int, sections: dict[str, dict[str, Any]]) -> None:
+    """Put a further document in force."""
+    parts = entries.split(sections)
+    assert revision.adopt(number, parts, entries.digest(parts))
+
+
+def one_target(
+    kind: str = "engine", target: dict[str, Any] | None = None, **terms: Any
+) -> dict[str, dict[str, Any]]:
+    """Sections of a document with the customers ``small`` and ``large`` and one target."""
+    engine = kind == "engine"
+    models = [{"model": "m", "version": "v1", "adapters": ["a"]}] if engine else []
+    given = {"models": ["m"], "adapters": ["a"]} if engine else {}
+    return {
+        "owners": {"o": {}},
+        "services": {"s": {"kind": kind}},
+        "models": {"m": {}},
+        "customers": {
+            "small": {"key_hashes": [], "max_queued": 4},
+            "large": {"key_hashes": []},
+            "stranger": {"key_hashes": []},
+        },
+        "targets": {
+            "t": {
+                "owner": "o",
+                "service": "s",
+                "data_centre": "d",
+                "agent_address": "127.0.0.1:1",
+                "slots": 2,
+                "models": models,
+                **(target or {}),
+            }
+        },
+        "terms": {
+            "x": {
+                "owner": "o",
+                "customers": ["small", "large"],
+                "targets": ["t"],
+                **given,
+                **terms,
+            }
+        },
+    }
+
+
+class MemoryStore(Store):
+    """Store in memory with leases and faults.
+
+    ``faults`` holds what happens to the next calls: ``down`` (no effect), ``lost`` (a write
+    takes effect and its answer is lost), ``dropped`` (a write has no effect and its answer is
+    lost) or ``ok``. When it is empty, ``mode`` holds for every call.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.values: dict[str, KeyValue] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.revision = 100
+        self.mode = "ok"
+        self.faults: list[str] = []
+
+    async def get(self, key: str) -> Result[KeyValue | None, Failure]:
+        if self._fault() != "ok":
+            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE))
+        return Success(self.values.get(key))
+
+    async def list_prefix(self, prefix: str) -> Result[list[KeyValue], Failure]:
+        if self._fault() != "ok":
+            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE))
+        return Success([self.values[key] for key in sorted(self.values) if key.startswith(prefix)])
+
+    async def commit(self, transaction: Transaction) -> Result[Outcome, Failure]:
+        fault = self._fault()
+        if fault == "down":
+            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE))
+        if fault == "dropped":
+            return Failed(Failure(ErrorKind.STORE_AMBIGUOUS))
+        outcome = self._commit(transaction)
+        if fault == "lost":
+            return Failed(Failure(ErrorKind.STORE_AMBIGUOUS))
+        return Success(outcome)
+
+    async def grant_lease(self, life_s: float) -> Result[int, Failure]:
+        if self._fault() != "ok":
+            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE))
+        self.revision += 1
+        self.leases[self.revision] = (life_s, self._clock.monotonic_s() + life_s)
+        return Success(self.revision)
+
+    async def keep_alive(self, lease: int) -> Result[float, Failure]:
+        if self._fault() != "ok":
+            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE))
+        life_s, _ = self.leases.get(lease, (0.0, 0.0))
+        if life_s:
+            self.leases[lease] = (life_s, self._clock.monotonic_s() + life_s)
+        return Success(life_s)
+
+    async def revoke_lease(self, lease: int) -> Result[None, Failure]:
+        if self._fault() != "ok":
+            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE))
+        self._end_lease(lease)
+        return Success(None)
+
+    def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        pass
+
+    async def close(self) -> None:
+        pass
+
+    def _fault(self) -> str:
+        for lease, (_, until_s) in list(self.leases.items()):
+            if until_s <= self._clock.monotonic_s():
+                self._end_lease(lease)
+        return self.faults.pop(0) if self.faults else self.mode
+
+    def _end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        self.values = {key: value for key, value in self.values.items() if value.lease != lease}
+
+    def _commit(self, transaction: Transaction) -> Outcome:
+        for compare in transaction.compares:
+            found = self.values.get(compare.key)
+            if (found.mod_revision if found else 0) != compare.mod_revision:
+                read = [
+                    self.values[key] for key in transaction.read_on_failure if key in self.values
+                ]
+                return Outcome(False, self.revision, read)
+        self.revision += 1
+        for put in transaction.puts:
+            known = self.values.get(put.key)
+            created = known.create_revision if known else self.revision
+            self.values[put.key] = KeyValue(put.key, put.value, created, self.revision, put.lease)
+        for key in transaction.deletes:
+            self.values.pop(key, None)
+        return Outcome(True, self.revision)
+
+
+class FakeEngine(Engine):
+    """Engine that generates what a test says.
+
+    ``parts`` are yielded in order; a failure among them is raised, an event is awaited.
+    """
+
+    def __init__(self, parts: Sequence[Piece | Finish | Failure | asyncio.Event] = ()) -> None:
+        self.parts = parts
+        self.requests: list[GenerateRequest] = []
+        self.closed = 0
+        self.report = EngineState("e1", {"m": ("v1", ("a",))})
+        self.orders: list[Order] = []
+        self.on_order: Callable[[Order], Awaitable[Result[None, Failure]]] | None = None
+
+    async def generate(self, request: GenerateRequest) -> AsyncIterator[Piece | Finish]:
+        self.requests.append(request)
+        try:
+            for part in self.parts:
+                if isinstance(part, Failure):
+                    raise FailureError(part)
+                if isinstance(part, asyncio.Event):
+                    await part.wait()
+                    continue
+                yield part
+        finally:
+            self.closed += 1
+
+    async def state(self) -> Result[EngineState, Failure]:
+        return Success(self.report)
+
+    async def cache_events(self) -> AsyncIterator[CacheEvent]:
+        raise FailureError(Failure(ErrorKind.ENGINE_FAILED))
+        yield
+
+    async def order(self, order: Order) -> Result[None, Failure]:
+        self.orders.append(order)
+        return Success(None) if self.on_order is None else await self.on_order(order)
+
+    async def export_blocks(self, cache_salt: str, keys: list[bytes]) -> Result[bytes, Failure]:
+        return Failed(Failure(ErrorKind.NOT_FOUND))
+
+    async def import_blocks(self, cache_salt: str, data: bytes) -> Result[int, Failure]:
+        return Failed(Failure(ErrorKind.NOT_FOUND))
+
+    async def start(self) -> None:
+        pass
+
+    async def close(self) -> None:
+        pass
+
+
+class FakeService(PlainService):
+    """Service that counts calls and answers what a test says."""
+
+    def __init__(self, parts: Sequence[ServiceHead | bytes | Failure | asyncio.Event]) -> None:
+        self.parts = parts
+        self.calls: list[ServiceCall] = []
+
+    async def call(self, request: ServiceCall) -> AsyncIterator[ServiceHead | bytes]:
+        self.calls.append(request)
+        for part in self.parts:
+            if isinstance(part, Failure):
+                raise FailureError(part)
+            if isinstance(part, asyncio.Event):
+                await part.wait()
+                continue
+            yield part
+
+    async def healthy(self) -> bool:
+        return True
+
+    async def start(self) -> None:
+        pass
+
+    async def close(self) -> None:
+        pass
+
+
+async def settle(rounds: int = 30) -> None:
+    """Let every task that can go on do so."""
+    for _ in range(rounds):
+        await asyncio.sleep(0)
+
+
 @asynccontextmanager
 async def canned_server(reply: bytes) -> AsyncIterator[str]:
     """Serve HTTP with the same bytes for each request, then close the connection.
--- /dev/null
+++ b/coltsfootfront/tests/test_gate.py
@@ -0,0 +1,111 @@
+"""Tests of admission."""
+
+import unittest
+from typing import Any
+
+from returns.result import Success
+
+from coltsfootfront.drain import Drain
+from coltsfootfront.engine import EngineState
+from coltsfootfront.fairqueue import FairQueue
+from coltsfootfront.gate import Ask, Gate
+from coltsfootfront.revision import Revision
+from coltsfootfront.tests.support import ManualClock, make_revision, one_target, put_in_force
+
+OK = Ask("small", "", "m", "", "v1")
+
+
+def make_gate(revision: Revision, clock: ManualClock, max_queued: int = 8) -> Gate:
+    """Gate of target ``t`` whose engine runs what the document wants."""
+    drain = Drain("t", "127.0.0.1:1", revision, clock)
+    gate = Gate("t", revision, drain, FairQueue(clock), clock, max_queued)
+    gate.reachable = True
+    gate.engine = EngineState("e1", {"m": ("v1", ("a",))})
+    return gate
+
+
+class GateTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+
+    def _judge(self, gate: Gate, ask: Ask, deadline_s: float = 60.0) -> str:
+        judged = gate.admit(ask, self.clock.unix_s() + deadline_s)
+        return "ok" if isinstance(judged, Success) else judged.failure().kind.value
+
+    async def test_terms_and_versions(self) -> None:
+        """Guards against serving anyone or any version that the owner did not agree to."""
+        cases: list[tuple[str, dict[str, Any], Ask, str]] = [
+            ("allowed", {}, OK, "ok"),
+            ("allowed adapter", {}, Ask("small", "", "m", "a", "v1"), "ok"),
+            ("customer without terms", {}, Ask("stranger", "", "m", "", "v1"), "forbidden"),
+            ("unknown customer", {}, Ask("nobody", "", "m", "", "v1"), "forbidden"),
+            ("model not in terms", {"models": []}, OK, "forbidden"),
+            ("adapter not in terms", {"adapters": []}, Ask("small", "", "m", "a"), "forbidden"),
+            ("version not in terms", {"versions": ["v2"]}, OK, "forbidden"),
+            ("terms of another owner", {"owner": "other"}, OK, "forbidden"),
+            (
+                "router expects another version",
+                {},
+                Ask("small", "", "m", "", "v0"),
+                "wrong_version",
+            ),
+            ("withdrawn", {"target": {"withdrawn": True}}, OK, "target_withdrawn"),
+            ("kept cache", {"kind": "kept_cache"}, Ask("small", "s"), "forbidden"),
+        ]
+        for name, change, ask, expected in cases:
+            with self.subTest(name):
+                gate = make_gate(make_revision(one_target(**change)), self.clock)
+                self.assertEqual(expected, self._judge(gate, ask))
+
+    async def test_the_engines_present_state_decides(self) -> None:
+        """Guards against reliance on the document while the engine runs something else."""
+        reports = {
+            "older weights": (EngineState("e1", {"m": ("v0", ("a",))}), "wrong_version"),
+            "model not loaded": (EngineState("e1", {}), "wrong_version"),
+            "adapter not loaded": (EngineState("e1", {"m": ("v1", ())}), "wrong_version"),
+            "other role": (EngineState("e1", {"m": ("v1", ("a",))}, "prefill"), "target_withdrawn"),
+            "no report": (None, "target_unreachable"),
+        }
+        for name, (report, expected) in reports.items():
+            with self.subTest(name):
+                gate = make_gate(make_revision(one_target()), self.clock)
+                gate.engine = report
+                self.assertEqual(expected, self._judge(gate, Ask("small", "", "m", "a", "v1")))
+
+    async def test_states_without_admission(self) -> None:
+        """Guards against work for a target that leaves, is paused or has no configuration."""
+        gate = make_gate(Revision(), self.clock)
+        self.assertEqual("stale_revision", self._judge(gate, OK))
+        gate = make_gate(make_revision(one_target()), self.clock)
+        gate.settled = False
+        self.assertEqual("stale_revision", self._judge(gate, OK))
+        gate.settled, gate.reachable = True, False
+        self.assertEqual("target_unreachable", self._judge(gate, OK))
+
+    async def test_a_change_of_terms_holds_for_waiting_requests(self) -> None:
+        """Guards against forwarding a request whose terms ended while it waited."""
+        revision = make_revision(one_target())
+        gate = make_gate(revision, self.clock)
+        self.assertIsInstance(gate.confirm(OK), Success)
+        put_in_force(revision, 2, one_target(customers=["large"]))
+        self.assertEqual("forbidden", gate.confirm(OK).failure().kind.value)
+
+    async def test_limits_and_deadline(self) -> None:
+        """Guards against requests that are held until near their deadline."""
+        gate = make_gate(make_revision(one_target()), self.clock)
+        grant = gate.admit(OK, self.clock.unix_s() + 60).unwrap()
+        share = gate.share("small", grant)
+        for _ in range(4):
+            gate._queue.enter(share)
+        self.assertEqual("ok", self._judge(gate, OK, 60))
+        self.assertEqual("overloaded", self._judge(gate, OK, 0.5))
+        self.assertEqual("deadline_exceeded", self._judge(gate, OK, -1))
+        gate._queue.enter(share)
+        gate._queue.enter(share)
+        refusal = gate.admit(OK, self.clock.unix_s() + 60).failure()
+        self.assertEqual("overloaded", refusal.kind.value, "max_queued of the customer")
+        self.assertGreater(refusal.wait_s or 0, 0.5, "Retry-After follows the queue")
+        large = Ask("large", "", "m", "", "v1")
+        for _ in range(4):
+            gate._queue.enter(gate.share("large", grant))
+        self.assertEqual("overloaded", self._judge(gate, large), "max_queued of the agent")
