Give back the slot of an attempt that is cancelled before its first step

Cause: a task that is cancelled before it has run for the first time executes none of its own code, so its finally block did not return the slot. A cancel that arrives in the same read as its run took a slot away for good.

Ruled out: a shield around the task, which would run a request that was reported as not run.

--- a/coltsfootfront/execution.py
+++ b/coltsfootfront/execution.py
@@ -223,6 +223,9 @@
         )
         self._attempt.accept(self._gate.engine_incarnation)
         self._task = asyncio.create_task(self._execute(ticket))
+        # A task that is cancelled before its first step runs none of its own code, so the slot
+        # is given back here.
+        self._task.add_done_callback(lambda _: self._end(ticket))
         return self._task
 
     @property
@@ -254,24 +257,22 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _execute(self, ticket: Ticket) -> None:
-        failure: Failure | None = None
         try:
             await self._wait(ticket)
             await self._run_claimed()
         except FailureError as error:
-            failure = error.failure
-        except asyncio.CancelledError:
-            failure = Failure(ErrorKind.CANCELLED, "the attempt was stopped", self._run_state())
-            raise
+            self._attempt.fail(error.failure)
         except Exception as error:
-            failure = Failure(ErrorKind.INTERNAL, "the agent failed", self._run_state())
+            self._attempt.fail(Failure(ErrorKind.INTERNAL, "the agent failed", self._run_state()))
             log.error(event("execution_failed", reason=repr(error), **self._log_fields()))
-        finally:
-            self.phase = Phase.ENDED
-            self._queue.leave(ticket)
-            if failure is not None:
-                self._attempt.fail(failure)
-            self._report()
+
+    def _end(self, ticket: Ticket) -> None:
+        self.phase = Phase.ENDED
+        self._queue.leave(ticket)
+        self._attempt.fail(
+            Failure(ErrorKind.CANCELLED, "the attempt was stopped", self._run_state())
+        )
+        self._report()
 
     async def _wait(self, ticket: Ticket) -> None:
         limit_s = self._gate.wait_limit_s(self._run.deadline_unix_s)
