Let agents greet the routers of the VM list and watch kept caches

Cause: an agent with a VM list and without seeds never greeted a router, and a pause was followed by no check of the revision. The agent of a kept cache never became ready.

Ruled out: greeting all routers of the list; two or more of the own data centre are enough, and with fewer all are taken.

Before: peers were the seeds alone.

Conclusion: the spread of the configuration no longer depends on seeds.

--- a/coltsfootfront/agent.py
+++ b/coltsfootfront/agent.py
@@ -17,7 +17,7 @@
 from coltsfootfront.claims import MAX_OUTCOME_BYTES, Claims
 from coltsfootfront.clock import Clock, SystemClock
 from coltsfootfront.connection import Connection, Identity, Listener
-from coltsfootfront.document import KIND_ENGINE, KIND_SERVICE
+from coltsfootfront.document import KIND_ENGINE, KIND_KEPT_CACHE, KIND_SERVICE
 from coltsfootfront.drain import Drain
 from coltsfootfront.engine import Engine
 from coltsfootfront.errors import ErrorKind, Failure, RunState
@@ -32,7 +32,7 @@
 from coltsfootfront.gate import Ask, Gate
 from coltsfootfront.index import CacheIndex
 from coltsfootfront.leases import LoadSlots, TargetLease
-from coltsfootfront.leaving import VmList
+from coltsfootfront.leaving import STATE_LIVE, Vm, VmList
 from coltsfootfront.logs import event
 from coltsfootfront.messages import (
     Acknowledge,
@@ -62,6 +62,8 @@
 # Limit for reaching the revision that a request's router has in force.
 REVISION_TIMEOUT_S = 1.0
 BOOTSTRAP_TIMEOUT_S = 5.0
+# Time between two looks for peers while none is known.
+BOOTSTRAP_WAIT_S = 0.5
 # Limit for checking the revision after a pause; then the one in force is served on.
 SETTLE_TIMEOUT_S = 1.0
 # Failed reads of the target's state in a row after which it counts as not reachable.
@@ -74,6 +76,9 @@
 # Request bodies of waiting and running requests together.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_ROUTES = 4096
+ROLE_ROUTER = "router"
+# With fewer routers than this in the own data centre, routers of all of them are greeted.
+MIN_NEAR_ROUTERS = 2
 
 
 class Adapters(ABC):
@@ -542,6 +547,7 @@
         self._vm_list = adapters.vm_list()
         self._web: web.AppRunner | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._has_peers = bool(settings.seed_addresses)
         self.address = ""
         """Peer address in use."""
 
@@ -669,10 +675,10 @@
 
     async def _bootstrap(self) -> None:
         while self.revision.number == 0:
-            if self._settings.seed_addresses:
+            if self._has_peers:
                 await self.spread.bootstrap(BOOTSTRAP_TIMEOUT_S)
             else:
-                await self._clock.sleep(BOOTSTRAP_TIMEOUT_S)
+                await self._clock.sleep(BOOTSTRAP_WAIT_S)
 
     async def _close_idle(self) -> None:
         while True:
@@ -681,14 +687,26 @@
 
     async def _follow_vms(self) -> None:
         assert self._vm_list is not None
-        await self.drain_state.follow_vms(self._vm_list, self._settings.vm_list_interval_s)
+        while True:
+            # While the list cannot be read, what it said last holds.
+            (await self._vm_list.read()).map(self._note_vms)
+            await self._clock.sleep(self._settings.vm_list_interval_s)
+
+    def _note_vms(self, vms: list[Vm]) -> None:
+        self.drain_state.note_vms(vms)
+        routers = [vm for vm in vms if vm.role == ROLE_ROUTER and vm.state == STATE_LIVE]
+        near = [vm for vm in routers if vm.data_centre == self._settings.data_centre]
+        chosen = near if len(near) >= MIN_NEAR_ROUTERS else routers
+        self.spread.set_peers([vm.peer_address for vm in chosen])
+        self._has_peers = bool(chosen or self._settings.seed_addresses)
 
     def _on_revision(self, in_force: InForce) -> None:
         if self.server.backend is not None:
             return
         if self.gate.kind == KIND_ENGINE:
             self._spawn(self._start_engine())
-        elif self.gate.kind == KIND_SERVICE:
+        elif self.gate.kind in (KIND_SERVICE, KIND_KEPT_CACHE):
+            # A kept cache has a health check like a plain service; no terms cover calls to it.
             self._spawn(self._start_service())
 
     async def _start_engine(self) -> None:
@@ -736,7 +754,7 @@
     def _on_pause(self, gap_s: float) -> None:
         if self._lease is not None:
             self._lease.doubt()
-        if self.gate.settled and self._settings.seed_addresses:
+        if self.gate.settled and self._has_peers:
             self.gate.settled = False
             self._spawn(self._settle())
 
--- a/coltsfootfront/drain.py
+++ b/coltsfootfront/drain.py
@@ -6,7 +6,7 @@
 
 from coltsfootfront.clock import Clock
 from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.leaving import STATE_LEAVING, Vm, VmList
+from coltsfootfront.leaving import STATE_LEAVING, Vm
 from coltsfootfront.logs import event
 from coltsfootfront.revision import InForce, Revision
 
@@ -76,15 +76,6 @@
             if vm.name == self._target or vm.peer_address == self._own_address:
                 self._set(Source.VM_LIST, vm.state == STATE_LEAVING)
 
-    async def follow_vms(self, vms: VmList, interval_s: float) -> None:
-        """Read the VM list for ever; while it cannot be read the last state stays.
-
-        :param interval_s: time between reads in seconds.
-        """
-        while True:
-            (await vms.read()).map(self.note_vms)
-            await self._clock.sleep(interval_s)
-
     def _read_document(self, in_force: InForce) -> None:
         if in_force.number == 0:
             return
