--- a/coltsfootfront_dev/load.py
+++ b/coltsfootfront_dev/load.py
@@ -56,19 +56,24 @@
 class Shape:
     """Figures of the load.
 
+    The sizes of the levels are drawn from ranges, so that no depth suits all prompts.
+
     :param dossiers: dossiers of all customers together; large customers have more of them.
+    :param standards_blocks: least and largest size of the standards.
+    :param dossier_blocks: least and largest size of a dossier.
+    :param case_blocks: least and largest size of a case.
     :param hot_dossiers: dossiers that are hot at a time.
     :param hot_share: share of requests that go to the hot dossiers.
     :param urgent_share: share of quick checks.
     """
 
-    requests_per_s: float = 60.0
+    requests_per_s: float = 30.0
     dossiers: int = 160
     standards_per_customer: int = 2
-    standards_blocks: int = 2
-    dossier_blocks: int = 4
+    standards_blocks: tuple[int, int] = (2, 3)
+    dossier_blocks: tuple[int, int] = (3, 6)
     cases_per_dossier: int = 3
-    case_blocks: int = 2
+    case_blocks: tuple[int, int] = (1, 3)
     hot_dossiers: int = 4
     hot_share: float = 0.3
     urgent_share: float = 0.5
@@ -137,6 +142,7 @@
     """
 
     def __init__(self, seed: int, shape: Shape, callers: Sequence[Caller]) -> None:
+        self._seed = seed
         self._random = random.Random(seed)
         self._shape = shape
         self._callers = [caller for caller in callers if caller.models]
@@ -189,15 +195,19 @@
             caller,
             model,
             (
-                (f"{caller.name}/{standard}", shape.standards_blocks),
-                (f"{caller.name}/{dossier}", shape.dossier_blocks),
-                (f"{caller.name}/{case}", shape.case_blocks),
+                self._segment(f"{caller.name}/{standard}", shape.standards_blocks),
+                self._segment(f"{caller.name}/{dossier}", shape.dossier_blocks),
+                self._segment(f"{caller.name}/{case}", shape.case_blocks),
             ),
             f"\nQuestion {number}: does this sample pass?",
             urgent,
             shape.urgent_tokens if urgent else shape.long_tokens,
         )
 
+    def _segment(self, label: str, sizes: tuple[int, int]) -> tuple[str, int]:
+        name = f"{self._seed}/{label}"
+        return name, random.Random(name).randint(*sizes)
+
 
 class Runner:
     """Sends arrivals to routers and collects samples.
