Read targets from agents' logs and quick checks from models

Cause: the wasted computation of a policy depends on which target completed each request, and the answers to callers do not name it. Quick checks are those of the model with short answers, as in the example documents, so that the terms decide on their priority. Ruled out: a response header that names the target; it would show callers the fleet. Conclusion: the agents' request_ended lines name request and target.

--- a/coltsfootfront_dev/launcher.py
+++ b/coltsfootfront_dev/launcher.py
@@ -28,7 +28,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
 DEPLOYMENTS = ("agency", "granite")
-OPERATOR_KEY = "bootstrap-operator-example-key"
+# Accepted as bootstrap key at first, and named by the example documents afterwards.
+OPERATOR_KEY = "operator-example-key"
 PEER_SECRET = "example-peer-secret"
 START_LIMIT_S = 30.0
 # Processes are disposable when the fleet ends, so they get little time to drain.
@@ -113,6 +114,7 @@
         self.options = options or FleetOptions()
         self.processes: dict[str, FleetProcess] = {}
         self.revision = 0
+        self._settings: dict[str, dict[str, Any]] = {}
         self._ports = _free_ports()
         self.document = self._read_document()
         self.directory = Path(tempfile.mkdtemp(prefix="coltsfootfront-"))
@@ -227,6 +229,7 @@
         for process in stand_ins:
             self._spawn(process)
         await asyncio.gather(*(self._wait_stand_in(process) for process in stand_ins))
+        await self.control("vms", {"vms": self._vm_rows()})
         for process in self.processes.values():
             if _is_own(process):
                 self._spawn(process)
@@ -360,7 +363,7 @@
         """
         admin = self.of_role("admin")[0]
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-        body = {"document": document, "parent": self.revision}
+        body = {"document": document, "expected_revision": self.revision}
         url = f"http://{admin.address}/v1/apply"
         async with self.session.post(url, json=body, headers=headers) as response:
             answer = await response.json()
@@ -473,12 +476,29 @@
             "http_address": address,
         }
         path = self.directory / f"{name}.toml"
-        path.write_text(_toml({**common, **settings}), encoding="utf-8")
+        self._settings[name] = {**common, **settings}
+        path.write_text(_toml(self._settings[name]), encoding="utf-8")
         path.chmod(0o600)
         command = ["-m", f"coltsfootfront.{role}", "--config", str(path)]
         peer = str(settings.get("peer_address", ""))
         self.processes[name] = FleetProcess(name, role, command, address, peer, target)
 
+    def _vm_rows(self) -> list[dict[str, str]]:
+        """The platform's list of VMs, with every process of the system as live."""
+        rows = []
+        for process in (*self.routers, *self.agents):
+            role = "router" if process.role == "router" else "target"
+            rows.append(
+                {
+                    "name": process.target or process.name,
+                    "role": role,
+                    "data_centre": self._settings[process.name]["data_centre"],
+                    "peer_address": process.peer_address,
+                    "state": "live",
+                }
+            )
+        return rows
+
     def _data_centres(self) -> list[str]:
         """Data centres with engines, those of the largest region first."""
         regions = self.document["regions"].values()
--- a/coltsfootfront_dev/load.py
+++ b/coltsfootfront_dev/load.py
@@ -12,7 +12,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -26,6 +26,7 @@
 MAX_RECONNECTS = 4
 RECONNECT_DELAY_S = 0.02
 REQUEST_LIMIT_S = 60.0
+REQUEST_ID_HEADER = "X-Request-Id"
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,11 +34,13 @@
     """A customer as the load tool sees it.
 
     :param models: model names it may ask for, adapters as ``model:adapter``.
+    :param quick_models: those of them that answer quick checks.
     """
 
     name: str
     api_key: str
     models: tuple[str, ...]
+    quick_models: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +67,8 @@
     :param case_blocks: least and largest size of a case.
     :param hot_dossiers: dossiers that are hot at a time.
     :param hot_share: share of requests that go to the hot dossiers.
-    :param urgent_share: share of quick checks.
+    :param urgent_tokens: length of the answer to a quick check.
+    :param long_tokens: length of a long assessment.
     """
 
     requests_per_s: float = 30.0
@@ -76,7 +80,6 @@
     case_blocks: tuple[int, int] = (1, 3)
     hot_dossiers: int = 4
     hot_share: float = 0.3
-    urgent_share: float = 0.5
     urgent_tokens: int = 4
     long_tokens: int = 40
 
@@ -117,6 +120,7 @@
     :param outcome: ``ok``, ``refused`` (a truthful refusal with a reason) or ``failed``.
     :param ttft_s: time from the planned arrival to the first token, or None.
     :param lag_s: delay with which this tool sent the request.
+    :param target: target that completed the request; filled in from the agents' logs.
     :param started_s: time from the start of the run at which the answer's head arrived.
     """
 
@@ -127,11 +131,11 @@
     total_s: float = 0.0
     lag_s: float = 0.0
     started_s: float = 0.0
+    request_id: str = ""
     target: str = ""
     cached_tokens: int = 0
     tokens: int = 0
     reconnects: int = 0
-    text: list[str] = field(default_factory=list)
 
 
 class Workload:
@@ -187,7 +191,7 @@
             position = self._random.choices(range(len(self._dossiers)), self._weights)[0]
         caller, model, standard, dossier = self._dossiers[position]
         case = f"{dossier}/case-{self._random.randrange(shape.cases_per_dossier)}"
-        urgent = self._random.random() < shape.urgent_share
+        urgent = model in caller.quick_models
         return Arrival(
             number,
             at_s,
@@ -213,16 +217,10 @@
     """Sends arrivals to routers and collects samples.
 
     :param routers: ``host:port`` of each router; requests alternate between them.
-    :param target_header: response header that names the target.
-    :param keep_text: whether samples keep the answer's text.
     """
 
-    def __init__(
-        self, routers: Sequence[str], target_header: str = "", keep_text: bool = False
-    ) -> None:
+    def __init__(self, routers: Sequence[str]) -> None:
         self._routers = list(routers)
-        self._target_header = target_header
-        self._keep_text = keep_text
         self._start_s = 0.0
 
     async def run(
@@ -265,7 +263,6 @@
     ) -> None:
         arrival = sample.arrival
         sample.tokens = 0
-        sample.text.clear()
         body = {
             "model": arrival.model,
             "prompt": arrival.prompt(),
@@ -277,7 +274,7 @@
         url = f"http://{router}/v1/completions"
         async with session.post(url, json=body, headers=headers) as response:
             sample.started_s = time.monotonic() - self._start_s
-            sample.target = response.headers.get(self._target_header, "")
+            sample.request_id = response.headers.get(REQUEST_ID_HEADER, "")
             if response.status != 200:
                 _note_refusal(sample, response.status, await response.read())
                 return
@@ -299,7 +296,7 @@
                 return
             if sample.ttft_s is None and _has_text(value):
                 sample.ttft_s = time.monotonic() - planned_s
-            _note_event(sample, value, self._keep_text)
+            _note_event(sample, value)
         sample.outcome, sample.reason = "failed", "stream ended without an end mark"
 
 
@@ -344,9 +341,7 @@
     return any(choice.get("text") for choice in value.get("choices", []))
 
 
-def _note_event(sample: Sample, value: dict[str, Any], keep_text: bool) -> None:
-    if keep_text:
-        sample.text += [choice.get("text", "") for choice in value.get("choices", [])]
+def _note_event(sample: Sample, value: dict[str, Any]) -> None:
     usage = value.get("usage")
     if usage:
         sample.tokens = int(usage.get("completion_tokens", 0))
--- a/coltsfootfront_dev/measure.py
+++ b/coltsfootfront_dev/measure.py
@@ -2,7 +2,8 @@
 
 Each policy gets a fresh fleet of the product's own processes and the same seeded arrivals. The
 phases are a steady load, a change of the hot prefixes, an engine crash, a cache event stream
-with gaps and delays, and restarts of the routers.
+with gaps and delays, and restarts of the routers. All data centres are put into one region, since
+requests otherwise stay in the region of their router and four of six engines would decide.
 """
 
 import asyncio
@@ -30,7 +31,8 @@
 
 POLICIES = ("round_robin", "least_loaded", "prefix_hash", "bounded_load", "rendezvous")
 BLOCK_TOKENS = 1000
-TARGET_HEADER = "X-Coltsfootfront-Target"
+# Models with short answers serve the quick checks.
+QUICK_OUTPUT_TOKENS = 512
 # Cache of one engine. The arrivals of a full run touch about 1,600 blocks, so that a sixth of
 # them is more than three times what one engine holds.
 CAPACITY_BLOCKS = 80
@@ -128,11 +130,13 @@
             f"--step-ms={STEP_MS}",
         ),
         router_settings={"policy": policy, "log_level": "warning"},
-        agent_settings={"log_level": "warning"},
+        agent_settings={"log_level": "info"},
     )
-    async with Fleet(options) as fleet:
+    fleet = Fleet(options)
+    join_regions(fleet.document)
+    async with fleet:
         arrivals = Workload(plan.seed, plan.shape, callers_of(fleet)).arrivals(plan.phases)
-        runner = Runner([router.address for router in fleet.routers], TARGET_HEADER)
+        runner = Runner([router.address for router in fleet.routers])
         faults = FaultSchedule(fleet, plan.phases)
         task: asyncio.Task[None] | None = None
 
@@ -144,6 +148,7 @@
         assert task is not None
         await task
         targets = len(fleet.engines)
+        note_targets(fleet, samples)
     reuse = judge(served_requests(samples, faults.lost), targets, CAPACITY_BLOCKS)
     return PolicyResult(policy, samples, faults.lost, reuse, ideal_hit_rate(arrivals, targets))
 
@@ -190,6 +195,24 @@
             await self._fleet.restart(router.name)
 
 
+def join_regions(document: dict[str, Any]) -> None:
+    """Put all data centres of a document into one region."""
+    regions = document["regions"].values()
+    joined = [name for region in regions for name in region["data_centres"]]
+    document["regions"] = {"region": {"data_centres": joined}}
+
+
+def note_targets(fleet: Fleet, samples: Sequence[Sample]) -> None:
+    """Read out of the agents' logs which target completed each request."""
+    targets = {}
+    for agent in fleet.agents:
+        for line in fleet.log_path(agent.name).read_text(errors="replace").splitlines():
+            if "event=request_ended outcome=completed" in line:
+                targets[line.partition("request_id=")[2].partition(" ")[0]] = agent.target
+    for sample in samples:
+        sample.target = targets.get(sample.request_id, "")
+
+
 def callers_of(fleet: Fleet) -> list[Caller]:
     """Customers of a fleet as callers of the load tool."""
     return [Caller(row["name"], row["api_key"], tuple(row["models"])) for row in fleet.customers()]
