Make the demo pass on both example deployments

Cause: the first run of the whole path showed three faults. The administration API did nothing when run as a module; the kept-cache stand-in had no health check; the agent of a kept cache never became ready, because it started a back end for engines and plain services only. Ruled out: leaving kept caches without agents. They are targets of the document, and their agents report whether they answer.

--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/admin.py
@@ -546,3 +546,7 @@
     arguments = cappa.parse(Arguments, version=__version__)
     settings = runtime.load_or_exit(arguments.config, AdminSettings)
     runtime.serve(Admin(settings, SystemClock()), settings.name, settings.log_level)
+
+
+if __name__ == "__main__":
+    main()
--- a/coltsfootfront/agent.py
+++ b/coltsfootfront/agent.py
@@ -17,7 +17,7 @@
 from coltsfootfront.claims import MAX_OUTCOME_BYTES, Claims
 from coltsfootfront.clock import Clock, SystemClock
 from coltsfootfront.connection import Connection, Identity, Listener
-from coltsfootfront.document import KIND_ENGINE, KIND_SERVICE
+from coltsfootfront.document import KIND_ENGINE, KIND_KEPT_CACHE, KIND_SERVICE
 from coltsfootfront.drain import Drain
 from coltsfootfront.engine import Engine
 from coltsfootfront.errors import ErrorKind, Failure, RunState
@@ -688,7 +688,8 @@
             return
         if self.gate.kind == KIND_ENGINE:
             self._spawn(self._start_engine())
-        elif self.gate.kind == KIND_SERVICE:
+        elif self.gate.kind in (KIND_SERVICE, KIND_KEPT_CACHE):
+            # A kept cache has a health check like a plain service; no terms cover calls to it.
             self._spawn(self._start_service())
 
     async def _start_engine(self) -> None:
--- a/coltsfootfront_dev/keptcache.py
+++ b/coltsfootfront_dev/keptcache.py
@@ -59,6 +59,7 @@
 
     def routes(self) -> list[web.RouteDef]:
         return [
+            web.get("/healthz", self._handle_health),
             web.put("/kept/{salt}/{key}", self._handle_put),
             web.get("/kept/{salt}/{key}", self._handle_get),
         ]
@@ -67,6 +68,9 @@
         self._kept.clear()
         self._kept_bytes = 0
 
+    async def _handle_health(self, request: web.Request) -> web.Response:
+        return web.Response()
+
     async def _handle_put(self, request: web.Request) -> web.Response:
         data = await request.read()
         await self._suffer()
