--- a/coltsfootfront/router.py
+++ b/coltsfootfront/router.py
@@ -12,6 +12,7 @@
 
 from coltsfootfront import __version__
 from coltsfootfront.attempt import AttemptLimits
+from coltsfootfront.baselines import make_baseline
 from coltsfootfront.breaker import Breaker
 from coltsfootfront.channel import Channel, ChannelPool
 from coltsfootfront.clock import Clock, SystemClock
@@ -339,6 +340,9 @@
 
 
 def _build_policy(settings: RouterSettings, clock: Clock, generator: random.Random) -> Policy:
+    baseline = make_baseline(settings.policy)
+    if baseline is not None:
+        return baseline
     return DepthPolicy(settings.probe_count, clock, generator)
 
 
