Add a checking caller and a forwarder that cuts connections

Cause: tests of failures between processes need one caller that checks an answer to its last byte, and a way to cut or hold any connection.

Ruled out: firewall rules or namespaces, which need rights that a developer's machine may not give.

Conclusion: process-level tests can start from this.

--- /dev/null
+++ b/coltsfootfront_dev/caller.py
@@ -0,0 +1,224 @@
+"""A caller of the system that checks every answer from outside."""
+
+import hashlib
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from coltsfootfront import blocks
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.text import expected_text
+
+TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError)
+
+
+@dataclass(frozen=True, slots=True)
+class ModelCall:
+    """One model request and where it goes.
+
+    :param versions: weights versions that the customer's terms allow.
+    """
+
+    router: str
+    customer: str
+    model: str
+    versions: frozenset[str]
+    chat: bool
+    stream: bool
+    prompt: str
+    max_tokens: int
+
+    def body(self) -> dict[str, Any]:
+        """JSON body of the request."""
+        body: dict[str, Any] = {"model": self.model, "max_tokens": self.max_tokens}
+        if self.chat:
+            body["messages"] = [{"role": "user", "content": self.prompt}]
+        else:
+            body["prompt"] = self.prompt
+        if self.stream:
+            body["stream"] = True
+            body["stream_options"] = {"include_usage": True}
+        return body
+
+    def right_answers(self) -> set[str]:
+        """Answer of each allowed version."""
+        model, _, adapter = self.model.partition(":")
+        prompt = blocks.prompt_bytes(self.body(), self.chat)
+        return {
+            "".join(expected_text(prompt, model, adapter, version, self.max_tokens))
+            for version in self.versions
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a caller got.
+
+    :param status: HTTP status, 0 when the connection failed.
+    :param fault: what was wrong with the answer, empty when it was complete and right.
+    :param run: run state out of an error answer, or an empty string.
+    :param kind: error kind out of an error answer, or an empty string.
+    :param retry_after: value of ``Retry-After``, or an empty string.
+    :param value: JSON value of the answer, if it was one.
+    """
+
+    status: int
+    fault: str = ""
+    run: str = ""
+    kind: str = ""
+    retry_after: str = ""
+    value: Any = None
+
+    @property
+    def is_right(self) -> bool:
+        """Whether the whole right answer arrived."""
+        return self.status == 200 and not self.fault
+
+
+class Caller:
+    """Sends requests to a fleet.
+
+    :param fleet: a running fleet.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._document = fleet.typed_document()
+
+    def model_call(
+        self,
+        router: str,
+        customer: str,
+        model: str,
+        prompt: str,
+        max_tokens: int,
+        stream: bool = True,
+        chat: bool = False,
+    ) -> ModelCall:
+        """Describe one model request.
+
+        :param router: name of the router.
+        """
+        name, _, adapter = model.partition(":")
+        grants = self._document.model_grants(customer, name, adapter)
+        versions = frozenset(grant.version for grant in grants)
+        address = self._fleet.processes[router].address
+        return ModelCall(address, customer, model, versions, chat, stream, prompt, max_tokens)
+
+    async def complete(self, call: ModelCall) -> Reply:
+        """Send a model request and check the answer to its last byte."""
+        path = "/v1/chat/completions" if call.chat else "/v1/completions"
+        try:
+            async with self._fleet.session.post(
+                f"http://{call.router}{path}", json=call.body(), headers=self.headers(call.customer)
+            ) as response:
+                if response.status != 200:
+                    return await _refusal(response)
+                if call.stream:
+                    return Reply(200, await check_stream(response, call))
+                return Reply(200, check_whole(await response.json(), call))
+        except TRANSPORT_ERRORS as error:
+            return Reply(0, repr(error))
+
+    async def call_service(
+        self,
+        router: str,
+        customer: str,
+        service: str,
+        path: str,
+        body: bytes = b"",
+        key: str = "",
+        method: str = "POST",
+    ) -> Reply:
+        """Call a plain service.
+
+        :param router: name of the router.
+        :param key: idempotency key, or an empty string.
+        """
+        headers = self.headers(customer)
+        if key:
+            headers["Idempotency-Key"] = key
+        address = self._fleet.processes[router].address
+        url = f"http://{address}/services/{service}/{path}"
+        try:
+            async with self._fleet.session.request(
+                method, url, data=body or None, headers=headers
+            ) as response:
+                if response.status != 200:
+                    return await _refusal(response)
+                return Reply(200, value=json.loads(await response.read()))
+        except TRANSPORT_ERRORS as error:
+            return Reply(0, repr(error))
+
+    async def executions(self, service: str, body: bytes) -> int:
+        """Count how often all servers of a plain service executed a body."""
+        total = 0
+        digest = hashlib.sha256(body).hexdigest()
+        for name, target in self._document.targets.items():
+            if target.service != service:
+                continue
+            address = self._fleet.stand_in_of(name).address
+            url = f"http://{address}/control/executions"
+            async with self._fleet.session.get(url) as response:
+                rows = await response.json()
+            total += sum(row["body_sha256"] == digest for row in rows)
+        return total
+
+    def headers(self, customer: str) -> dict[str, str]:
+        """Authorization of a customer."""
+        return {"Authorization": f"Bearer {self._fleet.api_key(customer)}"}
+
+
+async def _refusal(response: aiohttp.ClientResponse) -> Reply:
+    value = await response.json(content_type=None)
+    error = value.get("error", {})
+    return Reply(
+        response.status,
+        "refused",
+        error.get("run", ""),
+        error.get("kind", ""),
+        response.headers.get("Retry-After", ""),
+        value,
+    )
+
+
+async def check_stream(response: aiohttp.ClientResponse, call: ModelCall) -> str:
+    """Read a stream to its end mark.
+
+    :returns: what was wrong, or an empty string.
+    """
+    text, tokens, done = "", None, False
+    async for line in response.content:
+        if not line.startswith(b"data: "):
+            continue
+        data = line[6:].strip()
+        if data == b"[DONE]":
+            done = True
+            break
+        value = json.loads(data)
+        if "error" in value:
+            return f"error in the stream: {value}"
+        for choice in value.get("choices", []):
+            text += (choice.get("delta", {}).get("content") or "") if call.chat else choice["text"]
+        tokens = (value.get("usage") or {}).get("completion_tokens", tokens)
+    if not done:
+        return "no end mark"
+    return _compare(text, tokens, call)
+
+
+def check_whole(value: dict[str, Any], call: ModelCall) -> str:
+    """Check an unstreamed answer.
+
+    :returns: what was wrong, or an empty string.
+    """
+    choice = value["choices"][0]
+    text = choice["message"]["content"] if call.chat else choice["text"]
+    return _compare(text, value["usage"]["completion_tokens"], call)
+
+
+def _compare(text: str, tokens: int | None, call: ModelCall) -> str:
+    if text not in call.right_answers():
+        return f"wrong text {text[:60]!r}"
+    return "" if tokens == call.max_tokens else f"{tokens} tokens instead of {call.max_tokens}"
--- a/coltsfootfront_dev/launcher.py
+++ b/coltsfootfront_dev/launcher.py
@@ -24,6 +24,7 @@
 
 from coltsfootfront.document import Document
 from coltsfootfront.entries import split
+from coltsfootfront_dev.forwarder import Forwarder
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
@@ -90,6 +91,7 @@
     :param engine_arguments: further command-line arguments of every engine stand-in.
     :param router_settings: further settings of every router.
     :param agent_settings: further settings of every agent.
+    :param forwarded: puts a :class:`Forwarder` in front of each agent, target and the store.
     """
 
     deployment: str = "agency"
@@ -99,6 +101,7 @@
     router_settings: dict[str, Any] = field(default_factory=dict)
     agent_settings: dict[str, Any] = field(default_factory=dict)
     admin_settings: dict[str, Any] = field(default_factory=dict)
+    forwarded: bool = False
 
 
 class Fleet:
@@ -113,6 +116,8 @@
     def __init__(self, options: FleetOptions | None = None) -> None:
         self.options = options or FleetOptions()
         self.processes: dict[str, FleetProcess] = {}
+        self.forwarders: dict[str, Forwarder] = {}
+        """By the name of the process behind each."""
         self.revision = 0
         self._settings: dict[str, dict[str, Any]] = {}
         self._ports = _free_ports()
@@ -225,6 +230,7 @@
         self._add_platform()
         self._add_stand_ins()
         self._add_programs()
+        await asyncio.gather(*(forwarder.start() for forwarder in self.forwarders.values()))
         stand_ins = [process for process in self.processes.values() if not _is_own(process)]
         for process in stand_ins:
             self._spawn(process)
@@ -242,6 +248,8 @@
         if self._session is not None:
             await self._session.close()
             self._session = None
+        for forwarder in self.forwarders.values():
+            await forwarder.close()
         for process in self.processes.values():
             self._signal_if_running(process, signal.SIGCONT)
             self._signal_if_running(process, signal.SIGTERM)
@@ -449,7 +457,7 @@
             settings = {
                 "target": name,
                 "target_url": self._url(f"standin-{name}"),
-                "peer_address": target["agent_address"],
+                "peer_address": self._behind_forwarder(f"agent-{name}", target["agent_address"]),
                 "data_centre": target["data_centre"],
                 "seed_addresses": seeds,
                 "vm_list_url": self._url("vms"),
@@ -481,6 +489,8 @@
         path.chmod(0o600)
         command = ["-m", f"coltsfootfront.{role}", "--config", str(path)]
         peer = str(settings.get("peer_address", ""))
+        if role == "agent":
+            peer = self.document["targets"][target]["agent_address"]
         self.processes[name] = FleetProcess(name, role, command, address, peer, target)
 
     def _vm_rows(self) -> list[dict[str, str]]:
@@ -515,7 +525,20 @@
         return f"http://{kept[0].address}" if kept else ""
 
     def _url(self, name: str) -> str:
-        return f"http://{self.processes[name].address}"
+        address = self.processes[name].address
+        if self.options.forwarded and (name == "store" or self.processes[name].target):
+            if name not in self.forwarders:
+                self.forwarders[name] = Forwarder(self._free_address(), address)
+            address = self.forwarders[name].address
+        return f"http://{address}"
+
+    def _behind_forwarder(self, name: str, address: str) -> str:
+        """Address on which a process listens whose peers use ``address``."""
+        if not self.options.forwarded:
+            return address
+        listen = self._free_address()
+        self.forwarders[name] = Forwarder(address, listen)
+        return listen
 
     def _free_address(self) -> str:
         return f"127.0.0.1:{next(self._ports)}"
