Prove at-most-once and "not run" on the whole system under faults

The tests start three plain services with their agents, two routers and the store as processes and play 19 cases: kills, restarts, cuts, held connections, SIGSTOP longer than every timeout, store outages and lost answers, alone and two together. The services' own execution count decides.

Ruled out: a simulation of the processes; freezes and kills need real ones.

--- /dev/null
+++ b/coltsfootfront/tests/test_system_once.py
@@ -0,0 +1,333 @@
+"""Process-level tests: a call that must not be repeated runs at most once, and "not run" is true.
+
+The plain-service stand-ins count what they execute; that count is the proof.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from coltsfootfront_dev.caller import Caller, Reply
+from coltsfootfront_dev.launcher import Fleet, FleetOptions
+
+SERVICE = "trials-registry"
+CUSTOMER = "sleep-panel"
+OPTIONS = FleetOptions(
+    target_kinds=("service",),
+    forwarded=True,
+    router_settings={"request_timeout_s": 3.0, "accept_timeout_s": 0.5},
+)
+# Longer than every timeout between the moment a router sends a call and gives it up: request
+# timeout, margin after the deadline, accept timeout and the wait for the answer to a cancel.
+FREEZE_S = 7.0
+
+
+class Scene:
+    """One case: its fleet, its body and what its calls were answered."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet = fleet
+        self.caller = Caller(fleet)
+        self.body = name.encode()
+        self.key = f"key of {name}"
+        self.replies: list[Reply] = []
+
+    @property
+    def agents(self) -> list[str]:
+        """Names of the agents of the service."""
+        return [process.name for process in self.fleet.agents]
+
+    @property
+    def servers(self) -> list[str]:
+        """Names of the servers of the service."""
+        return [process.name for process in self.fleet.of_role("service-standin")]
+
+    async def call(self, router: str, key: bool = True) -> Reply:
+        """File once through a router."""
+        reply = await self.caller.call_service(
+            router, CUSTOMER, SERVICE, "filings", self.body, self.key if key else ""
+        )
+        self.replies.append(reply)
+        return reply
+
+    async def executions(self) -> int:
+        """How often the filing was executed."""
+        return await self.caller.executions(SERVICE, self.body)
+
+    async def fault(self, **values: object) -> None:
+        """Switch a fault of every server."""
+        for name in self.servers:
+            await self.fleet.control(name, dict(values))
+
+    async def started(self) -> None:
+        """Wait until a server has executed the filing."""
+        for _ in range(400):
+            if await self.executions():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("the filing was not executed")
+
+
+Play = Callable[[Scene], Awaitable[None]]
+
+
+async def _repeat(scene: Scene) -> None:
+    for router in ("router-1", "router-2", "router-1"):
+        await scene.call(router)
+
+
+async def _repeat_at_the_same_time(scene: Scene) -> None:
+    await scene.fault(delay_after_s=0.2)
+    await asyncio.gather(*(scene.call(f"router-{n % 2 + 1}") for n in range(12)))
+    await scene.fault(delay_after_s=0.0)
+
+
+async def _restart_agents(scene: Scene) -> None:
+    await scene.call("router-1")
+    await asyncio.gather(*(scene.fleet.restart(name) for name in scene.agents))
+    await scene.call("router-2")
+
+
+async def _kill_agents_while_it_runs(scene: Scene) -> None:
+    await scene.fault(delay_after_s=1.0)
+    first = asyncio.create_task(scene.call("router-1"))
+    await scene.started()
+    await asyncio.gather(*(scene.fleet.restart(name) for name in scene.agents))
+    await scene.fault(delay_after_s=0.0)
+    await first
+    await scene.call("router-2")
+
+
+async def _kill_router_while_it_runs(scene: Scene) -> None:
+    await scene.fault(delay_after_s=0.5)
+    first = asyncio.create_task(scene.call("router-1"))
+    await scene.started()
+    await scene.fleet.restart("router-1")
+    await first
+    await asyncio.sleep(0.6)
+    await scene.fault(delay_after_s=0.0)
+    await scene.call("router-1")
+
+
+async def _lose_store_answers(scene: Scene) -> None:
+    await scene.fleet.control("store", {"lose_answers": 1})
+    await scene.call("router-1")
+    await scene.call("router-2")
+
+
+async def _lose_more_store_answers(scene: Scene) -> None:
+    await scene.fleet.control("store", {"lose_answers": 3})
+    await scene.call("router-1")
+    await scene.fleet.control("store", {"lose_answers": 0})
+    await scene.call("router-2")
+
+
+async def _store_outage_before(scene: Scene) -> None:
+    await scene.fleet.control("store", {"outage": True})
+    await scene.call("router-1")
+    await scene.call("router-2")
+    await scene.fleet.control("store", {"outage": False})
+    await scene.call("router-2")
+
+
+async def _store_outage_while_it_runs(scene: Scene) -> None:
+    await scene.fault(delay_after_s=0.5)
+    first = asyncio.create_task(scene.call("router-1"))
+    await scene.started()
+    await scene.fleet.control("store", {"outage": True})
+    await first
+    await scene.call("router-2")
+    await scene.fault(delay_after_s=0.0)
+    await scene.fleet.control("store", {"outage": False})
+    await scene.call("router-2")
+
+
+async def _store_outage_and_agent_restart(scene: Scene) -> None:
+    await scene.fault(delay_after_s=0.5)
+    first = asyncio.create_task(scene.call("router-1"))
+    await scene.started()
+    await scene.fleet.control("store", {"outage": True})
+    await asyncio.gather(*(scene.fleet.restart(name, wait=False) for name in scene.agents))
+    await first
+    await scene.fleet.control("store", {"outage": False})
+    await scene.fault(delay_after_s=0.0)
+    await scene.fleet.wait_ready()
+    await scene.call("router-2")
+
+
+async def _server_cuts_before(scene: Scene) -> None:
+    await scene.fault(cut_before=1)
+    await scene.call("router-1")
+    await scene.fault(cut_before=0)
+    await scene.call("router-2")
+
+
+async def _server_cuts_after(scene: Scene) -> None:
+    await scene.fault(cut_after=1)
+    await scene.call("router-1")
+    await scene.fault(cut_after=0)
+    await scene.call("router-2")
+
+
+async def _server_cuts_within_the_answer(scene: Scene) -> None:
+    await scene.fault(cut_body=1)
+    await scene.call("router-1")
+    await scene.fault(cut_body=0)
+    await scene.call("router-2")
+
+
+async def _cut_between_router_and_agent(scene: Scene) -> None:
+    await scene.fault(delay_after_s=0.5)
+    first = asyncio.create_task(scene.call("router-1"))
+    await scene.started()
+    for name in scene.agents:
+        scene.fleet.forwarders[name].cut()
+    await first
+    await scene.fault(delay_after_s=0.0)
+    await scene.call("router-2")
+
+
+async def _hold_between_router_and_agent(scene: Scene) -> None:
+    forwarders = [scene.fleet.forwarders[name] for name in scene.agents]
+    for forwarder in forwarders:
+        forwarder.hold()
+    await scene.call("router-1")
+    for forwarder in forwarders:
+        forwarder.release()
+    await asyncio.sleep(0.5)
+    await scene.call("router-2")
+
+
+async def _freeze_agents(scene: Scene) -> None:
+    for name in scene.agents:
+        scene.fleet.pause(name)
+    first = asyncio.create_task(scene.call("router-1"))
+    await asyncio.sleep(FREEZE_S)
+    for name in scene.agents:
+        scene.fleet.resume(name)
+    await first
+    await asyncio.sleep(0.5)
+    await scene.call("router-2")
+
+
+async def _freeze_agents_while_they_claim(scene: Scene) -> None:
+    await scene.fleet.control("store", {"delay_s": 0.3})
+    first = asyncio.create_task(scene.call("router-1"))
+    await asyncio.sleep(0.2)
+    for name in scene.agents:
+        scene.fleet.pause(name)
+    await scene.fleet.control("store", {"delay_s": 0.0})
+    await asyncio.sleep(FREEZE_S)
+    for name in scene.agents:
+        scene.fleet.resume(name)
+    await first
+    await asyncio.sleep(0.5)
+    await scene.call("router-2")
+
+
+async def _freeze_servers(scene: Scene) -> None:
+    for name in scene.servers:
+        scene.fleet.pause(name)
+    first = asyncio.create_task(scene.call("router-1"))
+    await asyncio.sleep(FREEZE_S)
+    for name in scene.servers:
+        scene.fleet.resume(name)
+    await first
+    await scene.call("router-2")
+
+
+async def _freeze_router(scene: Scene) -> None:
+    await scene.fault(delay_after_s=0.3)
+    first = asyncio.create_task(scene.call("router-1"))
+    await scene.started()
+    scene.fleet.pause("router-1")
+    await asyncio.sleep(FREEZE_S)
+    scene.fleet.resume("router-1")
+    await first
+    await scene.fault(delay_after_s=0.0)
+    await scene.call("router-2")
+
+
+PLAYS: dict[str, Play] = {
+    "repeats through both routers": _repeat,
+    "repeats at the same time": _repeat_at_the_same_time,
+    "agents restarted between": _restart_agents,
+    "agents killed while it runs": _kill_agents_while_it_runs,
+    "router killed while it runs": _kill_router_while_it_runs,
+    "answer to the claim lost": _lose_store_answers,
+    "several answers of the store lost": _lose_more_store_answers,
+    "store outage before": _store_outage_before,
+    "store outage while it runs": _store_outage_while_it_runs,
+    "store outage and agents restarted": _store_outage_and_agent_restart,
+    "server cuts before executing": _server_cuts_before,
+    "server cuts after executing": _server_cuts_after,
+    "server cuts within the answer": _server_cuts_within_the_answer,
+    "connection to the agent cut": _cut_between_router_and_agent,
+    "connection to the agent held": _hold_between_router_and_agent,
+}
+
+FREEZES: dict[str, Play] = {
+    "agents frozen before": _freeze_agents,
+    "agents frozen while they claim": _freeze_agents_while_they_claim,
+    "servers frozen": _freeze_servers,
+    "router frozen": _freeze_router,
+}
+
+
+class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
+    """Each case repeats one filing with the same idempotency key around a fault."""
+
+    async def _play(self, plays: dict[str, Play]) -> None:
+        async with Fleet(OPTIONS) as fleet:
+            for name, play in plays.items():
+                with self.subTest(name):
+                    scene = Scene(fleet, name)
+                    await play(scene)
+                    await self._check(scene)
+
+    async def _check(self, scene: Scene) -> None:
+        count = await scene.executions()
+        shown = f"{count} executions, replies {scene.replies}"
+        self.assertLessEqual(count, 1, shown)
+        last = scene.replies[-1]
+        if last.is_right:
+            self.assertEqual(1, count, shown)
+        else:
+            # After the fault is over only an unknown first run may keep a repeat from running.
+            self.assertIn(last.run, ("unknown", "completed"), shown)
+        for reply in scene.replies:
+            self.assertNotEqual(500, reply.status, shown)
+        if scene.replies and all(reply.run == "not_run" for reply in scene.replies):
+            self.assertEqual(0, count, shown)
+
+    async def test_repeats_run_at_most_once(self) -> None:
+        """Guards against a filed result or a paid reservation that runs twice."""
+        await self._play(PLAYS)
+
+    async def test_repeats_run_at_most_once_after_freezes(self) -> None:
+        """Guards against a thawed process that runs what was already answered or repeated."""
+        await self._play(FREEZES)
+
+
+class NotRunTest(unittest.IsolatedAsyncioTestCase):
+    """Each case sends one call without an idempotency key into a fault."""
+
+    async def test_not_run_is_true(self) -> None:
+        """Guards against a refusal that says "not run" for a call that runs, even later."""
+        async with Fleet(OPTIONS) as fleet:
+            for name, play in {**PLAYS, **FREEZES}.items():
+                with self.subTest(name):
+                    scene = Scene(fleet, f"unkeyed {name}")
+                    scene.key = ""
+                    await play(scene)
+                    await asyncio.sleep(0.5)
+                    count = await scene.executions()
+                    shown = f"{count} executions, replies {scene.replies}"
+                    may_have_run = [reply for reply in scene.replies if reply.run != "not_run"]
+                    right = [reply for reply in scene.replies if reply.is_right]
+                    self.assertLessEqual(count, len(may_have_run), shown)
+                    self.assertGreaterEqual(count, len(right), shown)
+
+
+if __name__ == "__main__":
+    unittest.main()
