Remove old revisions from the store and bound the API's connections

The API had no limit on connections or on the time for a request head.

The record that is 2,000 revisions old is removed after each accepted change, together with the chunks that its successor no longer has and that were not written again later. The conditions are part of the transaction, so a writer that needs a chunk again makes the removal fail.

The API now runs on the router's HTTP server with its limits. A failed read of the store is not repeated by every request within a second. The watcher uses the shared rendezvous hash, operators the shared key hash.

Ruled out: removal in the transaction that moves the head, since a refused removal would look like a lost race.

--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/admin.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import asdict, dataclass
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, cast
 
 import cappa
 import logbook
@@ -24,6 +24,7 @@
 from coltsfootfront.entries import Entries, canonical, digest, join, split
 from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
 from coltsfootfront.etcd import EtcdStore
+from coltsfootfront.httpserver import CallerServer
 from coltsfootfront.logs import event
 from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
 from coltsfootfront.operators import Authenticated, authenticate
@@ -39,6 +40,8 @@
 BODY_TIMEOUT_S = 10.0
 REQUEST_TIMEOUT_S = 60.0
 SHUTDOWN_TIMEOUT_S = 30.0
+MAX_CONNECTIONS = 256
+MAX_HEADER_BYTES = 8192
 # Requests in progress; each may hold a body of max_body_bytes.
 MAX_REQUESTS = 16
 # The document used to authenticate is read again after this time, so that a flood of unknown
@@ -72,7 +75,7 @@
     :param body: decoded JSON object, empty for ``GET``.
     """
 
-    request: web.Request
+    request: web.BaseRequest
     operator: Authenticated
     body: Json
 
@@ -105,16 +108,6 @@
     return web.json_response({"error": error}, status=failure.answer.status, headers=headers)
 
 
-def _failure_of_status(error: web.HTTPException) -> Failure:
-    kinds = {
-        404: ErrorKind.NOT_FOUND,
-        405: ErrorKind.METHOD_NOT_ALLOWED,
-        413: ErrorKind.BODY_TOO_LARGE,
-    }
-    kind = kinds.get(error.status, ErrorKind.BAD_REQUEST)
-    return Failure(kind, error.reason)
-
-
 class Admin(runtime.Program):
     """The administration API.
 
@@ -148,11 +141,12 @@
         )
         self._supervisor = Supervisor("admin", clock)
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
         self._refreshing = asyncio.Lock()
         self._refreshed_s: float | None = None
         self._requests = 0
-        self._draining = False
+        self._is_draining = False
+        self._routes = self._build_routes()
         self.address = ""
 
     async def start(self) -> None:
@@ -161,9 +155,10 @@
         await self._spread.start()
         self._supervisor.add("idle_channels", self._close_idle_channels)
         await self._supervisor.start()
-        self._runner = web.AppRunner(
-            self._application(), access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        server = CallerServer(
+            self._serve, MAX_CONNECTIONS, MAX_HEADER_BYTES, self._settings.max_body_bytes
         )
+        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = self._settings.http_address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
@@ -173,7 +168,7 @@
 
     async def drain(self) -> None:
         """Report not ready and give the load balancer time to notice."""
-        self._draining = True
+        self._is_draining = True
         await self._clock.sleep(self._settings.drain_wait_s)
 
     async def close(self) -> None:
@@ -203,43 +198,29 @@
             await self._clock.sleep(IDLE_CHECK_S)
             await self._pool.close_idle()
 
-    def _application(self) -> web.Application:
-        app = web.Application(
-            client_max_size=self._settings.max_body_bytes, middlewares=[self._guard]
-        )
-        routes: list[tuple[str, str, Handler]] = [
-            ("GET", "/v1/schema", self._get_schema),
-            ("GET", "/v1/document", self._get_document),
-            ("POST", "/v1/validate", self._validate),
-            ("POST", "/v1/diff", self._diff),
-            ("POST", "/v1/apply", self._apply),
-            ("GET", "/v1/history", self._history),
-            ("POST", "/v1/rollback", self._rollback),
-            ("GET", "/v1/status", self._status),
-            ("POST", "/v1/drain", self._drain_target),
-            ("POST", "/v1/explain", self._explain),
-        ]
-        for method, path, handler in routes:
-            app.router.add_route(method, path, self._authenticated(handler))
-        app.router.add_get("/healthz", self._healthz)
-        app.router.add_get("/readyz", self._readyz)
-        app.router.add_get("/metrics", metrics.handle_metrics)
-        return app
-
-    @web.middleware
-    async def _guard(
-        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
-    ) -> web.StreamResponse:
+    def _build_routes(self) -> dict[str, dict[str, Handler]]:
+        return {
+            "/v1/schema": {"GET": self._get_schema},
+            "/v1/document": {"GET": self._get_document},
+            "/v1/validate": {"POST": self._validate},
+            "/v1/diff": {"POST": self._diff},
+            "/v1/apply": {"POST": self._apply},
+            "/v1/history": {"GET": self._history},
+            "/v1/rollback": {"POST": self._rollback},
+            "/v1/status": {"GET": self._status},
+            "/v1/drain": {"POST": self._drain_target},
+            "/v1/explain": {"POST": self._explain},
+        }
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = secrets.token_hex(8)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                return await handler(request)
+                return await self._dispatch(request)
         except ApiError as error:
             return _error_response(error.failure, request_id, error.details)
         except FailureError as error:
             return _error_response(error.failure, request_id, {})
-        except web.HTTPException as error:
-            return _error_response(_failure_of_status(error), request_id, {})
         except TimeoutError:
             message = f"not finished within {REQUEST_TIMEOUT_S:.0f} s"
             failure = Failure(ErrorKind.DEADLINE_EXCEEDED, message, RunState.UNKNOWN)
@@ -249,26 +230,39 @@
             failure = Failure(ErrorKind.INTERNAL, "internal error", RunState.UNKNOWN)
             return _error_response(failure, request_id, {})
 
-    def _authenticated(
-        self, handler: Handler
-    ) -> Callable[[web.Request], Coroutine[Any, Any, web.Response]]:
-        async def serve(request: web.Request) -> web.Response:
-            if self._requests >= MAX_REQUESTS:
-                raise ApiError(Failure(ErrorKind.OVERLOADED, "too many requests in progress"))
-            self._requests += 1
-            try:
-                operator = await self._find_operator(request)
-                body = await _read_body(request) if request.method == "POST" else {}
-                return web.json_response(await handler(Call(request, operator, body)))
-            finally:
-                self._requests -= 1
-
-        return serve
+    async def _dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/healthz":
+            return web.json_response({"ok": True})
+        if request.path == "/readyz":
+            ready = not self._is_draining
+            return web.json_response({"ready": ready}, status=200 if ready else 503)
+        if request.path == "/metrics":
+            return await metrics.handle_metrics(cast(web.Request, request))
+        methods = self._routes.get(request.path)
+        if methods is None:
+            raise ApiError(Failure(ErrorKind.NOT_FOUND, "no such path"))
+        handler = methods.get(request.method)
+        if handler is None:
+            message = f"allowed: {', '.join(methods)}"
+            raise ApiError(Failure(ErrorKind.METHOD_NOT_ALLOWED, message))
+        return await self._call(request, handler)
+
+    async def _call(self, request: web.BaseRequest, handler: Handler) -> web.StreamResponse:
+        if self._requests >= MAX_REQUESTS:
+            raise ApiError(Failure(ErrorKind.OVERLOADED, "too many requests in progress"))
+        self._requests += 1
+        try:
+            operator = await self._find_operator(request)
+            body = await _read_body(request) if request.method == "POST" else {}
+            return web.json_response(await handler(Call(request, operator, body)))
+        finally:
+            self._requests -= 1
 
-    async def _find_operator(self, request: web.Request) -> Authenticated:
+    async def _find_operator(self, request: web.BaseRequest) -> Authenticated:
         now_s = self._clock.monotonic_s()
         last_s = self._refreshed_s
-        if last_s is None or now_s - last_s > AUTHENTICATION_CACHE_S:
+        expired = last_s is None or now_s - last_s > AUTHENTICATION_CACHE_S
+        if expired or self._revision.number == 0:
             result = await self._refresh()
             # Without any document it is not known whether the bootstrap key still counts.
             if not isinstance(result, Success) and self._revision.number == 0:
@@ -285,6 +279,8 @@
     async def _refresh(self) -> Result[Head, Failure]:
         """Bring the document in force up to the store's head."""
         async with self._refreshing:
+            # Also set when the store fails, so that it is not waited for with every request.
+            self._refreshed_s = self._clock.monotonic_s()
             result = await self._publisher.read_head()
             if not isinstance(result, Success):
                 return result
@@ -294,7 +290,6 @@
                 if not isinstance(entries, Success):
                     return entries.map(lambda _: head)
                 self._revision.adopt(head.revision, entries.unwrap(), head.record.digest)
-            self._refreshed_s = self._clock.monotonic_s()
             return result
 
     async def _refresh_if_possible(self) -> None:
@@ -302,13 +297,6 @@
         if not isinstance(result, Success) and self._revision.number == 0:
             raise ApiError(result.failure())
 
-    async def _healthz(self, request: web.Request) -> web.Response:
-        return web.json_response({"ok": True})
-
-    async def _readyz(self, request: web.Request) -> web.Response:
-        ready = not self._draining
-        return web.json_response({"ready": ready}, status=200 if ready else 503)
-
     async def _get_schema(self, call: Call) -> Json:
         return schema.SCHEMA
 
@@ -409,6 +397,7 @@
         base = self._revision.number
         if self._revision.adopt(record.revision, published.entries, record.digest):
             self._spawn(self._tell_seeds(base))
+            self._spawn(self._prune(record.revision))
         log.info(event("change_applied", revision=record.revision, operator=call.operator.name))
         return {
             "revision": record.revision,
@@ -420,6 +409,11 @@
         seeds = self._settings.seed_addresses
         await asyncio.gather(*(self._spread.send_delta(address, base) for address in seeds))
 
+    async def _prune(self, newest: int) -> None:
+        result = await self._publisher.prune(newest)
+        if not isinstance(result, Success):
+            log.warning(event("prune_failed", revision=newest, reason=result.failure().message))
+
     def _spawn(self, body: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(body)
         self._tasks.add(task)
@@ -472,10 +466,13 @@
     return None if value is None else json.loads(value)
 
 
-async def _read_body(request: web.Request) -> Json:
+async def _read_body(request: web.BaseRequest) -> Json:
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
             data = await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        message = "body exceeds max_body_bytes of the settings"
+        raise ApiError(Failure(ErrorKind.BODY_TOO_LARGE, message)) from error
     except TimeoutError as error:
         raise _bad_request(f"body was not received within {BODY_TIMEOUT_S:.0f} s") from error
     try:
--- a/coltsfootfront/operators.py
+++ b/coltsfootfront/operators.py
@@ -1,12 +1,12 @@
 """Authentication of operators by bearer key."""
 
-import hashlib
 import hmac
 from dataclasses import dataclass
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from coltsfootfront.authentication import hash_key
 from coltsfootfront.document import Document
 from coltsfootfront.errors import ErrorKind, Failure
 
@@ -26,11 +26,6 @@
     may_apply: bool
 
 
-def hash_key(key: str) -> str:
-    """SHA-256 of a key in hexadecimal, as stored in the document."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def authenticate(
     authorization: str, document: Document, bootstrap_key_hash: str
 ) -> Result[Authenticated, Failure]:
--- a/coltsfootfront/publisher.py
+++ b/coltsfootfront/publisher.py
@@ -42,6 +42,9 @@
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
 CHUNK_ATTEMPTS = 4
+# Revisions that can be rolled back to; a day at full size has 1,900 changes. Without a limit
+# records and chunks would fill the store by some 25 MB a day.
+KEPT_REVISIONS = 2000
 # Records returned by the history; reading it costs one call for each.
 MAX_HISTORY = 100
 
@@ -327,6 +330,40 @@
         )
         return await self._commit(record, entries, head, change)
 
+    async def prune(self, newest: int) -> Result[None, Failure]:
+        """Remove the record that is too old when a revision was accepted, and its own chunks.
+
+        A chunk that a later revision uses again was written again for it, and then is newer
+        than the record that follows the removed one.
+
+        :param newest: number of the accepted revision.
+        """
+        oldest = newest - KEPT_REVISIONS
+        if oldest < 1:
+            return Success(None)
+        old = await self._store.get(record_key(oldest))
+        following = await self._store.get(record_key(oldest + 1))
+        if not isinstance(old, Success) or not isinstance(following, Success):
+            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE, "old records cannot be read"))
+        old_record, next_record = old.unwrap(), following.unwrap()
+        if old_record is None or next_record is None:
+            return Success(None)
+        kept = Record.decode(next_record.value).chunks
+        transaction = Transaction(deletes=[old_record.key])
+        for name in Record.decode(old_record.value).chunks:
+            if name not in kept:
+                await self._add_removal(transaction, name, next_record.mod_revision)
+        result = await self._store.commit(transaction)
+        return result.map(lambda _: None)
+
+    async def _add_removal(self, transaction: Transaction, name: str, before: int) -> None:
+        result = await self._store.get(BLOB_PREFIX + name)
+        found = result.value_or(None)
+        if found is not None and found.mod_revision < before:
+            # A writer that needs the chunk again meanwhile makes this condition fail.
+            transaction.compares.append(Compare(found.key, found.mod_revision))
+            transaction.deletes.append(found.key)
+
     async def _commit(
         self, record: Record, entries: Entries, head: Head, change: Change
     ) -> Result[Published, Rejection]:
@@ -423,8 +460,8 @@
         return Success(None)
 
     async def _write_chunk(self, name: str, data: bytes) -> Result[None, Failure]:
-        key = BLOB_PREFIX + name
-        transaction = Transaction(compares=[Compare(key, 0)], puts=[Put(key, data)])
+        # Written even if it exists, which protects it from a removal as part of an old revision.
+        transaction = Transaction(puts=[Put(BLOB_PREFIX + name, data)])
         for attempt in range(CHUNK_ATTEMPTS):
             result = await self._store.commit(transaction)
             if isinstance(result, Success):
--- a/coltsfootfront/tests/test_admin.py
+++ b/coltsfootfront/tests/test_admin.py
@@ -8,10 +8,10 @@
 import aiohttp
 
 from coltsfootfront.admin import Admin
+from coltsfootfront.authentication import hash_key
 from coltsfootfront.clock import SystemClock
 from coltsfootfront.connection import Connection
 from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
-from coltsfootfront.operators import hash_key
 from coltsfootfront.settings import AdminSettings
 from coltsfootfront.tests.test_schema import example
 from coltsfootfront.tests.test_spread import Node
--- a/coltsfootfront/tests/test_publisher.py
+++ b/coltsfootfront/tests/test_publisher.py
@@ -5,6 +5,7 @@
 import functools
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -249,6 +250,21 @@
         merged = {key: value for chunk in chunks.values() for key, value in chunk.items()}
         self.assertEqual(entries, merged)
 
+    async def test_old_revisions_are_removed(self) -> None:
+        """Guards against a store that fills up, and against the removal of a chunk in use."""
+        contents = [entries_with(a=number) for number in (1, 2, 3, 1, 4, 2)]
+        with mock.patch("coltsfootfront.publisher.KEPT_REVISIONS", 2):
+            for number, content in enumerate(contents, 1):
+                await self.apply(content, f"op-{number}", number - 1)
+                self.assertEqual(Success(None), await self.publisher.prune(number))
+                for kept in range(max(1, number - 1), number + 1):
+                    found = (await self.publisher.read(kept, {})).unwrap()
+                    self.assertEqual(contents[kept - 1], found.entries)
+        keys = [item.key for item in (await self.store.list_prefix("config/")).unwrap()]
+        self.assertEqual(2, len([key for key in keys if key.startswith("config/revision/")]))
+        # The chunks of revisions 5 and 6, and of none that was removed.
+        self.assertEqual(2, len([key for key in keys if key.startswith("config/blob/")]))
+
     async def test_head_key_is_the_documented_one(self) -> None:
         """Guards against a change of the layout in the store, which two versions share."""
         await self.apply(entries_with(a=1), "op-1", 0)
--- a/coltsfootfront/tests/test_schema.py
+++ b/coltsfootfront/tests/test_schema.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from coltsfootfront import schema
+from coltsfootfront.authentication import hash_key
 from coltsfootfront.document import Document
 from coltsfootfront.entries import split
-from coltsfootfront.operators import hash_key
 from coltsfootfront.settings import (
     AdminSettings,
     AgentSettings,
--- a/coltsfootfront/watcher.py
+++ b/coltsfootfront/watcher.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import hashlib
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
 
@@ -17,6 +16,7 @@
 from coltsfootfront.errors import FailureError
 from coltsfootfront.logs import event
 from coltsfootfront.publisher import HEAD_KEY, Head, Publisher, decode_head
+from coltsfootfront.rendezvous import rank
 from coltsfootfront.revision import Revision
 from coltsfootfront.store import Store, WatchEvent
 from coltsfootfront.supervisor import Supervisor
@@ -36,11 +36,7 @@
 
 def watchers_of(data_centre: str, routers: Iterable[str]) -> list[str]:
     """Routers of a data centre that hold the watch, by rendezvous hash."""
-
-    def score(name: str) -> bytes:
-        return hashlib.sha256(f"{data_centre}/{name}".encode()).digest()
-
-    return sorted(set(routers), key=score, reverse=True)[:WATCHERS_PER_DATA_CENTRE]
+    return rank(data_centre.encode(), set(routers), WATCHERS_PER_DATA_CENTRE)
 
 
 class Watcher:
