Report faults of a document in a fixed order, and settle a start at once

A process that re-checks its revision after a pause waited for the whole limit when the peers that answered had no configuration yet. Peers seen ahead while a start was in progress were not pulled from until their next message.

The command can also be run as a module.

--- a/coltsfootfront/cli.py
+++ b/coltsfootfront/cli.py
@@ -389,3 +389,7 @@
         print(error, file=sys.stderr)
         sys.exit(error.exit_code)
     print("\n".join(lines))
+
+
+if __name__ == "__main__":
+    main()
--- a/coltsfootfront/schema.py
+++ b/coltsfootfront/schema.py
@@ -3,6 +3,7 @@
 Each fault names section, entry, key, value and what is allowed.
 """
 
+import itertools
 import json
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -20,6 +21,8 @@
 # The packed document travels in one frame of at most 4 MiB.
 MAX_PACKED_BYTES = 3 * 1024 * 1024
 MAX_FAULTS = 20
+# Faults collected before they are sorted and cut; bounds the work for a useless document.
+MAX_COLLECTED = 1000
 MAX_SHOWN_CHARACTERS = 80
 
 # ``$`` alone also matches before a final line break in Python's regular expressions.
@@ -206,18 +209,12 @@
     :param document: decoded JSON.
     :returns: faults, at most ``MAX_FAULTS``; empty for a valid document.
     """
-    faults: list[Fault] = []
-    for error in _VALIDATOR.iter_errors(document):
-        faults.append(_fault(error))
-        if len(faults) == MAX_FAULTS:
-            return faults
-    if faults:
-        return faults
-    for fault in _cross_check(document):
-        faults.append(fault)
-        if len(faults) == MAX_FAULTS:
-            break
-    return faults
+    errors = itertools.islice(_VALIDATOR.iter_errors(document), MAX_COLLECTED)
+    faults = list(map(_fault, errors))
+    if not faults:
+        faults = list(itertools.islice(_cross_check(document), MAX_COLLECTED))
+    # The library's order differs from run to run.
+    return sorted(faults, key=str)[:MAX_FAULTS]
 
 
 def _shown(value: Any) -> str:
--- a/coltsfootfront/spread.py
+++ b/coltsfootfront/spread.py
@@ -167,6 +167,7 @@
             return False
         finally:
             self._bootstrapping = False
+            self._catch_up()
 
     async def pull_from(self, address: str) -> bool:
         """Pull from one peer, or wait for the pull from it that is outstanding.
@@ -226,6 +227,12 @@
             return None
         return 0 if fits else self._revision.number
 
+    def _catch_up(self) -> None:
+        """Pull from the peer with the highest revision seen if it is still ahead."""
+        address = max(self._seen, key=self._seen.__getitem__, default="")
+        if address and self._seen[address] > self._revision.number:
+            self._pull_soon(address)
+
     def _pull_soon(self, address: str) -> None:
         if address in self._client_pulls or len(self._client_pulls) >= MAX_PULLS:
             return
@@ -298,7 +305,7 @@
         for address in sorted(answered, key=lambda item: self._seen.get(item, 0), reverse=True):
             wanted = self._seen.get(address, 0)
             if wanted == 0:
-                return False
+                return self._revision.number > 0
             if wanted <= self._revision.number or await self.pull_from(address):
                 return True
         return False
