Bound the opening of a watch and read records past an older answer

Cause: a store that accepts a connection and stays silent held a watcher for ever, since the watch has no total limit; the head of the answer now has the limit of any call. A rollback answered not_found for an existing revision while the store returned older values; a record or chunk that seems absent is read again through a transaction. A removal of an old revision that meets a rewritten chunk is repeated, else its record would stay for good. Refused calls of the administration API are logged with request id and kind.

Ruled out: reading chunks through transactions always, since a platform may count them as writes, of which it takes fewer.

--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/admin.py
@@ -95,6 +95,8 @@
 
 def _error_response(failure: Failure, request_id: str, details: Json) -> web.Response:
     metrics.refused(failure.kind.value)
+    reason = failure.message
+    log.info(event("call_refused", request=request_id, kind=failure.kind.value, reason=reason))
     error = {
         "kind": failure.kind.value,
         "message": failure.message,
--- a/coltsfootfront/etcd.py
+++ b/coltsfootfront/etcd.py
@@ -1,5 +1,6 @@
 """Adapter of :class:`Store` to the JSON gateway of the etcd v3 API."""
 
+import asyncio
 import base64
 import json
 import math
@@ -162,21 +163,8 @@
         return result.map(lambda answer: None)
 
     async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
-        body = {
-            "create_request": {
-                "key": _to_base64(prefix.encode()),
-                "range_end": _range_end(prefix),
-            }
-        }
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-        session = self._require_session()
         try:
-            async with session.post(
-                f"{self._address}/v3/watch",
-                json=body,
-                timeout=timeout,
-                read_bufsize=MAX_WATCH_LINE_BYTES,
-            ) as response:
+            async with await self._open_watch(prefix) as response:
                 self._count("watch", "ok" if response.ok else "refused")
                 if not response.ok:
                     raise FailureError(_unavailable(f"watch refused: HTTP {response.status}"))
@@ -187,6 +175,17 @@
             raise FailureError(_unavailable(f"watch ended: {error!r}")) from error
         raise FailureError(_unavailable("watch was closed by the store"))
 
+    async def _open_watch(self, prefix: str) -> aiohttp.ClientResponse:
+        key, end = _to_base64(prefix.encode()), _range_end(prefix)
+        # The limit holds until the head of the answer; the stream itself has none.
+        async with asyncio.timeout(self._timeout_s):
+            return await self._require_session().post(
+                f"{self._address}/v3/watch",
+                json={"create_request": {"key": key, "range_end": end}},
+                timeout=aiohttp.ClientTimeout(total=None),
+                read_bufsize=MAX_WATCH_LINE_BYTES,
+            )
+
     def _require_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             raise FailureError(_unavailable("the store adapter is not started"))
--- a/coltsfootfront/publisher.py
+++ b/coltsfootfront/publisher.py
@@ -45,6 +45,7 @@
 # Revisions that can be rolled back to; a day at full size has 1,900 changes. Without a limit
 # records and chunks would fill the store by some 25 MB a day.
 KEPT_REVISIONS = 2000
+PRUNE_ATTEMPTS = 3
 # Records returned by the history; reading it costs one call for each.
 MAX_HISTORY = 100
 
@@ -341,20 +342,27 @@
         oldest = newest - KEPT_REVISIONS
         if oldest < 1:
             return Success(None)
-        old = await self._store.get(record_key(oldest))
-        following = await self._store.get(record_key(oldest + 1))
-        if not isinstance(old, Success) or not isinstance(following, Success):
-            return Failed(Failure(ErrorKind.STORE_UNAVAILABLE, "old records cannot be read"))
-        old_record, next_record = old.unwrap(), following.unwrap()
-        if old_record is None or next_record is None:
-            return Success(None)
-        kept = Record.decode(next_record.value).chunks
-        transaction = Transaction(deletes=[old_record.key])
-        for name in Record.decode(old_record.value).chunks:
+        for _ in range(PRUNE_ATTEMPTS):
+            result = await self._prune_once(oldest)
+            if not isinstance(result, Success) or result.unwrap():
+                return result.map(lambda _: None)
+        return Success(None)
+
+    async def _prune_once(self, oldest: int) -> Result[bool, Failure]:
+        """Remove one revision; False when a chunk was written again meanwhile."""
+        result = await self._read_newest([record_key(oldest), record_key(oldest + 1)])
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        old = result.unwrap().get(record_key(oldest))
+        following = result.unwrap().get(record_key(oldest + 1))
+        if old is None or following is None:
+            return Success(True)
+        kept = Record.decode(following.value).chunks
+        transaction = Transaction(deletes=[old.key])
+        for name in Record.decode(old.value).chunks:
             if name not in kept:
-                await self._add_removal(transaction, name, next_record.mod_revision)
-        result = await self._store.commit(transaction)
-        return result.map(lambda _: None)
+                await self._add_removal(transaction, name, following.mod_revision)
+        return (await self._store.commit(transaction)).map(lambda outcome: outcome.succeeded)
 
     async def _add_removal(self, transaction: Transaction, name: str, before: int) -> None:
         result = await self._store.get(BLOB_PREFIX + name)
@@ -477,7 +485,7 @@
         return Failed(Failure(ErrorKind.STORE_UNAVAILABLE, message))
 
     async def _read_chunk(self, name: str) -> Result[Entries, Failure]:
-        result = await self._store.get(BLOB_PREFIX + name)
+        result = await self._get(BLOB_PREFIX + name)
         if not isinstance(result, Success):
             return Failed(result.failure())
         found = result.unwrap()
@@ -492,7 +500,7 @@
         return Success(chunk)
 
     async def _read_record(self, revision: int) -> Result[Record | None, Failure]:
-        result = await self._store.get(record_key(revision))
+        result = await self._get(record_key(revision))
         if not isinstance(result, Success):
             return Failed(result.failure())
         found = result.unwrap()
@@ -503,6 +511,15 @@
         except ValueError as error:
             return Failed(_damaged(f"record of revision {revision}: {error}"))
 
+    async def _get(self, key: str) -> Result[KeyValue | None, Failure]:
+        """Read a key that never changes once it exists."""
+        result = await self._store.get(key)
+        if not isinstance(result, Success) or result.unwrap() is not None:
+            return result
+        # The store may have answered with its state before the key was written.
+        newest = await self._read_newest([key])
+        return newest.map(lambda found: found.get(key))
+
     async def _read_newest(self, keys: list[str]) -> Result[dict[str, KeyValue], Failure]:
         transaction = Transaction(
             compares=[Compare(HEAD_KEY, NEVER_REVISION)], read_on_failure=keys
--- a/coltsfootfront/tests/test_admin.py
+++ b/coltsfootfront/tests/test_admin.py
@@ -198,6 +198,9 @@
         self.assertEqual(2, await self.revision())
         status, _ = await self.apply(example(), 1)
         self.assertEqual(409, status)
+        body = {"revision": 1, "expected_revision": 2}
+        status, _ = await self.call("POST", "/v1/rollback", body)
+        self.assertEqual(200, status)
 
     async def test_rollback_and_history(self) -> None:
         """Guards against a rollback that is no new revision."""
--- /dev/null
+++ b/coltsfootfront/tests/test_leaving.py
@@ -0,0 +1,62 @@
+"""Tests of the adapter of the platform's list of VMs."""
+
+import asyncio
+import unittest
+
+from returns.result import Success
+
+from coltsfootfront.errors import ErrorKind
+from coltsfootfront.leaving import HttpVmList, Vm
+from coltsfootfront_dev.vms import VmStandIn
+
+
+def entry(name: str, state: str = "live") -> dict[str, str]:
+    """One entry as the platform sends it."""
+    address = "127.0.0.1:1"
+    return {
+        "name": name,
+        "role": "router",
+        "data_centre": "a",
+        "peer_address": address,
+        "state": state,
+    }
+
+
+class HttpVmListTest(unittest.IsolatedAsyncioTestCase):
+    """The adapter against the stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand_in = VmStandIn()
+        address = await self.stand_in.start("127.0.0.1:0")
+        self.addAsyncCleanup(self.stand_in.close)
+        self.vm_list = HttpVmList(f"http://{address}", 0.5)
+        await self.vm_list.start()
+        self.addAsyncCleanup(self.vm_list.close)
+
+    async def test_list_lags_behind(self) -> None:
+        """Guards against a change that shows before or never after its lag."""
+        self.stand_in.control({"vms": [entry("r-1")], "lag_s": 0})
+        live = Vm("r-1", "router", "a", "127.0.0.1:1", "live")
+        self.assertEqual(Success([live]), await self.vm_list.read())
+        self.stand_in.control({"update": [entry("r-1", "leaving")], "lag_s": 0.2})
+        self.assertEqual(Success([live]), await self.vm_list.read())
+        await asyncio.sleep(0.25)
+        leaving = Vm("r-1", "router", "a", "127.0.0.1:1", "leaving")
+        self.assertEqual(Success([leaving]), await self.vm_list.read())
+
+    async def test_faulty_entries_are_left_out(self) -> None:
+        """Guards against one bad entry that hides all the others."""
+        faulty: list[object] = [{"name": "x"}, {**entry("y"), "state": 3}]
+        self.stand_in.control({"vms": [*faulty, entry("r-1")]})
+        found = (await self.vm_list.read()).unwrap()
+        self.assertEqual(["r-1"], [vm.name for vm in found])
+
+    async def test_unreachable_list_is_a_failure(self) -> None:
+        """Guards against taking an unreachable list for an empty one."""
+        await self.stand_in.close()
+        result = await self.vm_list.read()
+        self.assertEqual(ErrorKind.TARGET_UNREACHABLE, result.failure().kind)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/coltsfootfront/tests/test_store.py
+++ b/coltsfootfront/tests/test_store.py
@@ -176,6 +176,12 @@
         result = await self.store.commit(create("k", b""))
         self.assertEqual(ErrorKind.STORE_UNAVAILABLE, kind_of(result))
 
+    async def test_watch_that_does_not_open_raises(self) -> None:
+        """Guards against a watcher that waits for ever for a store that accepts and is silent."""
+        self.stand_in.control({"delay_s": 5.0})
+        with self.assertRaises(FailureError):
+            await next_event(self.store.watch("w/"))
+
     async def test_closed_watch_raises(self) -> None:
         """Guards against a watcher that waits for ever on a watch that has ended."""
         pending = asyncio.create_task(next_event(self.store.watch("w/")))
