--- a/coltsfootfront_dev/launcher.py
+++ b/coltsfootfront_dev/launcher.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -228,12 +228,12 @@
         stand_ins = [process for process in self.processes.values() if not _is_own(process)]
         for process in stand_ins:
             self._spawn(process)
-        await asyncio.gather(*(self._wait_stand_in(process) for process in stand_ins))
+        await _all(*(self._wait_stand_in(process) for process in stand_ins))
         await self.control("vms", {"vms": self._vm_rows()})
         for process in self.processes.values():
             if _is_own(process):
                 self._spawn(process)
-        await asyncio.gather(*(self.wait_http(admin) for admin in self.of_role("admin")))
+        await _all(*(self.wait_http(admin) for admin in self.of_role("admin")))
         await self.apply(self.document)
         await self.wait_ready()
 
@@ -245,6 +245,7 @@
         for process in self.processes.values():
             self._signal_if_running(process, signal.SIGCONT)
             self._signal_if_running(process, signal.SIGTERM)
+        await asyncio.to_thread(self._wait_all, STOP_GRACE_S)
         self._kill_all()
         atexit.unregister(self._kill_all)
         shutil.rmtree(self.directory, ignore_errors=True)
@@ -252,7 +253,7 @@
     async def wait_ready(self) -> None:
         """Wait until every router and agent is ready and has the newest applied revision."""
         own = [*self.routers, *self.agents]
-        await asyncio.gather(*(self.wait_process_ready(process) for process in own))
+        await _all(*(self.wait_process_ready(process) for process in own))
 
     async def wait_process_ready(
         self, process: FleetProcess, limit_s: float = START_LIMIT_S
@@ -500,12 +501,12 @@
         return rows
 
     def _data_centres(self) -> list[str]:
-        """Data centres with engines, those of the largest region first."""
+        """Data centres with targets, those of the largest region first."""
         regions = self.document["regions"].values()
         used = {target["data_centre"] for target in self.document["targets"].values()}
         ordered = sorted(regions, key=lambda region: -len(region["data_centres"]))
         listed = [name for region in ordered for name in region["data_centres"]]
-        return [name for name in listed if name in used] or sorted(used)
+        return [name for name in listed if name in used] or listed
 
     def _kept_cache_url(self, target: dict[str, Any]) -> str:
         services = self.document["services"]
@@ -569,18 +570,31 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(process.pid, number)
 
+    def _wait_all(self, limit_s: float) -> None:
+        end_s = time.monotonic() + limit_s
+        for process in self.processes.values():
+            if process.popen is not None:
+                with contextlib.suppress(subprocess.TimeoutExpired):
+                    process.popen.wait(max(end_s - time.monotonic(), 0.0))
+
     def _kill_all(self) -> None:
-        end_s = time.monotonic() + STOP_GRACE_S
         for process in self.processes.values():
-            if process.popen is None:
-                continue
-            try:
-                process.popen.wait(max(end_s - time.monotonic(), 0.0))
-            except subprocess.TimeoutExpired:
-                self._signal_if_running(process, signal.SIGKILL)
+            self._signal_if_running(process, signal.SIGKILL)
+        for process in self.processes.values():
+            if process.popen is not None:
                 process.popen.wait()
 
 
+async def _all(*waits: Coroutine[Any, Any, None]) -> None:
+    """Wait for everything; the first failure cancels the others and is raised."""
+    try:
+        async with asyncio.TaskGroup() as group:
+            for wait in waits:
+                group.create_task(wait)
+    except* FleetError as errors:
+        raise errors.exceptions[0] from None
+
+
 def _is_own(process: FleetProcess) -> bool:
     return process.role in ("router", "agent", "admin")
 
