Transfer KV cache through the kept-cache service

Cause: a prefix that one engine has computed was computed again by the next one, although the kept-cache service can hold it.

Ruled out: exporting every prompt (most are asked for once; a prefix is exported after the second request that shares it); importing without comparing costs (a lookup and an import must take at most half of the time that they save, as observed); blocks of customers whom the owner of the kept cache has not admitted by terms, or a kept cache in another region.

Conclusion: shared prefixes move within a region, by salt and under terms.

--- a/coltsfootfront/agent.py
+++ b/coltsfootfront/agent.py
@@ -31,6 +31,7 @@
 from coltsfootfront.fairqueue import FairQueue
 from coltsfootfront.gate import Ask, Gate
 from coltsfootfront.index import CacheIndex
+from coltsfootfront.keptcache import KeptCache
 from coltsfootfront.leases import LoadSlots, TargetLease
 from coltsfootfront.leaving import STATE_LIVE, Vm, VmList
 from coltsfootfront.logs import event
@@ -56,6 +57,7 @@
 from coltsfootfront.store import Store
 from coltsfootfront.streams import Attempt, AttemptKey, Streams
 from coltsfootfront.supervisor import Supervisor
+from coltsfootfront.transfer import Transfer, allowed_customers
 
 log = logbook.Logger(__name__)
 
@@ -100,6 +102,10 @@
     def vm_list(self) -> VmList | None:
         """The platform's list of VMs, if there is one."""
 
+    @abstractmethod
+    def kept_cache(self) -> KeptCache | None:
+        """The kept-cache service, if there is one."""
+
 
 class HttpAdapters(Adapters):
     """Adapters that speak HTTP; each is imported when it is first needed."""
@@ -132,6 +138,14 @@
 
         return HttpVmList(self._settings.vm_list_url, self._settings.store_timeout_s)
 
+    def kept_cache(self) -> KeptCache | None:
+        if not self._settings.kept_cache_url:
+            return None
+        from coltsfootfront.httpkeptcache import HttpKeptCache
+
+        settings = self._settings
+        return HttpKeptCache(settings.kept_cache_url, settings.target_timeout_s, self._clock)
+
 
 class RequestServer:
     """Serves the requests of routers.
@@ -545,6 +559,8 @@
         self._lease: TargetLease | None = None
         self._engine: Engine | None = None
         self._service: PlainService | None = None
+        self._kept_cache: KeptCache | None = None
+        self._transfer: Transfer | None = None
         self._vm_list = adapters.vm_list()
         self._web: web.AppRunner | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -602,12 +618,18 @@
         await self._listener.close()
         if self._web is not None:
             await self._web.cleanup()
-        for adapter in (self._engine, self._service, self._vm_list, self._store):
-            if adapter is not None:
-                await adapter.close()
+        await self._close_adapters()
         self.gate.close()
         self.drain_state.close()
 
+    async def _close_adapters(self) -> None:
+        if self._transfer is not None:
+            await self._transfer.close()
+        adapters = (self._kept_cache, self._engine, self._service, self._vm_list, self._store)
+        for adapter in adapters:
+            if adapter is not None:
+                await adapter.close()
+
     @property
     def is_ready(self) -> bool:
         """Whether the target takes new work."""
@@ -717,7 +739,8 @@
         self._engine = engine = self._adapters.engine()
         await engine.start()
         index = CacheIndex(clock)
-        self.server.backend = EngineBackend(engine, index, clock)
+        self.server.backend = backend = EngineBackend(engine, index, clock)
+        await self._start_transfer(backend, engine)
         self._lease = TargetLease(
             self._store,
             clock,
@@ -742,6 +765,19 @@
         self._target.add("orders", orders.run)
         await self._target.start()
 
+    async def _start_transfer(self, backend: EngineBackend, engine: Engine) -> None:
+        self._kept_cache = kept = self._adapters.kept_cache()
+        if kept is None:
+            return
+        await kept.start()
+        self._transfer = transfer = Transfer(engine, kept, backend.index, self._clock)
+        backend.transfer = transfer
+
+        def adopt(in_force: InForce) -> None:
+            transfer.customers = allowed_customers(in_force.document, self._settings.data_centre)
+
+        self.revision.changes.subscribe(adopt)
+
     async def _start_service(self) -> None:
         if self._service is not None:
             return
--- a/coltsfootfront/execution.py
+++ b/coltsfootfront/execution.py
@@ -24,6 +24,7 @@
 from coltsfootfront.messages import Run
 from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
 from coltsfootfront.streams import Attempt
+from coltsfootfront.transfer import Transfer
 
 log = logbook.Logger(__name__)
 
@@ -53,6 +54,10 @@
     def cost(self, run: Run) -> float:
         """Work of a request relative to others."""
 
+    async def prepare(self, run: Run, grant: Grant) -> None:
+        """Do what makes the request faster, before the last checks."""
+        return None
+
     @abstractmethod
     async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> "Answer":
         """Hand a request to the target and its answer to the attempt's buffer.
@@ -100,10 +105,16 @@
         self._clock = clock
         self.prefill_s = INITIAL_PREFILL_S
         """Observed time to compute one block."""
+        self.transfer: Transfer | None = None
+        """Transfer of KV cache; None without a kept-cache service."""
 
     def cost(self, run: Run) -> float:
         return BASE_COST + len(run.keys) - self.index.match_chain(run.keys)
 
+    async def prepare(self, run: Run, grant: Grant) -> None:
+        if self.transfer is not None:
+            await self.transfer.bring(run, grant.version, self.prefill_s)
+
     async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> Answer:
         predicted = self.index.match_chain(run.keys)
         incarnation = self.index.incarnation
@@ -125,6 +136,8 @@
                     )
                     self.index.correct(run.keys, predicted, cached)
                     self._observe(len(run.keys), cached, first_s)
+                    if self.transfer is not None:
+                        self.transfer.note(run, grant.version)
                 return Answer(0)
         raise FailureError(
             Failure(ErrorKind.ENGINE_FAILED, "the stream had no end mark", RunState.UNKNOWN)
@@ -284,6 +297,7 @@
             ) from error
 
     async def _run_claimed(self) -> None:
+        await self._backend.prepare(self._run, self._grant)
         if self._run.idempotent or not self._run.idempotency_key:
             await self._forward()
             return
--- a/coltsfootfront/streams.py
+++ b/coltsfootfront/streams.py
@@ -38,6 +38,15 @@
 RECORD_LIFE_S = 3600.0
 
 
+class _Buffered:
+    """Bytes of all answers together."""
+
+    __slots__ = ("size",)
+
+    def __init__(self) -> None:
+        self.size = 0
+
+
 class Attempt:
     """The answer of one attempt and the router that receives it.
 
@@ -47,11 +56,13 @@
     :param window_bytes: bytes sent beyond the last acknowledgement.
     :param max_bytes: largest answer.
     :param idempotent: whether the request may be executed twice.
+    :param buffered: counts the bytes of all answers.
     """
 
     __slots__ = (
         "_accepted",
         "_acked",
+        "_buffered",
         "_changed",
         "_clock",
         "_data",
@@ -82,8 +93,10 @@
         window_bytes: int,
         max_bytes: int,
         idempotent: bool,
+        buffered: _Buffered,
     ) -> None:
         self.key = key
+        self._buffered = buffered
         self.idempotent = idempotent
         self.deadline_unix_s = deadline_unix_s
         self._clock = clock
@@ -147,6 +160,7 @@
                     RunState.UNKNOWN,
                 )
             )
+        self._buffered.size += len(data)
         for start in range(0, len(data), MAX_CHUNK_BYTES):
             self._data += data[start : start + MAX_CHUNK_BYTES]
             self._ends.append(len(self._data))
@@ -275,6 +289,7 @@
         self._window_bytes = window_bytes
         self._max_bytes = max_bytes
         self._attempts: OrderedDict[AttemptKey, Attempt] = OrderedDict()
+        self._buffered = _Buffered()
         self._refused: OrderedDict[AttemptKey, float] = OrderedDict()
         self._past: OrderedDict[int, tuple[float, RunState]] = OrderedDict()
         self._forgetful_until_s = 0.0
@@ -293,22 +308,28 @@
     def open(self, key: AttemptKey, deadline_unix_s: float, idempotent: bool = True) -> Attempt:
         """Make the buffer of a new attempt."""
         attempt = Attempt(
-            key, deadline_unix_s, self._clock, self._window_bytes, self._max_bytes, idempotent
+            key,
+            deadline_unix_s,
+            self._clock,
+            self._window_bytes,
+            self._max_bytes,
+            idempotent,
+            self._buffered,
         )
         self._attempts[key] = attempt
         return attempt
 
     def has_room(self) -> bool:
         """Whether another answer may be buffered; forgets finished ones if it must."""
-        if self._buffered() <= MAX_BUFFERED_BYTES:
+        if self._buffered.size <= MAX_BUFFERED_BYTES:
             return True
         self.expire()
         for key, attempt in list(self._attempts.items()):
-            if self._buffered() <= MAX_BUFFERED_BYTES:
+            if self._buffered.size <= MAX_BUFFERED_BYTES:
                 break
             if attempt.ended_s is not None and attempt.delivered:
                 self._forget(key, attempt)
-        return self._buffered() <= MAX_BUFFERED_BYTES
+        return self._buffered.size <= MAX_BUFFERED_BYTES
 
     def refuse(self, key: AttemptKey) -> RunState:
         """Record that an attempt which never arrived must not run later.
@@ -374,12 +395,10 @@
         for attempt in self._attempts.values():
             attempt.detach()
 
-    def _buffered(self) -> int:
-        return sum(attempt.size for attempt in self._attempts.values())
-
     def _forget(self, key: AttemptKey, attempt: Attempt) -> None:
         attempt.detach()
         del self._attempts[key]
+        self._buffered.size -= attempt.size
         if attempt.idempotent and not attempt.forwarded:
             return
         now_s = self._clock.monotonic_s()
