--- a/coltsfootfront/execution.py
+++ b/coltsfootfront/execution.py
@@ -24,6 +24,7 @@
 from coltsfootfront.messages import Run
 from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
 from coltsfootfront.streams import Attempt
+from coltsfootfront.transfer import Transfer
 
 log = logbook.Logger(__name__)
 
@@ -53,6 +54,10 @@
     def cost(self, run: Run) -> float:
         """Work of a request relative to others."""
 
+    async def prepare(self, run: Run, grant: Grant) -> None:
+        """Do what makes the request faster, before the last checks."""
+        return None
+
     @abstractmethod
     async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> "Answer":
         """Hand a request to the target and its answer to the attempt's buffer.
@@ -100,10 +105,16 @@
         self._clock = clock
         self.prefill_s = INITIAL_PREFILL_S
         """Observed time to compute one block."""
+        self.transfer: Transfer | None = None
+        """Transfer of KV cache; None without a kept-cache service."""
 
     def cost(self, run: Run) -> float:
         return BASE_COST + len(run.keys) - self.index.match_chain(run.keys)
 
+    async def prepare(self, run: Run, grant: Grant) -> None:
+        if self.transfer is not None:
+            await self.transfer.bring(run, grant.version, self.prefill_s)
+
     async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> Answer:
         predicted = self.index.match_chain(run.keys)
         incarnation = self.index.incarnation
@@ -125,6 +136,8 @@
                     )
                     self.index.correct(run.keys, predicted, cached)
                     self._observe(len(run.keys), cached, first_s)
+                    if self.transfer is not None:
+                        self.transfer.note(run, grant.version)
                 return Answer(0)
         raise FailureError(
             Failure(ErrorKind.ENGINE_FAILED, "the stream had no end mark", RunState.UNKNOWN)
@@ -218,9 +231,8 @@
 
     def start(self) -> asyncio.Task[None]:
         """Enter the queue, in the same step as the gate's decision, and go on in a task."""
-        ticket = self._queue.enter(
-            self._gate.share(self._run.customer, self._grant), self._backend.cost(self._run)
-        )
+        cost = self._backend.cost(self._run)
+        ticket = self._queue.enter(self._gate.share(self._run.customer, self._grant), cost)
         self._attempt.accept(self._gate.engine_incarnation)
         self._task = asyncio.create_task(self._execute(ticket))
         # A task that is cancelled before its first step runs none of its own code, so the slot
@@ -277,13 +289,15 @@
     async def _wait(self, ticket: Ticket) -> None:
         limit_s = self._gate.wait_limit_s(self._run.deadline_unix_s)
         try:
-            await asyncio.wait_for(ticket.wait(), max(limit_s, 0))
+            async with asyncio.timeout(max(limit_s, 0)):
+                await ticket.wait()
         except TimeoutError as error:
             raise FailureError(
                 Failure(ErrorKind.OVERLOADED, "the queue moved slower than estimated")
             ) from error
 
     async def _run_claimed(self) -> None:
+        await self._backend.prepare(self._run, self._grant)
         if self._run.idempotent or not self._run.idempotency_key:
             await self._forward()
             return
@@ -374,7 +388,13 @@
 def ask_of(run: Run) -> Ask:
     """What a run message asks the gate for."""
     if run.kind == KIND_SERVICE_CALL:
-        return Ask(run.customer, run.service)
+        return Ask(
+            run.customer,
+            run.service,
+            method=run.method,
+            path=run.path,
+            idempotent=run.idempotent,
+        )
     return Ask(run.customer, "", run.model, run.adapter, run.version)
 
 
