--- a/coltsfootfront/publisher.py
+++ b/coltsfootfront/publisher.py
@@ -42,6 +42,10 @@
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
 CHUNK_ATTEMPTS = 4
+# Revisions that can be rolled back to; a day at full size has 1,900 changes. Without a limit
+# records and chunks would fill the store by some 25 MB a day.
+KEPT_REVISIONS = 2000
+PRUNE_ATTEMPTS = 3
 # Records returned by the history; reading it costs one call for each.
 MAX_HISTORY = 100
 
@@ -327,6 +331,47 @@
         )
         return await self._commit(record, entries, head, change)
 
+    async def prune(self, newest: int) -> Result[None, Failure]:
+        """Remove the record that is too old when a revision was accepted, and its own chunks.
+
+        A chunk that a later revision uses again was written again for it, and then is newer
+        than the record that follows the removed one.
+
+        :param newest: number of the accepted revision.
+        """
+        oldest = newest - KEPT_REVISIONS
+        if oldest < 1:
+            return Success(None)
+        for _ in range(PRUNE_ATTEMPTS):
+            result = await self._prune_once(oldest)
+            if not isinstance(result, Success) or result.unwrap():
+                return result.map(lambda _: None)
+        return Success(None)
+
+    async def _prune_once(self, oldest: int) -> Result[bool, Failure]:
+        """Remove one revision; False when a chunk was written again meanwhile."""
+        result = await self._read_newest([record_key(oldest), record_key(oldest + 1)])
+        if not isinstance(result, Success):
+            return Failed(result.failure())
+        old = result.unwrap().get(record_key(oldest))
+        following = result.unwrap().get(record_key(oldest + 1))
+        if old is None or following is None:
+            return Success(True)
+        kept = Record.decode(following.value).chunks
+        transaction = Transaction(deletes=[old.key])
+        for name in Record.decode(old.value).chunks:
+            if name not in kept:
+                await self._add_removal(transaction, name, following.mod_revision)
+        return (await self._store.commit(transaction)).map(lambda outcome: outcome.succeeded)
+
+    async def _add_removal(self, transaction: Transaction, name: str, before: int) -> None:
+        result = await self._store.get(BLOB_PREFIX + name)
+        found = result.value_or(None)
+        if found is not None and found.mod_revision < before:
+            # A writer that needs the chunk again meanwhile makes this condition fail.
+            transaction.compares.append(Compare(found.key, found.mod_revision))
+            transaction.deletes.append(found.key)
+
     async def _commit(
         self, record: Record, entries: Entries, head: Head, change: Change
     ) -> Result[Published, Rejection]:
@@ -423,8 +468,8 @@
         return Success(None)
 
     async def _write_chunk(self, name: str, data: bytes) -> Result[None, Failure]:
-        key = BLOB_PREFIX + name
-        transaction = Transaction(compares=[Compare(key, 0)], puts=[Put(key, data)])
+        # Written even if it exists, which protects it from a removal as part of an old revision.
+        transaction = Transaction(puts=[Put(BLOB_PREFIX + name, data)])
         for attempt in range(CHUNK_ATTEMPTS):
             result = await self._store.commit(transaction)
             if isinstance(result, Success):
@@ -440,7 +485,7 @@
         return Failed(Failure(ErrorKind.STORE_UNAVAILABLE, message))
 
     async def _read_chunk(self, name: str) -> Result[Entries, Failure]:
-        result = await self._store.get(BLOB_PREFIX + name)
+        result = await self._get(BLOB_PREFIX + name)
         if not isinstance(result, Success):
             return Failed(result.failure())
         found = result.unwrap()
@@ -455,7 +500,7 @@
         return Success(chunk)
 
     async def _read_record(self, revision: int) -> Result[Record | None, Failure]:
-        result = await self._store.get(record_key(revision))
+        result = await self._get(record_key(revision))
         if not isinstance(result, Success):
             return Failed(result.failure())
         found = result.unwrap()
@@ -466,6 +511,15 @@
         except ValueError as error:
             return Failed(_damaged(f"record of revision {revision}: {error}"))
 
+    async def _get(self, key: str) -> Result[KeyValue | None, Failure]:
+        """Read a key that never changes once it exists."""
+        result = await self._store.get(key)
+        if not isinstance(result, Success) or result.unwrap() is not None:
+            return result
+        # The store may have answered with its state before the key was written.
+        newest = await self._read_newest([key])
+        return newest.map(lambda found: found.get(key))
+
     async def _read_newest(self, keys: list[str]) -> Result[dict[str, KeyValue], Failure]:
         transaction = Transaction(
             compares=[Compare(HEAD_KEY, NEVER_REVISION)], read_on_failure=keys
--- a/coltsfootfront/tests/test_admin.py
+++ b/coltsfootfront/tests/test_admin.py
@@ -8,10 +8,10 @@
 import aiohttp
 
 from coltsfootfront.admin import Admin
+from coltsfootfront.authentication import hash_key
 from coltsfootfront.clock import SystemClock
 from coltsfootfront.connection import Connection
 from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
-from coltsfootfront.operators import hash_key
 from coltsfootfront.settings import AdminSettings
 from coltsfootfront.tests.test_schema import example
 from coltsfootfront.tests.test_spread import Node
@@ -198,6 +198,9 @@
         self.assertEqual(2, await self.revision())
         status, _ = await self.apply(example(), 1)
         self.assertEqual(409, status)
+        body = {"revision": 1, "expected_revision": 2}
+        status, _ = await self.call("POST", "/v1/rollback", body)
+        self.assertEqual(200, status)
 
     async def test_rollback_and_history(self) -> None:
         """Guards against a rollback that is no new revision."""
--- a/coltsfootfront_dev/launcher.py
+++ b/coltsfootfront_dev/launcher.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -24,6 +24,7 @@
 
 from coltsfootfront.document import Document
 from coltsfootfront.entries import split
+from coltsfootfront_dev.forwarder import Forwarder
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLES = ROOT / "examples"
@@ -90,6 +91,7 @@
     :param engine_arguments: further command-line arguments of every engine stand-in.
     :param router_settings: further settings of every router.
     :param agent_settings: further settings of every agent.
+    :param forwarded: puts a :class:`Forwarder` in front of each agent, target and the store.
     """
 
     deployment: str = "agency"
@@ -99,6 +101,7 @@
     router_settings: dict[str, Any] = field(default_factory=dict)
     agent_settings: dict[str, Any] = field(default_factory=dict)
     admin_settings: dict[str, Any] = field(default_factory=dict)
+    forwarded: bool = False
 
 
 class Fleet:
@@ -113,6 +116,8 @@
     def __init__(self, options: FleetOptions | None = None) -> None:
         self.options = options or FleetOptions()
         self.processes: dict[str, FleetProcess] = {}
+        self.forwarders: dict[str, Forwarder] = {}
+        """By the name of the process behind each."""
         self.revision = 0
         self._settings: dict[str, dict[str, Any]] = {}
         self._ports = _free_ports()
@@ -225,15 +230,16 @@
         self._add_platform()
         self._add_stand_ins()
         self._add_programs()
+        await asyncio.gather(*(forwarder.start() for forwarder in self.forwarders.values()))
         stand_ins = [process for process in self.processes.values() if not _is_own(process)]
         for process in stand_ins:
             self._spawn(process)
-        await asyncio.gather(*(self._wait_stand_in(process) for process in stand_ins))
+        await _all(*(self._wait_stand_in(process) for process in stand_ins))
         await self.control("vms", {"vms": self._vm_rows()})
         for process in self.processes.values():
             if _is_own(process):
                 self._spawn(process)
-        await asyncio.gather(*(self.wait_http(admin) for admin in self.of_role("admin")))
+        await _all(*(self.wait_http(admin) for admin in self.of_role("admin")))
         await self.apply(self.document)
         await self.wait_ready()
 
@@ -242,9 +248,12 @@
         if self._session is not None:
             await self._session.close()
             self._session = None
+        for forwarder in self.forwarders.values():
+            await forwarder.close()
         for process in self.processes.values():
             self._signal_if_running(process, signal.SIGCONT)
             self._signal_if_running(process, signal.SIGTERM)
+        await asyncio.to_thread(self._wait_all, STOP_GRACE_S)
         self._kill_all()
         atexit.unregister(self._kill_all)
         shutil.rmtree(self.directory, ignore_errors=True)
@@ -252,7 +261,7 @@
     async def wait_ready(self) -> None:
         """Wait until every router and agent is ready and has the newest applied revision."""
         own = [*self.routers, *self.agents]
-        await asyncio.gather(*(self.wait_process_ready(process) for process in own))
+        await _all(*(self.wait_process_ready(process) for process in own))
 
     async def wait_process_ready(
         self, process: FleetProcess, limit_s: float = START_LIMIT_S
@@ -449,7 +458,7 @@
             settings = {
                 "target": name,
                 "target_url": self._url(f"standin-{name}"),
-                "peer_address": target["agent_address"],
+                "peer_address": self._behind_forwarder(f"agent-{name}", target["agent_address"]),
                 "data_centre": target["data_centre"],
                 "seed_addresses": seeds,
                 "vm_list_url": self._url("vms"),
@@ -481,6 +490,8 @@
         path.chmod(0o600)
         command = ["-m", f"coltsfootfront.{role}", "--config", str(path)]
         peer = str(settings.get("peer_address", ""))
+        if role == "agent":
+            peer = self.document["targets"][target]["agent_address"]
         self.processes[name] = FleetProcess(name, role, command, address, peer, target)
 
     def _vm_rows(self) -> list[dict[str, str]]:
@@ -500,12 +511,12 @@
         return rows
 
     def _data_centres(self) -> list[str]:
-        """Data centres with engines, those of the largest region first."""
+        """Data centres with targets, those of the largest region first."""
         regions = self.document["regions"].values()
         used = {target["data_centre"] for target in self.document["targets"].values()}
         ordered = sorted(regions, key=lambda region: -len(region["data_centres"]))
         listed = [name for region in ordered for name in region["data_centres"]]
-        return [name for name in listed if name in used] or sorted(used)
+        return [name for name in listed if name in used] or listed
 
     def _kept_cache_url(self, target: dict[str, Any]) -> str:
         services = self.document["services"]
@@ -515,7 +526,20 @@
         return f"http://{kept[0].address}" if kept else ""
 
     def _url(self, name: str) -> str:
-        return f"http://{self.processes[name].address}"
+        address = self.processes[name].address
+        if self.options.forwarded and (name == "store" or self.processes[name].target):
+            if name not in self.forwarders:
+                self.forwarders[name] = Forwarder(self._free_address(), address)
+            address = self.forwarders[name].address
+        return f"http://{address}"
+
+    def _behind_forwarder(self, name: str, address: str) -> str:
+        """Address on which a process listens whose peers use ``address``."""
+        if not self.options.forwarded:
+            return address
+        listen = self._free_address()
+        self.forwarders[name] = Forwarder(address, listen)
+        return listen
 
     def _free_address(self) -> str:
         return f"127.0.0.1:{next(self._ports)}"
@@ -569,18 +593,31 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(process.pid, number)
 
+    def _wait_all(self, limit_s: float) -> None:
+        end_s = time.monotonic() + limit_s
+        for process in self.processes.values():
+            if process.popen is not None:
+                with contextlib.suppress(subprocess.TimeoutExpired):
+                    process.popen.wait(max(end_s - time.monotonic(), 0.0))
+
     def _kill_all(self) -> None:
-        end_s = time.monotonic() + STOP_GRACE_S
         for process in self.processes.values():
-            if process.popen is None:
-                continue
-            try:
-                process.popen.wait(max(end_s - time.monotonic(), 0.0))
-            except subprocess.TimeoutExpired:
-                self._signal_if_running(process, signal.SIGKILL)
+            self._signal_if_running(process, signal.SIGKILL)
+        for process in self.processes.values():
+            if process.popen is not None:
                 process.popen.wait()
 
 
+async def _all(*waits: Coroutine[Any, Any, None]) -> None:
+    """Wait for everything; the first failure cancels the others and is raised."""
+    try:
+        async with asyncio.TaskGroup() as group:
+            for wait in waits:
+                group.create_task(wait)
+    except* FleetError as errors:
+        raise errors.exceptions[0] from None
+
+
 def _is_own(process: FleetProcess) -> bool:
     return process.role in ("router", "agent", "admin")
 
