Check the operator of a change against the newest document

Cause: keys were checked against a document up to one second old, so an operator removed through another instance could still make a change within that second. Changes now read the head first and check the key again.

--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/admin.py
@@ -269,6 +269,9 @@
             # Without any document it is not known whether the bootstrap key still counts.
             if not isinstance(result, Success) and self._revision.number == 0:
                 raise ApiError(result.failure())
+        return self._authenticate(request)
+
+    def _authenticate(self, request: web.BaseRequest) -> Authenticated:
         operator: Authenticated = _unwrap(
             authenticate(
                 request.headers.get("Authorization", ""),
@@ -278,6 +281,14 @@
         )
         return operator
 
+    async def _authorize_change(self, call: Call) -> None:
+        """Check the operator against the newest document, not one that is a second old."""
+        _unwrap(await self._refresh())
+        operator = self._authenticate(call.request)
+        if not operator.may_apply:
+            message = f"operator {operator.name} may not change the document"
+            raise ApiError(Failure(ErrorKind.FORBIDDEN, message))
+
     async def _refresh(self) -> Result[Head, Failure]:
         """Bring the document in force up to the store's head."""
         async with self._refreshing:
@@ -330,10 +341,9 @@
         }
 
     async def _apply(self, call: Call) -> Json:
-        _require_may_apply(call)
+        await self._authorize_change(call)
         change = _change_of(call)
         entries = await _valid_entries(call.body)
-        await self._refresh()
         return self._finish(await self._publisher.apply(entries, change), call)
 
     async def _history(self, call: Call) -> Json:
@@ -347,17 +357,16 @@
         return {"revisions": revisions}
 
     async def _rollback(self, call: Call) -> Json:
-        _require_may_apply(call)
+        await self._authorize_change(call)
         change = _change_of(call)
         revision = _integer(call.body, "revision", 1)
-        await self._refresh()
         old: Published = _unwrap(await self._publisher.read(revision, self._revision.entries))
         await _require_valid(join(old.entries))
         result = await self._publisher.apply(old.entries, change, restored=revision)
         return self._finish(result, call)
 
     async def _drain_target(self, call: Call) -> Json:
-        _require_may_apply(call)
+        await self._authorize_change(call)
         target = call.body.get("target")
         withdrawn = call.body.get("withdrawn", True)
         if not isinstance(target, str) or not isinstance(withdrawn, bool):
@@ -502,12 +511,6 @@
         raise ApiError(Failure(ErrorKind.INVALID_DOCUMENT, str(faults[0])), details)
 
 
-def _require_may_apply(call: Call) -> None:
-    if not call.operator.may_apply:
-        message = f"operator {call.operator.name} may not change the document"
-        raise ApiError(Failure(ErrorKind.FORBIDDEN, message))
-
-
 def _integer(body: Json, key: str, minimum: int) -> int:
     value = body.get(key)
     if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
--- a/coltsfootfront/publisher.py
+++ b/coltsfootfront/publisher.py
@@ -43,7 +43,8 @@
 MAX_RETRY_S = 1.0
 CHUNK_ATTEMPTS = 4
 # Revisions that can be rolled back to; a day at full size has 1,900 changes. Without a limit
-# records and chunks would fill the store by some 25 MB a day.
+# records and chunks would fill the store: a change of one entry of a document with 2,330
+# entries adds 4.2 KB, 8 MB a day.
 KEPT_REVISIONS = 2000
 PRUNE_ATTEMPTS = 3
 # Records returned by the history; reading it costs one call for each.
--- a/coltsfootfront/tests/test_admin.py
+++ b/coltsfootfront/tests/test_admin.py
@@ -4,6 +4,7 @@
 import json
 import unittest
 from typing import Any
+from unittest import mock
 
 import aiohttp
 
@@ -302,6 +303,31 @@
                 self.assertTrue(error["request_id"])
         self.assertEqual(1, await self.revision())
 
+    async def test_revoked_operator(self) -> None:
+        """Guards against a change by an operator whom another instance's change removed."""
+        await self.apply(example(), 0)
+        self.assertEqual(1, await self.revision())
+        other = await self.make_admin("admin-2")
+        document = example()
+        document["operators"] = {"next": {"key_hash": hash_key("next-key")}}
+        body = {"document": document, "expected_revision": 1}
+        status, _ = await self.call("POST", "/v1/apply", body, admin=other)
+        self.assertEqual(200, status)
+        status, _ = await self.call("POST", "/v1/drain", {"target": "assessor-1"})
+        self.assertEqual(401, status)
+
+    async def test_slow_body(self) -> None:
+        """Guards against a caller that keeps a place by sending its body slowly."""
+        host, _, port = self.admin.address.rpartition(":")
+        head = f"POST /v1/apply HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {BOOTSTRAP_KEY}\r\n"
+        with mock.patch("coltsfootfront.admin.BODY_TIMEOUT_S", 0.2):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(f"{head}Content-Length: 100\r\n\r\n{{".encode())
+            async with asyncio.timeout(3):
+                line = await reader.readline()
+            writer.close()
+        self.assertIn(b" 400 ", line)
+
     async def test_readiness_ends_with_the_drain(self) -> None:
         """Guards against a load balancer that sends operators to a stopping instance."""
         self.assertEqual(200, (await self.call("GET", "/readyz", key=""))[0])
