Ask peers for a newer configuration before a restarted router is ready

Cause: a process-level test with a store that answers with older values found a restarted router ready with revision 6 while 7 was in force everywhere. The watcher had adopted the store's older head, and the bootstrap from peers was skipped because a revision was known.

Ruled out: reading the head through a transaction at start. It returns the newest value, but costs a write's share of the store at every restart of a herd, and does not help while the store is down.

Conclusion: a router is ready only after it has asked peers and agents.

--- a/coltsfootfront/router.py
+++ b/coltsfootfront/router.py
@@ -81,6 +81,7 @@
         self._vm_list = vm_list
         self._store = store
         self._is_draining = False
+        self._has_asked_peers = False
         self.revision = Revision()
         self._identity = Identity(
             "router",
@@ -176,6 +177,8 @@
             return "draining"
         if not self.revision.number:
             return "no configuration"
+        if not self._has_asked_peers:
+            return "peers not asked for a newer configuration"
         return ""
 
     def _build_dispatcher(self) -> Dispatcher:
@@ -319,20 +322,30 @@
         self._link.set_rate(region.link_bytes_per_s, count)
 
     async def _bootstrap(self) -> None:
-        """Get a first configuration from peers and agents; the store is not needed."""
+        """Get the newest configuration from peers and agents; the store is not needed.
+
+        Peers are asked also when the store has answered already: it may answer with an older
+        value, and the router must not serve by a revision that others have left behind.
+        """
         spread = self._spread
         assert spread is not None
-        while not self.revision.number:
-            if not await spread.bootstrap(BOOTSTRAP_TIMEOUT_S):
-                await self._pull_from_agents(spread)
-            if not self.revision.number:
+        while not self._has_asked_peers:
+            await spread.bootstrap(BOOTSTRAP_TIMEOUT_S)
+            # Peers that restart at the same time know no more than this router.
+            await self._pull_from_agents(spread)
+            self._has_asked_peers = self.revision.number > 0
+            if not self._has_asked_peers:
                 await self._clock.sleep(self._generator.uniform(0, BOOTSTRAP_PAUSE_S))
 
     async def _pull_from_agents(self, spread: Spread) -> None:
-        agents = self._membership.agents()
+        agents = self._membership.agents() or self._agents_of_document()
         chosen = self._generator.sample(agents, min(BOOTSTRAP_AGENTS, len(agents)))
         await asyncio.gather(*(spread.pull_from(address) for address in chosen))
 
+    def _agents_of_document(self) -> list[str]:
+        targets = self.revision.document.targets.values()
+        return [target.agent_address for target in targets]
+
     async def _close_idle_channels(self) -> None:
         while True:
             await self._clock.sleep(CLOSE_IDLE_INTERVAL_S)
--- a/coltsfootfront_dev/launcher.py
+++ b/coltsfootfront_dev/launcher.py
@@ -275,11 +275,20 @@
             self._check_alive(process, end_s, "did not become ready")
             await asyncio.sleep(POLL_S)
 
+    async def wait_ready_answer(
+        self, process: FleetProcess, limit_s: float = START_LIMIT_S
+    ) -> None:
+        """Wait until a process answers that it is ready, whatever its revision."""
+        await self._wait_answer(process, "/readyz", limit_s)
+
     async def wait_http(self, process: FleetProcess, limit_s: float = START_LIMIT_S) -> None:
         """Wait until a process answers ``/healthz``."""
+        await self._wait_answer(process, "/healthz", limit_s)
+
+    async def _wait_answer(self, process: FleetProcess, path: str, limit_s: float) -> None:
         end_s = time.monotonic() + limit_s
-        while not await self._answers(process, "/healthz"):
-            self._check_alive(process, end_s, "did not answer")
+        while not await self._answers(process, path):
+            self._check_alive(process, end_s, f"did not answer {path}")
             await asyncio.sleep(POLL_S)
 
     # Faults
