--- a/coltsfootfront/breaker.py
+++ b/coltsfootfront/breaker.py
@@ -64,6 +64,10 @@
             return True
         return not state.trial and self._clock.monotonic_s() >= state.open_until_s
 
+    def unavailable(self) -> set[str]:
+        """Targets on which no request may be placed now."""
+        return {name for name in self._states if not self.is_available(name)}
+
     def wait_s(self, target: str) -> float:
         """Seconds until the next trial of a target, 0 when it is available."""
         state = self._states.get(target)
@@ -115,6 +119,9 @@
             # seen() runs before each request, so an incarnation that differs is an older one.
             return
         state.incarnation = state.incarnation.merged(incarnation)
+        if state.open_until_s is not None and not state.trial:
+            # Requests that were under way when the target opened must not prolong its delay.
+            return
         state.failures += 1
         if state.trial or state.failures >= FAILURES_TO_OPEN:
             self._open(state)
--- a/coltsfootfront/schema.py
+++ b/coltsfootfront/schema.py
@@ -3,6 +3,7 @@
 Each fault names section, entry, key, value and what is allowed.
 """
 
+import itertools
 import json
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -20,6 +21,8 @@
 # The packed document travels in one frame of at most 4 MiB.
 MAX_PACKED_BYTES = 3 * 1024 * 1024
 MAX_FAULTS = 20
+# Faults collected before they are sorted and cut; bounds the work for a useless document.
+MAX_COLLECTED = 1000
 MAX_SHOWN_CHARACTERS = 80
 
 # ``$`` alone also matches before a final line break in Python's regular expressions.
@@ -48,8 +51,9 @@
     allowed: str
 
     def __str__(self) -> str:
-        place = "/".join(part for part in (self.section, self.entry) if part) or "document"
-        key = f": {self.key}" if self.key else ""
+        parts = [_one_line(part) for part in (self.section, self.entry) if part]
+        place = "/".join(parts) or "document"
+        key = f": {_one_line(self.key)}" if self.key else ""
         return f"{place}{key} = {self.value}: allowed: {self.allowed}"
 
     def as_json(self) -> dict[str, str]:
@@ -205,18 +209,12 @@
     :param document: decoded JSON.
     :returns: faults, at most ``MAX_FAULTS``; empty for a valid document.
     """
-    faults: list[Fault] = []
-    for error in _VALIDATOR.iter_errors(document):
-        faults.append(_fault(error))
-        if len(faults) == MAX_FAULTS:
-            return faults
-    if faults:
-        return faults
-    for fault in _cross_check(document):
-        faults.append(fault)
-        if len(faults) == MAX_FAULTS:
-            break
-    return faults
+    errors = itertools.islice(_VALIDATOR.iter_errors(document), MAX_COLLECTED)
+    faults = list(map(_fault, errors))
+    if not faults:
+        faults = list(itertools.islice(_cross_check(document), MAX_COLLECTED))
+    # The library's order differs from run to run.
+    return sorted(faults, key=str)[:MAX_FAULTS]
 
 
 def _shown(value: Any) -> str:
@@ -226,6 +224,10 @@
     return text[: MAX_SHOWN_CHARACTERS - 3] + "..."
 
 
+def _one_line(name: str) -> str:
+    return json.dumps(name)[1:-1][:MAX_SHOWN_CHARACTERS]
+
+
 def _fault(error: ValidationError) -> Fault:
     path = [str(part) for part in error.absolute_path]
     section = path[0] if path else ""
