Hold requests after a pause until the revision is checked

Cause: after a pause of the process, requests were refused until peers had been asked, and one that left the queue first was forwarded without the check. Connections also kept references to up to 4,096 finished answers.

Ruled out: refusing at once, since all agents of a busy machine pause together and callers would see refusals that half a second resolves.

--- a/coltsfootfront/agent.py
+++ b/coltsfootfront/agent.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from weakref import WeakValueDictionary
 
 import logbook
 from aiohttp import web
@@ -77,11 +78,12 @@
 CLAIMS_FLUSH_S = 5.0
 # Request bodies of waiting and running requests together.
 MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_ROUTES = 4096
 ROLE_ROUTER = "router"
 # With fewer routers than this in the own data centre, routers of all of them are greeted.
 MIN_NEAR_ROUTERS = 2
 
+Routes = WeakValueDictionary[int, Attempt]
+
 
 class Adapters(ABC):
     """Makes the adapters of outside systems."""
@@ -200,7 +202,8 @@
 
     async def serve(self, connection: Connection) -> None:
         """Serve one connection until it ends."""
-        routes: dict[int, Attempt] = {}
+        # Weak, so that a connection keeps no answer that the streams have forgotten.
+        routes: Routes = WeakValueDictionary()
         try:
             while True:
                 message, number = await connection.receive()
@@ -230,7 +233,7 @@
         self._streams.close()
 
     async def _handle(
-        self, connection: Connection, routes: dict[int, Attempt], message: Message, number: int
+        self, connection: Connection, routes: Routes, message: Message, number: int
     ) -> None:
         if isinstance(message, Probe):
             await connection.send(self._probe(message))
@@ -278,9 +281,7 @@
             self._queue.hold(probe.customer, self._settings.hold_s)
         return reply
 
-    async def _run(
-        self, connection: Connection, routes: dict[int, Attempt], run: Run, number: int
-    ) -> None:
+    async def _run(self, connection: Connection, routes: Routes, run: Run, number: int) -> None:
         key = (run.request_id, run.attempt)
         record = self._streams.record_of(key)
         if record is not None:
@@ -300,7 +301,7 @@
             return
         attempt = self._streams.open(key, run.deadline_unix_s, run.idempotent)
         self._attach(connection, routes, attempt, run.stream, 0)
-        if number > self._revision.number:
+        if number > self._revision.number or not self._gate.settled:
             self._spawn(self._run_at_revision(run, attempt, number))
         else:
             self._admit(run, attempt)
@@ -313,19 +314,16 @@
     def _attach(
         self,
         connection: Connection,
-        routes: dict[int, Attempt],
+        routes: Routes,
         attempt: Attempt,
         stream: int,
         next_seq: int,
     ) -> None:
-        if len(routes) >= MAX_ROUTES:
-            ended = [number for number, known in routes.items() if known.owner is not connection]
-            for number in ended:
-                del routes[number]
         routes[stream] = attempt
         attempt.attach(connection, connection.send, stream, next_seq)
 
     async def _run_at_revision(self, run: Run, attempt: Attempt, number: int) -> None:
+        await self._gate.wait_settled()
         if await self._reach(number):
             self._admit(run, attempt)
             return
@@ -411,9 +409,7 @@
         attempt.fail(failure)
         return RunState.NOT_RUN
 
-    async def _resume(
-        self, connection: Connection, routes: dict[int, Attempt], resume: Resume
-    ) -> None:
+    async def _resume(self, connection: Connection, routes: Routes, resume: Resume) -> None:
         key = (resume.request_id, resume.attempt)
         attempt = self._streams.get(key)
         if attempt is not None:
@@ -552,6 +548,7 @@
         self._store = adapters.store()
         self.claims = Claims(self._store, clock, settings.name, settings.claim_retention_s)
         self._pause = PauseDetector(clock, settings.pause_limit_s, self._on_pause)
+        self.gate.pause = self._pause
         self.server = self._make_server()
         self._listener = Listener(settings.peer_address, self.identity, self.server.serve)
         self._supervisor = Supervisor("agent", clock)
--- a/coltsfootfront/execution.py
+++ b/coltsfootfront/execution.py
@@ -297,6 +297,7 @@
             ) from error
 
     async def _run_claimed(self) -> None:
+        await self._gate.wait_settled()
         await self._backend.prepare(self._run, self._grant)
         if self._run.idempotent or not self._run.idempotency_key:
             await self._forward()
--- a/coltsfootfront/gate.py
+++ b/coltsfootfront/gate.py
@@ -1,5 +1,6 @@
 """Admission to the target: the one place where it is decided whether a request may run here."""
 
+import asyncio
 from dataclasses import dataclass, replace
 
 from returns.result import Failure as Failed
@@ -11,6 +12,7 @@
 from coltsfootfront.engine import EngineState
 from coltsfootfront.errors import ErrorKind, Failure, RunState
 from coltsfootfront.fairqueue import FairQueue, Share
+from coltsfootfront.pause import PauseDetector
 from coltsfootfront.revision import InForce, Revision
 from coltsfootfront.servicepath import is_idempotent
 
@@ -75,14 +77,32 @@
         """The engine's last report; None while it does not answer."""
         self.reachable = False
         """Whether the target answered when it was last asked."""
-        self.settled = True
-        """False after a pause until the revision was checked again."""
+        self.pause: PauseDetector | None = None
+        """Asked before each decision; a pause makes the gate unsettled."""
+        self._settled = asyncio.Event()
+        self._settled.set()
         self._subscription = revision.changes.subscribe(self._adopt)
 
     def close(self) -> None:
         """Stop to follow the configuration."""
         self._subscription.dispose()
 
+    @property
+    def settled(self) -> bool:
+        """False after a pause of the process until the revision was checked again."""
+        return self._settled.is_set()
+
+    @settled.setter
+    def settled(self, value: bool) -> None:
+        if value:
+            self._settled.set()
+        else:
+            self._settled.clear()
+
+    async def wait_settled(self) -> None:
+        """Wait until the revision was checked after a pause."""
+        await self._settled.wait()
+
     @property
     def kind(self) -> str:
         """Kind of the target's service; empty while the document does not name the target."""
@@ -125,6 +145,8 @@
         Asked again immediately before a request is forwarded, since the document or the engine
         may have changed while it waited.
         """
+        if self.pause is not None:
+            self.pause.check()
         refusal = self._refuse_by_target()
         if refusal is not None:
             return Failed(refusal)
--- a/coltsfootfront/streams.py
+++ b/coltsfootfront/streams.py
@@ -60,6 +60,7 @@
     """
 
     __slots__ = (
+        "__weakref__",
         "_accepted",
         "_acked",
         "_buffered",
--- a/coltsfootfront/tests/test_execution.py
+++ b/coltsfootfront/tests/test_execution.py
@@ -324,6 +324,17 @@
         self.assertEqual(1, self.engine.closed)
         expiry.cancel()
 
+    async def test_requests_after_a_pause_wait_for_the_check(self) -> None:
+        """Guards against serving on a revision that passed while the agent stood still."""
+        self.gate.settled = False
+        router = self._router(self.server)
+        await router.say(self._run())
+        self.assertEqual([], self.engine.requests)
+        put_in_force(self.revision, 2, one_target(customers=["large"]))
+        self.gate.settled = True
+        await settle()
+        self.assertEqual("forbidden/not_run", router.outcome())
+
     async def test_a_request_ahead_of_the_agents_revision(self) -> None:
         """Guards against judging a request by a document older than its router's."""
         router = self._router(self.server, revision=2)
