Split the agent's request server and refuse requests of the wrong kind

Review showed that a call to a plain service could be admitted to an engine, and a model request to a plain service; that a key whose call never ran was reported as reused for another body; and that each round over pending claims waited once for every entry while the store was down.

Ruled out: leaving the kind to the router, which may run an older document.

Conclusion: the gate alone decides what reaches the target.

--- a/coltsfootfront/agent.py
+++ b/coltsfootfront/agent.py
@@ -1,89 +1,62 @@
 """The program beside each target: the only access path to it."""
 
 import asyncio
-import json
-import math
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from pathlib import Path
-from weakref import WeakValueDictionary
 
 import logbook
 from aiohttp import web
-from returns.result import Success
 
 from coltsfootfront import __version__, metrics
 from coltsfootfront.cacheevents import CacheEvents
 from coltsfootfront.channel import Channel, ChannelPool
 from coltsfootfront.claims import MAX_OUTCOME_BYTES, Claims
 from coltsfootfront.clock import Clock, SystemClock
-from coltsfootfront.connection import Connection, Identity, Listener
+from coltsfootfront.connection import Identity, Listener
 from coltsfootfront.document import KIND_ENGINE, KIND_KEPT_CACHE, KIND_SERVICE
 from coltsfootfront.drain import Drain
 from coltsfootfront.engine import Engine
-from coltsfootfront.errors import ErrorKind, Failure, RunState
 from coltsfootfront.execution import (
-    Backend,
     EngineBackend,
-    Execution,
     ServiceBackend,
-    ask_of,
 )
 from coltsfootfront.fairqueue import FairQueue
-from coltsfootfront.gate import Ask, Gate
+from coltsfootfront.gate import Gate
 from coltsfootfront.index import CacheIndex
 from coltsfootfront.keptcache import KeptCache
 from coltsfootfront.leases import LoadSlots, TargetLease
 from coltsfootfront.leaving import STATE_LIVE, Vm, VmList
 from coltsfootfront.logs import event
-from coltsfootfront.messages import (
-    Acknowledge,
-    Cancel,
-    Message,
-    Probe,
-    ProbeReply,
-    Resume,
-    Run,
-    Status,
-    StatusReply,
-    fail_message,
-)
 from coltsfootfront.orders import Orders
 from coltsfootfront.pause import PauseDetector
+from coltsfootfront.requestserver import RequestServer
 from coltsfootfront.revision import InForce, Revision
 from coltsfootfront.runtime import Program, load_or_exit, serve
 from coltsfootfront.service import PlainService
 from coltsfootfront.settings import AgentSettings
 from coltsfootfront.spread import Spread
 from coltsfootfront.store import Store
-from coltsfootfront.streams import Attempt, AttemptKey, Streams
+from coltsfootfront.streams import Streams
 from coltsfootfront.supervisor import Supervisor
+from coltsfootfront.targetwatch import EngineWatch, ServiceWatch
 from coltsfootfront.transfer import Transfer, allowed_customers
 
 log = logbook.Logger(__name__)
 
-# Limit for reaching the revision that a request's router has in force.
-REVISION_TIMEOUT_S = 1.0
 BOOTSTRAP_TIMEOUT_S = 5.0
 # Time between two looks for peers while none is known.
 BOOTSTRAP_WAIT_S = 0.5
 # Limit for checking the revision after a pause; then the one in force is served on.
 SETTLE_TIMEOUT_S = 1.0
-# Failed reads of the target's state in a row after which it counts as not reachable.
-MAX_FAILED_READS = 2
-EXPIRY_INTERVAL_S = 1.0
 IDLE_CHECK_INTERVAL_S = 15.0
 DRAIN_CHECK_INTERVAL_S = 0.05
 # Limit for writing the outcomes of claims before the process ends.
 CLAIMS_FLUSH_S = 5.0
-# Request bodies of waiting and running requests together.
-MAX_BODY_BYTES = 8 * 1024 * 1024
 ROLE_ROUTER = "router"
 # With fewer routers than this in the own data centre, routers of all of them are greeted.
 MIN_NEAR_ROUTERS = 2
 
-Routes = WeakValueDictionary[int, Attempt]
-
 
 class Adapters(ABC):
     """Makes the adapters of outside systems."""
@@ -149,362 +122,6 @@
         return HttpKeptCache(settings.kept_cache_url, settings.target_timeout_s, self._clock)
 
 
-class RequestServer:
-    """Serves the requests of routers.
-
-    :param settings: settings of the agent.
-    :param identity: identity of the agent.
-    :param clock: time source.
-    :param revision: configuration in force.
-    :param spread: takes the messages that concern the configuration.
-    :param gate: decides on admission.
-    :param queue: queue in front of the target.
-    :param streams: answers of all attempts.
-    :param claims: idempotency claims.
-    :param pause: checked before each message.
-    """
-
-    def __init__(
-        self,
-        settings: AgentSettings,
-        identity: Identity,
-        clock: Clock,
-        revision: Revision,
-        spread: Spread,
-        gate: Gate,
-        queue: FairQueue,
-        streams: Streams,
-        claims: Claims,
-        pause: PauseDetector,
-    ) -> None:
-        self._settings = settings
-        self._identity = identity
-        self._clock = clock
-        self._revision = revision
-        self._spread = spread
-        self._gate = gate
-        self._queue = queue
-        self._streams = streams
-        self._claims = claims
-        self._pause = pause
-        self._executions: dict[AttemptKey, Execution] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._body_bytes = 0
-        self.backend: Backend | None = None
-        """The target; None until the document says what it is."""
-        self.describe: Callable[[], dict[str, object]] = dict
-        """Builds the state that ``status`` reports."""
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request is in progress or an answer is still being sent."""
-        return bool(self._executions) or self._streams.undelivered() > 0
-
-    async def serve(self, connection: Connection) -> None:
-        """Serve one connection until it ends."""
-        # Weak, so that a connection keeps no answer that the streams have forgotten.
-        routes: Routes = WeakValueDictionary()
-        try:
-            while True:
-                message, number = await connection.receive()
-                self._pause.check()
-                if not await self._spread.handle(connection, message, number):
-                    await self._handle(connection, routes, message, number)
-        finally:
-            self._streams.detach_owner(connection)
-
-    async def expire(self) -> None:
-        """Stop attempts whose router is gone and forget old ones, for ever."""
-        while True:
-            await self._clock.sleep(EXPIRY_INTERVAL_S)
-            for attempt in self._streams.abandoned():
-                execution = self._executions.get(attempt.key)
-                if execution is not None and execution.may_be_stopped:
-                    execution.cancel(Failure(ErrorKind.CANCELLED, "the router has gone"))
-            self._streams.expire()
-
-    async def close(self) -> None:
-        """End everything at once."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for execution in list(self._executions.values()):
-            await execution.close()
-        self._streams.close()
-
-    async def _handle(
-        self, connection: Connection, routes: Routes, message: Message, number: int
-    ) -> None:
-        if isinstance(message, Probe):
-            await connection.send(self._probe(message))
-        elif isinstance(message, Run):
-            await self._run(connection, routes, message, number)
-        elif isinstance(message, Acknowledge):
-            attempt = routes.get(message.stream)
-            if attempt is not None and attempt.key[1] == message.attempt:
-                attempt.acknowledge(message.offset)
-        elif isinstance(message, Cancel):
-            await self._cancel(connection, message)
-        elif isinstance(message, Resume):
-            await self._resume(connection, routes, message)
-        elif isinstance(message, Status):
-            await connection.send(StatusReply(message.call, json.dumps(self.describe()).encode()))
-        else:
-            metrics.CONNECTIONS.inc({"event": "unexpected_message"})
-
-    def _probe(self, probe: Probe) -> ProbeReply:
-        ask = Ask(probe.customer, probe.service, probe.model, probe.adapter, probe.version)
-        judged = self._gate.admit(ask, math.inf)
-        incarnation = self._gate.engine_incarnation
-        if not isinstance(judged, Success):
-            failure = judged.failure()
-            return ProbeReply(
-                probe.call,
-                0,
-                0.0,
-                0.0,
-                failure.kind.value,
-                incarnation,
-                self._queue.load,
-                failure.wait_s or 0.0,
-            )
-        share = self._gate.share(probe.customer, judged.unwrap())
-        wait_s = self._queue.estimate_s(share)
-        matched, prefill_s = 0, 0.0
-        if isinstance(self.backend, EngineBackend):
-            matched = self.backend.index.match(probe.depths, probe.keys)
-            prefill_s = self.backend.prefill_s
-        reply = ProbeReply(
-            probe.call, matched, wait_s, prefill_s, "", incarnation, self._queue.load
-        )
-        if probe.hold:
-            self._queue.hold(probe.customer, self._settings.hold_s)
-        return reply
-
-    async def _run(self, connection: Connection, routes: Routes, run: Run, number: int) -> None:
-        key = (run.request_id, run.attempt)
-        record = self._streams.record_of(key)
-        if record is not None:
-            failure = Failure(ErrorKind.UNKNOWN_STREAM, "the attempt was given up", record)
-            await connection.send(fail_message(run.stream, run.attempt, failure))
-            return
-        attempt = self._streams.get(key)
-        if attempt is not None:
-            metrics.STREAMS.inc({"event": "run_repeated"})
-            if not attempt.is_attached_to(connection, run.stream):
-                self._attach(connection, routes, attempt, run.stream, 0)
-            return
-        if not self._has_room(run):
-            failure = Failure(ErrorKind.OVERLOADED, "the agent's buffers are full")
-            metrics.refused(failure.kind.value)
-            await connection.send(fail_message(run.stream, run.attempt, failure))
-            return
-        attempt = self._streams.open(key, run.deadline_unix_s, run.idempotent)
-        self._attach(connection, routes, attempt, run.stream, 0)
-        if number > self._revision.number or not self._gate.settled:
-            self._spawn(self._run_at_revision(run, attempt, number))
-        else:
-            self._admit(run, attempt)
-
-    def _has_room(self, run: Run) -> bool:
-        if self._body_bytes and self._body_bytes + len(run.body) > MAX_BODY_BYTES:
-            return False
-        return self._streams.has_room()
-
-    def _attach(
-        self,
-        connection: Connection,
-        routes: Routes,
-        attempt: Attempt,
-        stream: int,
-        next_seq: int,
-    ) -> None:
-        routes[stream] = attempt
-        attempt.attach(connection, connection.send, stream, next_seq)
-
-    async def _run_at_revision(self, run: Run, attempt: Attempt, number: int) -> None:
-        await self._gate.wait_settled()
-        if await self._reach(number):
-            self._admit(run, attempt)
-            return
-        metrics.refused(ErrorKind.STALE_REVISION.value)
-        attempt.fail(Failure(ErrorKind.STALE_REVISION, f"revision {number} cannot be had"))
-
-    async def _reach(self, number: int) -> bool:
-        reached = asyncio.Event()
-
-        def adopt(in_force: InForce) -> None:
-            if in_force.number >= number:
-                reached.set()
-
-        subscription = self._revision.changes.subscribe(adopt)
-        try:
-            async with asyncio.timeout(REVISION_TIMEOUT_S):
-                await reached.wait()
-            return True
-        except TimeoutError:
-            return False
-        finally:
-            subscription.dispose()
-
-    def _admit(self, run: Run, attempt: Attempt) -> None:
-        """Let a request in; nothing is awaited between the decision and the queue."""
-        if attempt.ended_s is not None:
-            return
-        ask = ask_of(run)
-        judged = self._gate.admit(ask, run.deadline_unix_s)
-        backend = self.backend
-        if not isinstance(judged, Success) or backend is None:
-            failure = Failure(ErrorKind.TARGET_UNREACHABLE, "the target is not known yet")
-            failure = failure if isinstance(judged, Success) else judged.failure()
-            metrics.refused(failure.kind.value)
-            log.info(
-                event(
-                    "request_refused",
-                    request_id=run.request_id,
-                    customer=run.customer,
-                    revision=self._revision.number,
-                    reason=failure.kind.value,
-                )
-            )
-            attempt.fail(failure)
-            return
-        execution = Execution(
-            run,
-            ask,
-            judged.unwrap(),
-            attempt,
-            backend,
-            self._gate,
-            self._queue,
-            self._claims,
-            self._clock,
-        )
-        task = execution.start()
-        size = len(run.body)
-        self._body_bytes += size
-        self._executions[attempt.key] = execution
-        task.add_done_callback(lambda _: self._ended(attempt.key, size))
-
-    def _ended(self, key: AttemptKey, size: int) -> None:
-        self._body_bytes -= size
-        del self._executions[key]
-
-    async def _cancel(self, connection: Connection, cancel: Cancel) -> None:
-        key = (cancel.request_id, cancel.attempt)
-        failure = Failure(ErrorKind.CANCELLED, "the router cancelled the attempt")
-        run = self._stop(key, failure)
-        await connection.send(fail_message(cancel.stream, cancel.attempt, failure.with_run(run)))
-
-    def _stop(self, key: AttemptKey, failure: Failure) -> RunState:
-        attempt = self._streams.get(key)
-        if attempt is None:
-            return self._streams.refuse(key)
-        attempt.detach()
-        execution = self._executions.get(key)
-        if attempt.ended_s is not None:
-            return RunState.UNKNOWN if attempt.failure is None else attempt.failure.run
-        if execution is not None:
-            return execution.cancel(failure)
-        attempt.fail(failure)
-        return RunState.NOT_RUN
-
-    async def _resume(self, connection: Connection, routes: Routes, resume: Resume) -> None:
-        key = (resume.request_id, resume.attempt)
-        attempt = self._streams.get(key)
-        if attempt is not None:
-            metrics.STREAMS.inc({"event": "resumed"})
-            self._attach(connection, routes, attempt, resume.stream, resume.next_seq)
-            return
-        metrics.STREAMS.inc({"event": "resume_unknown"})
-        run = RunState.UNKNOWN
-        if resume.incarnation == self._identity.incarnation:
-            run = self._streams.refuse(key)
-        failure = Failure(ErrorKind.UNKNOWN_STREAM, "the attempt is not known here", run)
-        await connection.send(fail_message(resume.stream, resume.attempt, failure))
-
-    def _spawn(self, body: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(body)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
-class TargetWatch(ABC):
-    """Follows the target's state for the gate.
-
-    :param gate: takes the state.
-    :param clock: time source.
-    :param interval_s: time between two reads.
-    """
-
-    def __init__(self, gate: Gate, clock: Clock, interval_s: float) -> None:
-        self._gate = gate
-        self._clock = clock
-        self._interval_s = interval_s
-        self._failed = 0
-
-    async def run(self) -> None:
-        """Read the state for ever."""
-        while True:
-            self._note(await self._read())
-            await self._clock.sleep(self._interval_s)
-
-    @abstractmethod
-    async def _read(self) -> bool:
-        """Read the state.
-
-        :returns: whether the target answered.
-        """
-
-    def _note(self, answered: bool) -> None:
-        self._failed = 0 if answered else self._failed + 1
-        if answered:
-            self._gate.reachable = True
-        elif self._failed >= MAX_FAILED_READS and self._gate.reachable:
-            self._gate.reachable = False
-            self._gate.engine = None
-            log.warning(event("target_unreachable", failed_reads=self._failed))
-
-
-class EngineWatch(TargetWatch):
-    """Follows an engine's report.
-
-    :param engine: adapter of the engine.
-    :param index: learns the incarnation and the capacity.
-    """
-
-    def __init__(
-        self, gate: Gate, clock: Clock, interval_s: float, engine: Engine, index: CacheIndex
-    ) -> None:
-        super().__init__(gate, clock, interval_s)
-        self._engine = engine
-        self._index = index
-
-    async def _read(self) -> bool:
-        report = await self._engine.state()
-        if not isinstance(report, Success):
-            return False
-        state = report.unwrap()
-        self._index.note_incarnation(state.incarnation)
-        self._index.set_capacity(state.capacity_blocks)
-        self._gate.engine = state
-        return True
-
-
-class ServiceWatch(TargetWatch):
-    """Follows the health of a plain service.
-
-    :param service: adapter of the service.
-    """
-
-    def __init__(self, gate: Gate, clock: Clock, interval_s: float, service: PlainService) -> None:
-        super().__init__(gate, clock, interval_s)
-        self._service = service
-
-    async def _read(self) -> bool:
-        return await self._service.healthy()
-
-
 class Agent(Program):
     """Wires the agent's parts together.
 
--- a/coltsfootfront/claims.py
+++ b/coltsfootfront/claims.py
@@ -37,6 +37,8 @@
 # Outcomes and releases that wait for the store; about 2 MB in the worst case.
 MAX_PENDING = 64
 MAX_ABANDONED = 1024
+# Failed writes after which a round over the pending ones ends.
+MAX_FAILED_WRITES = 3
 RETRY_INTERVAL_S = 0.5
 RETRY_AFTER_S = 2.0
 
@@ -185,15 +187,24 @@
                 await self._wake.wait()
 
     async def flush(self) -> None:
-        """Try once to write everything that is pending."""
+        """Try once to write what is pending; stops early while the store does not answer."""
+        failed = 0
         for key, (claim, record) in list(self._pending.items()):
             if record is None:
                 done = await self._delete(claim)
             else:
                 done = await self._write(claim, record)
             current = self._pending.get(key)
-            if done and current is not None and current[0] is claim:
+            if current is None or current[0] is not claim:
+                continue
+            if done:
                 del self._pending[key]
+                continue
+            # Entries behind it get their turn in the next round.
+            self._pending.move_to_end(key)
+            failed += 1
+            if failed >= MAX_FAILED_WRITES:
+                return
 
     def _defer(self, claim: Claim, state: str, outcome: StoredOutcome | None) -> None:
         record = _Record(claim.claim_id, claim.digest, state, self._agent, outcome)
@@ -242,10 +253,10 @@
             return Failed(_in_progress("the claim cannot be read"))
         if record.claim_id == own.claim_id:
             return Success(self._held(found, own, lease))
-        if record.digest != own.digest:
-            return Failed(Failure(ErrorKind.KEY_REUSED, "the key was used for another request"))
         if record.claim_id in self._abandoned:
             return await self._take_over(found, own, lease)
+        if record.digest != own.digest:
+            return Failed(Failure(ErrorKind.KEY_REUSED, "the key was used for another request"))
         return self._outcome_of(found.key, record)
 
     def _outcome_of(self, key: str, record: _Record) -> Result[Claim | StoredOutcome, Failure]:
--- a/coltsfootfront/gate.py
+++ b/coltsfootfront/gate.py
@@ -7,7 +7,7 @@
 from returns.result import Result, Success
 
 from coltsfootfront.clock import Clock
-from coltsfootfront.document import KIND_ENGINE, KIND_KEPT_CACHE, Document, Grant
+from coltsfootfront.document import KIND_ENGINE, KIND_SERVICE, Document, Grant
 from coltsfootfront.drain import Drain
 from coltsfootfront.engine import EngineState
 from coltsfootfront.errors import ErrorKind, Failure, RunState
@@ -147,7 +147,7 @@
         """
         if self.pause is not None:
             self.pause.check()
-        refusal = self._refuse_by_target()
+        refusal = self._refuse_by_target() or self._refuse_by_kind(ask)
         if refusal is not None:
             return Failed(refusal)
         grant = self._slice.grant_for(
@@ -157,6 +157,8 @@
             return Failed(
                 Failure(ErrorKind.FORBIDDEN, "no terms allow this customer on this target")
             )
+        if not self.reachable:
+            return Failed(Failure(ErrorKind.TARGET_UNREACHABLE, "the target does not answer"))
         refusal = self._refuse_by_version(ask, grant) if ask.model else self._refuse_by_path(ask)
         return Success(grant) if refusal is None else Failed(refusal)
 
@@ -187,14 +189,17 @@
         target = self._slice.targets.get(self._target)
         if target is None or target.withdrawn:
             return Failure(ErrorKind.TARGET_WITHDRAWN, "the target is withdrawn")
-        if self.kind == KIND_KEPT_CACHE:
-            return Failure(ErrorKind.FORBIDDEN, "kept caches take no requests of customers")
-        if not self.reachable:
-            return Failure(ErrorKind.TARGET_UNREACHABLE, "the target does not answer")
         return None
 
+    def _refuse_by_kind(self, ask: Ask) -> Failure | None:
+        wanted = KIND_ENGINE if ask.model else KIND_SERVICE
+        if self.kind == wanted:
+            return None
+        # This includes kept caches, which take no requests of customers at all.
+        return Failure(ErrorKind.FORBIDDEN, "the target takes no requests of this kind")
+
     def _refuse_by_version(self, ask: Ask, grant: Grant) -> Failure | None:
-        if self.kind != KIND_ENGINE or self.engine is None:
+        if self.engine is None:
             return Failure(ErrorKind.TARGET_UNREACHABLE, "the engine has not reported yet")
         if self.engine.role != ROLE_SERVE:
             return Failure(ErrorKind.TARGET_WITHDRAWN, f"the engine's role is {self.engine.role}")
--- a/coltsfootfront/tests/test_execution.py
+++ b/coltsfootfront/tests/test_execution.py
@@ -4,7 +4,6 @@
 import unittest
 from typing import Any, cast
 
-from coltsfootfront.agent import RequestServer
 from coltsfootfront.channel import ChannelPool
 from coltsfootfront.claims import Claims
 from coltsfootfront.connection import Connection, ConnectionLostError, Identity
@@ -26,6 +25,7 @@
     Run,
 )
 from coltsfootfront.pause import PauseDetector
+from coltsfootfront.requestserver import RequestServer
 from coltsfootfront.revision import Revision
 from coltsfootfront.service import ServiceHead
 from coltsfootfront.settings import AgentSettings
--- a/coltsfootfront/tests/test_gate.py
+++ b/coltsfootfront/tests/test_gate.py
@@ -58,6 +58,8 @@
                 "stale_revision",
             ),
             ("another service", {"kind": "service"}, Ask("small", "z"), "forbidden"),
+            ("model of a service", {"kind": "service"}, OK, "forbidden"),
+            ("call to an engine", {}, Ask("small", "s"), "forbidden"),
             ("kept cache", {"kind": "kept_cache"}, Ask("small", "s"), "forbidden"),
         ]
         for name, change, ask, expected in cases:
--- a/coltsfootfront/tests/test_transfer.py
+++ b/coltsfootfront/tests/test_transfer.py
@@ -10,13 +10,7 @@
 from coltsfootfront.index import CacheIndex
 from coltsfootfront.keptcache import KeptCache
 from coltsfootfront.messages import Run
-from coltsfootfront.tests.support import (
-    FakeEngine,
-    ManualClock,
-    make_revision,
-    one_target,
-    settle,
-)
+from coltsfootfront.tests.support import FakeEngine, ManualClock, make_revision, one_target, settle
 from coltsfootfront.transfer import Transfer, allowed_customers, depths_of
 
 KEYS = [number.to_bytes(8, "big") for number in range(6)]
