Repeat refused calls in the at-most-once tests, and record the counter-check

Cause: right after a freeze the agents refuse with stale_revision and Retry-After until they have checked their revision, as designed; the test took the first such refusal for a failure. It now repeats as a caller does, at most three times, and then demands the same as before, so it is equally strict: a repeat must end right, or as unknown because of the first run.

Counter-check with mechanisms switched off in a scratch copy: - claims off: 4 cases fail, each with 2 executions; - a lost connection called "not run": 3 cases fail (agents cut off or frozen after the hand-over); - the deadline check before forwarding off: no case fails, since admission checks the deadline too and the router's cancel arrives with the request. The unit test of the execution covers it alone.

Conclusion: the table detects the loss of either main mechanism.

--- a/coltsfootfront/tests/test_system_once.py
+++ b/coltsfootfront/tests/test_system_once.py
@@ -20,6 +20,8 @@
 # Longer than every timeout between the moment a router sends a call and gives it up: request
 # timeout, margin after the deadline, accept timeout and the wait for the answer to a cancel.
 FREEZE_S = 5.5
+# Repeats after which a call must no longer be refused as "not run" once the fault is over.
+REPEATS = 3
 
 
 class Scene:
@@ -50,6 +52,17 @@
         self.replies.append(reply)
         return reply
 
+    async def settle(self) -> None:
+        """Repeat the call as a caller does that is told "not run" and when to come back.
+
+        A process that was frozen refuses until it has checked its revision again.
+        """
+        for _ in range(REPEATS):
+            if self.replies[-1].run != "not_run":
+                return
+            await asyncio.sleep(float(self.replies[-1].retry_after))
+            await self.call("router-2")
+
     async def executions(self) -> int:
         """How often the filing was executed."""
         return await self.caller.executions(SERVICE, self.body)
@@ -315,6 +328,7 @@
                 with self.subTest(name):
                     scene = Scene(fleet, name)
                     await play(scene)
+                    await scene.settle()
                     await self._check(scene)
 
     async def _check(self, scene: Scene) -> None:
