Compute a shared prompt once, and answer probes while a pause is checked

Cause: an engine looks for cached blocks when a request enters its batch, so requests with the same prompt that ran side by side each computed it. An estimate of the wait left out prompts that the engine was still computing. After a pause of all agents, refused probes made the router turn callers away.

Ruled out: waiting with the slot held, which would keep other customers and urgent checks out; waiting for the whole first prompt, of which only a part may be shared; waiting for a less urgent prompt, which gives way.

Conclusion: requests are held only for blocks that both need.

--- a/coltsfootfront/agent.py
+++ b/coltsfootfront/agent.py
@@ -30,6 +30,7 @@
 from coltsfootfront.logs import event
 from coltsfootfront.orders import Orders
 from coltsfootfront.pause import PauseDetector
+from coltsfootfront.prefills import Prefills
 from coltsfootfront.requestserver import RequestServer
 from coltsfootfront.revision import InForce, Revision
 from coltsfootfront.runtime import Program, load_or_exit, serve
@@ -175,6 +176,7 @@
         self._service: PlainService | None = None
         self._kept_cache: KeptCache | None = None
         self._transfer: Transfer | None = None
+        self._prefills: Prefills | None = None
         self._vm_list = adapters.vm_list()
         self._web: web.AppRunner | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -239,6 +241,8 @@
     async def _close_adapters(self) -> None:
         if self._transfer is not None:
             await self._transfer.close()
+        if self._prefills is not None:
+            await self._prefills.close()
         adapters = (self._kept_cache, self._engine, self._service, self._vm_list, self._store)
         for adapter in adapters:
             if adapter is not None:
@@ -275,7 +279,7 @@
         }
         if isinstance(self.server.backend, EngineBackend):
             state["cached_blocks"] = len(self.server.backend.index)
-            state["prefill_s"] = self.server.backend.prefill_s
+            state["prefill_s"] = self.server.backend.prefills.prefill_s
         return state
 
     def _make_server(self) -> RequestServer:
@@ -354,6 +358,8 @@
         await engine.start()
         index = CacheIndex(clock)
         self.server.backend = backend = EngineBackend(engine, index, clock)
+        backend.prefills.on_change = self.queue.look_again
+        self._prefills = backend.prefills
         await self._start_transfer(backend, engine)
         self._lease = TargetLease(
             self._store,
--- a/coltsfootfront/execution.py
+++ b/coltsfootfront/execution.py
@@ -17,11 +17,12 @@
 from coltsfootfront.document import Grant
 from coltsfootfront.engine import Engine, Finish, GenerateRequest, Piece
 from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.fairqueue import FairQueue, Ticket
+from coltsfootfront.fairqueue import FairQueue, Ticket, Turn
 from coltsfootfront.gate import Ask, Gate
 from coltsfootfront.index import CacheIndex
 from coltsfootfront.logs import event
 from coltsfootfront.messages import Run
+from coltsfootfront.prefills import Prefill, Prefills, PrefillTurn
 from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
 from coltsfootfront.streams import Attempt
 from coltsfootfront.transfer import Transfer
@@ -30,10 +31,6 @@
 
 KIND_CHAT = "chat"
 KIND_SERVICE_CALL = "service"
-# Weight of the latest observation in the running mean of prefill times.
-PREFILL_SMOOTHING = 0.2
-# Assumed time to compute one block until one has been observed.
-INITIAL_PREFILL_S = 0.05
 # Cost of a queued request in addition to the blocks that must be computed.
 BASE_COST = 1.0
 
@@ -54,14 +51,21 @@
     def cost(self, run: Run) -> float:
         """Work of a request relative to others."""
 
+    def turn(self, run: Run, grant: Grant) -> Turn | None:
+        """Further condition for a request's start; None if there is none."""
+        return None
+
     async def prepare(self, run: Run, grant: Grant) -> None:
         """Do what makes the request faster, before the last checks."""
         return None
 
     @abstractmethod
-    async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> "Answer":
+    async def forward(
+        self, run: Run, grant: Grant, attempt: Attempt, turn: Turn | None
+    ) -> "Answer":
         """Hand a request to the target and its answer to the attempt's buffer.
 
+        :param turn: result of :meth:`turn`, which has begun.
         :returns: the answer in the form in which a claim keeps it.
         :raises FailureError: as the target's adapter does.
         """
@@ -103,47 +107,72 @@
         self._engine = engine
         self.index = index
         self._clock = clock
-        self.prefill_s = INITIAL_PREFILL_S
-        """Observed time to compute one block."""
+        self.prefills = Prefills(index, clock)
         self.transfer: Transfer | None = None
         """Transfer of KV cache; None without a kept-cache service."""
 
     def cost(self, run: Run) -> float:
         return BASE_COST + len(run.keys) - self.index.match_chain(run.keys)
 
+    def turn(self, run: Run, grant: Grant) -> PrefillTurn:
+        return PrefillTurn(self.prefills, self.index, self._clock, run.keys, grant.priority)
+
     async def prepare(self, run: Run, grant: Grant) -> None:
         if self.transfer is not None:
-            await self.transfer.bring(run, grant.version, self.prefill_s)
+            await self.transfer.bring(run, grant.version, self.prefills.prefill_s)
 
-    async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> Answer:
+    async def forward(self, run: Run, grant: Grant, attempt: Attempt, turn: Turn | None) -> Answer:
+        assert isinstance(turn, PrefillTurn) and turn.prefill is not None
+        return await self._generate(run, grant, attempt, turn.prefill)
+
+    async def _generate(self, run: Run, grant: Grant, attempt: Attempt, prefill: Prefill) -> Answer:
         predicted = self.index.match_chain(run.keys)
         incarnation = self.index.incarnation
         started_s = self._clock.monotonic_s()
-        first_s = 0.0
+        first_s: float | None = None
         pieces = self._engine.generate(_generate_request(run, grant))
         async with aclosing(cast(Any, pieces)):
             async for piece in pieces:
-                if not first_s:
+                if first_s is None:
                     first_s = self._clock.monotonic_s() - started_s
                     attempt.begin()
+                    self._note_first(run, prefill, incarnation)
                 if isinstance(piece, Piece):
                     attempt.append(piece.text.encode(), piece.tokens)
                     continue
-                self._finish(run, attempt, piece)
+                self._finish(attempt, piece)
                 if incarnation == self.index.incarnation:
-                    cached = self.index.cached_blocks(
-                        len(run.keys), piece.prompt_tokens, piece.cached_tokens
-                    )
-                    self.index.correct(run.keys, predicted, cached)
-                    self._observe(len(run.keys), cached, first_s)
-                    if self.transfer is not None:
-                        self.transfer.note(run, grant.version)
+                    self._learn(run, grant, prefill, predicted, piece, first_s)
                 return Answer(0)
         raise FailureError(
             Failure(ErrorKind.ENGINE_FAILED, "the stream had no end mark", RunState.UNKNOWN)
         )
 
-    def _finish(self, run: Run, attempt: Attempt, finish: Finish) -> None:
+    def _note_first(self, run: Run, prefill: Prefill, incarnation: str) -> None:
+        """The first token shows that the whole prompt is computed and cached."""
+        if incarnation == self.index.incarnation:
+            self.index.store(run.keys)
+        self.prefills.end(prefill)
+
+    def _learn(
+        self,
+        run: Run,
+        grant: Grant,
+        prefill: Prefill,
+        predicted: int,
+        finish: Finish,
+        first_s: float,
+    ) -> None:
+        blocks = len(run.keys)
+        cached = self.index.cached_blocks(blocks, finish.prompt_tokens, finish.cached_tokens)
+        self.index.correct(run.keys, predicted, cached)
+        self.prefills.observe(prefill, blocks - cached, first_s)
+        metrics.PREFIX_BLOCKS.add({"outcome": "cached"}, cached)
+        metrics.PREFIX_BLOCKS.add({"outcome": "computed"}, blocks - cached)
+        if self.transfer is not None:
+            self.transfer.note(run, grant.version)
+
+    def _finish(self, attempt: Attempt, finish: Finish) -> None:
         usage = {
             "prompt_tokens": finish.prompt_tokens,
             "completion_tokens": finish.completion_tokens,
@@ -151,13 +180,6 @@
         }
         attempt.finish(finish.finish_reason, usage)
 
-    def _observe(self, blocks: int, cached: int, first_s: float) -> None:
-        metrics.PREFIX_BLOCKS.add({"outcome": "cached"}, cached)
-        metrics.PREFIX_BLOCKS.add({"outcome": "computed"}, blocks - cached)
-        if blocks > cached:
-            observed_s = first_s / (blocks - cached)
-            self.prefill_s += (observed_s - self.prefill_s) * PREFILL_SMOOTHING
-
 
 class ServiceBackend(Backend):
     """A plain service.
@@ -173,7 +195,7 @@
     def cost(self, run: Run) -> float:
         return BASE_COST
 
-    async def forward(self, run: Run, grant: Grant, attempt: Attempt) -> Answer:
+    async def forward(self, run: Run, grant: Grant, attempt: Attempt, turn: Turn | None) -> Answer:
         answer = Answer(self._outcome_bytes)
         headers = tuple((pair[0], pair[1]) for pair in run.headers if len(pair) == 2)
         call = ServiceCall(run.request_id, run.method, run.path, headers, run.body)
@@ -227,12 +249,15 @@
         self._claims = claims
         self._clock = clock
         self._task: asyncio.Task[None] | None = None
+        self._turn: Turn | None = None
         self.phase = Phase.WAITING
 
     def start(self) -> asyncio.Task[None]:
         """Enter the queue, in the same step as the gate's decision, and go on in a task."""
         cost = self._backend.cost(self._run)
-        ticket = self._queue.enter(self._gate.share(self._run.customer, self._grant), cost)
+        share = self._gate.share(self._run.customer, self._grant)
+        self._turn = self._backend.turn(self._run, self._grant)
+        ticket = self._queue.enter(share, cost, self._turn)
         self._attempt.accept(self._gate.engine_incarnation)
         self._task = asyncio.create_task(self._execute(ticket))
         # A task that is cancelled before its first step runs none of its own code, so the slot
@@ -339,7 +364,9 @@
         self.phase = Phase.FORWARDED
         self._attempt.forwarded = True
         try:
-            return await self._backend.forward(self._run, judged.unwrap(), self._attempt)
+            return await self._backend.forward(
+                self._run, judged.unwrap(), self._attempt, self._turn
+            )
         except FailureError as error:
             if error.failure.run is RunState.NOT_RUN:
                 self._attempt.forwarded = False
--- a/coltsfootfront/fairqueue.py
+++ b/coltsfootfront/fairqueue.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -42,23 +43,43 @@
     terms_running: int = 64
 
 
+class Turn(ABC):
+    """Condition under which a request may start, beside its place in the queue."""
+
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Whether the request may start now; asked whenever a slot is free."""
+
+    @abstractmethod
+    def begin(self) -> None:
+        """Take note that the request has its slot."""
+
+    @abstractmethod
+    def end(self) -> None:
+        """Take note that the request has given its slot back."""
+
+
 class Ticket:
     """One request that waits or runs.
 
     :param cost: work of the request relative to others, above 0.
+    :param turn: further condition for its start, or None.
     """
 
-    __slots__ = ("_started", "cost", "left", "share", "started_s")
+    __slots__ = ("_started", "cost", "left", "share", "started_s", "turn")
 
-    def __init__(self, share: Share, cost: float) -> None:
+    def __init__(self, share: Share, cost: float, turn: Turn | None) -> None:
         self.share = share
         self.cost = cost
+        self.turn = turn
         self.started_s: float | None = None
         self.left = False
         self._started = asyncio.Event()
 
     def start(self, now_s: float) -> None:
         """Give the request its slot."""
+        if self.turn is not None:
+            self.turn.begin()
         self.started_s = now_s
         self._started.set()
 
@@ -138,13 +159,16 @@
         self._slots = slots
         self._start_next()
 
-    def enter(self, share: Share, cost: float = 1.0) -> Ticket:
+    def enter(self, share: Share, cost: float = 1.0, turn: Turn | None = None) -> Ticket:
         """Add a request; it may have its slot at once.
 
         A reservation of the same customer is used up.
+
+        :param turn: further condition for its start; :meth:`look_again` is called when it may
+            have changed.
         """
         self._use_hold(share.customer)
-        ticket = Ticket(share, cost)
+        ticket = Ticket(share, cost, turn)
         group = self._classes.setdefault(share.priority, _Class())
         group.flows.setdefault(share.customer, deque()).append(ticket)
         self.waiting += 1
@@ -152,6 +176,10 @@
         self._start_next()
         return ticket
 
+    def look_again(self) -> None:
+        """Start requests that were not ready before."""
+        self._start_next()
+
     def leave(self, ticket: Ticket) -> None:
         """Give up the place in the queue or the slot; repeated calls have no effect."""
         if ticket.left:
@@ -164,6 +192,8 @@
             took_s = self._clock.monotonic_s() - ticket.started_s
             self.service_s += (took_s - self.service_s) * SERVICE_SMOOTHING
             self._count_running(ticket.share, -1)
+            if ticket.turn is not None:
+                ticket.turn.end()
         self._start_next()
 
     def hold(self, customer: str, life_s: float) -> None:
@@ -244,7 +274,9 @@
             share = ticket.share
             if self._running_of[share.customer] >= share.customer_running:
                 return
-            if self._running_under[(share.customer, share.terms)] < share.terms_running:
+            if self._running_under[(share.customer, share.terms)] >= share.terms_running:
+                continue
+            if ticket.turn is None or ticket.turn.is_ready():
                 yield ticket
 
     def _count_waiting(self, share: Share, change: int) -> None:
--- a/coltsfootfront/gate.py
+++ b/coltsfootfront/gate.py
@@ -125,6 +125,9 @@
     def admit(self, ask: Ask, deadline_unix_s: float) -> Result[Grant, Failure]:
         """Decide whether a request may enter the queue.
 
+        This does not depend on :attr:`settled`: requests wait for that in the queue, and a
+        refused probe would make routers turn callers away for the sake of a moment.
+
         :param deadline_unix_s: wall-clock time after which the request must not start; infinity
             for a probe.
         :returns: the grant, or a failure whose run state is ``not_run``.
@@ -132,7 +135,7 @@
         reason = self._drain.failure()
         if reason is not None:
             return Failed(reason)
-        judged = self.confirm(ask)
+        judged = self._judge(ask)
         if not isinstance(judged, Success):
             return judged
         grant = judged.unwrap()
@@ -147,6 +150,13 @@
         """
         if self.pause is not None:
             self.pause.check()
+        if not self.settled:
+            return Failed(
+                Failure(ErrorKind.STALE_REVISION, "the revision is checked after a pause")
+            )
+        return self._judge(ask)
+
+    def _judge(self, ask: Ask) -> Result[Grant, Failure]:
         refusal = self._refuse_by_target() or self._refuse_by_kind(ask)
         if refusal is not None:
             return Failed(refusal)
@@ -184,7 +194,7 @@
         self._queue.set_slots(0 if target is None else target.slots)
 
     def _refuse_by_target(self) -> Failure | None:
-        if self._revision.number == 0 or not self.settled:
+        if self._revision.number == 0:
             return Failure(ErrorKind.STALE_REVISION, "the configuration is not known yet")
         target = self._slice.targets.get(self._target)
         if target is None or target.withdrawn:
--- a/coltsfootfront/requestserver.py
+++ b/coltsfootfront/requestserver.py
@@ -170,8 +170,10 @@
         wait_s = self._queue.estimate_s(share)
         matched, prefill_s = 0, 0.0
         if isinstance(self.backend, EngineBackend):
-            matched = self.backend.index.match(probe.depths, probe.keys)
-            prefill_s = self.backend.prefill_s
+            prefills = self.backend.prefills
+            matched = prefills.match(probe.depths, probe.keys)
+            prefill_s = prefills.prefill_s
+            wait_s += prefills.backlog_s(judged.unwrap().priority)
         reply = ProbeReply(
             probe.call, matched, wait_s, prefill_s, "", incarnation, self._queue.load
         )
