Let requests wait in queues and routers recheck after a pause

A request that waited in an agent's queue for longer than five times stream_idle_timeout_s counted as lost: an idempotent one lost its place and another was answered as unknown. Resumes after silence count only once the target has answered, and the count starts again with each new chunk.

A router whose process was paused asks its peers for the newest revision before it takes the next request, for at most 0.5 s. An empty chunk of a plain service no longer ends the body early. Each completed request is logged with its target, attempts, cached tokens and bytes between regions.

--- a/coltsfootfront/attempt.py
+++ b/coltsfootfront/attempt.py
@@ -37,7 +37,7 @@
 ACKNOWLEDGE_BYTES = 2048
 # A remainder below that is acknowledged after this pause, so that a window never stays full.
 ACKNOWLEDGE_PAUSE_S = 0.1
-# Resumes of one attempt before its agent counts as lost.
+# Resumes without a new chunk before the agent of an attempt counts as lost.
 MAX_RESUMES = 5
 # Reconnects to the agent of a lost connection. A non-idempotent request has no other way to
 # its answer, so it tries for longer than a request that may run elsewhere.
@@ -65,7 +65,15 @@
 
 
 class _InterruptedError(Exception):
-    """The stream needs a resume: the connection was cut, or a frame is missing."""
+    """The stream needs a resume: the connection was cut, or a frame is missing.
+
+    :param reason: for the log.
+    :param counts: whether the resume counts towards the limit.
+    """
+
+    def __init__(self, reason: str, counts: bool = True) -> None:
+        super().__init__(reason)
+        self.counts = counts
 
 
 class _OverdueError(Exception):
@@ -152,14 +160,18 @@
 
     async def _run_and_resume(self) -> Result[End, Failure]:
         is_bound = await self._send_run()
-        for _ in range(MAX_RESUMES):
+        resumes, reached = 0, 0
+        while resumes < MAX_RESUMES:
             if is_bound:
                 try:
                     return await self._follow()
                 except _InterruptedError as error:
                     log.info(self._event("stream_interrupted", reason=error))
+                    resumes += error.counts
                 except _OverdueError as error:
                     return Failed(await self._give_up(error.kind, str(error)))
+            if self._check.next_seq > reached:
+                resumes, reached = 0, self._check.next_seq
             is_bound = await self._resume()
             if not is_bound:
                 break
@@ -378,7 +390,8 @@
         if self._is_overdue():
             raise _OverdueError(ErrorKind.DEADLINE_EXCEEDED, "did not start the request in time")
         if self._clock.monotonic_s() - started_s >= self._limits.idle_s:
-            raise _InterruptedError("the stream was silent for too long")
+            # A request may wait in a queue for as long as its deadline allows.
+            raise _InterruptedError("the stream was silent for too long", self._has_head)
 
     def _is_overdue(self) -> bool:
         if self._has_head:
--- a/coltsfootfront/callers.py
+++ b/coltsfootfront/callers.py
@@ -164,8 +164,10 @@
             headers.add(name, value)
 
     async def write(self, data: bytes) -> None:
-        self._written += len(data)
-        await super().write(data)
+        if data:
+            # An empty chunk would be the end mark of the body.
+            self._written += len(data)
+            await super().write(data)
 
     def finish(self) -> None:
         """Cut the connection when the body is shorter than its announced length."""
--- a/coltsfootfront/dispatch.py
+++ b/coltsfootfront/dispatch.py
@@ -53,6 +53,7 @@
     tried: set[str] = field(default_factory=set)
     failures: list[Failure] = field(default_factory=list)
     attempts: int = 0
+    crossed_bytes: int = 0
     version: str | None = None
 
     def note_version(self, place: Place) -> None:
@@ -198,7 +199,9 @@
             load.in_flight -= 1
             self._settle(place, attempt, outcome)
             if place.is_remote:
-                self._link.charge(len(job.body) + attempt.received_bytes, place.region)
+                size_bytes = len(job.body) + attempt.received_bytes
+                course.crossed_bytes += size_bytes
+                self._link.charge(size_bytes, place.region)
 
     def _settle(self, place: Place, attempt: Attempt, outcome: Result[End, Failure] | None) -> None:
         """Tell the breaker how an attempt ended."""
@@ -229,6 +232,19 @@
         return self._budget.take(failure.kind.value)
 
     def _complete(self, course: _Course, place: Place, end: End) -> Completion:
+        log.info(
+            event(
+                "request_completed",
+                request_id=course.job.request_id,
+                customer=course.job.customer,
+                target=place.target,
+                revision=self._revision.number,
+                attempts=course.attempts,
+                bytes=end.total_bytes,
+                link_bytes=course.crossed_bytes,
+                cached_tokens=_count(end, "cached_tokens"),
+            )
+        )
         if course.job.kind == KIND_SERVICE:
             return Completion(end.finish_reason)
         usage = Usage(
--- a/coltsfootfront/frontend.py
+++ b/coltsfootfront/frontend.py
@@ -69,6 +69,7 @@
     :param dispatcher: executes requests.
     :param limiter: request rates of customers.
     :param clock: time source.
+    :param settle: returns when this process may serve, after a pause too.
     :param unready_reason: returns why this process takes no new work, or an empty string.
     """
 
@@ -79,6 +80,7 @@
         dispatcher: Dispatcher,
         limiter: RateLimiter,
         clock: Clock,
+        settle: Callable[[], Awaitable[None]],
         unready_reason: Callable[[], str],
     ) -> None:
         self._settings = settings
@@ -86,6 +88,7 @@
         self._dispatcher = dispatcher
         self._limiter = limiter
         self._clock = clock
+        self._settle = settle
         self._unready_reason = unready_reason
         self.in_progress = 0
         self.is_draining = False
@@ -201,7 +204,7 @@
     async def _model(
         self, request: web.BaseRequest, context: Context, chat: bool
     ) -> web.StreamResponse:
-        document = self._admit(request, context)
+        document = await self._admit(request, context)
         self.in_progress += 1
         try:
             deadline = self._deadline(request)
@@ -252,7 +255,7 @@
         return caller.response
 
     async def _service(self, request: web.BaseRequest, context: Context) -> web.StreamResponse:
-        document = self._admit(request, context)
+        document = await self._admit(request, context)
         self.in_progress += 1
         try:
             job = await self._service_job(request, context, document)
@@ -304,8 +307,9 @@
             idempotency_key=key_hash,
         )
 
-    def _admit(self, request: web.BaseRequest, context: Context) -> Document:
+    async def _admit(self, request: web.BaseRequest, context: Context) -> Document:
         """Authenticate and apply the limits of this router before the body is read."""
+        await self._settle()
         document = self._revision.document
         context.customer = self._authenticated(request, document)
         if self.in_progress >= self._settings.max_requests:
--- a/coltsfootfront/router.py
+++ b/coltsfootfront/router.py
@@ -30,6 +30,7 @@
 from coltsfootfront.logs import event
 from coltsfootfront.membership import Membership
 from coltsfootfront.messages import Explain, ExplainReply, Greet, Message, Status, StatusReply
+from coltsfootfront.pauseguard import PauseGuard
 from coltsfootfront.placement import Policy
 from coltsfootfront.placer import Placer
 from coltsfootfront.probes import LoadTable, Prober
@@ -48,6 +49,8 @@
 PROGRAM = "coltsfootfront-router"
 STORE_TIMEOUT_S = 2.0
 BOOTSTRAP_TIMEOUT_S = 2.0
+# After a pause requests wait for this time at most, since they must not be held for long.
+RECHECK_TIMEOUT_S = 0.5
 # Full jitter between attempts to get a first configuration, so that many restarted routers do
 # not ask the same peers at once.
 BOOTSTRAP_PAUSE_S = 0.5
@@ -94,7 +97,7 @@
         self._liveness = Liveness(clock, settings.accept_timeout_s)
         self._table = LoadTable(clock)
         self._breaker = Breaker(clock)
-        self._link = LinkBudget(clock)
+        self.link = LinkBudget(clock)
         self._limiter = RateLimiter(clock)
         self._prober = Prober(
             self._pool, self._table, clock, settings.probe_timeout_s, settings.connect_timeout_s
@@ -109,13 +112,15 @@
             self._members_changed,
         )
         self._policy = _build_policy(settings, clock, self._generator)
-        self._dispatcher = self._build_dispatcher()
+        self._pause_guard = PauseGuard(clock, self._recheck_revision)
+        self.dispatcher = self._build_dispatcher()
         self.frontend = Frontend(
             settings,
             self.revision,
-            self._dispatcher,
+            self.dispatcher,
             self._limiter,
             clock,
+            self._pause_guard.settle,
             self.unready_reason,
         )
         self._listener = Listener(settings.peer_address, self._identity, self._serve_peer)
@@ -137,6 +142,7 @@
         await self._spread.start()
         self._tree.add("membership", self._membership.run)
         self._tree.add("bootstrap", self._bootstrap)
+        self._tree.add("pauses", self._pause_guard.run)
         self._tree.add("idle_channels", self._close_idle_channels)
         await self._tree.start()
         await self._start_watcher()
@@ -158,6 +164,7 @@
         if self._runner is not None:
             await self._runner.cleanup()
         await self._tree.close()
+        await self._pause_guard.close()
         if self._watcher is not None:
             await self._watcher.close()
         if self._spread is not None:
@@ -191,7 +198,7 @@
             self._table,
             self._breaker,
             self._membership,
-            self._link,
+            self.link,
         )
         return Dispatcher(
             self.revision,
@@ -200,7 +207,7 @@
             self._table,
             self._breaker,
             RetryBudget(self._clock, settings.retry_ratio, settings.retry_floor_per_s),
-            self._link,
+            self.link,
             self._liveness,
             self._clock,
             AttemptLimits(settings.accept_timeout_s, settings.stream_idle_timeout_s),
@@ -279,7 +286,7 @@
                 await connection.send(StatusReply(message.call, self._state()))
             elif isinstance(message, Explain):
                 number = self.revision.number
-                answer = await explain(message.body, self._dispatcher, self._clock, number)
+                answer = await explain(message.body, self.dispatcher, self._clock, number)
                 await connection.send(ExplainReply(message.call, answer))
             elif not await spread.handle(connection, message, number):
                 log.debug(event("message_ignored", peer=connection.peer, type=message.TYPE))
@@ -319,7 +326,7 @@
         region = document.regions.get(own, Region())
         data_centres = region.data_centres or [self._settings.data_centre]
         count = self._membership.count_routers(data_centres)
-        self._link.set_rate(region.link_bytes_per_s, count)
+        self.link.set_rate(region.link_bytes_per_s, count)
 
     async def _bootstrap(self) -> None:
         """Get the newest configuration from peers and agents; the store is not needed.
@@ -337,6 +344,10 @@
             if not self._has_asked_peers:
                 await self._clock.sleep(self._generator.uniform(0, BOOTSTRAP_PAUSE_S))
 
+    async def _recheck_revision(self) -> None:
+        if self._spread is not None:
+            await self._spread.bootstrap(RECHECK_TIMEOUT_S)
+
     async def _pull_from_agents(self, spread: Spread) -> None:
         agents = self._membership.agents() or self._agents_of_document()
         chosen = self._generator.sample(agents, min(BOOTSTRAP_AGENTS, len(agents)))
--- a/coltsfootfront/tests/test_frontend.py
+++ b/coltsfootfront/tests/test_frontend.py
@@ -12,9 +12,11 @@
 from coltsfootfront.clock import SystemClock
 from coltsfootfront.connection import Connection
 from coltsfootfront.messages import Accepted, Chunk, End, Explain, ExplainReply, Head, Run
+from coltsfootfront.pauseguard import PauseGuard
 from coltsfootfront.router import Router
 from coltsfootfront.settings import RouterSettings
 from coltsfootfront.tests.fakeagent import SECRET, FakeAgent, answer_text, identity, revision_of
+from coltsfootfront.tests.support import ManualClock
 
 KEY = {"Authorization": "Bearer key-c"}
 BODY: dict[str, Any] = {"model": "m", "prompt": "a prompt of several blocks"}
@@ -355,6 +357,26 @@
         self.assertEqual([], [run for agent in self.agents for run in agent.runs])
 
 
+class PauseGuardTest(unittest.IsolatedAsyncioTestCase):
+    async def test_requests_wait_for_the_recheck_after_a_pause(self) -> None:
+        """Guards against a resumed router that serves with terms withdrawn meanwhile."""
+        clock, done, calls = ManualClock(), asyncio.Event(), []
+
+        async def recheck() -> None:
+            calls.append(1)
+            await done.wait()
+
+        guard = PauseGuard(clock, recheck)
+        await guard.settle()
+        clock.advance(5.0)
+        waiting = [asyncio.create_task(guard.settle()) for _ in range(3)]
+        await asyncio.sleep(0.01)
+        self.assertEqual([False] * 3, [task.done() for task in waiting])
+        done.set()
+        await asyncio.gather(*waiting)
+        self.assertEqual([1], calls)
+
+
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_start_without_store_and_peers(self) -> None:
         """Guards against a router that ends, or takes requests, without a configuration."""
