--- a/coltsfootfront_dev/caller.py
+++ b/coltsfootfront_dev/caller.py
@@ -118,7 +118,8 @@
                     return await _refusal(response)
                 if call.stream:
                     return Reply(200, await check_stream(response, call))
-                return Reply(200, check_whole(await response.json(), call))
+                value = await response.json()
+                return Reply(200, check_whole(value, call), value=value)
         except TRANSPORT_ERRORS as error:
             return Reply(0, repr(error))
 
