Weigh computation in placement for what it costs other requests

Cause: the policy took the least time to first token for the request alone. A copy of a prefix that saved one request a few milliseconds evicted blocks that others would have reused, and every engine computed more.

The cost of a block that must be computed is now (1 + recompute_weight) times its time; the weight is in the document's policy. The anchor depth lies within three quarters of the prompt, so that cases of one dossier share their home.

--- a/coltsfootfront/depthpolicy.py
+++ b/coltsfootfront/depthpolicy.py
@@ -2,9 +2,9 @@
 
 Prompts share prefixes that are nested in levels, and a router does not know where a level ends.
 Each depth (1, 2, 4, 8 … blocks and the whole chain) therefore has its own rendezvous target.
-Requests that share at least half of their blocks have the same *anchor*, the largest power of
-two within the chain, and so the same home. The whole chain is no good home, because a prompt
-with a tail of its own would be alone in its rank.
+Requests of like length that share most of their blocks have the same *anchor*, the largest
+power of two within three quarters of the chain, and so the same home. The whole chain is no good
+home, because a prompt with a tail of its own would be alone in its rank.
 """
 
 import heapq
@@ -13,7 +13,7 @@
 from itertools import zip_longest
 
 from coltsfootfront.clock import Clock
-from coltsfootfront.document import Grant
+from coltsfootfront.document import Grant, PolicySettings
 from coltsfootfront.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
 from coltsfootfront.rendezvous import rank
 
@@ -25,6 +25,10 @@
 LOAD_AGE_S = 2.0
 # Short keys seen lately; they show where the shared prefixes of current prompts end.
 SEEN_KEYS = 8192
+# Share of a prompt's blocks within which its anchor lies. The rest is taken for a tail that the
+# prompt shares with few others; a longer prompt would otherwise have another home than a shorter
+# one with the same prefix.
+ANCHOR_SHARE = 0.75
 # From this number of candidates on, two of them are chosen by load instead of one.
 TWO_BY_LOAD = 6
 
@@ -50,7 +54,8 @@
         self._clock = clock
         self._generator = generator
         self._seen: OrderedDict[bytes, None] = OrderedDict()
-        self.hysteresis_s = 0.0
+        self.weights = PolicySettings()
+        """Weights of the document in force."""
 
     def depths(self, request: PlacementRequest) -> list[int]:
         depths = set(super().depths(request))
@@ -106,8 +111,11 @@
             self._seen.popitem(last=False)
 
     def _cost_s(self, request: PlacementRequest, answer: Candidate) -> float:
-        cost_s = estimate_s(request, answer)
-        return cost_s - self.hysteresis_s if answer.home else cost_s
+        """Estimated time to first token, with what the choice costs other requests."""
+        weights = self.weights
+        compute_s = max(0, len(request.keys) - answer.matched) * answer.prefill_s
+        cost_s = estimate_s(request, answer) + weights.recompute_weight * compute_s
+        return cost_s - weights.hysteresis_s if answer.home else cost_s
 
     def _deepest_seen(self, request: PlacementRequest) -> int:
         for depth in range(len(request.keys), 0, -1):
@@ -120,7 +128,7 @@
         blocks = len(request.keys)
         if not blocks:
             return []
-        anchor = 1 << (blocks.bit_length() - 1)
+        anchor = _anchor(blocks)
         others = [depth for depth in reversed(self.depths(request)) if depth != anchor]
         seen = self._deepest_seen(request)
         if seen in others:
@@ -166,6 +174,12 @@
         return [name for pair in pairs for name in pair if name is not None]
 
 
+def _anchor(blocks: int) -> int:
+    """Depth whose rendezvous target is the home of a prompt of this length."""
+    shared = max(1, int(blocks * ANCHOR_SHARE))
+    return 1 << (shared.bit_length() - 1)
+
+
 def _append(chosen: list[str], name: str, limit: int) -> None:
     if name not in chosen and len(chosen) < limit:
         chosen.append(name)
--- a/coltsfootfront/document.py
+++ b/coltsfootfront/document.py
@@ -160,10 +160,13 @@
     """Weights of the placement policy.
 
     :param hysteresis_s: advantage of the home target in seconds.
+    :param recompute_weight: additional cost of computing a block, as a multiple of its time. It
+        stands for the requests that the computation delays and for the blocks that it evicts.
     :param cross_region_s: least saving in seconds for a request to leave its region.
     """
 
     hysteresis_s: float = 0.02
+    recompute_weight: float = 1.0
     cross_region_s: float = 0.2
 
 
--- a/coltsfootfront/router.py
+++ b/coltsfootfront/router.py
@@ -305,7 +305,7 @@
         self._limiter.keep_only(set(document.customers))
         self._liveness.keep_only({item.agent_address for item in document.targets.values()})
         if isinstance(self._policy, DepthPolicy):
-            self._policy.hysteresis_s = document.policy.hysteresis_s
+            self._policy.weights = document.policy
         self._share_link()
 
     def _members_changed(self) -> None:
--- a/coltsfootfront/schema.py
+++ b/coltsfootfront/schema.py
@@ -144,7 +144,12 @@
         priority=_whole(0, 9),
         max_running=_whole(1, 10_000),
     ),
-    "policy": _entry([], hysteresis_s=_number(0, 60), cross_region_s=_number(0, 600)),
+    "policy": _entry(
+        [],
+        hysteresis_s=_number(0, 60),
+        recompute_weight=_number(0, 100),
+        cross_region_s=_number(0, 600),
+    ),
     "operators": _entry(["key_hash"], key_hash=_HASH, may_apply=_BOOLEAN),
 }
 
--- a/coltsfootfront/tests/test_depthpolicy.py
+++ b/coltsfootfront/tests/test_depthpolicy.py
@@ -9,7 +9,7 @@
 
 from coltsfootfront.clock import SystemClock
 from coltsfootfront.depthpolicy import DepthPolicy
-from coltsfootfront.document import Grant
+from coltsfootfront.document import Grant, PolicySettings
 from coltsfootfront.messages import Probe, ProbeReply, encode
 from coltsfootfront.placement import Candidate, PlacementRequest, TargetLoad
 from coltsfootfront.probes import LoadTable, ProbeQuestion, Prober, ProbeTarget
@@ -130,13 +130,25 @@
             "rank order decides a tie": ([answer("b"), answer("a")], "a"),
             "no answers": ([], "a"),
         }
-        self.policy.hysteresis_s = 0.02
+        self.policy.weights = PolicySettings(0.02, recompute_weight=0.0)
         for name, (answers, first) in cases.items():
             with self.subTest(name):
                 choice = self.policy.choose(request(("p", 8)), ["a", "b", "c"], answers)
                 self.assertEqual(first, choice.targets[0])
                 self.assertEqual({"a", "b", "c"}, set(choice.targets))
 
+    def test_weights_stand_for_what_a_choice_costs_others(self) -> None:
+        """Guards against copies of a prefix that save one request little and others nothing."""
+        cases = {
+            "a copy must save more than its time": ([answer("a", 0), answer("b", 4, 0.7)], "b"),
+            "a copy that saves much is made": ([answer("a", 0), answer("b", 4, 1.3)], "a"),
+        }
+        self.policy.weights = PolicySettings(0.0, recompute_weight=1.0)
+        for name, (answers, first) in cases.items():
+            with self.subTest(name):
+                choice = self.policy.choose(request(("p", 8)), ["a", "b"], answers)
+                self.assertEqual(first, choice.targets[0])
+
 
 class ProbesTest(unittest.IsolatedAsyncioTestCase):
     def test_a_probe_stays_small(self) -> None:
