--- a/coltsfootfront/gate.py
+++ b/coltsfootfront/gate.py
@@ -1,16 +1,18 @@
 """Admission to the target: the one place where it is decided whether a request may run here."""
 
+import asyncio
 from dataclasses import dataclass, replace
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from coltsfootfront.clock import Clock
-from coltsfootfront.document import KIND_ENGINE, KIND_KEPT_CACHE, Document, Grant
+from coltsfootfront.document import KIND_ENGINE, KIND_SERVICE, Document, Grant
 from coltsfootfront.drain import Drain
 from coltsfootfront.engine import EngineState
 from coltsfootfront.errors import ErrorKind, Failure, RunState
 from coltsfootfront.fairqueue import FairQueue, Share
+from coltsfootfront.pause import PauseDetector
 from coltsfootfront.revision import InForce, Revision
 from coltsfootfront.servicepath import is_idempotent
 
@@ -75,14 +77,32 @@
         """The engine's last report; None while it does not answer."""
         self.reachable = False
         """Whether the target answered when it was last asked."""
-        self.settled = True
-        """False after a pause until the revision was checked again."""
+        self.pause: PauseDetector | None = None
+        """Asked before each decision; a pause makes the gate unsettled."""
+        self._settled = asyncio.Event()
+        self._settled.set()
         self._subscription = revision.changes.subscribe(self._adopt)
 
     def close(self) -> None:
         """Stop to follow the configuration."""
         self._subscription.dispose()
 
+    @property
+    def settled(self) -> bool:
+        """False after a pause of the process until the revision was checked again."""
+        return self._settled.is_set()
+
+    @settled.setter
+    def settled(self, value: bool) -> None:
+        if value:
+            self._settled.set()
+        else:
+            self._settled.clear()
+
+    async def wait_settled(self) -> None:
+        """Wait until the revision was checked after a pause."""
+        await self._settled.wait()
+
     @property
     def kind(self) -> str:
         """Kind of the target's service; empty while the document does not name the target."""
@@ -125,7 +145,9 @@
         Asked again immediately before a request is forwarded, since the document or the engine
         may have changed while it waited.
         """
-        refusal = self._refuse_by_target()
+        if self.pause is not None:
+            self.pause.check()
+        refusal = self._refuse_by_target() or self._refuse_by_kind(ask)
         if refusal is not None:
             return Failed(refusal)
         grant = self._slice.grant_for(
@@ -135,6 +157,8 @@
             return Failed(
                 Failure(ErrorKind.FORBIDDEN, "no terms allow this customer on this target")
             )
+        if not self.reachable:
+            return Failed(Failure(ErrorKind.TARGET_UNREACHABLE, "the target does not answer"))
         refusal = self._refuse_by_version(ask, grant) if ask.model else self._refuse_by_path(ask)
         return Success(grant) if refusal is None else Failed(refusal)
 
@@ -165,14 +189,17 @@
         target = self._slice.targets.get(self._target)
         if target is None or target.withdrawn:
             return Failure(ErrorKind.TARGET_WITHDRAWN, "the target is withdrawn")
-        if self.kind == KIND_KEPT_CACHE:
-            return Failure(ErrorKind.FORBIDDEN, "kept caches take no requests of customers")
-        if not self.reachable:
-            return Failure(ErrorKind.TARGET_UNREACHABLE, "the target does not answer")
         return None
 
+    def _refuse_by_kind(self, ask: Ask) -> Failure | None:
+        wanted = KIND_ENGINE if ask.model else KIND_SERVICE
+        if self.kind == wanted:
+            return None
+        # This includes kept caches, which take no requests of customers at all.
+        return Failure(ErrorKind.FORBIDDEN, "the target takes no requests of this kind")
+
     def _refuse_by_version(self, ask: Ask, grant: Grant) -> Failure | None:
-        if self.kind != KIND_ENGINE or self.engine is None:
+        if self.engine is None:
             return Failure(ErrorKind.TARGET_UNREACHABLE, "the engine has not reported yet")
         if self.engine.role != ROLE_SERVE:
             return Failure(ErrorKind.TARGET_WITHDRAWN, f"the engine's role is {self.engine.role}")
