--- a/coltsfootfront/fairqueue.py
+++ b/coltsfootfront/fairqueue.py
@@ -103,6 +103,27 @@
         """Virtual start time of the customer's next request."""
         return max(self.virtual, self.finish.get(customer, 0.0))
 
+    def ahead_of(self, share: Share, held: dict[str, list[Share]]) -> float:
+        """Count what would start before a new request of a customer.
+
+        However many requests of another customer wait or have reserved a slot, only those count
+        whose turn comes before.
+
+        :param held: reservations by customer.
+        """
+        own = self.flows.get(share.customer, deque())
+        own_held = len(held.get(share.customer, ()))
+        work = sum(ticket.cost for ticket in own) + own_held
+        start = self.start_of(share.customer) + work / share.weight
+        ahead = float(len(own) + own_held)
+        for customer in {*self.flows, *held} - {share.customer}:
+            flow, reserved = self.flows.get(customer, deque()), held.get(customer, [])
+            weight = (flow[0].share if flow else reserved[0]).weight
+            step = (flow[0].cost if flow else 1.0) / weight
+            turns = (start - self.start_of(customer)) // step + 1
+            ahead += min(len(flow) + len(reserved), max(turns, 0))
+        return ahead
+
     def take(self, ticket: Ticket) -> None:
         """Remove a ticket that starts and charge its customer."""
         customer = ticket.share.customer
@@ -135,7 +156,7 @@
         self._running_of: Counter[str] = Counter()
         self._running_under: Counter[tuple[str, str]] = Counter()
         self._waiting_of: Counter[str] = Counter()
-        self._holds: deque[tuple[float, str]] = deque()
+        self._holds: deque[tuple[float, Share]] = deque()
         self.waiting = 0
         self.service_s = INITIAL_SERVICE_S
         """Mean time for which a request holds its slot."""
@@ -196,36 +217,34 @@
                 ticket.turn.end()
         self._start_next()
 
-    def hold(self, customer: str, life_s: float) -> None:
+    def hold(self, share: Share, life_s: float) -> None:
         """Reserve one slot softly: it counts in estimates and in nothing else."""
         if life_s > 0 and len(self._holds) < MAX_HOLDS:
-            self._holds.append((self._clock.monotonic_s() + life_s, customer))
+            self._holds.append((self._clock.monotonic_s() + life_s, share))
 
     def estimate_s(self, share: Share) -> float:
         """Estimate how long a request that arrives now would wait."""
-        turns = self._ahead(share) + self._held() - (self._slots - self._running) + 1
+        turns = self._ahead(share) - (self._slots - self._running) + 1
         wait_s = max(turns, 0) * self.service_s / max(self._slots, 1)
         limit = max(min(share.customer_running, share.terms_running), 1)
         own = self._running_of[share.customer] + self._waiting_of[share.customer]
         return max(wait_s, (own - limit + 1) * self.service_s / limit, 0.0)
 
     def _ahead(self, share: Share) -> float:
+        """Count requests and reservations that would start before a new request."""
+        self._drop_old_holds()
         ahead = 0.0
         for priority, group in self._classes.items():
             if priority < share.priority:
                 ahead += sum(len(flow) for flow in group.flows.values())
-            elif priority == share.priority:
-                ahead += self._ahead_in_class(group, share)
-        return ahead
-
-    def _ahead_in_class(self, group: _Class, share: Share) -> float:
-        own = len(group.flows.get(share.customer, ()))
-        ahead = float(own)
-        for customer, flow in group.flows.items():
-            if customer != share.customer:
-                turns = (own + 1) * flow[0].share.weight / share.weight
-                ahead += min(len(flow), turns)
-        return ahead
+        held: dict[str, list[Share]] = {}
+        for _, reserved in self._holds:
+            if reserved.priority < share.priority:
+                ahead += 1
+            elif reserved.priority == share.priority:
+                held.setdefault(reserved.customer, []).append(reserved)
+        own_class = self._classes.get(share.priority) or _Class()
+        return ahead + own_class.ahead_of(share, held)
 
     def _start_next(self) -> None:
         while self._running < self._slots and self.waiting:
@@ -289,14 +308,17 @@
         _add(self._running_under, (share.customer, share.terms), change)
 
     def _held(self) -> int:
+        self._drop_old_holds()
+        return len(self._holds)
+
+    def _drop_old_holds(self) -> None:
         now_s = self._clock.monotonic_s()
         while self._holds and self._holds[0][0] <= now_s:
             self._holds.popleft()
-        return len(self._holds)
 
     def _use_hold(self, customer: str) -> None:
         for hold in self._holds:
-            if hold[1] == customer:
+            if hold[1].customer == customer:
                 self._holds.remove(hold)
                 return
 
--- a/coltsfootfront/metrics.py
+++ b/coltsfootfront/metrics.py
@@ -6,6 +6,9 @@
 
 REFUSALS = Counter("coltsfootfront_refusals_total", "Requests refused, by reason.")
 RETRIES = Counter("coltsfootfront_retries_total", "Attempts repeated, by reason.")
+RETRIES_DENIED = Counter(
+    "coltsfootfront_retries_denied_total", "Retries that the budget did not allow, by reason."
+)
 REQUESTS = Counter("coltsfootfront_requests_total", "Requests by customer and outcome.")
 STREAMS = Counter("coltsfootfront_stream_events_total", "Stream events by name.")
 CONNECTIONS = Counter("coltsfootfront_connection_events_total", "Peer connection events by name.")
--- a/coltsfootfront/requestserver.py
+++ b/coltsfootfront/requestserver.py
@@ -178,7 +178,7 @@
             probe.call, matched, wait_s, prefill_s, "", incarnation, self._queue.load
         )
         if probe.hold:
-            self._queue.hold(probe.customer, self._settings.hold_s)
+            self._queue.hold(share, self._settings.hold_s)
         return reply
 
     async def _run(self, connection: Connection, routes: Routes, run: Run, number: int) -> None:
--- a/coltsfootfront/retries.py
+++ b/coltsfootfront/retries.py
@@ -53,7 +53,7 @@
         current = self._current()
         allowed = self._requests * self._ratio + self._floor_per_s * WINDOW_S
         if self._retries + 1 > allowed:
-            metrics.RETRIES.inc({"reason": "budget_exhausted"})
+            metrics.RETRIES_DENIED.inc({"reason": reason})
             return False
         self._spend(current, reason)
         return True
