Give a stream up only after resumes that bring no further chunk

Cause: an attempt had five resumes in all, however much each of them brought. A longer answer whose connection was cut again and again was given up although the agent still held all of it: an answer of 1,500,000 bytes, cut after each 150,000 bytes, ended at 389,961 bytes.

Ruled out: lost or refused resumes; each had gone on at the right chunk. Requests that cannot run elsewhere, and answers of plain services that have begun, have no other way to their rest.

The module tests of dispatch pass.

--- a/coltsfootfront/attempt.py
+++ b/coltsfootfront/attempt.py
@@ -37,7 +37,7 @@
 ACKNOWLEDGE_BYTES = 2048
 # A remainder below that is acknowledged after this pause, so that a window never stays full.
 ACKNOWLEDGE_PAUSE_S = 0.1
-# Resumes of one attempt before its agent counts as lost.
+# Resumes of one attempt without a further chunk before its agent counts as lost.
 MAX_RESUMES = 5
 # Reconnects to the agent of a lost connection. A non-idempotent request has no other way to
 # its answer, so it tries for longer than a request that may run elsewhere.
@@ -152,7 +152,9 @@
 
     async def _run_and_resume(self) -> Result[End, Failure]:
         is_bound = await self._send_run()
-        for _ in range(MAX_RESUMES):
+        left, received = MAX_RESUMES, 0
+        while left:
+            left -= 1
             if is_bound:
                 try:
                     return await self._follow()
@@ -160,6 +162,8 @@
                     log.info(self._event("stream_interrupted", reason=error))
                 except _OverdueError as error:
                     return Failed(await self._give_up(error.kind, str(error)))
+            if self._check.next_seq > received:
+                left, received = MAX_RESUMES, self._check.next_seq
             is_bound = await self._resume()
             if not is_bound:
                 break
