Reset the connection when a plain service's answer breaks off

Cause: the router closed the caller's connection in the normal way. A client of HTTP/1.0 gets a body without an announced length up to the end of its connection, so it took an answer that had broken off as complete: a silent short answer. Clients of HTTP/1.1 see the missing last chunk, and bodies with a length are seen to be short.

Ruled out: streams of models, which end with an error event and have an end mark; refusals, which have a length.

Before: the client read a part of the body and a clean end. After: reading ends with a reset of the connection, and bytes that are not sent yet are dropped. Not covered: a router that is killed itself ends connections normally.

--- a/coltsfootfront/callers.py
+++ b/coltsfootfront/callers.py
@@ -1,6 +1,8 @@
 """The three ways in which an answer reaches its caller over HTTP."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Iterable
 
 from aiohttp import web
@@ -31,6 +33,9 @@
 # The caller's key is for this system, not for the service behind it.
 _PRIVATE_HEADERS = frozenset({"authorization", "expect", "host"})
 
+# Value of SO_LINGER that drops unsent data and resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 def forwarded_headers(headers: Iterable[tuple[str, str]]) -> list[list[str]]:
     """Headers of a caller's request that a plain service gets."""
@@ -167,6 +172,16 @@
         self._written += len(data)
         await super().write(data)
 
+    def cut(self) -> None:
+        """Reset the connection; its plain end would complete an HTTP/1.0 body without a length."""
+        transport = self._request.transport
+        if transport is None:
+            return
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        transport.abort()
+
     def finish(self) -> None:
         """Cut the connection when the body is shorter than its announced length."""
         is_short = self._length is not None and self._written != self._length
