--- a/coltsfootfront_dev/service.py
+++ b/coltsfootfront_dev/service.py
@@ -46,6 +46,7 @@
     :param status: status answered instead of executing; 0 for none.
     :param unhealthy: whether the health check fails.
     :param padding_bytes: bytes added to each answer.
+    :param chunked: whether answers announce no length.
     """
 
     delay_before_s: float = 0.0
@@ -56,6 +57,7 @@
     status: int = 0
     unhealthy: bool = False
     padding_bytes: int = 0
+    chunked: bool = False
 
 
 @dataclass(slots=True)
@@ -108,8 +110,10 @@
         if self.faults.padding_bytes:
             answer["padding"] = "x" * self.faults.padding_bytes
         response = web.json_response(answer)
+        if self.faults.chunked:
+            response.enable_chunked_encoding()
         if self._take("cut_body"):
-            return await _cut_within(request, response)
+            return await _cut_within(request, response, self.faults.chunked)
         return response
 
     def _execute(self, request: web.Request, body: bytes) -> Execution:
@@ -138,10 +142,13 @@
     return web.Response()
 
 
-async def _cut_within(request: web.Request, whole: web.Response) -> web.StreamResponse:
+async def _cut_within(
+    request: web.Request, whole: web.Response, chunked: bool
+) -> web.StreamResponse:
     assert isinstance(whole.body, bytes)
     partial = web.StreamResponse()
-    partial.content_length = len(whole.body)
+    if not chunked:
+        partial.content_length = len(whole.body)
     await partial.prepare(request)
     await partial.write(whole.body[: len(whole.body) // 2])
     if request.transport is not None:
