--- a/coltsfootfront/callers.py
+++ b/coltsfootfront/callers.py
@@ -169,8 +169,10 @@
             headers.add(name, value)
 
     async def write(self, data: bytes) -> None:
-        self._written += len(data)
-        await super().write(data)
+        if data:
+            # An empty chunk would be the end mark of the body.
+            self._written += len(data)
+            await super().write(data)
 
     def cut(self) -> None:
         """Reset the connection; its plain end would complete an HTTP/1.0 body without a length."""
