Age chains from their end, and give no orders on a leaving VM

Cause: the index dropped the start of a chain before its end when it had to make room, while engines evict the end first; what was left could not match. An agent on a leaving VM still ordered loads of weights, which take one of two slots. Log lines of requests lacked the revision.

Ruled out: a separate order of recency for each chain; inserting blocks from the last to the first has the same effect.

Before: with room for 10 blocks, a chain of 8 and 6 later blocks, the first four blocks of the chain would have been dropped.

Conclusion: the index ages as the engine does.

--- a/coltsfootfront/execution.py
+++ b/coltsfootfront/execution.py
@@ -402,6 +402,7 @@
             "attempt": self._run.attempt,
             "customer": self._run.customer,
             "target": self._grant.target,
+            "revision": self._gate.revision_number,
         }
 
 
--- a/coltsfootfront/gate.py
+++ b/coltsfootfront/gate.py
@@ -103,6 +103,16 @@
         """Wait until the revision was checked after a pause."""
         await self._settled.wait()
 
+    @property
+    def revision_number(self) -> int:
+        """Revision by which requests are judged."""
+        return self._revision.number
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the target takes no new work."""
+        return self._drain.source is not None
+
     @property
     def kind(self) -> str:
         """Kind of the target's service; empty while the document does not name the target."""
--- a/coltsfootfront/index.py
+++ b/coltsfootfront/index.py
@@ -118,7 +118,8 @@
         """Record blocks that are in the cache now."""
         tick = self._tick()
         seen = self._seen
-        for key in keys:
+        # Like the engine, a chain loses its end before its start.
+        for key in reversed(keys):
             if len(key) == KEY_BYTES:
                 # Removed first, so that the entry moves behind all others.
                 seen.pop(key, None)
--- a/coltsfootfront/orders.py
+++ b/coltsfootfront/orders.py
@@ -200,7 +200,8 @@
 
     def _wanted(self) -> Target | None:
         target = self._gate.document.targets.get(self._target)
-        if target is None or target.withdrawn:
+        # A VM that leaves would load weights for nobody.
+        if target is None or target.withdrawn or self._gate.is_draining:
             return None
         return target
 
--- a/coltsfootfront/tests/support.py
+++ b/coltsfootfront/tests/support.py
@@ -108,7 +108,17 @@
     }
 
 
-class MemoryStore(Store):
+class NoLifecycle:
+    """Mixin of fakes that hold nothing to open or release."""
+
+    async def start(self) -> None:
+        pass
+
+    async def close(self) -> None:
+        pass
+
+
+class MemoryStore(NoLifecycle, Store):
     """Store in memory with leases and faults.
 
     ``faults`` holds what happens to the next calls: ``down`` (no effect), ``lost`` (a write
@@ -169,12 +179,6 @@
     def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
         raise NotImplementedError
 
-    async def start(self) -> None:
-        pass
-
-    async def close(self) -> None:
-        pass
-
     def _fault(self) -> str:
         for lease, (_, until_s) in list(self.leases.items()):
             if until_s <= self._clock.monotonic_s():
@@ -203,7 +207,7 @@
         return Outcome(True, self.revision)
 
 
-class FakeEngine(Engine):
+class FakeEngine(NoLifecycle, Engine):
     """Engine that generates what a test says.
 
     ``parts`` are yielded in order; a failure among them is raised, an event is awaited.
@@ -247,14 +251,8 @@
     async def import_blocks(self, cache_salt: str, data: bytes) -> Result[int, Failure]:
         return Failed(Failure(ErrorKind.NOT_FOUND))
 
-    async def start(self) -> None:
-        pass
-
-    async def close(self) -> None:
-        pass
-
 
-class FakeService(PlainService):
+class FakeService(NoLifecycle, PlainService):
     """Service that counts calls and answers what a test says."""
 
     def __init__(self, parts: Sequence[ServiceHead | bytes | Failure | asyncio.Event]) -> None:
@@ -274,12 +272,6 @@
     async def healthy(self) -> bool:
         return True
 
-    async def start(self) -> None:
-        pass
-
-    async def close(self) -> None:
-        pass
-
 
 async def settle(rounds: int = 30) -> None:
     """Let every task that can go on do so."""
--- a/coltsfootfront/tests/test_index.py
+++ b/coltsfootfront/tests/test_index.py
@@ -118,7 +118,11 @@
         for start in range(0, 200_000, 50):
             self.index.store([key(number) for number in range(start, start + 50)])
         self.assertLessEqual(len(self.index), 40_700)
-        self.assertEqual(50, self.index.match_chain([key(n) for n in range(199_950, 200_000)]))
         seen = self.index._seen
         size = sys.getsizeof(seen) + sum(sys.getsizeof(item) for item in seen)
         self.assertLess(size, 6 * 1024 * 1024)
+        self.assertEqual(50, self.index.match_chain([key(n) for n in range(199_950, 200_000)]))
+        self.index.set_capacity(10)
+        self.index.store(CHAIN)
+        self.index.store([key(n) for n in range(100, 106)])
+        self.assertEqual(4, self._matched(), "a chain loses its end first")
--- a/coltsfootfront/tests/test_transfer.py
+++ b/coltsfootfront/tests/test_transfer.py
@@ -10,13 +10,20 @@
 from coltsfootfront.index import CacheIndex
 from coltsfootfront.keptcache import KeptCache
 from coltsfootfront.messages import Run
-from coltsfootfront.tests.support import FakeEngine, ManualClock, make_revision, one_target, settle
+from coltsfootfront.tests.support import (
+    FakeEngine,
+    ManualClock,
+    NoLifecycle,
+    make_revision,
+    one_target,
+    settle,
+)
 from coltsfootfront.transfer import Transfer, allowed_customers, depths_of
 
 KEYS = [number.to_bytes(8, "big") for number in range(6)]
 
 
-class Kept(KeptCache):
+class Kept(NoLifecycle, KeptCache):
     """Kept cache in memory."""
 
     def __init__(self) -> None:
@@ -34,12 +41,6 @@
             return Failed(Failure(ErrorKind.TARGET_UNREACHABLE))
         return Success(self.values.get((cache_salt, key)))
 
-    async def start(self) -> None:
-        pass
-
-    async def close(self) -> None:
-        pass
-
 
 class Movable(FakeEngine):
     """Engine whose exports name the salt and the number of blocks."""
