Reserve the ports of a fleet for its whole life

Cause: several fleets on one machine that started at the same moment looked for free ports before any of their processes had bound them, and an administration API failed to start with "address already in use". The idle rate of store calls was measured over 2 s only. Ruled out: retrying with other ports; addresses are in the document and in all settings files. Conclusion: each port stays bound, without listening, until the fleet has stopped.

--- a/coltsfootfront/tests/test_launcher.py
+++ b/coltsfootfront/tests/test_launcher.py
@@ -2,9 +2,10 @@
 
 import os
 import signal
+import socket
 import unittest
 
-from coltsfootfront_dev.launcher import Fleet, FleetError, FleetOptions
+from coltsfootfront_dev.launcher import Fleet, FleetError, FleetOptions, PortReservations
 from coltsfootfront_dev.slopes import Slope
 
 # Without targets, a fleet is three stand-ins, two routers and the administration API.
@@ -61,6 +62,20 @@
             await fleet.stop()
 
 
+class PortReservationsTest(unittest.TestCase):
+    def test_reserved_port_is_exclusive_but_can_be_listened_on(self) -> None:
+        """Guards against fleets that start at the same moment and choose the same ports."""
+        first, second = PortReservations(), PortReservations()
+        second._candidates = iter([port := first.take(), port + 1, port + 2])
+        try:
+            self.assertNotEqual(second.take(), port)
+            server = socket.create_server(("127.0.0.1", port))
+            server.close()
+        finally:
+            first.close()
+            second.close()
+
+
 class SlopeTest(unittest.TestCase):
     def test_line_goes_through_exact_points(self) -> None:
         """Guards against figures for the capacity page from a wrong fit."""
--- a/coltsfootfront_dev/launcher.py
+++ b/coltsfootfront_dev/launcher.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -120,7 +120,7 @@
         """By the name of the process behind each."""
         self.revision = 0
         self._settings: dict[str, dict[str, Any]] = {}
-        self._ports = _free_ports()
+        self._ports = PortReservations()
         self.document = self._read_document()
         self.directory = Path(tempfile.mkdtemp(prefix="coltsfootfront-"))
         self._session: aiohttp.ClientSession | None = None
@@ -255,6 +255,7 @@
             self._signal_if_running(process, signal.SIGTERM)
         await asyncio.to_thread(self._wait_all, STOP_GRACE_S)
         self._kill_all()
+        self._ports.close()
         atexit.unregister(self._kill_all)
         shutil.rmtree(self.directory, ignore_errors=True)
 
@@ -551,7 +552,7 @@
         return listen
 
     def _free_address(self) -> str:
-        return f"127.0.0.1:{next(self._ports)}"
+        return f"127.0.0.1:{self._ports.take()}"
 
     # Processes
 
@@ -631,17 +632,39 @@
     return process.role in ("router", "agent", "admin")
 
 
-def _free_ports() -> Iterator[int]:
-    """Yield ports that are free now, starting at a random one."""
-    ports = list(range(FIRST_PORT, LAST_PORT))
-    start = random.randrange(len(ports))
-    for port in ports[start:] + ports[:start]:
-        with socket.socket() as probe:
+class PortReservations:
+    """Ports that no other fleet on this machine takes.
+
+    Each port stays bound, without listening, for the life of the fleet. Fleets that started at
+    the same moment otherwise chose the same free ports.
+    """
+
+    def __init__(self) -> None:
+        ports = list(range(FIRST_PORT, LAST_PORT))
+        start = random.randrange(len(ports))
+        self._candidates = iter(ports[start:] + ports[:start])
+        self._held: list[socket.socket] = []
+
+    def take(self) -> int:
+        """Reserve one port."""
+        for port in self._candidates:
+            holder = socket.socket()
             try:
-                probe.bind(("127.0.0.1", port))
+                holder.bind(("127.0.0.1", port))
             except OSError:
+                holder.close()
                 continue
-        yield port
+            # Set after the exclusive bind: servers, which set it too, can then bind and listen.
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._held.append(holder)
+            return port
+        raise FleetError("no free port is left")
+
+    def close(self) -> None:
+        """Give all ports back."""
+        for holder in self._held:
+            holder.close()
+        self._held.clear()
 
 
 def _toml(settings: dict[str, Any]) -> str:
--- a/coltsfootfront_dev/slopes.py
+++ b/coltsfootfront_dev/slopes.py
@@ -45,6 +45,8 @@
 CHANGE_SIZES = (1, 2, 4)
 CLAIM_SIZES = (5, 10, 20)
 SETTLE_S = 0.5
+# Longer than the interval at which leases are kept alive.
+IDLE_S = 15.0
 PROBE_DEPTHS = [1, 2, 4, 8, 16, 30]
 PROBE_BLOCKS = 30
 
@@ -208,13 +210,14 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
+        self._idle_store_calls_per_s = 0.0
         self.result: dict[str, Any] = {}
 
     async def run(self) -> None:
         """Measure everything."""
         await asyncio.sleep(3.0)
         self.result["idle_rss_bytes"] = self._idle_memory()
-        await self._idle_cpu()
+        await self._idle_work()
         await self._probes()
         await self._greetings()
         await self._tokens()
@@ -227,11 +230,14 @@
         roles = ("router", "agent", "admin")
         return {role: max(_rss(process) for process in self._fleet.of_role(role)) for role in roles}
 
-    async def _idle_cpu(self) -> None:
+    async def _idle_work(self) -> None:
         own = [*self._fleet.routers, *self._fleet.agents]
         before = [_cpu_s(process) for process in own]
-        await asyncio.sleep(10.0)
-        spent = [(_cpu_s(process) - was) / 10.0 for process, was in zip(own, before, strict=True)]
+        calls = await self._store_calls()
+        await asyncio.sleep(IDLE_S)
+        spent = [(_cpu_s(process) - was) / IDLE_S for process, was in zip(own, before, strict=True)]
+        self._idle_store_calls_per_s = (await self._store_calls() - calls) / IDLE_S
+        self.result["store_calls_per_s_idle"] = self._idle_store_calls_per_s
         routers = len(self._fleet.routers)
         self.result["idle_cpu_share"] = {
             "router": round(max(spent[:routers]), 5),
@@ -402,19 +408,10 @@
                 }
                 async with self._fleet.session.post(url, data=b"{}", headers=headers) as response:
                     assert response.status == 200, await response.text()
-            idle = await self._idle_store_calls(time.monotonic() - start_s)
+            idle = self._idle_store_calls_per_s * (time.monotonic() - start_s)
             points.append((size, float(await self._store_calls() - before) - idle))
         self.result["store_calls_per_idempotent_claim"] = Slope.through(points).as_json()
 
-    async def _idle_store_calls(self, duration_s: float) -> float:
-        """Calls that the fleet makes without work in some time; measured right after it."""
-        before = await self._store_calls()
-        wait_s = max(duration_s, 2.0)
-        await asyncio.sleep(wait_s)
-        calls = float(await self._store_calls() - before)
-        self.result["store_calls_per_s_idle"] = round(calls / wait_s, 2)
-        return calls * (1 + duration_s / wait_s)
-
     async def _store_calls(self) -> int:
         calls: dict[str, int] = (await self._fleet.counters("store"))["calls"]
         return sum(calls.values())
