Test frozen routers and restarts of all agents, and split the callers' cases off

Cause: the file of the streams took up to 64 s beside other work. The cases around callers move to a file of their own, prompts of the cache tests are computed in half the time, and the limit for a silent agent is 0.3 s there.

Added: a router that is frozen and thawed while streams run, all agents killed at once, and a cut of the connections while callers read nothing.

--- a/coltsfootfront/tests/test_system_cache.py
+++ b/coltsfootfront/tests/test_system_cache.py
@@ -26,10 +26,10 @@
 CAPACITY_BLOCKS = 40
 PROMPT_BLOCKS = 6
 # A stream of this many tokens takes longer than a fault of these tests lasts.
-LONG_TOKENS = 150
+LONG_TOKENS = 250
 OPTIONS = FleetOptions(
     target_kinds=("engine", "kept_cache"),
-    engine_arguments=("--step-ms=5", "--block-ms=40", f"--capacity-blocks={CAPACITY_BLOCKS}"),
+    engine_arguments=("--step-ms=5", "--block-ms=20", f"--capacity-blocks={CAPACITY_BLOCKS}"),
     router_settings={"retry_floor_per_s": 50.0, "retry_ratio": 1.0},
     forwarded=True,
 )
--- /dev/null
+++ b/coltsfootfront/tests/test_system_callers.py
@@ -0,0 +1,223 @@
+"""Process-level tests: no caller gets a part of an answer that looks like the whole.
+
+Larger answers of plain services, callers that read slowly or leave, a router that is killed, and
+no engine at all.
+"""
+
+import asyncio
+import json
+import socket
+import time
+import unittest
+from dataclasses import replace
+
+from coltsfootfront.tests.test_system_streams import CUSTOMER, MODEL, OPTIONS, Scene, until
+from coltsfootfront_dev.caller import Reply, check_stream
+from coltsfootfront_dev.launcher import Fleet
+
+SERVICE = "trials-registry"
+PADDING_BYTES = 400_000
+# An answer without any working engine must come within this time; the deadline is 120 s.
+AT_ONCE_S = 4.0
+# An engine must have stopped this long after its caller has gone.
+CANCEL_S = 1.0
+
+
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    """Larger answers of plain services, callers that read slowly or leave, and no engine at all."""
+
+    async def asyncSetUp(self) -> None:
+        options = replace(OPTIONS, target_kinds=("engine", "service"))
+        self.fleet = await self.enterAsyncContext(Fleet(options))
+        self.scene = Scene(self.fleet, "callers")
+        self.servers = self.fleet.of_role("service-standin")
+        await self._fault(padding_bytes=PADDING_BYTES)
+
+    async def test_callers(self) -> None:
+        """Runs the cases on one fleet; each says what it guards against."""
+        cases = (
+            self._read_service_answers_slowly,
+            self._break_service_answers,
+            self._leave,
+            self._no_engine,
+            self._read_late,
+            self._kill_router,
+        )
+        for case in cases:
+            with self.subTest(case.__name__):
+                await case()
+
+    async def _fault(self, **values: object) -> None:
+        for process in self.servers:
+            await self.fleet.control(process.name, dict(values))
+
+    async def _get(self, path: str) -> Reply:
+        return await self.scene.caller.call_service(
+            "router-1", CUSTOMER, SERVICE, path, method="GET"
+        )
+
+    def _check(self, reply: Reply, path: str, may_break: bool) -> None:
+        if may_break and not reply.is_right:
+            # A body that has begun ends with a broken connection, which no client takes as whole.
+            self.assertTrue(reply.status == 0 or (reply.kind and reply.run), str(reply)[:300])
+            return
+        self.assertTrue(reply.is_right, str(reply)[:300])
+        self.assertEqual(f"/{path}", reply.value["path"])
+        self.assertEqual("x" * PADDING_BYTES, reply.value["padding"])
+
+    async def _break_service_answers(self) -> None:
+        """Guards against bodies that miss a part behind a clean end."""
+        await self._cut_places("agent", may_break=False)
+        await self._cut_often()
+        await self._cut_for_older_client()
+        await self._kill_agents()
+        await self._cut_places("standin", may_break=True)
+        for chunked in (False, True):
+            await self._fault(cut_body=2, chunked=chunked)
+            for number in range(4):
+                path = f"within/{chunked}/{number}"
+                self._check(await self._get(path), path, may_break=True)
+        await self._fault(cut_body=0, chunked=False)
+
+    async def _cut_places(self, prefix: str, may_break: bool) -> None:
+        forwarders = [self.fleet.forwarders[f"{prefix}-{item.target}"] for item in self.servers]
+        for place in (1, 100, 5_000, 70_000, 200_000, 300_000, 399_000, 400_050, 400_200):
+            with self.subTest(prefix, place=place):
+                for forwarder in forwarders:
+                    forwarder.cut_after_bytes = place
+                path = f"cut/{prefix}/{place}"
+                self._check(await self._get(path), path, may_break)
+        for forwarder in forwarders:
+            forwarder.cut_after_bytes = 0
+
+    async def _cut_for_older_client(self) -> None:
+        """A client of HTTP/1.0 takes the plain end of a connection as the end of such a body."""
+        await self._fault(cut_body=1, chunked=True)
+        reader, writer = await self._open_slow("within/old", "1.0")
+        with self.assertRaises(OSError, msg="a body that is cut short has a clean end"):
+            self.assertIn(b"200 OK", await reader.read())
+        writer.close()
+        await self._fault(cut_body=0, chunked=False)
+
+    async def _cut_often(self) -> None:
+        """Each connection carries some more of the answer, so it arrives in the end."""
+        await self._fault(padding_bytes=1_500_000)
+        forwarders = [self.fleet.forwarders[f"agent-{item.target}"] for item in self.servers]
+        call = asyncio.create_task(self._get("cut/often"))
+        cuts = 0
+        while not call.done():
+            for forwarder in forwarders:
+                if not forwarder.cut_after_bytes:
+                    forwarder.cut_after_bytes = 150_000
+                    cuts += 1
+            await asyncio.sleep(0.005)
+        for forwarder in forwarders:
+            forwarder.cut_after_bytes = 0
+        reply = await call
+        self.assertTrue(reply.is_right, f"{cuts} cuts: {str(reply)[:300]}")
+        self.assertEqual("x" * 1_500_000, reply.value["padding"])
+        await self._fault(padding_bytes=PADDING_BYTES)
+
+    async def _kill_agents(self) -> None:
+        await self._fault(delay_before_s=0.3)
+        paths = [f"kill/{number}" for number in range(8)]
+        calls = asyncio.gather(*(self._get(path) for path in paths))
+        await asyncio.sleep(0.15)
+        await self.fleet.restart(f"agent-{self.servers[0].target}", wait=False)
+        for path, reply in zip(paths, await calls, strict=True):
+            with self.subTest(path):
+                self._check(reply, path, may_break=False)
+        await self._fault(delay_before_s=0.0)
+        await self.fleet.wait_ready()
+
+    async def _read_service_answers_slowly(self) -> None:
+        """Guards against callers that read nothing for a while, delay others or lose a part."""
+        await self._fault(padding_bytes=2_000_000)
+        slow = [await self._open_slow(f"slow/{number}") for number in range(4)]
+        await self._fault(padding_bytes=PADDING_BYTES)
+        started_s = time.monotonic()
+        paths = [f"fast/{number}" for number in range(8)]
+        replies = await asyncio.gather(*(self._get(path) for path in paths))
+        self.assertLess(time.monotonic() - started_s, 3.0)
+        for path, reply in zip(paths, replies, strict=True):
+            self._check(reply, path, may_break=False)
+        self.scene.cut(f"agent-{item.target}" for item in self.servers)
+        for number, (reader, writer) in enumerate(slow):
+            with self.subTest("slow", number=number):
+                body = (await reader.read()).partition(b"\r\n\r\n")[2]
+                value = json.loads(body)
+                self.assertEqual(f"/slow/{number}", value["path"])
+                self.assertEqual("x" * 2_000_000, value["padding"])
+            writer.close()
+
+    async def _open_slow(
+        self, path: str, version: str = "1.1"
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request on a connection with small buffers and wait for its first bytes."""
+        host, _, port = self.fleet.routers[0].address.rpartition(":")
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=connection, limit=4096)
+        key = self.fleet.api_key(CUSTOMER)
+        writer.write(
+            f"GET /services/{SERVICE}/{path} HTTP/{version}\r\n"
+            f"Host: router\r\nConnection: close\r\nAuthorization: Bearer {key}\r\n\r\n".encode()
+        )
+        await reader.readuntil(b" ")
+        return reader, writer
+
+    async def _cancelled(self) -> int:
+        rows = [await self.fleet.counters(process.name) for process in self.fleet.engines]
+        return sum(int(row["cancelled"]) for row in rows)
+
+    async def _leave(self) -> None:
+        """Guards against engines that go on generating for a caller that has gone."""
+        for streams in (True, False):
+            with self.subTest(streams=streams):
+                before = await self._cancelled()
+                self.scene.before = await self.scene.generated()
+                call = self.scene.caller.model_call(
+                    "router-1", CUSTOMER, MODEL, f"left {streams}", 3000, streams
+                )
+                task = asyncio.create_task(self.scene.caller.complete(call))
+                await until(self.scene.is_generating)
+                task.cancel()
+                await asyncio.sleep(CANCEL_S)
+                self.assertEqual(before + 1, await self._cancelled())
+
+    async def _no_engine(self) -> None:
+        """Guards against answers that are held back until the deadline, or without a hint."""
+        await self.scene.control(self.scene.engine_targets, crash={"refuse_s": 3.0})
+        started_s = time.monotonic()
+        while time.monotonic() < started_s + 1.0:
+            call_s = time.monotonic()
+            for reply in await asyncio.gather(*(self.scene.call(number) for number in range(6))):
+                self.assertIn(reply.status, (502, 503), reply)
+                self.assertTrue(reply.run and reply.retry_after, reply)
+            self.assertLess(time.monotonic() - call_s, AT_ONCE_S)
+        await self.scene.recover()
+
+    async def _read_late(self) -> None:
+        """Guards against a stream that loses pieces while its caller does not read."""
+        call = self.scene.caller.model_call("router-1", CUSTOMER, MODEL, "late reader", 400)
+        headers = self.scene.caller.headers(CUSTOMER)
+        url = f"http://{call.router}/v1/completions"
+        async with self.fleet.session.post(url, json=call.body(), headers=headers) as response:
+            replies = await asyncio.gather(*(self.scene.call(number) for number in range(9)))
+            self.assertEqual([], [reply for reply in replies if not reply.is_right])
+            self.scene.cut(self.scene.agents)
+            self.assertEqual("", await check_stream(response, call))
+
+    async def _kill_router(self) -> None:
+        """Guards against a clean end of streams whose router has died."""
+        # Long enough that no answer ends before the router does.
+        replies = await self.scene.begin(tokens=600)
+        await self.fleet.kill("router-1")
+        for reply in await replies:
+            self.assertEqual(0, reply.status, reply)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/coltsfootfront/tests/test_system_streams.py
+++ b/coltsfootfront/tests/test_system_streams.py
@@ -4,23 +4,17 @@
 """
 
 import asyncio
-import json
-import socket
-import time
 import unittest
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import replace
 
 import aiohttp
 
-from coltsfootfront_dev.caller import Caller, Reply, check_stream
+from coltsfootfront_dev.caller import Caller, Reply
 from coltsfootfront_dev.launcher import Fleet, FleetOptions
 
 CUSTOMER = "dossier-desk"
 MODEL = "dossier-large"
-SERVICE = "trials-registry"
 TOKENS = 60
-PADDING_BYTES = 400_000
 # The engine's longest silence before its agent gives it up.
 TARGET_TIMEOUT_S = 1.0
 OPTIONS = FleetOptions(
@@ -28,13 +22,9 @@
     engine_arguments=("--step-ms=5",),
     forwarded=True,
     # Rows follow each other within seconds, so the budget must not refuse their retries.
-    router_settings={"retry_floor_per_s": 50.0, "retry_ratio": 1.0, "accept_timeout_s": 0.5},
+    router_settings={"retry_floor_per_s": 50.0, "retry_ratio": 1.0, "accept_timeout_s": 0.3},
     agent_settings={"target_timeout_s": TARGET_TIMEOUT_S},
 )
-# An answer without any working engine must come within this time; the deadline is 120 s.
-AT_ONCE_S = 4.0
-# An engine must have stopped this long after its caller has gone.
-CANCEL_S = 1.0
 
 
 async def until(holds: Callable[[], Awaitable[bool]], limit_s: float = 15.0) -> None:
@@ -60,10 +50,10 @@
         call = self.caller.model_call("router-1", CUSTOMER, MODEL, prompt, tokens, stream, chat)
         return await self.caller.complete(call)
 
-    async def begin(self, count: int = 9) -> "asyncio.Future[list[Reply]]":
+    async def begin(self, count: int = 9, tokens: int = TOKENS) -> "asyncio.Future[list[Reply]]":
         """Start calls and wait until all of them generate."""
         self.before = await self.generated()
-        replies = asyncio.gather(*(self.call(number) for number in range(count)))
+        replies = asyncio.gather(*(self.call(number, tokens) for number in range(count)))
         await until(lambda: self.is_generating(8 * count))
         return replies
 
@@ -196,6 +186,14 @@
     return result
 
 
+async def _freeze_router(scene: Scene) -> list[Reply]:
+    replies = await scene.begin()
+    scene.fleet.pause("router-1")
+    await asyncio.sleep(1.0)
+    scene.fleet.resume("router-1")
+    return await replies
+
+
 async def _crash_engines(scene: Scene) -> list[Reply]:
     replies = await scene.begin()
     await scene.control(await scene.busiest(), crash={"refuse_s": 0.5})
@@ -281,6 +279,12 @@
     return await replies
 
 
+async def _restart_all_agents(scene: Scene) -> list[Reply]:
+    replies = await scene.begin()
+    await asyncio.gather(*(scene.fleet.restart(name, wait=False) for name in scene.agents))
+    return await replies
+
+
 # After these every answer must be whole: another target, or the buffer, can go on.
 WHOLE: dict[str, Play] = {
     "no fault": _no_fault,
@@ -291,6 +295,7 @@
     "connections to engines held": _hold_engines,
     "agents killed and started": _restart_agents,
     "agents frozen and thawed": _freeze_agents,
+    "router frozen and thawed": _freeze_router,
     "engines crashed": _crash_engines,
     "engines die while they generate": _engines_die,
     "streams of some engines without end mark": _no_end_mark_of_some,
@@ -305,6 +310,7 @@
 EXPLICIT: dict[str, Play] = {
     "never an end mark": _never_an_end_mark,
     "all engines crashed": _crash_all,
+    "all agents killed and started": _restart_all_agents,
 }
 
 
@@ -362,199 +368,5 @@
         return reply, sent
 
 
-class CallerTest(unittest.IsolatedAsyncioTestCase):
-    """Larger answers of plain services, callers that read slowly or leave, and no engine at all."""
-
-    async def asyncSetUp(self) -> None:
-        options = replace(OPTIONS, target_kinds=("engine", "service"))
-        self.fleet = await self.enterAsyncContext(Fleet(options))
-        self.scene = Scene(self.fleet, "callers")
-        self.servers = self.fleet.of_role("service-standin")
-        await self._fault(padding_bytes=PADDING_BYTES)
-
-    async def test_callers(self) -> None:
-        """Runs the cases on one fleet; each says what it guards against."""
-        cases = (
-            self._read_service_answers_slowly,
-            self._break_service_answers,
-            self._leave,
-            self._no_engine,
-            self._read_late,
-            self._kill_router,
-        )
-        for case in cases:
-            with self.subTest(case.__name__):
-                await case()
-
-    async def _fault(self, **values: object) -> None:
-        for process in self.servers:
-            await self.fleet.control(process.name, dict(values))
-
-    async def _get(self, path: str) -> Reply:
-        return await self.scene.caller.call_service(
-            "router-1", CUSTOMER, SERVICE, path, method="GET"
-        )
-
-    def _check(self, reply: Reply, path: str, may_break: bool) -> None:
-        if may_break and not reply.is_right:
-            # A body that has begun ends with a broken connection, which no client takes as whole.
-            self.assertTrue(reply.status == 0 or (reply.kind and reply.run), str(reply)[:300])
-            return
-        self.assertTrue(reply.is_right, str(reply)[:300])
-        self.assertEqual(f"/{path}", reply.value["path"])
-        self.assertEqual("x" * PADDING_BYTES, reply.value["padding"])
-
-    async def _break_service_answers(self) -> None:
-        """Guards against bodies that miss a part behind a clean end."""
-        await self._cut_places("agent", may_break=False)
-        await self._cut_often()
-        await self._cut_for_older_client()
-        await self._kill_agents()
-        await self._cut_places("standin", may_break=True)
-        for chunked in (False, True):
-            await self._fault(cut_body=2, chunked=chunked)
-            for number in range(4):
-                path = f"within/{chunked}/{number}"
-                self._check(await self._get(path), path, may_break=True)
-        await self._fault(cut_body=0, chunked=False)
-
-    async def _cut_places(self, prefix: str, may_break: bool) -> None:
-        forwarders = [self.fleet.forwarders[f"{prefix}-{item.target}"] for item in self.servers]
-        for place in (1, 100, 5_000, 70_000, 200_000, 300_000, 399_000, 400_050, 400_200):
-            with self.subTest(prefix, place=place):
-                for forwarder in forwarders:
-                    forwarder.cut_after_bytes = place
-                path = f"cut/{prefix}/{place}"
-                self._check(await self._get(path), path, may_break)
-        for forwarder in forwarders:
-            forwarder.cut_after_bytes = 0
-
-    async def _cut_for_older_client(self) -> None:
-        """A client of HTTP/1.0 takes the plain end of a connection as the end of such a body."""
-        await self._fault(cut_body=1, chunked=True)
-        reader, writer = await self._open_slow("within/old", "1.0")
-        with self.assertRaises(OSError, msg="a body that is cut short has a clean end"):
-            self.assertIn(b"200 OK", await reader.read())
-        writer.close()
-        await self._fault(cut_body=0, chunked=False)
-
-    async def _cut_often(self) -> None:
-        """Each connection carries some more of the answer, so it arrives in the end."""
-        await self._fault(padding_bytes=1_500_000)
-        forwarders = [self.fleet.forwarders[f"agent-{item.target}"] for item in self.servers]
-        call = asyncio.create_task(self._get("cut/often"))
-        cuts = 0
-        while not call.done():
-            for forwarder in forwarders:
-                if not forwarder.cut_after_bytes:
-                    forwarder.cut_after_bytes = 150_000
-                    cuts += 1
-            await asyncio.sleep(0.005)
-        for forwarder in forwarders:
-            forwarder.cut_after_bytes = 0
-        reply = await call
-        self.assertTrue(reply.is_right, f"{cuts} cuts: {str(reply)[:300]}")
-        self.assertEqual("x" * 1_500_000, reply.value["padding"])
-        await self._fault(padding_bytes=PADDING_BYTES)
-
-    async def _kill_agents(self) -> None:
-        await self._fault(delay_before_s=0.3)
-        paths = [f"kill/{number}" for number in range(8)]
-        calls = asyncio.gather(*(self._get(path) for path in paths))
-        await asyncio.sleep(0.15)
-        await self.fleet.restart(f"agent-{self.servers[0].target}", wait=False)
-        for path, reply in zip(paths, await calls, strict=True):
-            with self.subTest(path):
-                self._check(reply, path, may_break=False)
-        await self._fault(delay_before_s=0.0)
-        await self.fleet.wait_ready()
-
-    async def _read_service_answers_slowly(self) -> None:
-        """Guards against callers that read nothing for a while, delay others or lose a part."""
-        await self._fault(padding_bytes=2_000_000)
-        slow = [await self._open_slow(f"slow/{number}") for number in range(4)]
-        await self._fault(padding_bytes=PADDING_BYTES)
-        started_s = time.monotonic()
-        paths = [f"fast/{number}" for number in range(8)]
-        replies = await asyncio.gather(*(self._get(path) for path in paths))
-        self.assertLess(time.monotonic() - started_s, 3.0)
-        for path, reply in zip(paths, replies, strict=True):
-            self._check(reply, path, may_break=False)
-        for number, (reader, writer) in enumerate(slow):
-            with self.subTest("slow", number=number):
-                body = (await reader.read()).partition(b"\r\n\r\n")[2]
-                value = json.loads(body)
-                self.assertEqual(f"/slow/{number}", value["path"])
-                self.assertEqual("x" * 2_000_000, value["padding"])
-            writer.close()
-
-    async def _open_slow(
-        self, path: str, version: str = "1.1"
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Send a request on a connection with small buffers and wait for its first bytes."""
-        host, _, port = self.fleet.routers[0].address.rpartition(":")
-        connection = socket.socket()
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-        connection.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
-        reader, writer = await asyncio.open_connection(sock=connection, limit=4096)
-        key = self.fleet.api_key(CUSTOMER)
-        writer.write(
-            f"GET /services/{SERVICE}/{path} HTTP/{version}\r\n"
-            f"Host: router\r\nConnection: close\r\nAuthorization: Bearer {key}\r\n\r\n".encode()
-        )
-        await reader.readuntil(b" ")
-        return reader, writer
-
-    async def _cancelled(self) -> int:
-        rows = [await self.fleet.counters(process.name) for process in self.fleet.engines]
-        return sum(int(row["cancelled"]) for row in rows)
-
-    async def _leave(self) -> None:
-        """Guards against engines that go on generating for a caller that has gone."""
-        for streams in (True, False):
-            with self.subTest(streams=streams):
-                before = await self._cancelled()
-                self.scene.before = await self.scene.generated()
-                call = self.scene.caller.model_call(
-                    "router-1", CUSTOMER, MODEL, f"left {streams}", 3000, streams
-                )
-                task = asyncio.create_task(self.scene.caller.complete(call))
-                await until(self.scene.is_generating)
-                task.cancel()
-                await asyncio.sleep(CANCEL_S)
-                self.assertEqual(before + 1, await self._cancelled())
-
-    async def _no_engine(self) -> None:
-        """Guards against answers that are held back until the deadline, or without a hint."""
-        await self.scene.control(self.scene.engine_targets, crash={"refuse_s": 3.0})
-        started_s = time.monotonic()
-        while time.monotonic() < started_s + 1.0:
-            call_s = time.monotonic()
-            for reply in await asyncio.gather(*(self.scene.call(number) for number in range(6))):
-                self.assertIn(reply.status, (502, 503), reply)
-                self.assertTrue(reply.run and reply.retry_after, reply)
-            self.assertLess(time.monotonic() - call_s, AT_ONCE_S)
-        await self.scene.recover()
-
-    async def _read_late(self) -> None:
-        """Guards against a stream that loses pieces while its caller does not read."""
-        call = self.scene.caller.model_call("router-1", CUSTOMER, MODEL, "late reader", 400)
-        headers = self.scene.caller.headers(CUSTOMER)
-        url = f"http://{call.router}/v1/completions"
-        async with self.fleet.session.post(url, json=call.body(), headers=headers) as response:
-            replies = await asyncio.gather(*(self.scene.call(number) for number in range(9)))
-            self.assertEqual([], [reply for reply in replies if not reply.is_right])
-            self.scene.cut(self.scene.agents)
-            self.assertEqual("", await check_stream(response, call))
-
-    async def _kill_router(self) -> None:
-        """Guards against a clean end of streams whose router has died."""
-        replies = await self.scene.begin()
-        await self.fleet.kill("router-1")
-        for reply in await replies:
-            self.assertEqual(0, reply.status, reply)
-
-
 if __name__ == "__main__":
     unittest.main()
