Let a router listen for callers only once it has a configuration

Ruled out: holding the request in the router, which would need a queue before authentication. The balancer, or the caller, goes to another router while the connection is refused. Without any peer, or after a second, the router listens all the same, so that health and readiness can be asked.

Conclusion: the window is closed where the configuration can be had.

--- a/coltsfootfront/router.py
+++ b/coltsfootfront/router.py
@@ -56,6 +56,8 @@
 BOOTSTRAP_PAUSE_S = 0.5
 # Agents asked for the configuration when no router has one.
 BOOTSTRAP_AGENTS = 3
+# Longest wait for a first configuration before callers may connect.
+START_WAIT_S = 1.0
 CLOSE_IDLE_INTERVAL_S = 10.0
 DRAIN_POLL_S = 0.05
 # Callers whose connection stays open after a drain are idle.
@@ -84,7 +86,7 @@
         self._vm_list = vm_list
         self._store = store
         self._is_draining = False
-        self._has_asked_peers = False
+        self._has_asked_peers = asyncio.Event()
         self.revision = Revision()
         self._identity = Identity(
             "router",
@@ -146,6 +148,7 @@
         self._tree.add("idle_channels", self._close_idle_channels)
         await self._tree.start()
         await self._start_watcher()
+        await self._await_configuration()
         await self._start_http()
         log.info(event("router_started", peer=self.peer_address, http=self.http_address))
 
@@ -184,7 +187,7 @@
             return "draining"
         if not self.revision.number:
             return "no configuration"
-        if not self._has_asked_peers:
+        if not self._has_asked_peers.is_set():
             return "peers not asked for a newer configuration"
         return ""
 
@@ -337,18 +340,32 @@
         """
         spread = self._spread
         assert spread is not None
-        while not self._has_asked_peers:
+        while not self._has_asked_peers.is_set():
             await spread.bootstrap(BOOTSTRAP_TIMEOUT_S)
             # Peers that restart at the same time know no more than this router.
             await self._pull_from_agents(spread)
-            self._has_asked_peers = self.revision.number > 0
-            if not self._has_asked_peers:
+            if self.revision.number:
+                self._has_asked_peers.set()
+            else:
                 await self._clock.sleep(self._generator.uniform(0, BOOTSTRAP_PAUSE_S))
 
     async def _recheck_revision(self) -> None:
         if self._spread is not None:
             await self._spread.bootstrap(RECHECK_TIMEOUT_S)
 
+    async def _await_configuration(self) -> None:
+        """Give peers a moment, so that the first callers are not refused for lack of a document.
+
+        Without peers and store the router listens all the same and reports that it is not ready.
+        """
+        if not self._settings.seed_addresses and self._vm_list is None:
+            return
+        try:
+            async with asyncio.timeout(START_WAIT_S):
+                await self._has_asked_peers.wait()
+        except TimeoutError:
+            log.warning(event("started_without_configuration"))
+
     async def _pull_from_agents(self, spread: Spread) -> None:
         agents = self._membership.agents() or self._agents_of_document()
         chosen = self._generator.sample(agents, min(BOOTSTRAP_AGENTS, len(agents)))
