--- a/coltsfootfront_dev/store.py
+++ b/coltsfootfront_dev/store.py
@@ -9,7 +9,6 @@
 import bisect
 import itertools
 import json
-import signal
 import time
 from collections import Counter
 from dataclasses import dataclass, fields
@@ -18,6 +17,8 @@
 import cappa
 from aiohttp import web
 
+from coltsfootfront_dev.standin import Server, serve
+
 Json = dict[str, Any]
 
 MAX_VALUE_BYTES = 1024 * 1024
@@ -162,7 +163,7 @@
         self.body = {"code": code, "message": message}
 
 
-class StoreStandIn:
+class StoreStandIn(Server):
     """HTTP server of the stand-in."""
 
     def __init__(self) -> None:
@@ -416,21 +417,10 @@
     address: str = "127.0.0.1:0"
 
 
-async def _serve(address: str) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    store = StoreStandIn()
-    print(json.dumps({"address": await store.start(address)}), flush=True)
-    await stop.wait()
-    await store.close()
-
-
 def main() -> None:
     """Run the stand-in until SIGTERM."""
     arguments = cappa.parse(Arguments)
-    asyncio.run(_serve(arguments.address))
+    serve(StoreStandIn(), "store", arguments.address)
 
 
 if __name__ == "__main__":
--- a/coltsfootfront_dev/vms.py
+++ b/coltsfootfront_dev/vms.py
@@ -4,10 +4,8 @@
 same name), ``remove`` (names) and ``lag_s``; changes show in the list after the lag.
 """
 
-import asyncio
 import hashlib
 import json
-import signal
 import time
 from collections import deque
 from dataclasses import dataclass
@@ -16,10 +14,12 @@
 import cappa
 from aiohttp import web
 
+from coltsfootfront_dev.standin import Server, serve
+
 Json = dict[str, Any]
 
 
-class VmStandIn:
+class VmStandIn(Server):
     """HTTP server of the stand-in."""
 
     def __init__(self) -> None:
@@ -92,21 +92,10 @@
     address: str = "127.0.0.1:0"
 
 
-async def _serve(address: str) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    stand_in = VmStandIn()
-    print(json.dumps({"address": await stand_in.start(address)}), flush=True)
-    await stop.wait()
-    await stand_in.close()
-
-
 def main() -> None:
     """Run the stand-in until SIGTERM."""
     arguments = cappa.parse(Arguments)
-    asyncio.run(_serve(arguments.address))
+    serve(VmStandIn(), "vms", arguments.address)
 
 
 if __name__ == "__main__":
