Split records and chunks off the publisher

Cause: publisher.py had 556 lines and two jobs: the form of records and chunks, which readers need as well, and the writing of revisions. Ruled out: a split by operation (apply, rollback, prune); they share their private steps. Before: one file of 556 lines. After: 399 and 182 lines; the 34 tests of publisher, watcher and administration API pass unchanged but for imports.

--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/admin.py
@@ -28,7 +28,8 @@
 from coltsfootfront.logs import event
 from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
 from coltsfootfront.operators import Authenticated, authenticate
-from coltsfootfront.publisher import Change, Difference, Head, Published, Publisher, Rejection
+from coltsfootfront.publisher import Publisher
+from coltsfootfront.records import Change, Difference, Head, Published, Rejection
 from coltsfootfront.revision import Revision
 from coltsfootfront.settings import AdminSettings
 from coltsfootfront.spread import Spread
--- /dev/null
+++ b/coltsfootfront/records.py
@@ -0,0 +1,182 @@
+"""Records of configuration revisions and the chunks that hold their entries.
+
+A record lists the chunks of one revision. Chunks are named by their content, so that revisions
+share those that did not change.
+"""
+
+import json
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, field, fields
+from typing import Any
+
+from coltsfootfront.entries import Entries, difference, digest
+from coltsfootfront.errors import Failure
+from coltsfootfront.store import KeyValue
+
+HEAD_KEY = "config/head"
+BLOB_PREFIX = "config/blob/"
+RECORD_PREFIX = "config/revision/"
+
+# A chunk ends before it would exceed this size, so that with a largest entry of the same size
+# a chunk stays below 512 KiB before compression.
+CHUNK_BYTES = 256 * 1024
+# On average one key in this many begins a new chunk. The boundaries depend on the keys alone, so
+# a change rewrites one small chunk instead of the whole document.
+KEYS_PER_CHUNK = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Head record of one revision.
+
+    :param revision: number of the revision, from 1.
+    :param parent: digest of the entries of the revision before, empty for the first.
+    :param digest: digest of the entries.
+    :param chunks: names of the chunks that hold the entries.
+    :param operation_id: identifier of the change, chosen by whoever asked for it.
+    :param operator: name of the operator.
+    :param time: wall-clock time in ISO 8601.
+    :param restored: revision whose content a rollback restored, 0 for other changes.
+    """
+
+    revision: int
+    parent: str
+    digest: str
+    chunks: list[str]
+    operation_id: str
+    operator: str
+    time: str
+    restored: int = 0
+
+    def encode(self) -> bytes:
+        """Encode the record as JSON."""
+        return json.dumps(asdict(self), sort_keys=True).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Record":
+        """Decode a record; unknown fields are ignored.
+
+        :raises ValueError: the data is not a record.
+        """
+        body = json.loads(data)
+        if not isinstance(body, dict):
+            raise ValueError("record is not an object")
+        known = {item.name for item in fields(cls)}
+        try:
+            record = cls(**{name: value for name, value in body.items() if name in known})
+        except TypeError as error:
+            raise ValueError(f"record is incomplete: {error}") from error
+        if not isinstance(record.revision, int) or not isinstance(record.chunks, list):
+            raise ValueError("record has a field of a wrong type")
+        return record
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A revision with its entries."""
+
+    record: Record
+    entries: Entries
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Who asks for a change, and on top of which revision.
+
+    :param operation_id: identifier of the change; a repeat with the same one has no effect.
+    :param expected_revision: revision that the change was made for, 0 for none.
+    """
+
+    operation_id: str
+    operator: str
+    expected_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """Entry keys in which two revisions differ."""
+
+    added: list[str] = field(default_factory=list)
+    changed: list[str] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+
+    @classmethod
+    def between(cls, old: Mapping[str, bytes], new: Mapping[str, bytes]) -> "Difference":
+        """Compare two sets of entries."""
+        put, removed = difference(old, new)
+        added = sorted(key for key in put if key not in old)
+        changed = sorted(key for key in put if key in old)
+        return cls(added, changed, removed)
+
+    def as_json(self) -> dict[str, Any]:
+        """JSON form."""
+        return asdict(self)
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A change that was not accepted, or whose outcome is unknown.
+
+    :param difference: for a conflict, what changed since the expected revision.
+    :param revision: for a conflict, the revision in the store.
+    """
+
+    failure: Failure
+    difference: Difference | None = None
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The head as it stands in the store.
+
+    :param record: None when nothing was ever published.
+    :param mod_revision: store revision of its last change, 0 when it does not exist.
+    """
+
+    record: Record | None
+    mod_revision: int
+
+    @property
+    def revision(self) -> int:
+        """Number of the revision, 0 for none."""
+        return self.record.revision if self.record else 0
+
+
+def record_key(revision: int) -> str:
+    """Key of the history record of a revision."""
+    return f"{RECORD_PREFIX}{revision:012d}"
+
+
+def split_chunks(entries: Mapping[str, bytes]) -> dict[str, Entries]:
+    """Divide entries into chunks.
+
+    :returns: chunk name (digest of its entries) to entries, in key order.
+    """
+    chunks: dict[str, Entries] = {}
+    chunk: Entries = {}
+    size = 0
+    for key in sorted(entries):
+        length = len(key) + len(entries[key])
+        if chunk and (size + length > CHUNK_BYTES or _begins_chunk(key)):
+            chunks[digest(chunk)] = chunk
+            chunk, size = {}, 0
+        chunk[key] = entries[key]
+        size += length
+    if chunk:
+        chunks[digest(chunk)] = chunk
+    return chunks
+
+
+def _begins_chunk(key: str) -> bool:
+    return int(digest({key: b""})[:8], 16) % KEYS_PER_CHUNK == 0
+
+
+def decode_head(found: KeyValue | None) -> Head:
+    """Read the head out of its key.
+
+    :raises ValueError: the value is not a record.
+    """
+    if found is None:
+        return Head(None, 0)
+    return Head(Record.decode(found.value), found.mod_revision)
--- a/coltsfootfront/tests/test_publisher.py
+++ b/coltsfootfront/tests/test_publisher.py
@@ -14,13 +14,13 @@
 from coltsfootfront.entries import Entries, pack
 from coltsfootfront.errors import ErrorKind, Failure, RunState
 from coltsfootfront.etcd import EtcdStore
-from coltsfootfront.publisher import (
+from coltsfootfront.publisher import Publisher
+from coltsfootfront.records import (
     CHUNK_BYTES,
     HEAD_KEY,
     Change,
     Difference,
     Published,
-    Publisher,
     Rejection,
     split_chunks,
 )
--- a/coltsfootfront/tests/test_watcher.py
+++ b/coltsfootfront/tests/test_watcher.py
@@ -6,7 +6,8 @@
 from coltsfootfront import metrics
 from coltsfootfront.clock import SystemClock
 from coltsfootfront.etcd import EtcdStore
-from coltsfootfront.publisher import Change, Publisher
+from coltsfootfront.publisher import Publisher
+from coltsfootfront.records import Change
 from coltsfootfront.revision import Revision
 from coltsfootfront.watcher import Watcher, watchers_of
 from coltsfootfront_dev.store import StoreStandIn
--- a/coltsfootfront/watcher.py
+++ b/coltsfootfront/watcher.py
@@ -15,7 +15,8 @@
 from coltsfootfront.clock import Clock
 from coltsfootfront.errors import FailureError
 from coltsfootfront.logs import event
-from coltsfootfront.publisher import HEAD_KEY, Head, Publisher, decode_head
+from coltsfootfront.publisher import Publisher
+from coltsfootfront.records import HEAD_KEY, Head, decode_head
 from coltsfootfront.rendezvous import rank
 from coltsfootfront.revision import Revision
 from coltsfootfront.store import Store, WatchEvent
