Move the scripted agent to the development package

Cause: the tests shall have one support module, and stand-ins have a package of their own. Ruled out: merging it into support.py, which holds the fakes of interfaces. Conclusion: only imports change.

--- a/coltsfootfront/tests/test_depthpolicy.py
+++ b/coltsfootfront/tests/test_depthpolicy.py
@@ -14,9 +14,9 @@
 from coltsfootfront.placement import Candidate, PlacementRequest, TargetLoad
 from coltsfootfront.probes import LoadTable, ProbeQuestion, Prober, ProbeTarget
 from coltsfootfront.rendezvous import rank
-from coltsfootfront.tests.fakeagent import FakeAgent, pool
 from coltsfootfront.tests.support import ManualClock
 from coltsfootfront.tests.test_dispatch import Harness, model_job, started
+from coltsfootfront_dev.fakeagent import FakeAgent, pool
 
 GRANTS = [Grant(f"t{n:02}", "lend", 5, "v1") for n in range(40)]
 
--- a/coltsfootfront/tests/test_dispatch.py
+++ b/coltsfootfront/tests/test_dispatch.py
@@ -22,7 +22,7 @@
 from coltsfootfront.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
 from coltsfootfront.router import Router
 from coltsfootfront.settings import RouterSettings
-from coltsfootfront.tests.fakeagent import SECRET, FakeAgent, answer_text, entries_of
+from coltsfootfront_dev.fakeagent import SECRET, FakeAgent, answer_text, entries_of
 
 TEXT = "one two three"
 
--- a/coltsfootfront/tests/test_frontend.py
+++ b/coltsfootfront/tests/test_frontend.py
@@ -15,8 +15,8 @@
 from coltsfootfront.pauseguard import PauseGuard
 from coltsfootfront.router import Router
 from coltsfootfront.settings import RouterSettings
-from coltsfootfront.tests.fakeagent import SECRET, FakeAgent, answer_text, identity, revision_of
 from coltsfootfront.tests.support import ManualClock
+from coltsfootfront_dev.fakeagent import SECRET, FakeAgent, answer_text, identity, revision_of
 
 KEY = {"Authorization": "Bearer key-c"}
 BODY: dict[str, Any] = {"model": "m", "prompt": "a prompt of several blocks"}
