Look up a message's field types once

Cause: decoding looked up the declared type of every field for each message; a profile put it at a quarter of the processor time of a probe. Ruled out: decoding without type checks. A peer's malformed frame must end in a message error and in nothing else. The tests of malformed frames pass unchanged.

--- a/coltsfootfront/messages.py
+++ b/coltsfootfront/messages.py
@@ -4,7 +4,7 @@
 missing ones take their default, so that two versions can run side by side during an update.
 """
 
-from dataclasses import MISSING, dataclass, field, fields
+from dataclasses import MISSING, Field, dataclass, field, fields
 from typing import Any, ClassVar, TypeVar, dataclass_transform
 
 import msgpack
@@ -26,6 +26,27 @@
     __slots__ = ()
     TYPE: ClassVar[str] = ""
     FIELDS: ClassVar[tuple[str, ...]] = ()
+    CHECKS: ClassVar[tuple[tuple[str, type | tuple[type, ...], bool], ...]] = ()
+
+
+_CHECKED_TYPES: dict[str, type | tuple[type, ...]] = {
+    "int": int,
+    "float": (int, float),
+    "str": str,
+    "bytes": bytes,
+    "bool": bool,
+    "list": list,
+    "dict": dict,
+}
+
+
+def _checked_type(annotation: str) -> type | tuple[type, ...]:
+    name = annotation.replace("<class '", "").replace("'>", "")
+    return _CHECKED_TYPES[name.partition("[")[0]]
+
+
+def _is_required(item: Field[Any]) -> bool:
+    return item.default is MISSING and item.default_factory is MISSING
 
 
 M = TypeVar("M", bound=Message)
@@ -34,7 +55,12 @@
 @dataclass_transform(field_specifiers=(field,))
 def _message(cls: type[M]) -> type[M]:
     slotted = dataclass(slots=True)(cls)
-    slotted.FIELDS = tuple(item.name for item in fields(slotted))  # type: ignore[arg-type]
+    specification = fields(slotted)  # type: ignore[arg-type]
+    slotted.FIELDS = tuple(item.name for item in specification)
+    # Computed once: looking it up for each message took a quarter of the time of a probe.
+    slotted.CHECKS = tuple(
+        (item.name, _checked_type(str(item.type)), _is_required(item)) for item in specification
+    )
     _TYPES[slotted.TYPE] = slotted
     return slotted
 
@@ -77,39 +103,17 @@
 
 def _build(cls: type[Message], body: dict[str, Any]) -> Message:
     values = {}
-    for item in fields(cls):  # type: ignore[arg-type]
-        if item.name not in body:
-            if item.default is MISSING and item.default_factory is MISSING:
-                raise MessageError(f"{cls.TYPE}: field {item.name} is missing")
-            continue
-        value = body[item.name]
-        if not _matches(value, str(item.type)):
-            raise MessageError(f"{cls.TYPE}: field {item.name} has a wrong type")
-        values[item.name] = value
+    for name, expected, is_required in cls.CHECKS:
+        if name in body:
+            value = body[name]
+            if not isinstance(value, expected):
+                raise MessageError(f"{cls.TYPE}: field {name} has a wrong type")
+            values[name] = value
+        elif is_required:
+            raise MessageError(f"{cls.TYPE}: field {name} is missing")
     return cls(**values)
 
 
-_CHECKS: dict[str, type | tuple[type, ...]] = {
-    "int": int,
-    "float": (int, float),
-    "str": str,
-    "bytes": bytes,
-    "bool": bool,
-}
-
-
-def _matches(value: Any, annotation: str) -> bool:
-    name = annotation.replace("<class '", "").replace("'>", "")
-    expected = _CHECKS.get(name)
-    if expected is not None:
-        return isinstance(value, expected)
-    if name.startswith("list"):
-        return isinstance(value, list)
-    if name.startswith("dict"):
-        return isinstance(value, dict)
-    return True
-
-
 @_message
 class Hello(Message):
     """Opens a connection.
