Name the parts of the system tests by the field's terms

Cause: the cases of the process-level tests were called scenes and plays, which are no terms of testing. Ruled out: leaving them because they are tests; a newcomer reads them first.

--- a/coltsfootfront/tests/test_dispatch.py
+++ b/coltsfootfront/tests/test_dispatch.py
@@ -181,7 +181,7 @@
 
 
 class DispatchTest(unittest.IsolatedAsyncioTestCase):
-    async def play(self, job: Job, *scripts: Step, **changes: Any) -> tuple[str, Any]:
+    async def run_script(self, job: Job, *scripts: Step, **changes: Any) -> tuple[str, Any]:
         """Execute a job with one agent for each script; returns the text and the outcome."""
         prefix = "s" if job.service else "t"
         self.agents = [FakeAgent(f"{prefix}{n}", script) for n, script in enumerate(scripts)]
@@ -242,14 +242,16 @@
         }
         for name, (script, elsewhere) in cases.items():
             with self.subTest(name):
-                text, outcome = await self.play(model_job(), script, answer_text)
+                text, outcome = await self.run_script(model_job(), script, answer_text)
                 self.assertEqual(TEXT, text, outcome)
                 self.assertEqual("stop", outcome.unwrap().finish_reason)
                 self.assertEqual((1, int(elsewhere)), self.runs())
 
     async def test_a_refusal_by_terms_is_final(self) -> None:
         """Guards against shopping for a target after the agent, the authority, said no."""
-        _, outcome = await self.play(model_job(), raw(fail("forbidden", "not_run")), answer_text)
+        _, outcome = await self.run_script(
+            model_job(), raw(fail("forbidden", "not_run")), answer_text
+        )
         self.assertEqual(ErrorKind.FORBIDDEN, outcome.failure().kind)
         self.assertEqual((1, 0), self.runs())
 
@@ -268,7 +270,7 @@
         """Guards against a refusal that keeps callers away for longer than the agents said."""
         scripts = [raw(fail("overloaded", "not_run", wait_s)) for wait_s in (7.0, 3.0, 5.0)]
         began = time.monotonic()
-        _, outcome = await self.play(model_job(), *scripts)
+        _, outcome = await self.run_script(model_job(), *scripts)
         failure = outcome.failure()
         self.assertEqual((3.0, RunState.NOT_RUN), (failure.wait_s, failure.run))
         self.assertLess(time.monotonic() - began, 1.0)
@@ -288,7 +290,7 @@
             agent.on_resume = wait
 
         limits = {"accept_timeout_s": 0.05, "stream_idle_timeout_s": 0.1}
-        text, _ = await self.play(service_job(), queue, answer_text, **limits)
+        text, _ = await self.run_script(service_job(), queue, answer_text, **limits)
         self.assertEqual((TEXT, (1, 0)), (text, self.runs()))
 
     async def test_a_slow_caller_holds_back_acknowledgements(self) -> None:
@@ -395,7 +397,7 @@
         }
         for name, (script, second, state) in cases.items():
             with self.subTest(name):
-                _, outcome = await self.play(service_job(), script, answer_text)
+                _, outcome = await self.run_script(service_job(), script, answer_text)
                 self.assertEqual((1, second), self.runs())
                 seen = outcome.failure().run if isinstance(outcome, Failed) else None
                 self.assertEqual(state, seen)
@@ -412,7 +414,7 @@
     async def test_an_idempotent_call_goes_elsewhere_at_once(self) -> None:
         """Guards against an unknown outcome for a call that may simply be repeated."""
         script = raw(fail("target_failed", "unknown"))
-        text, _ = await self.play(service_job("GET"), script, answer_text)
+        text, _ = await self.run_script(service_job("GET"), script, answer_text)
         self.assertEqual(TEXT, text)
 
 
--- a/coltsfootfront/tests/test_system_callers.py
+++ b/coltsfootfront/tests/test_system_callers.py
@@ -11,7 +11,7 @@
 import unittest
 from dataclasses import replace
 
-from coltsfootfront.tests.test_system_streams import CUSTOMER, MODEL, OPTIONS, Scene, until
+from coltsfootfront.tests.test_system_streams import CUSTOMER, MODEL, OPTIONS, FaultCase, until
 from coltsfootfront_dev.caller import Reply, check_stream
 from coltsfootfront_dev.launcher import Fleet
 
@@ -29,7 +29,7 @@
     async def asyncSetUp(self) -> None:
         options = replace(OPTIONS, target_kinds=("engine", "service"))
         self.fleet = await self.enterAsyncContext(Fleet(options))
-        self.scene = Scene(self.fleet, "callers")
+        self.case = FaultCase(self.fleet, "callers")
         self.servers = self.fleet.of_role("service-standin")
         await self._fault(padding_bytes=PADDING_BYTES)
 
@@ -52,7 +52,7 @@
             await self.fleet.control(process.name, dict(values))
 
     async def _get(self, path: str) -> Reply:
-        return await self.scene.caller.call_service(
+        return await self.case.caller.call_service(
             "router-1", CUSTOMER, SERVICE, path, method="GET"
         )
 
@@ -141,7 +141,7 @@
         self.assertLess(time.monotonic() - started_s, 3.0)
         for path, reply in zip(paths, replies, strict=True):
             self._check(reply, path, may_break=False)
-        self.scene.cut(f"agent-{item.target}" for item in self.servers)
+        self.case.cut(f"agent-{item.target}" for item in self.servers)
         for number, (reader, writer) in enumerate(slow):
             with self.subTest("slow", number=number):
                 body = (await reader.read()).partition(b"\r\n\r\n")[2]
@@ -177,43 +177,43 @@
         for streams in (True, False):
             with self.subTest(streams=streams):
                 before = await self._cancelled()
-                self.scene.before = await self.scene.generated()
-                call = self.scene.caller.model_call(
+                self.case.before = await self.case.generated()
+                call = self.case.caller.model_call(
                     "router-1", CUSTOMER, MODEL, f"left {streams}", 3000, streams
                 )
-                task = asyncio.create_task(self.scene.caller.complete(call))
-                await until(self.scene.is_generating)
+                task = asyncio.create_task(self.case.caller.complete(call))
+                await until(self.case.is_generating)
                 task.cancel()
                 await asyncio.sleep(CANCEL_S)
                 self.assertEqual(before + 1, await self._cancelled())
 
     async def _no_engine(self) -> None:
         """Guards against answers that are held back until the deadline, or without a hint."""
-        await self.scene.control(self.scene.engine_targets, crash={"refuse_s": 3.0})
+        await self.case.control(self.case.engine_targets, crash={"refuse_s": 3.0})
         started_s = time.monotonic()
         while time.monotonic() < started_s + 1.0:
             call_s = time.monotonic()
-            for reply in await asyncio.gather(*(self.scene.call(number) for number in range(6))):
+            for reply in await asyncio.gather(*(self.case.call(number) for number in range(6))):
                 self.assertIn(reply.status, (502, 503), reply)
                 self.assertTrue(reply.run and reply.retry_after, reply)
             self.assertLess(time.monotonic() - call_s, AT_ONCE_S)
-        await self.scene.recover()
+        await self.case.recover()
 
     async def _read_late(self) -> None:
         """Guards against a stream that loses pieces while its caller does not read."""
-        call = self.scene.caller.model_call("router-1", CUSTOMER, MODEL, "late reader", 400)
-        headers = self.scene.caller.headers(CUSTOMER)
+        call = self.case.caller.model_call("router-1", CUSTOMER, MODEL, "late reader", 400)
+        headers = self.case.caller.headers(CUSTOMER)
         url = f"http://{call.router}/v1/completions"
         async with self.fleet.session.post(url, json=call.body(), headers=headers) as response:
-            replies = await asyncio.gather(*(self.scene.call(number) for number in range(9)))
+            replies = await asyncio.gather(*(self.case.call(number) for number in range(9)))
             self.assertEqual([], [reply for reply in replies if not reply.is_right])
-            self.scene.cut(self.scene.agents)
+            self.case.cut(self.case.agents)
             self.assertEqual("", await check_stream(response, call))
 
     async def _kill_router(self) -> None:
         """Guards against a clean end of streams whose router has died."""
         # Long enough that no answer ends before the router does.
-        replies = await self.scene.begin(tokens=600)
+        replies = await self.case.begin(tokens=600)
         await self.fleet.kill("router-1")
         for reply in await replies:
             self.assertEqual(0, reply.status, reply)
--- a/coltsfootfront/tests/test_system_configuration.py
+++ b/coltsfootfront/tests/test_system_configuration.py
@@ -53,7 +53,7 @@
         return self._fleet.processes[name].starts
 
 
-class Scene:
+class FaultCase:
     """A fleet, its operator and its watchdog."""
 
     def __init__(self, fleet: Fleet) -> None:
@@ -85,94 +85,94 @@
             raise AssertionError(f"{name} serves revision {running} of {self.fleet.revision}")
 
 
-Play = Callable[[Scene], Awaitable[int]]
+Fault = Callable[[FaultCase], Awaitable[int]]
 
 
-async def _plain(scene: Scene) -> int:
-    return await scene.change("plain")
+async def _plain(case: FaultCase) -> int:
+    return await case.change("plain")
 
 
-async def _answer_lost(scene: Scene) -> int:
-    await scene.fleet.control("store", {"lose_answers": 1})
-    return await scene.change("answer lost")
+async def _answer_lost(case: FaultCase) -> int:
+    await case.fleet.control("store", {"lose_answers": 1})
+    return await case.change("answer lost")
 
 
-async def _several_answers_lost(scene: Scene) -> int:
-    await scene.fleet.control("store", {"lose_answers": 4})
-    return await scene.change("answers lost")
+async def _several_answers_lost(case: FaultCase) -> int:
+    await case.fleet.control("store", {"lose_answers": 4})
+    return await case.change("answers lost")
 
 
-async def _slow_store(scene: Scene) -> int:
-    await scene.fleet.control("store", {"delay_s": 0.5})
-    revision = await scene.change("slow store")
-    await scene.fleet.control("store", {"delay_s": 0.0})
+async def _slow_store(case: FaultCase) -> int:
+    await case.fleet.control("store", {"delay_s": 0.5})
+    revision = await case.change("slow store")
+    await case.fleet.control("store", {"delay_s": 0.0})
     return revision
 
 
-async def _silent_watches(scene: Scene) -> int:
-    await scene.fleet.control("store", {"silent_watches": True})
-    revision = await scene.change("silent watches")
-    await scene.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
-    await scene.fleet.control("store", {"silent_watches": False})
+async def _silent_watches(case: FaultCase) -> int:
+    await case.fleet.control("store", {"silent_watches": True})
+    revision = await case.change("silent watches")
+    await case.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
+    await case.fleet.control("store", {"silent_watches": False})
     return revision
 
 
-async def _older_reads(scene: Scene) -> int:
-    await scene.change("before older reads")
-    await scene.fleet.control("store", {"stale_reads": True})
-    await scene.fleet.restart("router-1", wait=False)
-    await scene.ready_revision("router-1")
-    await scene.fleet.control("store", {"stale_reads": False})
-    return await scene.change("after older reads")
+async def _older_reads(case: FaultCase) -> int:
+    await case.change("before older reads")
+    await case.fleet.control("store", {"stale_reads": True})
+    await case.fleet.restart("router-1", wait=False)
+    await case.ready_revision("router-1")
+    await case.fleet.control("store", {"stale_reads": False})
+    return await case.change("after older reads")
 
 
-async def _outage_after_acceptance(scene: Scene) -> int:
-    revision = await scene.change("then an outage")
-    await scene.fleet.control("store", {"outage": True})
-    await scene.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
-    await scene.fleet.control("store", {"outage": False})
+async def _outage_after_acceptance(case: FaultCase) -> int:
+    revision = await case.change("then an outage")
+    await case.fleet.control("store", {"outage": True})
+    await case.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
+    await case.fleet.control("store", {"outage": False})
     return revision
 
 
-async def _admin_killed_after_acceptance(scene: Scene) -> int:
-    document = scene.operator.changed_document("admin killed")
-    before = scene.fleet.revision
-    task = asyncio.create_task(scene.operator.apply(document, before, "admin killed"))
+async def _admin_killed_after_acceptance(case: FaultCase) -> int:
+    document = case.operator.changed_document("admin killed")
+    before = case.fleet.revision
+    task = asyncio.create_task(case.operator.apply(document, before, "admin killed"))
     await asyncio.sleep(0.01)
-    await scene.fleet.restart("admin-1")
+    await case.fleet.restart("admin-1")
     await task
-    return await scene.change("admin killed")
+    return await case.change("admin killed")
 
 
-async def _frozen_across_two(scene: Scene) -> int:
-    frozen = ["router-2", scene.fleet.agents[0].name]
+async def _frozen_across_two(case: FaultCase) -> int:
+    frozen = ["router-2", case.fleet.agents[0].name]
     for name in frozen:
-        scene.fleet.pause(name)
-    await scene.change("frozen, first")
-    revision = await scene.change("frozen, second")
+        case.fleet.pause(name)
+    await case.change("frozen, first")
+    revision = await case.change("frozen, second")
     await asyncio.sleep(1.0)
     for name in frozen:
-        scene.fleet.resume(name)
+        case.fleet.resume(name)
     return revision
 
 
-async def _all_routers_restarted(scene: Scene) -> int:
-    revision = await scene.change("herd")
-    await scene.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
-    names = [process.name for process in scene.fleet.routers]
-    await asyncio.gather(*(scene.fleet.restart(name, wait=False) for name in names))
-    await asyncio.gather(*(scene.ready_revision(name) for name in names))
+async def _all_routers_restarted(case: FaultCase) -> int:
+    revision = await case.change("herd")
+    await case.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
+    names = [process.name for process in case.fleet.routers]
+    await asyncio.gather(*(case.fleet.restart(name, wait=False) for name in names))
+    await asyncio.gather(*(case.ready_revision(name) for name in names))
     return revision
 
 
-async def _store_cut_off_from_routers(scene: Scene) -> int:
+async def _store_cut_off_from_routers(case: FaultCase) -> int:
     """The routers lose the store; the admin's own push and the gossip carry the change."""
-    revision = await scene.change("before the cut")
-    scene.fleet.forwarders["store"].cut()
-    return max(revision, await scene.change("after the cut"))
+    revision = await case.change("before the cut")
+    case.fleet.forwarders["store"].cut()
+    return max(revision, await case.change("after the cut"))
 
 
-PLAYS: dict[str, Play] = {
+FAULTS: dict[str, Fault] = {
     "plain change": _plain,
     "answer to the write lost": _answer_lost,
     "several answers lost": _several_answers_lost,
@@ -191,15 +191,15 @@
     async def test_accepted_changes_come_into_force_and_never_revert(self) -> None:
         """Guards against a change that is accepted and lost, late, or undone by an older one."""
         async with Fleet(OPTIONS) as fleet:
-            scene = Scene(fleet)
-            async with scene.watchdog.watching():
-                for name, play in PLAYS.items():
+            case = FaultCase(fleet)
+            async with case.watchdog.watching():
+                for name, fault in FAULTS.items():
                     with self.subTest(name):
-                        revision = await play(scene)
-                        waited_s = await scene.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
+                        revision = await fault(case)
+                        waited_s = await case.operator.wait_in_force(revision, IN_FORCE_LIMIT_S)
                         self.assertLess(waited_s, IN_FORCE_LIMIT_S)
-            self.assertEqual([], scene.watchdog.steps_back)
-            rows = await scene.operator.status()
+            self.assertEqual([], case.watchdog.steps_back)
+            rows = await case.operator.status()
             digests = {row.get("digest") for row in rows if row["ready"]}
             self.assertEqual(1, len(digests), rows)
 
--- a/coltsfootfront/tests/test_system_drain.py
+++ b/coltsfootfront/tests/test_system_drain.py
@@ -78,7 +78,7 @@
             return False
 
 
-class Scene:
+class FaultCase:
     """A fleet under load and the target that leaves."""
 
     def __init__(self, fleet: Fleet, target: str) -> None:
@@ -123,36 +123,36 @@
         await self.fleet.control("vms", {"update": [row]})
 
 
-Leave = Callable[[Scene], Awaitable[None]]
+Leave = Callable[[FaultCase], Awaitable[None]]
 
 
-async def _by_document(scene: Scene) -> None:
-    await scene.withdraw(True)
+async def _by_document(case: FaultCase) -> None:
+    await case.withdraw(True)
 
 
-async def _by_document_without_store(scene: Scene) -> None:
+async def _by_document_without_store(case: FaultCase) -> None:
     """Only the administration API reaches the store; routers learn from it and from agents."""
-    await scene.withdraw(True)
-    await scene.fleet.control("store", {"outage": True})
+    await case.withdraw(True)
+    await case.fleet.control("store", {"outage": True})
 
 
-async def _by_vm_list(scene: Scene) -> None:
-    await scene.list_as("leaving")
+async def _by_vm_list(case: FaultCase) -> None:
+    await case.list_as("leaving")
 
 
-async def _by_stop_signal(scene: Scene) -> None:
-    scene.fleet.send_signal(scene.fleet.agent_of(scene.target).name, signal.SIGTERM)
+async def _by_stop_signal(case: FaultCase) -> None:
+    case.fleet.send_signal(case.fleet.agent_of(case.target).name, signal.SIGTERM)
 
 
-async def _return(scene: Scene) -> None:
-    await scene.fleet.control("store", {"outage": False})
-    if scene.fleet.document["targets"][scene.target].get("withdrawn"):
-        await scene.withdraw(False)
-    await scene.list_as("live")
-    agent = scene.fleet.agent_of(scene.target)
+async def _return(case: FaultCase) -> None:
+    await case.fleet.control("store", {"outage": False})
+    if case.fleet.document["targets"][case.target].get("withdrawn"):
+        await case.withdraw(False)
+    await case.list_as("live")
+    agent = case.fleet.agent_of(case.target)
     if not agent.is_running:
-        await scene.fleet.restart(agent.name)
-    await scene.fleet.wait_ready()
+        await case.fleet.restart(agent.name)
+    await case.fleet.wait_ready()
 
 
 LEAVES: dict[str, Leave] = {
@@ -170,27 +170,27 @@
         async with Fleet(options) as fleet:
             for name, leave in LEAVES.items():
                 with self.subTest(name):
-                    scene = Scene(fleet, "assessor-3")
+                    case = FaultCase(fleet, "assessor-3")
                     load = Load(fleet, 20)
                     async with load.running():
-                        await self._wait_for_admissions(scene)
-                        await leave(scene)
-                        last_s = await scene.last_admission_s()
+                        await self._wait_for_admissions(case)
+                        await leave(case)
+                        last_s = await case.last_admission_s()
                         if name == "stop signal of the agent":
-                            code = await fleet.wait_exit(fleet.agent_of(scene.target).name)
+                            code = await fleet.wait_exit(fleet.agent_of(case.target).name)
                             self.assertEqual(0, code)
                     wrong = [reply for reply in load.replies if not reply.is_right]
                     self.assertEqual([], wrong[:3])
                     self.assertLess(last_s, LAST_ADMISSION_LIMIT_S)
-                    await _return(scene)
+                    await _return(case)
 
-    async def _wait_for_admissions(self, scene: Scene) -> None:
-        before = await scene.admitted()
+    async def _wait_for_admissions(self, case: FaultCase) -> None:
+        before = await case.admitted()
         for _ in range(500):
-            if await scene.admitted() > before:
+            if await case.admitted() > before:
                 return
             await asyncio.sleep(0.02)
-        self.fail(f"{scene.target} got no request")
+        self.fail(f"{case.target} got no request")
 
 
 class RollingRestartTest(unittest.IsolatedAsyncioTestCase):
--- a/coltsfootfront/tests/test_system_once.py
+++ b/coltsfootfront/tests/test_system_once.py
@@ -24,7 +24,7 @@
 REPEATS = 3
 
 
-class Scene:
+class FaultCase:
     """One case: its fleet, its body and what its calls were answered."""
 
     def __init__(self, fleet: Fleet, name: str) -> None:
@@ -72,7 +72,7 @@
 
         The answer takes so long that a fault can strike before it.
         """
-        await self.fault(delay_after_s=0.5)
+        await self.set_service_faults(delay_after_s=0.5)
         task = asyncio.create_task(self.call("router-1"))
         await self.started()
         return task
@@ -80,7 +80,7 @@
     async def end_call(self, task: asyncio.Task[Reply]) -> None:
         """Wait for the first answer, then repeat the call through the second router."""
         await task
-        await self.fault(delay_after_s=0.0)
+        await self.set_service_faults(delay_after_s=0.0)
         await self.call("router-2")
 
     async def freeze(self, names: list[str]) -> None:
@@ -91,7 +91,7 @@
         for name in names:
             self.fleet.resume(name)
 
-    async def fault(self, **values: object) -> None:
+    async def set_service_faults(self, **values: object) -> None:
         """Switch a fault of every server."""
         for name in self.servers:
             await self.fleet.control(name, dict(values))
@@ -105,179 +105,179 @@
         raise AssertionError("the filing was not executed")
 
 
-Play = Callable[[Scene], Awaitable[None]]
+Fault = Callable[[FaultCase], Awaitable[None]]
 
 
-async def _repeat(scene: Scene) -> None:
+async def _repeat(case: FaultCase) -> None:
     for router in ("router-1", "router-2", "router-1"):
-        await scene.call(router)
+        await case.call(router)
 
 
-async def _repeat_at_the_same_time(scene: Scene) -> None:
-    await scene.fault(delay_after_s=0.2)
-    await asyncio.gather(*(scene.call(f"router-{n % 2 + 1}") for n in range(12)))
-    await scene.fault(delay_after_s=0.0)
+async def _repeat_at_the_same_time(case: FaultCase) -> None:
+    await case.set_service_faults(delay_after_s=0.2)
+    await asyncio.gather(*(case.call(f"router-{n % 2 + 1}") for n in range(12)))
+    await case.set_service_faults(delay_after_s=0.0)
 
 
-async def _restart_agents(scene: Scene) -> None:
-    await scene.call("router-1")
-    await asyncio.gather(*(scene.fleet.restart(name) for name in scene.agents))
-    await scene.call("router-2")
+async def _restart_agents(case: FaultCase) -> None:
+    await case.call("router-1")
+    await asyncio.gather(*(case.fleet.restart(name) for name in case.agents))
+    await case.call("router-2")
 
 
-async def _kill_agents_while_it_runs(scene: Scene) -> None:
-    first = await scene.start_call()
-    await asyncio.gather(*(scene.fleet.restart(name) for name in scene.agents))
-    await scene.end_call(first)
+async def _kill_agents_while_it_runs(case: FaultCase) -> None:
+    first = await case.start_call()
+    await asyncio.gather(*(case.fleet.restart(name) for name in case.agents))
+    await case.end_call(first)
 
 
-async def _kill_router_while_it_runs(scene: Scene) -> None:
-    await scene.fault(delay_after_s=0.5)
-    first = asyncio.create_task(scene.call("router-1"))
-    await scene.started()
-    await scene.fleet.restart("router-1")
+async def _kill_router_while_it_runs(case: FaultCase) -> None:
+    await case.set_service_faults(delay_after_s=0.5)
+    first = asyncio.create_task(case.call("router-1"))
+    await case.started()
+    await case.fleet.restart("router-1")
     await first
     await asyncio.sleep(0.6)
-    await scene.fault(delay_after_s=0.0)
-    await scene.call("router-1")
+    await case.set_service_faults(delay_after_s=0.0)
+    await case.call("router-1")
 
 
-async def _lose_store_answers(scene: Scene) -> None:
-    await scene.fleet.control("store", {"lose_answers": 1})
-    await scene.call("router-1")
-    await scene.call("router-2")
+async def _lose_store_answers(case: FaultCase) -> None:
+    await case.fleet.control("store", {"lose_answers": 1})
+    await case.call("router-1")
+    await case.call("router-2")
 
 
-async def _lose_more_store_answers(scene: Scene) -> None:
-    await scene.fleet.control("store", {"lose_answers": 3})
-    await scene.call("router-1")
-    await scene.fleet.control("store", {"lose_answers": 0})
-    await scene.call("router-2")
+async def _lose_more_store_answers(case: FaultCase) -> None:
+    await case.fleet.control("store", {"lose_answers": 3})
+    await case.call("router-1")
+    await case.fleet.control("store", {"lose_answers": 0})
+    await case.call("router-2")
 
 
-async def _store_outage_before(scene: Scene) -> None:
-    await scene.fleet.control("store", {"outage": True})
-    await scene.call("router-1")
-    await scene.call("router-2")
-    await scene.fleet.control("store", {"outage": False})
-    await scene.call("router-2")
+async def _store_outage_before(case: FaultCase) -> None:
+    await case.fleet.control("store", {"outage": True})
+    await case.call("router-1")
+    await case.call("router-2")
+    await case.fleet.control("store", {"outage": False})
+    await case.call("router-2")
 
 
-async def _store_outage_while_it_runs(scene: Scene) -> None:
-    first = await scene.start_call()
-    await scene.fleet.control("store", {"outage": True})
-    await scene.end_call(first)
-    await scene.fleet.control("store", {"outage": False})
-    await scene.call("router-2")
+async def _store_outage_while_it_runs(case: FaultCase) -> None:
+    first = await case.start_call()
+    await case.fleet.control("store", {"outage": True})
+    await case.end_call(first)
+    await case.fleet.control("store", {"outage": False})
+    await case.call("router-2")
 
 
-async def _store_outage_and_agent_restart(scene: Scene) -> None:
-    await scene.fault(delay_after_s=0.5)
-    first = asyncio.create_task(scene.call("router-1"))
-    await scene.started()
-    await scene.fleet.control("store", {"outage": True})
-    await asyncio.gather(*(scene.fleet.restart(name, wait=False) for name in scene.agents))
+async def _store_outage_and_agent_restart(case: FaultCase) -> None:
+    await case.set_service_faults(delay_after_s=0.5)
+    first = asyncio.create_task(case.call("router-1"))
+    await case.started()
+    await case.fleet.control("store", {"outage": True})
+    await asyncio.gather(*(case.fleet.restart(name, wait=False) for name in case.agents))
     await first
-    await scene.fleet.control("store", {"outage": False})
-    await scene.fault(delay_after_s=0.0)
-    await scene.fleet.wait_ready()
-    await scene.call("router-2")
+    await case.fleet.control("store", {"outage": False})
+    await case.set_service_faults(delay_after_s=0.0)
+    await case.fleet.wait_ready()
+    await case.call("router-2")
 
 
-async def _server_cuts_before(scene: Scene) -> None:
-    await scene.fault(cut_before=1)
-    await scene.call("router-1")
-    await scene.fault(cut_before=0)
-    await scene.call("router-2")
+async def _server_cuts_before(case: FaultCase) -> None:
+    await case.set_service_faults(cut_before=1)
+    await case.call("router-1")
+    await case.set_service_faults(cut_before=0)
+    await case.call("router-2")
 
 
-async def _server_cuts_after(scene: Scene) -> None:
-    await scene.fault(cut_after=1)
-    await scene.call("router-1")
-    await scene.fault(cut_after=0)
-    await scene.call("router-2")
+async def _server_cuts_after(case: FaultCase) -> None:
+    await case.set_service_faults(cut_after=1)
+    await case.call("router-1")
+    await case.set_service_faults(cut_after=0)
+    await case.call("router-2")
 
 
-async def _server_cuts_within_the_answer(scene: Scene) -> None:
-    await scene.fault(cut_body=1)
-    await scene.call("router-1")
-    await scene.fault(cut_body=0)
-    await scene.call("router-2")
+async def _server_cuts_within_the_answer(case: FaultCase) -> None:
+    await case.set_service_faults(cut_body=1)
+    await case.call("router-1")
+    await case.set_service_faults(cut_body=0)
+    await case.call("router-2")
 
 
-async def _cut_between_router_and_agent(scene: Scene) -> None:
-    first = await scene.start_call()
-    for name in scene.agents:
-        scene.fleet.forwarders[name].cut()
-    await scene.end_call(first)
+async def _cut_between_router_and_agent(case: FaultCase) -> None:
+    first = await case.start_call()
+    for name in case.agents:
+        case.fleet.forwarders[name].cut()
+    await case.end_call(first)
 
 
-async def _cut_off_the_agents(scene: Scene) -> None:
+async def _cut_off_the_agents(case: FaultCase) -> None:
     """The call has reached the server, and its agent cannot be asked what became of it."""
-    first = await scene.start_call()
-    forwarders = [scene.fleet.forwarders[name] for name in scene.agents]
+    first = await case.start_call()
+    forwarders = [case.fleet.forwarders[name] for name in case.agents]
     for forwarder in forwarders:
         forwarder.refuse = True
         forwarder.cut()
     await first
     for forwarder in forwarders:
         forwarder.refuse = False
-    await scene.end_call(first)
+    await case.end_call(first)
 
 
-async def _hold_between_router_and_agent(scene: Scene) -> None:
-    forwarders = [scene.fleet.forwarders[name] for name in scene.agents]
+async def _hold_between_router_and_agent(case: FaultCase) -> None:
+    forwarders = [case.fleet.forwarders[name] for name in case.agents]
     for forwarder in forwarders:
         forwarder.hold()
-    await scene.call("router-1")
+    await case.call("router-1")
     for forwarder in forwarders:
         forwarder.release()
     await asyncio.sleep(0.5)
-    await scene.call("router-2")
+    await case.call("router-2")
 
 
-async def _freeze_agents(scene: Scene) -> None:
-    for name in scene.agents:
-        scene.fleet.pause(name)
-    first = asyncio.create_task(scene.call("router-1"))
-    await scene.freeze(scene.agents)
+async def _freeze_agents(case: FaultCase) -> None:
+    for name in case.agents:
+        case.fleet.pause(name)
+    first = asyncio.create_task(case.call("router-1"))
+    await case.freeze(case.agents)
     await asyncio.sleep(0.5)
-    await scene.end_call(first)
+    await case.end_call(first)
 
 
-async def _freeze_agents_while_they_claim(scene: Scene) -> None:
-    await scene.fleet.control("store", {"delay_s": 0.3})
-    first = asyncio.create_task(scene.call("router-1"))
+async def _freeze_agents_while_they_claim(case: FaultCase) -> None:
+    await case.fleet.control("store", {"delay_s": 0.3})
+    first = asyncio.create_task(case.call("router-1"))
     await asyncio.sleep(0.2)
-    for name in scene.agents:
-        scene.fleet.pause(name)
-    await scene.fleet.control("store", {"delay_s": 0.0})
-    await scene.freeze(scene.agents)
+    for name in case.agents:
+        case.fleet.pause(name)
+    await case.fleet.control("store", {"delay_s": 0.0})
+    await case.freeze(case.agents)
     await asyncio.sleep(0.5)
-    await scene.end_call(first)
+    await case.end_call(first)
 
 
-async def _freeze_agents_while_it_runs(scene: Scene) -> None:
-    first = await scene.start_call()
-    await scene.freeze(scene.agents)
-    await scene.end_call(first)
+async def _freeze_agents_while_it_runs(case: FaultCase) -> None:
+    first = await case.start_call()
+    await case.freeze(case.agents)
+    await case.end_call(first)
 
 
-async def _freeze_servers(scene: Scene) -> None:
-    for name in scene.servers:
-        scene.fleet.pause(name)
-    first = asyncio.create_task(scene.call("router-1"))
-    await scene.freeze(scene.servers)
-    await scene.end_call(first)
+async def _freeze_servers(case: FaultCase) -> None:
+    for name in case.servers:
+        case.fleet.pause(name)
+    first = asyncio.create_task(case.call("router-1"))
+    await case.freeze(case.servers)
+    await case.end_call(first)
 
 
-async def _freeze_router(scene: Scene) -> None:
-    first = await scene.start_call()
-    await scene.freeze(["router-1"])
-    await scene.end_call(first)
+async def _freeze_router(case: FaultCase) -> None:
+    first = await case.start_call()
+    await case.freeze(["router-1"])
+    await case.end_call(first)
 
 
-PLAYS: dict[str, Play] = {
+FAULTS: dict[str, Fault] = {
     "repeats through both routers": _repeat,
     "repeats at the same time": _repeat_at_the_same_time,
     "agents restarted between": _restart_agents,
@@ -296,7 +296,7 @@
     "connection to the agent held": _hold_between_router_and_agent,
 }
 
-FREEZES: dict[str, Play] = {
+FREEZES: dict[str, Fault] = {
     "agents frozen before": _freeze_agents,
     "agents frozen while they claim": _freeze_agents_while_they_claim,
     "agents frozen while it runs": _freeze_agents_while_it_runs,
@@ -308,37 +308,37 @@
 class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
     """Each case repeats one filing with the same idempotency key around a fault."""
 
-    async def _play(self, plays: dict[str, Play]) -> None:
+    async def _run_cases(self, faults: dict[str, Fault]) -> None:
         async with Fleet(OPTIONS) as fleet:
-            for name, play in plays.items():
+            for name, fault in faults.items():
                 with self.subTest(name):
-                    scene = Scene(fleet, name)
-                    await play(scene)
-                    await scene.settle()
-                    await self._check(scene)
-
-    async def _check(self, scene: Scene) -> None:
-        count = await scene.executions()
-        shown = f"{count} executions, replies {scene.replies}"
+                    case = FaultCase(fleet, name)
+                    await fault(case)
+                    await case.settle()
+                    await self._check(case)
+
+    async def _check(self, case: FaultCase) -> None:
+        count = await case.executions()
+        shown = f"{count} executions, replies {case.replies}"
         self.assertLessEqual(count, 1, shown)
-        last = scene.replies[-1]
+        last = case.replies[-1]
         if last.is_right:
             self.assertEqual(1, count, shown)
         else:
             # After the fault is over only an unknown first run may keep a repeat from running.
             self.assertIn(last.run, ("unknown", "completed"), shown)
-        for reply in scene.replies:
+        for reply in case.replies:
             self.assertNotEqual(500, reply.status, shown)
-        if scene.replies and all(reply.run == "not_run" for reply in scene.replies):
+        if case.replies and all(reply.run == "not_run" for reply in case.replies):
             self.assertEqual(0, count, shown)
 
     async def test_repeats_run_at_most_once(self) -> None:
         """Guards against a filed result or a paid reservation that runs twice."""
-        await self._play(PLAYS)
+        await self._run_cases(FAULTS)
 
     async def test_repeats_run_at_most_once_after_freezes(self) -> None:
         """Guards against a thawed process that runs what was already answered or repeated."""
-        await self._play(FREEZES)
+        await self._run_cases(FREEZES)
 
 
 class NotRunTest(unittest.IsolatedAsyncioTestCase):
@@ -347,18 +347,18 @@
     async def test_not_run_is_true(self) -> None:
         """Guards against a refusal that says "not run" for a call that runs, even later."""
         async with Fleet(OPTIONS) as fleet:
-            for name, play in {**PLAYS, **FREEZES}.items():
+            for name, fault in {**FAULTS, **FREEZES}.items():
                 with self.subTest(name):
-                    scene = Scene(fleet, f"unkeyed {name}")
-                    scene.key = ""
-                    await play(scene)
+                    case = FaultCase(fleet, f"unkeyed {name}")
+                    case.key = ""
+                    await fault(case)
                     await asyncio.sleep(0.5)
-                    count = await scene.executions()
-                    shown = f"{count} executions, replies {scene.replies}"
-                    may_have_run = [reply for reply in scene.replies if reply.run != "not_run"]
+                    count = await case.executions()
+                    shown = f"{count} executions, replies {case.replies}"
+                    may_have_run = [reply for reply in case.replies if reply.run != "not_run"]
                     for reply in may_have_run:
                         self.assertEqual("", reply.retry_after, "no invitation to run it again")
-                    right = [reply for reply in scene.replies if reply.is_right]
+                    right = [reply for reply in case.replies if reply.is_right]
                     self.assertLessEqual(count, len(may_have_run), shown)
                     self.assertGreaterEqual(count, len(right), shown)
 
--- a/coltsfootfront/tests/test_system_streams.py
+++ b/coltsfootfront/tests/test_system_streams.py
@@ -34,7 +34,7 @@
             await asyncio.sleep(0.02)
 
 
-class Scene:
+class FaultCase:
     """One row: a fleet and model calls that are under way when the fault strikes."""
 
     def __init__(self, fleet: Fleet, name: str) -> None:
@@ -113,31 +113,31 @@
         return (await self.call(tokens=2)).is_right
 
 
-Play = Callable[[Scene], Awaitable[list[Reply]]]
+Fault = Callable[[FaultCase], Awaitable[list[Reply]]]
 
 
-async def _no_fault(scene: Scene) -> list[Reply]:
-    return await (await scene.begin())
+async def _no_fault(case: FaultCase) -> list[Reply]:
+    return await (await case.begin())
 
 
-async def _cut_agents(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
+async def _cut_agents(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
     for _ in range(4):
-        scene.cut(scene.agents)
+        case.cut(case.agents)
         await asyncio.sleep(0.08)
     return await replies
 
 
-async def _cut_engines(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    scene.cut(f"standin-{name}" for name in await scene.busiest())
+async def _cut_engines(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    case.cut(f"standin-{name}" for name in await case.busiest())
     return await replies
 
 
-async def _hold_agents(scene: Scene) -> list[Reply]:
+async def _hold_agents(case: FaultCase) -> list[Reply]:
     """Held for longer than a silent agent is waited for, and released afterwards."""
-    replies = await scene.begin()
-    held = [scene.fleet.forwarders[f"agent-{name}"] for name in await scene.busiest()]
+    replies = await case.begin()
+    held = [case.fleet.forwarders[f"agent-{name}"] for name in await case.busiest()]
     for forwarder in held:
         forwarder.hold()
     result = await replies
@@ -146,9 +146,9 @@
     return result
 
 
-async def _hold_agents_for_a_moment(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    held = [scene.fleet.forwarders[name] for name in scene.agents]
+async def _hold_agents_for_a_moment(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    held = [case.fleet.forwarders[name] for name in case.agents]
     for forwarder in held:
         forwarder.hold()
     await asyncio.sleep(0.3)
@@ -157,9 +157,9 @@
     return await replies
 
 
-async def _hold_engines(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    held = [scene.fleet.forwarders[f"standin-{name}"] for name in await scene.busiest()]
+async def _hold_engines(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    held = [case.fleet.forwarders[f"standin-{name}"] for name in await case.busiest()]
     for forwarder in held:
         forwarder.hold()
     result = await replies
@@ -168,125 +168,125 @@
     return result
 
 
-async def _restart_agents(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    names = [f"agent-{name}" for name in await scene.busiest()]
-    await asyncio.gather(*(scene.fleet.restart(name) for name in names))
+async def _restart_agents(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    names = [f"agent-{name}" for name in await case.busiest()]
+    await asyncio.gather(*(case.fleet.restart(name) for name in names))
     return await replies
 
 
-async def _freeze_agents(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    names = [f"agent-{name}" for name in await scene.busiest()]
+async def _freeze_agents(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    names = [f"agent-{name}" for name in await case.busiest()]
     for name in names:
-        scene.fleet.pause(name)
+        case.fleet.pause(name)
     result = await replies
     for name in names:
-        scene.fleet.resume(name)
+        case.fleet.resume(name)
     return result
 
 
-async def _freeze_router(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    scene.fleet.pause("router-1")
+async def _freeze_router(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    case.fleet.pause("router-1")
     await asyncio.sleep(1.0)
-    scene.fleet.resume("router-1")
+    case.fleet.resume("router-1")
     return await replies
 
 
-async def _crash_engines(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    await scene.control(await scene.busiest(), crash={"refuse_s": 0.5})
+async def _crash_engines(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    await case.control(await case.busiest(), crash={"refuse_s": 0.5})
     return await replies
 
 
-async def _engines_die(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    await scene.control(await scene.busiest(), die_after_tokens=5)
+async def _engines_die(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    await case.control(await case.busiest(), die_after_tokens=5)
     result = await replies
-    await scene.recover()
-    await scene.control(scene.engine_targets, die_after_tokens=0)
+    await case.recover()
+    await case.control(case.engine_targets, die_after_tokens=0)
     return result
 
 
-async def _no_end_mark_of_some(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    targets = await scene.busiest()
-    await scene.control(targets, cut_after_tokens=20)
+async def _no_end_mark_of_some(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    targets = await case.busiest()
+    await case.control(targets, cut_after_tokens=20)
     result = await replies
-    await scene.control(targets, cut_after_tokens=0)
+    await case.control(targets, cut_after_tokens=0)
     return result
 
 
-async def _no_end_mark(scene: Scene) -> list[Reply]:
+async def _no_end_mark(case: FaultCase) -> list[Reply]:
     """Three engines in turn bring the whole text."""
-    await scene.control(scene.engine_targets, cut_after_tokens=22)
-    result = await (await scene.begin())
-    await scene.control(scene.engine_targets, cut_after_tokens=0)
+    await case.control(case.engine_targets, cut_after_tokens=22)
+    result = await (await case.begin())
+    await case.control(case.engine_targets, cut_after_tokens=0)
     return result
 
 
-async def _never_an_end_mark(scene: Scene) -> list[Reply]:
+async def _never_an_end_mark(case: FaultCase) -> list[Reply]:
     """No engine gets far enough, so the whole answer cannot be had."""
-    await scene.control(scene.engine_targets, cut_after_tokens=8)
-    result = await asyncio.gather(*(scene.call(number) for number in range(6)))
-    await scene.control(scene.engine_targets, cut_after_tokens=0)
+    await case.control(case.engine_targets, cut_after_tokens=8)
+    result = await asyncio.gather(*(case.call(number) for number in range(6)))
+    await case.control(case.engine_targets, cut_after_tokens=0)
     return result
 
 
-async def _stall_engines(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    await scene.control(await scene.busiest(1), stall_s=TARGET_TIMEOUT_S / 2)
+async def _stall_engines(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    await case.control(await case.busiest(1), stall_s=TARGET_TIMEOUT_S / 2)
     return await replies
 
 
-async def _stall_engines_for_long(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    await scene.control(await scene.busiest(1), stall_s=TARGET_TIMEOUT_S * 2)
+async def _stall_engines_for_long(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    await case.control(await case.busiest(1), stall_s=TARGET_TIMEOUT_S * 2)
     return await replies
 
 
-async def _cut_agents_and_crash(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    scene.cut(scene.agents)
-    await scene.control(await scene.busiest(1), crash={"refuse_s": 0.5})
+async def _cut_agents_and_crash(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    case.cut(case.agents)
+    await case.control(await case.busiest(1), crash={"refuse_s": 0.5})
     await asyncio.sleep(0.1)
-    scene.cut(scene.agents)
+    case.cut(case.agents)
     return await replies
 
 
-async def _restart_agent_and_cut_engine(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    first, second = await scene.busiest()
-    await scene.fleet.restart(f"agent-{first}", wait=False)
-    scene.cut([f"standin-{second}"])
+async def _restart_agent_and_cut_engine(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    first, second = await case.busiest()
+    await case.fleet.restart(f"agent-{first}", wait=False)
+    case.cut([f"standin-{second}"])
     return await replies
 
 
-async def _hold_agent_and_crash(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    first, second = await scene.busiest()
-    scene.fleet.forwarders[f"agent-{first}"].hold()
-    await scene.control([second], crash={"refuse_s": 0.5})
+async def _hold_agent_and_crash(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    first, second = await case.busiest()
+    case.fleet.forwarders[f"agent-{first}"].hold()
+    await case.control([second], crash={"refuse_s": 0.5})
     result = await replies
-    scene.fleet.forwarders[f"agent-{first}"].release()
+    case.fleet.forwarders[f"agent-{first}"].release()
     return result
 
 
-async def _crash_all(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    await scene.control(scene.engine_targets, crash={"refuse_s": 1.0})
+async def _crash_all(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    await case.control(case.engine_targets, crash={"refuse_s": 1.0})
     return await replies
 
 
-async def _restart_all_agents(scene: Scene) -> list[Reply]:
-    replies = await scene.begin()
-    await asyncio.gather(*(scene.fleet.restart(name, wait=False) for name in scene.agents))
+async def _restart_all_agents(case: FaultCase) -> list[Reply]:
+    replies = await case.begin()
+    await asyncio.gather(*(case.fleet.restart(name, wait=False) for name in case.agents))
     return await replies
 
 
 # After these every answer must be whole: another target, or the buffer, can go on.
-WHOLE: dict[str, Play] = {
+WHOLE: dict[str, Fault] = {
     "no fault": _no_fault,
     "connections to the agents cut four times": _cut_agents,
     "connections to engines cut": _cut_engines,
@@ -307,7 +307,7 @@
     "agent held and another engine crashed": _hold_agent_and_crash,
 }
 # After these an explicit error is right as well.
-EXPLICIT: dict[str, Play] = {
+EXPLICIT: dict[str, Fault] = {
     "never an end mark": _never_an_end_mark,
     "all engines crashed": _crash_all,
     "all agents killed and started": _restart_all_agents,
@@ -327,40 +327,40 @@
     async def test_answers_are_whole_or_fail(self) -> None:
         """Guards against answers that are cut short, doubled, reordered or mixed."""
         async with Fleet(OPTIONS) as fleet:
-            for name, play in {**WHOLE, **EXPLICIT}.items():
+            for name, fault in {**WHOLE, **EXPLICIT}.items():
                 with self.subTest(name):
-                    scene = Scene(fleet, name)
-                    replies = await play(scene)
+                    case = FaultCase(fleet, name)
+                    replies = await fault(case)
                     for reply in replies:
                         is_good = reply.is_right or (name in EXPLICIT and _is_explicit(reply))
                         self.assertTrue(is_good, f"{name}: {reply}")
-                    await scene.recover()
-            await self._check_cuts(Scene(fleet, "cuts"))
+                    await case.recover()
+            await self._check_cuts(FaultCase(fleet, "cuts"))
 
-    async def _check_cuts(self, scene: Scene) -> None:
+    async def _check_cuts(self, case: FaultCase) -> None:
         """Guards against a cut whose place in the stream loses or repeats frames or the end."""
         for prefix in ("agent", "standin"):
-            reply, sent = await self._call_and_cut(scene, prefix, 0, 10**9)
+            reply, sent = await self._call_and_cut(case, prefix, 0, 10**9)
             self.assertTrue(reply.is_right, reply)
             # Places over the whole length and some close to the end.
             places = [*range(1, sent, sent // 5 + 1), *range(sent - 300, sent, 100)]
             for number, place in enumerate(places):
                 with self.subTest(prefix, place=place, sent=sent):
-                    reply, _ = await self._call_and_cut(scene, prefix, number, place)
+                    reply, _ = await self._call_and_cut(case, prefix, number, place)
                     self.assertTrue(reply.is_right, reply)
 
     async def _call_and_cut(
-        self, scene: Scene, prefix: str, number: int, place: int
+        self, case: FaultCase, prefix: str, number: int, place: int
     ) -> tuple[Reply, int]:
         """Make a call and cut its connection after some bytes.
 
         :returns: the reply, and the bytes that its connection carried.
         """
-        scene.before = await scene.generated()
-        call = asyncio.create_task(scene.call(number, tokens=60))
-        await until(scene.is_generating)
+        case.before = await case.generated()
+        call = asyncio.create_task(case.call(number, tokens=60))
+        await until(case.is_generating)
         # Cutting other connections as well would take their engines out of service.
-        forwarder = scene.fleet.forwarders[f"{prefix}-{(await scene.busiest(1))[0]}"]
+        forwarder = case.fleet.forwarders[f"{prefix}-{(await case.busiest(1))[0]}"]
         forwarder.cut_after_bytes = place
         reply = await call
         sent = place - forwarder.cut_after_bytes
