Move the questions to other processes out of the administration API

Ruled out: splitting the handlers by path, since they share authentication and the refresh of the head. Conclusion: no behaviour changes.

--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/admin.py
@@ -20,13 +20,13 @@
 from coltsfootfront import __version__, metrics, runtime, schema
 from coltsfootfront.channel import Channel, ChannelPool
 from coltsfootfront.clock import Clock, SystemClock
-from coltsfootfront.connection import ConnectionLostError, Identity
+from coltsfootfront.connection import Identity
 from coltsfootfront.entries import Entries, canonical, digest, join, split
 from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
 from coltsfootfront.etcd import EtcdStore
 from coltsfootfront.httpserver import CallerServer
+from coltsfootfront.inquiry import Inquiry
 from coltsfootfront.logs import event
-from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
 from coltsfootfront.operators import Authenticated, authenticate
 from coltsfootfront.publisher import Publisher
 from coltsfootfront.records import Change, Difference, Head, Published, Rejection
@@ -48,9 +48,6 @@
 # The document used to authenticate is read again after this time, so that a flood of unknown
 # keys costs the store one read a second.
 AUTHENTICATION_CACHE_S = 1.0
-STATUS_TIMEOUT_S = 1.0
-STATUS_PARALLEL = 64
-EXPLAIN_TIMEOUT_S = 3.0
 GREET_INTERVAL_S = 2.0
 IDLE_CHECK_S = 20.0
 IDLE_CLOSE_S = 30.0
@@ -142,6 +139,7 @@
             "",
             GREET_INTERVAL_S,
         )
+        self._inquiry = Inquiry(self._pool)
         self._supervisor = Supervisor("admin", clock)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._runner: web.ServerRunner | None = None
@@ -433,45 +431,20 @@
 
     async def _status(self, call: Call) -> Json:
         await self._refresh_if_possible()
-        limit = asyncio.Semaphore(STATUS_PARALLEL)
         asked = {address: "" for address in self._settings.seed_addresses}
         for name, target in self._revision.document.targets.items():
             asked[target.agent_address] = name
-        rows = await asyncio.gather(
-            *(self._ask_status(address, target, limit) for address, target in asked.items())
-        )
+        rows = await self._inquiry.states(asked)
         return {"revision": self._revision.number, "processes": rows}
 
-    async def _ask_status(self, address: str, target: str, limit: asyncio.Semaphore) -> Json:
-        row: Json = {"address": address, "target": target}
-        async with limit:
-            channel = self._pool.get(address)
-            try:
-                status = Status(channel.next_number())
-                reply = await channel.call(status, StatusReply, STATUS_TIMEOUT_S)
-                state = json.loads(reply.state)
-            except (ConnectionLostError, ValueError) as error:
-                return {**row, "name": "", "revision": None, "ready": False, "error": str(error)}
-        if not isinstance(state, dict):
-            return {**row, "name": "", "revision": None, "ready": False, "error": "bad state"}
-        return {**row, **state}
-
     async def _explain(self, call: Call) -> Json:
         question = {key: call.body.get(key, "") for key in ("customer", "model", "prompt")}
         if not all(isinstance(value, str) for value in question.values()):
             raise _bad_request("customer, model and prompt: allowed: text")
-        body = canonical(question)
-        for address in self._settings.seed_addresses:
-            channel = self._pool.get(address)
-            try:
-                message = Explain(channel.next_number(), body)
-                reply = await channel.call(message, ExplainReply, EXPLAIN_TIMEOUT_S)
-                answer = json.loads(reply.body)
-            except (ConnectionLostError, ValueError) as error:
-                log.info(event("explain_failed", peer=address, reason=error))
-                continue
-            return answer if isinstance(answer, dict) else {"answer": answer}
-        raise ApiError(Failure(ErrorKind.TARGET_UNREACHABLE, "no router answered"))
+        answer = await self._inquiry.explain(self._settings.seed_addresses, canonical(question))
+        if answer is None:
+            raise ApiError(Failure(ErrorKind.TARGET_UNREACHABLE, "no router answered"))
+        return answer
 
 
 def _decoded(value: bytes | None) -> Any:
