Keep the list of hop-by-hop headers once

Ruled out: importing one from the other; router and agent share no adapter. Before: two lists of nine names. Conclusion: no behaviour changes.

--- a/coltsfootfront/callers.py
+++ b/coltsfootfront/callers.py
@@ -9,27 +9,14 @@
 from multidict import CIMultiDict
 
 from coltsfootfront.errors import Failure
+from coltsfootfront.headers import HOP_BY_HOP
 from coltsfootfront.messages import Head
 from coltsfootfront.relay import Caller, CallerGoneError, Completion, ModelFormat, error_event
 
 REQUEST_ID_HEADER = "X-Request-Id"
 
-# Headers that concern one connection only, and those that a new request or answer sets itself.
-_OWN_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-request-id",
-    }
-)
+# Headers of one connection, and those that a new request or answer sets itself.
+_OWN_HEADERS = HOP_BY_HOP | {"content-length", "x-request-id"}
 # The caller's key is for this system, not for the service behind it.
 _PRIVATE_HEADERS = frozenset({"authorization", "expect", "host"})
 
--- a/coltsfootfront/httpservice.py
+++ b/coltsfootfront/httpservice.py
@@ -5,26 +5,14 @@
 
 from coltsfootfront.clock import Clock
 from coltsfootfront.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.headers import HOP_BY_HOP
 from coltsfootfront.httpclient import HttpClient
 from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
 
 _HEALTH_PATH = "/healthz"
 _FIRST_ERROR_STATUS = 400
-# RFC 9110, section 7.6.1, and the headers that the client computes itself.
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-_NOT_FORWARDED = _HOP_BY_HOP | {"content-length", "expect", "host"}
+# Headers of one connection, and those that the client computes itself.
+_NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect", "host"}
 _TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
 _PATH = re.compile(r"[!-~]*")
 # Control characters could end a header early; surrogates stand for bytes that are not UTF-8.
@@ -32,7 +20,7 @@
 
 
 def end_to_end(
-    headers: Iterable[tuple[str, str]], dropped: frozenset[str] = _HOP_BY_HOP
+    headers: Iterable[tuple[str, str]], dropped: frozenset[str] = HOP_BY_HOP
 ) -> tuple[tuple[str, str], ...]:
     """Leave out headers that are meant for one connection only.
 
