Send the request id to plain services, and check "not run" by it

Cause: a reading of the "not run" test found that it compared counts. With two replies, one unknown that did not run and one "not run" that did, the counts would agree and hide the false refusal. Executions could not be told apart, since the router drops the caller's X-Request-Id and the agent sent none of its own.

The agent now sends the id of the request, and the test looks for each refused id among the executed ones; the comparison of counts stays. The adapter's test of exact headers names the additional header, so it is as strict as before.

Ruled out: one body for each call; a repeat must carry the same body.

--- a/coltsfootfront/callers.py
+++ b/coltsfootfront/callers.py
@@ -9,14 +9,12 @@
 from multidict import CIMultiDict
 
 from coltsfootfront.errors import Failure
-from coltsfootfront.headers import HOP_BY_HOP
+from coltsfootfront.headers import HOP_BY_HOP, REQUEST_ID_HEADER
 from coltsfootfront.messages import Head
 from coltsfootfront.relay import Caller, CallerGoneError, Completion, ModelFormat, error_event
 
-REQUEST_ID_HEADER = "X-Request-Id"
-
 # Headers of one connection, and those that a new request or answer sets itself.
-_OWN_HEADERS = HOP_BY_HOP | {"content-length", "x-request-id"}
+_OWN_HEADERS = HOP_BY_HOP | {"content-length", REQUEST_ID_HEADER.lower()}
 # The caller's key is for this system, not for the service behind it.
 _PRIVATE_HEADERS = frozenset({"authorization", "expect", "host"})
 
--- a/coltsfootfront/frontend.py
+++ b/coltsfootfront/frontend.py
@@ -14,7 +14,6 @@
 from coltsfootfront import metrics, modelbody, servicepath
 from coltsfootfront.authentication import authenticate
 from coltsfootfront.callers import (
-    REQUEST_ID_HEADER,
     CollectCaller,
     EventCaller,
     RawCaller,
@@ -25,6 +24,7 @@
 from coltsfootfront.document import KIND_SERVICE as SERVICE_OF_DOCUMENT
 from coltsfootfront.document import Document
 from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.headers import REQUEST_ID_HEADER
 from coltsfootfront.httpserver import error_response
 from coltsfootfront.job import KIND_CHAT, KIND_COMPLETION, KIND_SERVICE, Job
 from coltsfootfront.logs import event
--- a/coltsfootfront/headers.py
+++ b/coltsfootfront/headers.py
@@ -1,6 +1,8 @@
-"""HTTP headers that concern one connection only and are never forwarded."""
+"""Names of HTTP headers that router and agent share."""
 
-# RFC 9110, section 7.6.1.
+REQUEST_ID_HEADER = "X-Request-Id"
+
+# Headers that concern one connection only and are never forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
     (
         "connection",
--- a/coltsfootfront/httpserver.py
+++ b/coltsfootfront/httpserver.py
@@ -10,8 +10,8 @@
 from aiohttp import web
 
 from coltsfootfront import metrics
-from coltsfootfront.callers import REQUEST_ID_HEADER
 from coltsfootfront.errors import ErrorKind, Failure
+from coltsfootfront.headers import REQUEST_ID_HEADER
 from coltsfootfront.relay import error_shape
 
 # A connection without a complete request head is closed after this time; also the idle time
--- a/coltsfootfront/httpservice.py
+++ b/coltsfootfront/httpservice.py
@@ -5,7 +5,7 @@
 
 from coltsfootfront.clock import Clock
 from coltsfootfront.errors import ErrorKind, Failure, FailureError
-from coltsfootfront.headers import HOP_BY_HOP
+from coltsfootfront.headers import HOP_BY_HOP, REQUEST_ID_HEADER
 from coltsfootfront.httpclient import HttpClient
 from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
 
@@ -65,6 +65,8 @@
         _check_sendable(request)
         path = "/" + request.path.lstrip("/")
         headers = end_to_end(request.headers, _NOT_FORWARDED)
+        if not any(name.lower() == REQUEST_ID_HEADER.lower() for name, _ in headers):
+            headers = (*headers, (REQUEST_ID_HEADER, request.request_id))
         body = request.body or None
         async with self._client.exchange(request.method, path, body, headers) as exchange:
             response = exchange.response
--- a/coltsfootfront/tests/test_httpservice.py
+++ b/coltsfootfront/tests/test_httpservice.py
@@ -191,7 +191,7 @@
         self.assertEqual(ServiceHead(201, headers), outcome.head)
         self.assertEqual(b"ab", outcome.body)
 
-    async def test_requests_carry_the_callers_headers_only(self) -> None:
+    async def test_requests_carry_the_callers_headers_and_the_request_id(self) -> None:
         """Guards against an answer in an encoding that the caller did not ask for."""
         heads: list[bytes] = []
         headers = (
@@ -205,7 +205,7 @@
         await self.collect_from(reply, replace(CALL, headers=headers), heads)
         lines = heads[0].decode().strip().split("\r\n")
         names = {line.partition(":")[0] for line in lines[1:]}
-        self.assertEqual({"Host", "X-Kept", "Content-Length", "Connection"}, names)
+        self.assertEqual({"Host", "X-Kept", "X-Request-Id", "Content-Length", "Connection"}, names)
         self.assertIn("Content-Length: 5", lines)
 
     async def test_silence_is_measured_on_the_injected_clock(self) -> None:
--- a/coltsfootfront/tests/test_system_once.py
+++ b/coltsfootfront/tests/test_system_once.py
@@ -358,6 +358,12 @@
                     may_have_run = [reply for reply in case.replies if reply.run != "not_run"]
                     for reply in may_have_run:
                         self.assertEqual("", reply.retry_after, "no invitation to run it again")
+                    executed = await case.caller.executed_ids(SERVICE, case.body)
+                    self.assertNotIn("", executed, "an execution without a request id")
+                    for reply in case.replies:
+                        if reply.run == "not_run":
+                            self.assertTrue(reply.request_id)
+                            self.assertNotIn(reply.request_id, executed, shown)
                     right = [reply for reply in case.replies if reply.is_right]
                     self.assertLessEqual(count, len(may_have_run), shown)
                     self.assertGreaterEqual(count, len(right), shown)
--- a/coltsfootfront_dev/caller.py
+++ b/coltsfootfront_dev/caller.py
@@ -62,6 +62,7 @@
     :param kind: error kind out of an error answer, or an empty string.
     :param retry_after: value of ``Retry-After``, or an empty string.
     :param value: JSON value of the answer, if it was one.
+    :param request_id: identifier that the router gave the request, or an empty string.
     """
 
     status: int
@@ -70,6 +71,7 @@
     kind: str = ""
     retry_after: str = ""
     value: Any = None
+    request_id: str = ""
 
     @property
     def is_right(self) -> bool:
@@ -155,7 +157,11 @@
 
     async def executions(self, service: str, body: bytes) -> int:
         """Count how often all servers of a plain service executed a body."""
-        total = 0
+        return len(await self.executed_ids(service, body))
+
+    async def executed_ids(self, service: str, body: bytes) -> list[str]:
+        """Request ids under which the servers of a plain service executed a body."""
+        found: list[str] = []
         digest = hashlib.sha256(body).hexdigest()
         for name, target in self._document.targets.items():
             if target.service != service:
@@ -164,8 +170,8 @@
             url = f"http://{address}/control/executions"
             async with self._fleet.session.get(url) as response:
                 rows = await response.json()
-            total += sum(row["body_sha256"] == digest for row in rows)
-        return total
+            found += [row["request_id"] for row in rows if row["body_sha256"] == digest]
+        return found
 
     def headers(self, customer: str) -> dict[str, str]:
         """Authorization of a customer."""
@@ -182,6 +188,7 @@
         error.get("kind", ""),
         response.headers.get("Retry-After", ""),
         value,
+        response.headers.get("X-Request-Id", ""),
     )
 
 
