Keep a router that is starting alive at SIGHUP

Cause: until the router has installed its handlers, SIGHUP has its default action and ends the process without a line in its log. The soak's own wait had no limit.

Ruled out: the soak's overlapping waits on one process (they now keep to the process they began with, which is a fault of its own: a late kill could end the next process).

The tests now put the router together through the program's own make_node.

--- a/coltsfootfront/platform/__main__.py
+++ b/coltsfootfront/platform/__main__.py
@@ -1,60 +1,12 @@
-"""The router as it runs on the users' platform."""
+"""Starts the router as it runs on the users' platform."""
 
-import random
-import sys
-from dataclasses import dataclass
+import signal
 
-from coltsfootfront import __version__
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.direct.node import Node
-from coltsfootfront.platform import settings
-from coltsfootfront.platform.documents import PlatformDecoder
-from coltsfootfront.platform.front import CallerFront
-from coltsfootfront.platform.orders import PlatformOrders
-from coltsfootfront.platform.store import PlatformStore
-from coltsfootfront.platform.targets import PlatformTargetClient
-from coltsfootfront.runtime import EXIT_BAD_SETTING, serve
-from coltsfootfront.settings import SettingsError
-
-PROGRAM = "coltsfootfront-platform"
-LOG_LEVEL = "info"
-
-
-def _parse_arguments() -> None:
-    """Answer ``--help`` and ``--version``; the settings come from the environment alone."""
-    # Imported here, since the platform starts the program without arguments.
-    import cappa
-
-    @cappa.command(name=PROGRAM, help="Routes callers of the users' platform to its targets.")
-    @dataclass
-    class Command:
-        pass
-
-    cappa.parse(Command, version=__version__, completion=False)
-
-
-def main() -> None:
-    """Run the program."""
-    if len(sys.argv) > 1:
-        _parse_arguments()
-    try:
-        found = settings.load()
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTING)
-    clock = SystemClock()
-    node = Node(
-        settings.load,
-        clock,
-        PlatformStore(found.store.address),
-        PlatformDecoder(),
-        PlatformTargetClient(),
-        PlatformOrders(found.name),
-        lambda handler: CallerFront(handler, clock),
-        random.Random(),
-    )
-    serve(node, found.name, LOG_LEVEL)
+# Changed settings end a process by default. They are read anew from time to time, so that one
+# signal missed while the program loads loses nothing.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from coltsfootfront.platform.program import main  # noqa: E402 - the signal must not wait for it
 
 if __name__ == "__main__":
     main()
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -9,14 +9,8 @@
 
 import aiohttp
 
-from coltsfootfront.clock import SystemClock
 from coltsfootfront.direct.node import Node
-from coltsfootfront.platform import settings
-from coltsfootfront.platform.documents import PlatformDecoder
-from coltsfootfront.platform.front import CallerFront
-from coltsfootfront.platform.orders import PlatformOrders
-from coltsfootfront.platform.store import PlatformStore
-from coltsfootfront.platform.targets import PlatformTargetClient
+from coltsfootfront.platform import program, settings
 from coltsfootfront_dev.platformfleet import (
     CUSTOMER,
     HOST,
@@ -46,18 +40,8 @@
 
 def make_node(fields: dict[str, Any]) -> Node:
     """A router with the given settings."""
-    clock = SystemClock()
     found = settings.decode(fields, "test")
-    return Node(
-        lambda: found,
-        clock,
-        PlatformStore(found.store.address),
-        PlatformDecoder(),
-        PlatformTargetClient(),
-        PlatformOrders(found.name),
-        lambda handler: CallerFront(handler, clock),
-        random.Random(1),
-    )
+    return program.make_node(found, lambda: found, random.Random(1))
 
 
 class PlatformNodeTest(unittest.IsolatedAsyncioTestCase):
--- a/coltsfootfront/tests/test_platform_program.py
+++ b/coltsfootfront/tests/test_platform_program.py
@@ -106,6 +106,30 @@
         for name in ("router_started", "settings_changed", "request_ended", "router_stopped"):
             self.assertIn(f"event={name}", output)
 
+    async def test_settings_that_change_during_the_start_do_not_end_the_program(self) -> None:
+        """Guards against SIGHUP's default action while the program is not yet able to reload."""
+        fleet = PlatformFleet(1, 0)
+        await fleet.start()
+        fields = settings_fields("router-1", fleet.store.address, [])
+        # The program waits in its start for as long as nobody writes its settings.
+        os.mkfifo(self.path)
+        process = _start(self.path)
+        try:
+            async with asyncio.timeout(WAIT_S):
+                writer = await asyncio.to_thread(self.path.open, "w", encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            self.path.unlink()
+            self.path.write_text(to_toml(fields), encoding="utf-8")
+            with writer:
+                writer.write(to_toml(fields))
+            await self._until_ready(fields["listen"]["ready"])
+            process.send_signal(signal.SIGTERM)
+            await asyncio.to_thread(process.communicate, timeout=WAIT_S)
+        finally:
+            process.kill()
+            await fleet.close()
+        self.assertEqual(0, process.returncode)
+
     async def _until_ready(self, address: str) -> None:
         async with asyncio.timeout(WAIT_S), aiohttp.ClientSession() as session:
             while True:
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -116,17 +116,25 @@
 
         :returns: its exit status; a process that outlives the limit is killed.
         """
-        assert self._popen is not None
+        # Another fault may start the next process meanwhile; that one is not to be waited for.
+        popen = self._popen
+        assert popen is not None
         try:
-            return await asyncio.to_thread(self._popen.wait, limit_s)
+            return await asyncio.to_thread(popen.wait, limit_s)
         except subprocess.TimeoutExpired:
-            self._popen.kill()
-            return await asyncio.to_thread(self._popen.wait)
+            popen.kill()
+            return await asyncio.to_thread(popen.wait)
 
     def is_running(self) -> bool:
         """Whether the process runs."""
         return self._popen is not None and self._popen.poll() is None
 
+    def state(self) -> str:
+        """Process id and exit status, for a report."""
+        if self._popen is None:
+            return "never started"
+        return f"pid {self._popen.pid}, exit status {self._popen.poll()}"
+
 
 class Soak:
     """One run.
@@ -184,9 +192,17 @@
         for router in self._routers:
             router.fields["seed-addrs"] = seeds
             router.start()
-        async with asyncio.timeout(START_LIMIT_S):
-            for router in self._routers:
-                await self._until_ready(router)
+        await self._until_all_ready()
+
+    async def _until_all_ready(self) -> None:
+        for router in self._routers:
+            try:
+                async with asyncio.timeout(START_LIMIT_S):
+                    await self._until_ready(router)
+            except TimeoutError:
+                self.report.broken.append(
+                    f"{router.name} was not ready after {START_LIMIT_S} s: {router.state()}"
+                )
 
     async def _until_ready(self, router: RouterProcess) -> None:
         url = f"http://{router.fields['listen']['ready']}/v1/ready"
@@ -236,8 +252,7 @@
             running.append(asyncio.ensure_future(fault()))
             await asyncio.sleep(self._random.uniform(0.1, 0.9))
         await asyncio.gather(*running)
-        for router in self._routers:
-            await self._until_ready(router)
+        await self._until_all_ready()
 
     def _router(self) -> RouterProcess:
         return self._random.choice(self._routers)
