--- /dev/null
+++ b/coltsfootfront/calls/__init__.py
@@ -0,0 +1,1 @@
+"""What a caller asks for: body, path, prompt blocks, headers."""
--- a/coltsfootfront/job.py
+++ b/coltsfootfront/calls/job.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from coltsfootfront import blocks
-from coltsfootfront.document import Document, Grant
+from coltsfootfront.calls import blocks
+from coltsfootfront.configuration.document import Document, Grant
 
 KIND_COMPLETION = "completion"
 KIND_CHAT = "chat"
--- a/coltsfootfront/modelbody.py
+++ b/coltsfootfront/calls/modelbody.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from coltsfootfront.blocks import prompt_bytes
-from coltsfootfront.document import Document
-from coltsfootfront.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.calls.blocks import prompt_bytes
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.configuration.document import Document
 
 MAX_NAME_CHARACTERS = 256
 MAX_MESSAGES = 4096
--- a/coltsfootfront/servicepath.py
+++ b/coltsfootfront/calls/servicepath.py
@@ -2,8 +2,8 @@
 
 from urllib.parse import unquote
 
-from coltsfootfront.document import Service
-from coltsfootfront.modelbody import refuse
+from coltsfootfront.calls.modelbody import refuse
+from coltsfootfront.configuration.document import Service
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 METHODS = IDEMPOTENT_METHODS | {"POST", "PATCH"}
--- a/coltsfootfront/logs.py
+++ b/coltsfootfront/common/logs.py
@@ -12,7 +12,7 @@
 
 import logbook
 
-from coltsfootfront.clock import Clock, SystemClock
+from coltsfootfront.common.clock import Clock, SystemClock
 
 _BARE = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:/+")
 _EVENT = re.compile(r"event=(\S+)")
--- a/coltsfootfront/retries.py
+++ b/coltsfootfront/common/retries.py
@@ -4,8 +4,8 @@
 from collections import deque
 from dataclasses import dataclass
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
 
 # Requests and retries of this time decide on further retries.
 WINDOW_S = 10.0
--- a/coltsfootfront/runtime.py
+++ b/coltsfootfront/common/runtime.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TypeVar
 
-from coltsfootfront import logs, settings
+from coltsfootfront.common import logs, settings
 
 T = TypeVar("T")
 
--- a/coltsfootfront/supervisor.py
+++ b/coltsfootfront/common/supervisor.py
@@ -6,9 +6,9 @@
 
 import logbook
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.logs import event
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/entries.py
+++ b/coltsfootfront/configuration/entries.py
@@ -8,7 +8,7 @@
 
 import msgpack
 
-from coltsfootfront.document import SECTIONS
+from coltsfootfront.configuration.document import SECTIONS
 
 Entries = dict[str, bytes]
 
--- a/coltsfootfront/publisher.py
+++ b/coltsfootfront/configuration/publisher.py
@@ -12,12 +12,12 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.entries import Entries, EntriesError, digest, pack, unpack
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.logs import event
-from coltsfootfront.records import (
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.configuration.entries import Entries, EntriesError, digest, pack, unpack
+from coltsfootfront.configuration.records import (
     BLOB_PREFIX,
     HEAD_KEY,
     Change,
@@ -30,7 +30,7 @@
     record_key,
     split_chunks,
 )
-from coltsfootfront.store import Compare, KeyValue, Outcome, Put, Store, Transaction
+from coltsfootfront.keyvalue.store import Compare, KeyValue, Outcome, Put, Store, Transaction
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/records.py
+++ b/coltsfootfront/configuration/records.py
@@ -9,9 +9,9 @@
 from dataclasses import asdict, dataclass, field, fields
 from typing import Any
 
-from coltsfootfront.entries import Entries, difference, digest
-from coltsfootfront.errors import Failure
-from coltsfootfront.store import KeyValue
+from coltsfootfront.common.errors import Failure
+from coltsfootfront.configuration.entries import Entries, difference, digest
+from coltsfootfront.keyvalue.store import KeyValue
 
 HEAD_KEY = "config/head"
 BLOB_PREFIX = "config/blob/"
--- a/coltsfootfront/revision.py
+++ b/coltsfootfront/configuration/revision.py
@@ -5,11 +5,18 @@
 import logbook
 from reactivex.subject import BehaviorSubject
 
-from coltsfootfront import metrics
-from coltsfootfront.document import Document
-from coltsfootfront.entries import Entries, EntriesError, difference, digest, pack, unpack
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Delta
+from coltsfootfront.common import metrics
+from coltsfootfront.common.logs import event
+from coltsfootfront.configuration.document import Document
+from coltsfootfront.configuration.entries import (
+    Entries,
+    EntriesError,
+    difference,
+    digest,
+    pack,
+    unpack,
+)
+from coltsfootfront.peers.messages import Delta
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/schema.py
+++ b/coltsfootfront/configuration/schema.py
@@ -12,8 +12,13 @@
 from jsonschema import Draft202012Validator, validators
 from jsonschema.exceptions import ValidationError
 
-from coltsfootfront.document import KIND_ENGINE, KIND_KEPT_CACHE, KIND_SERVICE, SECTIONS
-from coltsfootfront.entries import canonical, pack, split
+from coltsfootfront.configuration.document import (
+    KIND_ENGINE,
+    KIND_KEPT_CACHE,
+    KIND_SERVICE,
+    SECTIONS,
+)
+from coltsfootfront.configuration.entries import canonical, pack, split
 
 # The store takes values up to 1 MB; a chunk holds at least one whole entry and stays below
 # 512 KiB.
--- a/coltsfootfront/spread.py
+++ b/coltsfootfront/configuration/spread.py
@@ -13,14 +13,14 @@
 import logbook
 from reactivex.abc import DisposableBase
 
-from coltsfootfront import metrics
-from coltsfootfront.channel import Channel, ChannelPool
-from coltsfootfront.clock import Clock
-from coltsfootfront.connection import Connection, ConnectionLostError, Identity
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Delta, Greet, GreetReply, Message, Pull
-from coltsfootfront.revision import InForce, Revision
-from coltsfootfront.supervisor import Supervisor
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.supervisor import Supervisor
+from coltsfootfront.configuration.revision import InForce, Revision
+from coltsfootfront.peers.channel import Channel, ChannelPool
+from coltsfootfront.peers.connection import Connection, ConnectionLostError, Identity
+from coltsfootfront.peers.messages import Delta, Greet, GreetReply, Message, Pull
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/watcher.py
+++ b/coltsfootfront/configuration/watcher.py
@@ -11,16 +11,16 @@
 import logbook
 from returns.result import Success
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import FailureError
-from coltsfootfront.logs import event
-from coltsfootfront.publisher import Publisher
-from coltsfootfront.records import HEAD_KEY, Head, decode_head
-from coltsfootfront.rendezvous import rank
-from coltsfootfront.revision import Revision
-from coltsfootfront.store import Store, WatchEvent
-from coltsfootfront.supervisor import Supervisor
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import FailureError
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.rendezvous import rank
+from coltsfootfront.common.supervisor import Supervisor
+from coltsfootfront.configuration.publisher import Publisher
+from coltsfootfront.configuration.records import HEAD_KEY, Head, decode_head
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.keyvalue.store import Store, WatchEvent
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/call.py
+++ b/coltsfootfront/direct/call.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
-from coltsfootfront.errors import Failure
+from coltsfootfront.common.errors import Failure
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/direct/course.py
+++ b/coltsfootfront/direct/course.py
@@ -3,11 +3,11 @@
 import random
 from dataclasses import dataclass, field
 
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.events import StreamChecker
 from coltsfootfront.direct.placing import Place
 from coltsfootfront.direct.traffic import Customer, Repeat, Route
-from coltsfootfront.errors import ErrorKind, Failure, RunState
 
 # When a refused caller should come back: long enough for a load of weights to end.
 RETRY_AFTER_S = 0.5
--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -5,10 +5,10 @@
 
 import logbook
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.backlog import Backlog
-from coltsfootfront.logs import event
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/following.py
+++ b/coltsfootfront/direct/following.py
@@ -13,11 +13,11 @@
 import logbook
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.logs import event
-from coltsfootfront.store import KeyValue, Store
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.common.logs import event
+from coltsfootfront.keyvalue.store import KeyValue, Store
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -10,8 +10,10 @@
 
 import logbook
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.call import Call, CallerWriter
 from coltsfootfront.direct.course import AgainError, RefusedError, State, refusal
 from coltsfootfront.direct.directory import Directory, Target
@@ -30,8 +32,6 @@
 from coltsfootfront.direct.targetclient import Directive, Loss, Reply, TargetClient, TargetLostError
 from coltsfootfront.direct.traffic import Repeat, TrafficDocument
 from coltsfootfront.direct.versions import Versions
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.logs import event
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -11,8 +11,8 @@
 import logbook
 import msgpack
 
-from coltsfootfront import metrics
-from coltsfootfront.logs import event
+from coltsfootfront.common import metrics
+from coltsfootfront.common.logs import event
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/holders.py
+++ b/coltsfootfront/direct/holders.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
 
 # Parts that have not been used for this long have mostly been evicted.
 KEPT_S = 20.0
--- a/coltsfootfront/direct/liveness.py
+++ b/coltsfootfront/direct/liveness.py
@@ -12,10 +12,10 @@
 
 import logbook
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.sockets import connect_socket
-from coltsfootfront.logs import event
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -8,8 +8,13 @@
 import logbook
 from aiohttp import web
 
-from coltsfootfront import __version__, metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront import __version__
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.runtime import Program
+from coltsfootfront.common.settings import SettingsError
+from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.direct import gossip
 from coltsfootfront.direct.call import Call, CallerWriter
 from coltsfootfront.direct.directory import Directory, Entry, Target
@@ -27,11 +32,7 @@
 from coltsfootfront.direct.targetclient import TargetClient
 from coltsfootfront.direct.traffic import CallerLimits, TrafficDocument
 from coltsfootfront.direct.versions import Versions
-from coltsfootfront.leases import HeldKey
-from coltsfootfront.logs import event
-from coltsfootfront.runtime import Program
-from coltsfootfront.settings import SettingsError
-from coltsfootfront.supervisor import Supervisor
+from coltsfootfront.keyvalue.leases import HeldKey
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/orders.py
+++ b/coltsfootfront/direct/orders.py
@@ -15,13 +15,13 @@
 import logbook
 from returns.result import Success
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.backlog import PRIORITIES
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.versions import Versions
-from coltsfootfront.leases import HeldKey
-from coltsfootfront.logs import event
+from coltsfootfront.keyvalue.leases import HeldKey
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -8,9 +8,9 @@
 import msgpack
 from aiohttp import web
 
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.following import Changes, Follower, Item, PeerSource
 from coltsfootfront.direct.sockets import connect_socket
-from coltsfootfront.logs import event
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -11,14 +11,14 @@
 import random
 from dataclasses import dataclass
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.backlog import PRIORITIES
 from coltsfootfront.direct.call import Call, PromptPart
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.holders import KEPT_CACHE, Holders
 from coltsfootfront.direct.traffic import EngineFacts
 from coltsfootfront.direct.versions import Versions
-from coltsfootfront.rendezvous import rank
 
 # Load, as a share of the slots, that another data centre and another region count for.
 OTHER_DATA_CENTRE_LOAD = 0.05
--- a/coltsfootfront/direct/registration.py
+++ b/coltsfootfront/direct/registration.py
@@ -6,9 +6,9 @@
 import logbook
 from returns.result import Success
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.logs import event
-from coltsfootfront.store import Put, Store, Transaction
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.keyvalue.store import Put, Store, Transaction
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/direct/relaying.py
+++ b/coltsfootfront/direct/relaying.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
 from coltsfootfront.direct.call import CallerWriter
 from coltsfootfront.direct.course import AgainError, State, refusal
 from coltsfootfront.direct.gossip import Gossip
--- a/coltsfootfront/direct/retrying.py
+++ b/coltsfootfront/direct/retrying.py
@@ -5,8 +5,8 @@
 the fixed number.
 """
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.retries import WINDOW_S, RetryBudget
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.retries import WINDOW_S, RetryBudget
 
 # Part of the allowance that is used; the rest covers requests that reach targets late.
 USED_SHARE = 0.8
--- a/coltsfootfront/direct/versions.py
+++ b/coltsfootfront/direct/versions.py
@@ -4,9 +4,9 @@
 
 import logbook
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import Directory, Target
-from coltsfootfront.logs import event
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/claims.py
+++ b/coltsfootfront/keyvalue/claims.py
@@ -15,11 +15,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.logs import event
-from coltsfootfront.store import Compare, KeyValue, Outcome, Put, Store, Transaction
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.keyvalue.store import Compare, KeyValue, Outcome, Put, Store, Transaction
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/etcd.py
+++ b/coltsfootfront/keyvalue/etcd.py
@@ -11,9 +11,9 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.store import (
+from coltsfootfront.common import metrics
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.keyvalue.store import (
     Compare,
     KeyValue,
     Outcome,
--- /dev/null
+++ b/coltsfootfront/operation/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command and the administration API."""
--- a/coltsfootfront/admin.py
+++ b/coltsfootfront/operation/admin.py
@@ -17,24 +17,26 @@
 from aiohttp import web
 from returns.result import Result, Success
 
-from coltsfootfront import __version__, metrics, runtime, schema
-from coltsfootfront.channel import Channel, ChannelPool
-from coltsfootfront.clock import Clock, SystemClock
-from coltsfootfront.connection import Identity
-from coltsfootfront.entries import Entries, canonical, digest, join, split
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.etcd import EtcdStore
-from coltsfootfront.httpserver import CallerServer
-from coltsfootfront.inquiry import Inquiry
-from coltsfootfront.logs import event
-from coltsfootfront.operators import Authenticated, authenticate
-from coltsfootfront.publisher import Publisher
-from coltsfootfront.records import Change, Difference, Head, Published, Rejection
-from coltsfootfront.revision import Revision
-from coltsfootfront.settings import AdminSettings
-from coltsfootfront.spread import Spread
-from coltsfootfront.store import Store
-from coltsfootfront.supervisor import Supervisor
+from coltsfootfront import __version__
+from coltsfootfront.common import metrics, runtime
+from coltsfootfront.common.clock import Clock, SystemClock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.settings import AdminSettings
+from coltsfootfront.common.supervisor import Supervisor
+from coltsfootfront.configuration import schema
+from coltsfootfront.configuration.entries import Entries, canonical, digest, join, split
+from coltsfootfront.configuration.publisher import Publisher
+from coltsfootfront.configuration.records import Change, Difference, Head, Published, Rejection
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.configuration.spread import Spread
+from coltsfootfront.keyvalue.etcd import EtcdStore
+from coltsfootfront.keyvalue.store import Store
+from coltsfootfront.operation.operators import Authenticated, authenticate
+from coltsfootfront.peers.channel import Channel, ChannelPool
+from coltsfootfront.peers.connection import Identity
+from coltsfootfront.peers.inquiry import Inquiry
+from coltsfootfront.serving.httpserver import CallerServer
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/cli.py
+++ b/coltsfootfront/operation/cli.py
@@ -15,11 +15,13 @@
 import aiohttp
 import cappa
 
-from coltsfootfront import __version__, runtime, schema
-from coltsfootfront.clock import Clock, SystemClock
-from coltsfootfront.errors import ErrorKind, RunState
-from coltsfootfront.etcd import read_bounded
-from coltsfootfront.settings import OperatorSettings
+from coltsfootfront import __version__
+from coltsfootfront.common import runtime
+from coltsfootfront.common.clock import Clock, SystemClock
+from coltsfootfront.common.errors import ErrorKind, RunState
+from coltsfootfront.common.settings import OperatorSettings
+from coltsfootfront.configuration import schema
+from coltsfootfront.keyvalue.etcd import read_bounded
 
 EXIT_FAILURE = 1
 EXIT_BAD_INPUT = runtime.EXIT_BAD_SETTING
--- a/coltsfootfront/operators.py
+++ b/coltsfootfront/operation/operators.py
@@ -6,9 +6,9 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.authentication import hash_key
-from coltsfootfront.document import Document
-from coltsfootfront.errors import ErrorKind, Failure
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.configuration.document import Document
+from coltsfootfront.serving.authentication import hash_key
 
 BOOTSTRAP_NAME = "bootstrap"
 MAX_KEY_CHARACTERS = 512
--- a/coltsfootfront/channel.py
+++ b/coltsfootfront/peers/channel.py
@@ -7,11 +7,11 @@
 
 import logbook
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.connection import Connection, ConnectionLostError, Identity, connect
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Message
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.peers.connection import Connection, ConnectionLostError, Identity, connect
+from coltsfootfront.peers.messages import Message
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/connection.py
+++ b/coltsfootfront/peers/connection.py
@@ -13,9 +13,9 @@
 
 import logbook
 
-from coltsfootfront import metrics
-from coltsfootfront.logs import event
-from coltsfootfront.messages import (
+from coltsfootfront.common import metrics
+from coltsfootfront.common.logs import event
+from coltsfootfront.peers.messages import (
     PROTOCOL_VERSION,
     Challenge,
     Hello,
--- a/coltsfootfront/inquiry.py
+++ b/coltsfootfront/peers/inquiry.py
@@ -6,10 +6,10 @@
 
 import logbook
 
-from coltsfootfront.channel import ChannelPool
-from coltsfootfront.connection import ConnectionLostError
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
+from coltsfootfront.common.logs import event
+from coltsfootfront.peers.channel import ChannelPool
+from coltsfootfront.peers.connection import ConnectionLostError
+from coltsfootfront.peers.messages import Explain, ExplainReply, Status, StatusReply
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/leaving.py
+++ b/coltsfootfront/peers/leaving.py
@@ -10,8 +10,8 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.etcd import read_bounded
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.keyvalue.etcd import read_bounded
 
 READ_TIMEOUT_S = 2.0
 # 1,780 VMs at about 150 bytes are 270 KB.
--- a/coltsfootfront/liveness.py
+++ b/coltsfootfront/peers/liveness.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from coltsfootfront.channel import Channel
-from coltsfootfront.clock import Clock
-from coltsfootfront.connection import ConnectionLostError
-from coltsfootfront.messages import Status, StatusReply
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.peers.channel import Channel
+from coltsfootfront.peers.connection import ConnectionLostError
+from coltsfootfront.peers.messages import Status, StatusReply
 
 
 class Liveness:
--- a/coltsfootfront/membership.py
+++ b/coltsfootfront/peers/membership.py
@@ -5,10 +5,10 @@
 import logbook
 from returns.result import Failure as Failed
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.leaving import STATE_LEAVING, STATE_LIVE, Vm, VmList
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Greet
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.peers.leaving import STATE_LEAVING, STATE_LIVE, Vm, VmList
+from coltsfootfront.peers.messages import Greet
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/messages.py
+++ b/coltsfootfront/peers/messages.py
@@ -9,7 +9,7 @@
 
 import msgpack
 
-from coltsfootfront.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
 
 PROTOCOL_VERSION = 1
 
--- a/coltsfootfront/baselines.py
+++ b/coltsfootfront/placing/baselines.py
@@ -7,8 +7,8 @@
 import itertools
 import math
 
-from coltsfootfront.document import Grant
-from coltsfootfront.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
+from coltsfootfront.configuration.document import Grant
+from coltsfootfront.placing.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
 
 # Leading blocks that the hash policies use. Less would send everything that shares the
 # standards to one target, more would separate the cases of one dossier.
--- a/coltsfootfront/breaker.py
+++ b/coltsfootfront/placing/breaker.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
 
 FAILURES_TO_OPEN = 3
 FIRST_OPEN_S = 0.5
--- a/coltsfootfront/depthpolicy.py
+++ b/coltsfootfront/placing/depthpolicy.py
@@ -12,10 +12,10 @@
 from collections import OrderedDict
 from itertools import zip_longest
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.document import Grant, PolicySettings
-from coltsfootfront.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
-from coltsfootfront.rendezvous import rank
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.rendezvous import rank
+from coltsfootfront.configuration.document import Grant, PolicySettings
+from coltsfootfront.placing.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
 
 # A target whose load was above this when last seen gets the next rank beside it.
 WIDEN_LOAD = 0.9
--- a/coltsfootfront/grantgroup.py
+++ b/coltsfootfront/placing/grantgroup.py
@@ -2,8 +2,8 @@
 
 from collections import Counter, OrderedDict
 
-from coltsfootfront.document import Document, Grant
-from coltsfootfront.job import Job
+from coltsfootfront.calls.job import Job
+from coltsfootfront.configuration.document import Document, Grant
 
 # Kinds of requests whose grants are kept; with 350 targets each takes about 60 KB.
 KEPT_KINDS = 32
--- a/coltsfootfront/link.py
+++ b/coltsfootfront/placing/link.py
@@ -5,8 +5,8 @@
 until it has recovered.
 """
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
 
 # Bytes of this many seconds may leave at once.
 BURST_S = 1.0
--- a/coltsfootfront/placement.py
+++ b/coltsfootfront/placing/placement.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
-from coltsfootfront.document import Grant
+from coltsfootfront.configuration.document import Grant
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/placer.py
+++ b/coltsfootfront/placing/placer.py
@@ -5,17 +5,17 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.breaker import Breaker, Incarnation
-from coltsfootfront.depthpolicy import estimate_s
-from coltsfootfront.document import Document
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.grantgroup import GrantGroup, GrantGroups
-from coltsfootfront.job import KIND_SERVICE, Job
-from coltsfootfront.link import LinkBudget
-from coltsfootfront.membership import Membership
-from coltsfootfront.placement import Candidate, PlacementRequest, Policy
-from coltsfootfront.probes import Answered, LoadTable, ProbeQuestion, Prober, ProbeTarget
-from coltsfootfront.revision import Revision
+from coltsfootfront.calls.job import KIND_SERVICE, Job
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.configuration.document import Document
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.peers.membership import Membership
+from coltsfootfront.placing.breaker import Breaker, Incarnation
+from coltsfootfront.placing.depthpolicy import estimate_s
+from coltsfootfront.placing.grantgroup import GrantGroup, GrantGroups
+from coltsfootfront.placing.link import LinkBudget
+from coltsfootfront.placing.placement import Candidate, PlacementRequest, Policy
+from coltsfootfront.placing.probes import Answered, LoadTable, ProbeQuestion, Prober, ProbeTarget
 
 # Rounds of probes within the region before a request is refused or leaves the region.
 LOCAL_ROUNDS = 2
--- a/coltsfootfront/probes.py
+++ b/coltsfootfront/placing/probes.py
@@ -7,12 +7,12 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from coltsfootfront.channel import Channel, ChannelPool
-from coltsfootfront.clock import Clock
-from coltsfootfront.connection import ConnectionLostError
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.messages import Probe, ProbeReply
-from coltsfootfront.placement import Candidate, TargetLoad
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.peers.channel import Channel, ChannelPool
+from coltsfootfront.peers.connection import ConnectionLostError
+from coltsfootfront.peers.messages import Probe, ProbeReply
+from coltsfootfront.placing.placement import Candidate, TargetLoad
 
 # Weight of a new measurement in the latency estimate.
 LATENCY_SHARE = 0.2
--- a/coltsfootfront/platform/documents.py
+++ b/coltsfootfront/platform/documents.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import Entry
 from coltsfootfront.direct.following import Item
 from coltsfootfront.direct.node import ItemDecoder, Knowledge
@@ -24,7 +25,6 @@
     Share,
     TrafficDocument,
 )
-from coltsfootfront.logs import event
 
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
--- a/coltsfootfront/platform/front.py
+++ b/coltsfootfront/platform/front.py
@@ -7,12 +7,12 @@
 
 from aiohttp import web
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.direct.call import Call, CallerWriter, PromptPart
 from coltsfootfront.direct.node import CallerServer, Serve
 from coltsfootfront.direct.traffic import CallerLimits
-from coltsfootfront.errors import ErrorKind, Failure
 from coltsfootfront.platform import headers
 
 # A request without a deadline of its own is bounded by its route.
--- a/coltsfootfront/platform/headers.py
+++ b/coltsfootfront/platform/headers.py
@@ -1,6 +1,6 @@
 """Names of the headers that the platform's clients and targets use."""
 
-from coltsfootfront.headers import HOP_BY_HOP
+from coltsfootfront.calls.headers import HOP_BY_HOP
 
 REQUEST_ID = "X-Request-Id"
 DEADLINE_MS = "X-Deadline-Ms"
--- a/coltsfootfront/platform/orders.py
+++ b/coltsfootfront/platform/orders.py
@@ -5,10 +5,10 @@
 import aiohttp
 import logbook
 
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.orders import OrderAnswer, OrderClient, TargetState
 from coltsfootfront.direct.sockets import connect_socket
-from coltsfootfront.logs import event
 from coltsfootfront.platform import headers
 
 log = logbook.Logger(__name__)
--- a/coltsfootfront/platform/program.py
+++ b/coltsfootfront/platform/program.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 
 from coltsfootfront import __version__
-from coltsfootfront.clock import SystemClock
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.runtime import EXIT_BAD_SETTING, serve
+from coltsfootfront.common.settings import SettingsError
 from coltsfootfront.direct.node import Node
 from coltsfootfront.direct.settings import NodeSettings
 from coltsfootfront.platform import settings
@@ -15,8 +17,6 @@
 from coltsfootfront.platform.orders import PlatformOrders
 from coltsfootfront.platform.store import PlatformStore
 from coltsfootfront.platform.targets import PlatformTargetClient
-from coltsfootfront.runtime import EXIT_BAD_SETTING, serve
-from coltsfootfront.settings import SettingsError
 
 PROGRAM = "coltsfootfront-platform"
 LOG_LEVEL = "info"
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 from typing import Any
 
+from coltsfootfront.common.settings import SettingsError
 from coltsfootfront.direct.settings import Bounds, NodeSettings, StoreSettings
-from coltsfootfront.settings import SettingsError
 
 PATH_VARIABLE = "COLTSFOOTFRONT_CONFIG"
 
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -10,11 +10,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
+from coltsfootfront.common import metrics
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
 from coltsfootfront.direct.following import Changes, Item, Snapshot, WatchableStore
 from coltsfootfront.direct.sockets import connect_socket
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.store import KeyValue, Outcome, Transaction, WatchEvent
+from coltsfootfront.keyvalue.store import KeyValue, Outcome, Transaction, WatchEvent
 
 Json = dict[str, Any]
 
--- /dev/null
+++ b/coltsfootfront/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The router: callers' requests, their attempts and their answers."""
--- a/coltsfootfront/attempt.py
+++ b/coltsfootfront/serving/attempt.py
@@ -7,15 +7,15 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
-from coltsfootfront.channel import Channel, StreamInbox
-from coltsfootfront.clock import Clock
-from coltsfootfront.connection import MAX_FRAME_BYTES, ConnectionLostError
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.job import KIND_SERVICE, Job
-from coltsfootfront.liveness import Liveness
-from coltsfootfront.logs import event
-from coltsfootfront.messages import (
+from coltsfootfront.calls.job import KIND_SERVICE, Job
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.peers.channel import Channel, StreamInbox
+from coltsfootfront.peers.connection import MAX_FRAME_BYTES, ConnectionLostError
+from coltsfootfront.peers.liveness import Liveness
+from coltsfootfront.peers.messages import (
     Accepted,
     Acknowledge,
     Cancel,
@@ -28,8 +28,8 @@
     Run,
     failure_of,
 )
-from coltsfootfront.placer import Place
-from coltsfootfront.relay import Caller, Progress, StreamCheck, Verdict
+from coltsfootfront.placing.placer import Place
+from coltsfootfront.serving.relay import Caller, Progress, StreamCheck, Verdict
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/authentication.py
+++ b/coltsfootfront/serving/authentication.py
@@ -5,8 +5,8 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.document import Document
-from coltsfootfront.errors import ErrorKind, Failure
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.configuration.document import Document
 
 MAX_KEY_CHARACTERS = 256
 _SCHEME = "bearer "
--- a/coltsfootfront/callers.py
+++ b/coltsfootfront/serving/callers.py
@@ -8,10 +8,16 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from coltsfootfront.errors import Failure
-from coltsfootfront.headers import HOP_BY_HOP, REQUEST_ID_HEADER
-from coltsfootfront.messages import Head
-from coltsfootfront.relay import Caller, CallerGoneError, Completion, ModelFormat, error_event
+from coltsfootfront.calls.headers import HOP_BY_HOP, REQUEST_ID_HEADER
+from coltsfootfront.common.errors import Failure
+from coltsfootfront.peers.messages import Head
+from coltsfootfront.serving.relay import (
+    Caller,
+    CallerGoneError,
+    Completion,
+    ModelFormat,
+    error_event,
+)
 
 # Headers of one connection, and those that a new request or answer sets itself.
 _OWN_HEADERS = HOP_BY_HOP | {"content-length", REQUEST_ID_HEADER.lower()}
--- a/coltsfootfront/dispatch.py
+++ b/coltsfootfront/serving/dispatch.py
@@ -12,22 +12,22 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
-from coltsfootfront.attempt import Attempt, AttemptLimits
-from coltsfootfront.breaker import Breaker, Incarnation
-from coltsfootfront.channel import ChannelPool
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.job import KIND_SERVICE, Job
-from coltsfootfront.link import LinkBudget
-from coltsfootfront.liveness import Liveness
-from coltsfootfront.logs import event
-from coltsfootfront.messages import End
-from coltsfootfront.placer import Place, Placer, Plan, earliest
-from coltsfootfront.probes import LoadTable
-from coltsfootfront.relay import Caller, Completion, Progress, Usage
-from coltsfootfront.retries import RetryBudget, delay_s
-from coltsfootfront.revision import Revision
+from coltsfootfront.calls.job import KIND_SERVICE, Job
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.retries import RetryBudget, delay_s
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.peers.channel import ChannelPool
+from coltsfootfront.peers.liveness import Liveness
+from coltsfootfront.peers.messages import End
+from coltsfootfront.placing.breaker import Breaker, Incarnation
+from coltsfootfront.placing.link import LinkBudget
+from coltsfootfront.placing.placer import Place, Placer, Plan, earliest
+from coltsfootfront.placing.probes import LoadTable
+from coltsfootfront.serving.attempt import Attempt, AttemptLimits
+from coltsfootfront.serving.relay import Caller, Completion, Progress, Usage
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/explain.py
+++ b/coltsfootfront/serving/explain.py
@@ -5,12 +5,12 @@
 
 from returns.result import Failure as Failed
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.dispatch import Dispatcher
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.job import KIND_COMPLETION, Job
-from coltsfootfront.placer import Plan
-from coltsfootfront.relay import error_shape
+from coltsfootfront.calls.job import KIND_COMPLETION, Job
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.placing.placer import Plan
+from coltsfootfront.serving.dispatch import Dispatcher
+from coltsfootfront.serving.relay import error_shape
 
 REQUEST_ID = "explain"
 
--- a/coltsfootfront/frontend.py
+++ b/coltsfootfront/serving/frontend.py
@@ -11,27 +11,28 @@
 from aiohttp import web
 from returns.result import Failure as Failed
 
-from coltsfootfront import metrics, modelbody, servicepath
-from coltsfootfront.authentication import authenticate
-from coltsfootfront.callers import (
+from coltsfootfront.calls import modelbody, servicepath
+from coltsfootfront.calls.headers import REQUEST_ID_HEADER
+from coltsfootfront.calls.job import KIND_CHAT, KIND_COMPLETION, KIND_SERVICE, Job
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.settings import RouterSettings
+from coltsfootfront.configuration.document import KIND_SERVICE as SERVICE_OF_DOCUMENT
+from coltsfootfront.configuration.document import Document
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.serving.authentication import authenticate
+from coltsfootfront.serving.callers import (
     CollectCaller,
     EventCaller,
     RawCaller,
     forwarded_headers,
 )
-from coltsfootfront.clock import Clock
-from coltsfootfront.dispatch import Dispatcher
-from coltsfootfront.document import KIND_SERVICE as SERVICE_OF_DOCUMENT
-from coltsfootfront.document import Document
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.headers import REQUEST_ID_HEADER
-from coltsfootfront.httpserver import error_response
-from coltsfootfront.job import KIND_CHAT, KIND_COMPLETION, KIND_SERVICE, Job
-from coltsfootfront.logs import event
-from coltsfootfront.ratelimit import RateLimiter
-from coltsfootfront.relay import CallerGoneError, ModelFormat
-from coltsfootfront.revision import Revision
-from coltsfootfront.settings import RouterSettings
+from coltsfootfront.serving.dispatch import Dispatcher
+from coltsfootfront.serving.httpserver import error_response
+from coltsfootfront.serving.ratelimit import RateLimiter
+from coltsfootfront.serving.relay import CallerGoneError, ModelFormat
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/httpserver.py
+++ b/coltsfootfront/serving/httpserver.py
@@ -9,10 +9,10 @@
 
 from aiohttp import web
 
-from coltsfootfront import metrics
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.headers import REQUEST_ID_HEADER
-from coltsfootfront.relay import error_shape
+from coltsfootfront.calls.headers import REQUEST_ID_HEADER
+from coltsfootfront.common import metrics
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.serving.relay import error_shape
 
 # A connection without a complete request head is closed after this time; also the idle time
 # of a kept connection, longer than the usual 60 s of a load balancer.
@@ -93,7 +93,7 @@
             "max_headers": MAX_HEADERS,
             "access_log": None,
             # aiohttp logs parse errors at error level with a traceback; they are counted here.
-            "logger": logging.getLogger("coltsfootfront.callers"),
+            "logger": logging.getLogger("coltsfootfront.serving.callers"),
         }
 
     def __call__(self) -> web.RequestHandler:
--- a/coltsfootfront/pauseguard.py
+++ b/coltsfootfront/serving/pauseguard.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.pause import PauseDetector
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.pause import PauseDetector
 
 # A gap of the event loop that load alone does not cause on an entry VM.
 PAUSE_LIMIT_S = 1.0
--- a/coltsfootfront/ratelimit.py
+++ b/coltsfootfront/serving/ratelimit.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
 
 # A customer may send the requests of this many seconds at once.
 BURST_S = 1.0
--- a/coltsfootfront/relay.py
+++ b/coltsfootfront/serving/relay.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from coltsfootfront import metrics
-from coltsfootfront.errors import Failure
-from coltsfootfront.messages import Chunk, End, Head
+from coltsfootfront.common import metrics
+from coltsfootfront.common.errors import Failure
+from coltsfootfront.peers.messages import Chunk, End, Head
 
 DONE_EVENT = b"data: [DONE]\n\n"
 
--- a/coltsfootfront/router.py
+++ b/coltsfootfront/serving/router.py
@@ -11,38 +11,38 @@
 from aiohttp import web
 
 from coltsfootfront import __version__
-from coltsfootfront.attempt import AttemptLimits
-from coltsfootfront.baselines import make_baseline
-from coltsfootfront.breaker import Breaker
-from coltsfootfront.channel import Channel, ChannelPool
-from coltsfootfront.clock import Clock, SystemClock
-from coltsfootfront.connection import Connection, Identity, Listener
-from coltsfootfront.depthpolicy import DepthPolicy
-from coltsfootfront.dispatch import Dispatcher
-from coltsfootfront.document import Region
-from coltsfootfront.etcd import EtcdStore
-from coltsfootfront.explain import explain
-from coltsfootfront.frontend import Frontend
-from coltsfootfront.httpserver import CallerServer
-from coltsfootfront.leaving import HttpVmList, VmList
-from coltsfootfront.link import LinkBudget
-from coltsfootfront.liveness import Liveness
-from coltsfootfront.logs import event
-from coltsfootfront.membership import Membership
-from coltsfootfront.messages import Explain, ExplainReply, Greet, Message, Status, StatusReply
-from coltsfootfront.pauseguard import PauseGuard
-from coltsfootfront.placement import Policy
-from coltsfootfront.placer import Placer
-from coltsfootfront.probes import LoadTable, Prober
-from coltsfootfront.ratelimit import RateLimiter
-from coltsfootfront.retries import RetryBudget
-from coltsfootfront.revision import InForce, Revision
-from coltsfootfront.runtime import Program, load_or_exit, serve
-from coltsfootfront.settings import RouterSettings
-from coltsfootfront.spread import Spread
-from coltsfootfront.store import Store
-from coltsfootfront.supervisor import Supervisor
-from coltsfootfront.watcher import Watcher
+from coltsfootfront.common.clock import Clock, SystemClock
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.retries import RetryBudget
+from coltsfootfront.common.runtime import Program, load_or_exit, serve
+from coltsfootfront.common.settings import RouterSettings
+from coltsfootfront.common.supervisor import Supervisor
+from coltsfootfront.configuration.document import Region
+from coltsfootfront.configuration.revision import InForce, Revision
+from coltsfootfront.configuration.spread import Spread
+from coltsfootfront.configuration.watcher import Watcher
+from coltsfootfront.keyvalue.etcd import EtcdStore
+from coltsfootfront.keyvalue.store import Store
+from coltsfootfront.peers.channel import Channel, ChannelPool
+from coltsfootfront.peers.connection import Connection, Identity, Listener
+from coltsfootfront.peers.leaving import HttpVmList, VmList
+from coltsfootfront.peers.liveness import Liveness
+from coltsfootfront.peers.membership import Membership
+from coltsfootfront.peers.messages import Explain, ExplainReply, Greet, Message, Status, StatusReply
+from coltsfootfront.placing.baselines import make_baseline
+from coltsfootfront.placing.breaker import Breaker
+from coltsfootfront.placing.depthpolicy import DepthPolicy
+from coltsfootfront.placing.link import LinkBudget
+from coltsfootfront.placing.placement import Policy
+from coltsfootfront.placing.placer import Placer
+from coltsfootfront.placing.probes import LoadTable, Prober
+from coltsfootfront.serving.attempt import AttemptLimits
+from coltsfootfront.serving.dispatch import Dispatcher
+from coltsfootfront.serving.explain import explain
+from coltsfootfront.serving.frontend import Frontend
+from coltsfootfront.serving.httpserver import CallerServer
+from coltsfootfront.serving.pauseguard import PauseGuard
+from coltsfootfront.serving.ratelimit import RateLimiter
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/agent.py
+++ b/coltsfootfront/targets/agent.py
@@ -8,40 +8,41 @@
 import logbook
 from aiohttp import web
 
-from coltsfootfront import __version__, metrics
-from coltsfootfront.cacheevents import CacheEvents
-from coltsfootfront.channel import Channel, ChannelPool
-from coltsfootfront.claims import MAX_OUTCOME_BYTES, Claims
-from coltsfootfront.clock import Clock, SystemClock
-from coltsfootfront.connection import Identity, Listener
-from coltsfootfront.document import KIND_ENGINE, KIND_KEPT_CACHE, KIND_SERVICE
-from coltsfootfront.drain import Drain
-from coltsfootfront.engine import Engine
-from coltsfootfront.execution import (
+from coltsfootfront import __version__
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock, SystemClock
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.pause import PauseDetector
+from coltsfootfront.common.runtime import Program, load_or_exit, serve
+from coltsfootfront.common.settings import AgentSettings
+from coltsfootfront.common.supervisor import Supervisor
+from coltsfootfront.configuration.document import KIND_ENGINE, KIND_KEPT_CACHE, KIND_SERVICE
+from coltsfootfront.configuration.revision import InForce, Revision
+from coltsfootfront.configuration.spread import Spread
+from coltsfootfront.keyvalue.claims import MAX_OUTCOME_BYTES, Claims
+from coltsfootfront.keyvalue.leases import LoadSlots, TargetLease
+from coltsfootfront.keyvalue.store import Store
+from coltsfootfront.peers.channel import Channel, ChannelPool
+from coltsfootfront.peers.connection import Identity, Listener
+from coltsfootfront.peers.leaving import STATE_LIVE, Vm, VmList
+from coltsfootfront.targets.cacheevents import CacheEvents
+from coltsfootfront.targets.drain import Drain
+from coltsfootfront.targets.engine import Engine
+from coltsfootfront.targets.execution import (
     EngineBackend,
     ServiceBackend,
 )
-from coltsfootfront.fairqueue import FairQueue
-from coltsfootfront.gate import Gate
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.keptcache import KeptCache
-from coltsfootfront.leases import LoadSlots, TargetLease
-from coltsfootfront.leaving import STATE_LIVE, Vm, VmList
-from coltsfootfront.logs import event
-from coltsfootfront.orders import Orders
-from coltsfootfront.pause import PauseDetector
-from coltsfootfront.prefills import Prefills
-from coltsfootfront.requestserver import RequestServer
-from coltsfootfront.revision import InForce, Revision
-from coltsfootfront.runtime import Program, load_or_exit, serve
-from coltsfootfront.service import PlainService
-from coltsfootfront.settings import AgentSettings
-from coltsfootfront.spread import Spread
-from coltsfootfront.store import Store
-from coltsfootfront.streams import Streams
-from coltsfootfront.supervisor import Supervisor
-from coltsfootfront.targetwatch import EngineWatch, ServiceWatch
-from coltsfootfront.transfer import Transfer, allowed_customers
+from coltsfootfront.targets.fairqueue import FairQueue
+from coltsfootfront.targets.gate import Gate
+from coltsfootfront.targets.index import CacheIndex
+from coltsfootfront.targets.keptcache import KeptCache
+from coltsfootfront.targets.orders import Orders
+from coltsfootfront.targets.prefills import Prefills
+from coltsfootfront.targets.requestserver import RequestServer
+from coltsfootfront.targets.service import PlainService
+from coltsfootfront.targets.streams import Streams
+from coltsfootfront.targets.targetwatch import EngineWatch, ServiceWatch
+from coltsfootfront.targets.transfer import Transfer, allowed_customers
 
 log = logbook.Logger(__name__)
 
@@ -91,18 +92,18 @@
         self._clock = clock
 
     def store(self) -> Store:
-        from coltsfootfront.etcd import EtcdStore
+        from coltsfootfront.keyvalue.etcd import EtcdStore
 
         return EtcdStore(self._settings.store_address, self._settings.store_timeout_s)
 
     def engine(self) -> Engine:
-        from coltsfootfront.openai import OpenAiEngine
+        from coltsfootfront.targets.openai import OpenAiEngine
 
         settings = self._settings
         return OpenAiEngine(settings.target_url, settings.target_timeout_s, self._clock)
 
     def service(self) -> PlainService:
-        from coltsfootfront.httpservice import HttpService
+        from coltsfootfront.targets.httpservice import HttpService
 
         settings = self._settings
         return HttpService(settings.target_url, settings.target_timeout_s, self._clock)
@@ -110,14 +111,14 @@
     def vm_list(self) -> VmList | None:
         if not self._settings.vm_list_url:
             return None
-        from coltsfootfront.leaving import HttpVmList
+        from coltsfootfront.peers.leaving import HttpVmList
 
         return HttpVmList(self._settings.vm_list_url, self._settings.store_timeout_s)
 
     def kept_cache(self) -> KeptCache | None:
         if not self._settings.kept_cache_url:
             return None
-        from coltsfootfront.httpkeptcache import HttpKeptCache
+        from coltsfootfront.targets.httpkeptcache import HttpKeptCache
 
         settings = self._settings
         return HttpKeptCache(settings.kept_cache_url, settings.target_timeout_s, self._clock)
--- a/coltsfootfront/cacheevents.py
+++ b/coltsfootfront/targets/cacheevents.py
@@ -12,12 +12,12 @@
 from reactivex import Subject
 from reactivex import operators as ops
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.engine import CacheEvent, Engine
-from coltsfootfront.errors import FailureError
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.logs import event
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import FailureError
+from coltsfootfront.common.logs import event
+from coltsfootfront.targets.engine import CacheEvent, Engine
+from coltsfootfront.targets.index import CacheIndex
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/drain.py
+++ b/coltsfootfront/targets/drain.py
@@ -4,11 +4,11 @@
 
 import logbook
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.leaving import STATE_LEAVING, Vm
-from coltsfootfront.logs import event
-from coltsfootfront.revision import InForce, Revision
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.common.logs import event
+from coltsfootfront.configuration.revision import InForce, Revision
+from coltsfootfront.peers.leaving import STATE_LEAVING, Vm
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/engine.py
+++ b/coltsfootfront/targets/engine.py
@@ -6,7 +6,7 @@
 
 from returns.result import Result
 
-from coltsfootfront.errors import Failure
+from coltsfootfront.common.errors import Failure
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/execution.py
+++ b/coltsfootfront/targets/execution.py
@@ -10,22 +10,22 @@
 import logbook
 from returns.result import Success
 
-from coltsfootfront import metrics
-from coltsfootfront.blocks import salt
-from coltsfootfront.claims import Claim, Claims, StoredOutcome
-from coltsfootfront.clock import Clock
-from coltsfootfront.document import Grant
-from coltsfootfront.engine import Engine, Finish, GenerateRequest, Piece
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.fairqueue import FairQueue, Ticket, Turn
-from coltsfootfront.gate import Ask, Gate
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Run
-from coltsfootfront.prefills import Prefill, Prefills, PrefillTurn
-from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
-from coltsfootfront.streams import Attempt
-from coltsfootfront.transfer import Transfer
+from coltsfootfront.calls.blocks import salt
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.configuration.document import Grant
+from coltsfootfront.keyvalue.claims import Claim, Claims, StoredOutcome
+from coltsfootfront.peers.messages import Run
+from coltsfootfront.targets.engine import Engine, Finish, GenerateRequest, Piece
+from coltsfootfront.targets.fairqueue import FairQueue, Ticket, Turn
+from coltsfootfront.targets.gate import Ask, Gate
+from coltsfootfront.targets.index import CacheIndex
+from coltsfootfront.targets.prefills import Prefill, Prefills, PrefillTurn
+from coltsfootfront.targets.service import PlainService, ServiceCall, ServiceHead
+from coltsfootfront.targets.streams import Attempt
+from coltsfootfront.targets.transfer import Transfer
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/fairqueue.py
+++ b/coltsfootfront/targets/fairqueue.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
 
 # A priority that could start but was passed over this often starts one request next, so that
 # urgent load leaves every ninth start to the others.
--- a/coltsfootfront/gate.py
+++ b/coltsfootfront/targets/gate.py
@@ -6,15 +6,15 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.document import KIND_ENGINE, KIND_SERVICE, Document, Grant
-from coltsfootfront.drain import Drain
-from coltsfootfront.engine import EngineState
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.fairqueue import FairQueue, Share
-from coltsfootfront.pause import PauseDetector
-from coltsfootfront.revision import InForce, Revision
-from coltsfootfront.servicepath import is_idempotent
+from coltsfootfront.calls.servicepath import is_idempotent
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.pause import PauseDetector
+from coltsfootfront.configuration.document import KIND_ENGINE, KIND_SERVICE, Document, Grant
+from coltsfootfront.configuration.revision import InForce, Revision
+from coltsfootfront.targets.drain import Drain
+from coltsfootfront.targets.engine import EngineState
+from coltsfootfront.targets.fairqueue import FairQueue, Share
 
 ROLE_SERVE = "serve"
 
--- a/coltsfootfront/httpclient.py
+++ b/coltsfootfront/targets/httpclient.py
@@ -13,8 +13,8 @@
 import aiohttp
 from yarl import URL
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
 
 _CONNECT_TIMEOUT_S = 2.0
 _MAX_HEADER_BYTES = 65536
--- a/coltsfootfront/httpkeptcache.py
+++ b/coltsfootfront/targets/httpkeptcache.py
@@ -3,11 +3,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import ErrorKind, Failure, FailureError
-from coltsfootfront.httpclient import HttpClient
-from coltsfootfront.keptcache import KeptCache
-from coltsfootfront.openai import MAX_EXPORT_BYTES
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.targets.httpclient import HttpClient
+from coltsfootfront.targets.keptcache import KeptCache
+from coltsfootfront.targets.openai import MAX_EXPORT_BYTES
 
 _NOT_FOUND = 404
 _MAX_REPLY_BYTES = 4096
--- a/coltsfootfront/httpservice.py
+++ b/coltsfootfront/targets/httpservice.py
@@ -3,11 +3,11 @@
 import re
 from collections.abc import AsyncIterator, Iterable
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.errors import ErrorKind, Failure, FailureError
-from coltsfootfront.headers import HOP_BY_HOP, REQUEST_ID_HEADER
-from coltsfootfront.httpclient import HttpClient
-from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
+from coltsfootfront.calls.headers import HOP_BY_HOP, REQUEST_ID_HEADER
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.targets.httpclient import HttpClient
+from coltsfootfront.targets.service import PlainService, ServiceCall, ServiceHead
 
 _HEALTH_PATH = "/healthz"
 _FIRST_ERROR_STATUS = 400
--- a/coltsfootfront/index.py
+++ b/coltsfootfront/targets/index.py
@@ -8,8 +8,8 @@
 from collections import OrderedDict
 from itertools import islice
 
-from coltsfootfront.blocks import KEY_BYTES
-from coltsfootfront.clock import Clock
+from coltsfootfront.calls.blocks import KEY_BYTES
+from coltsfootfront.common.clock import Clock
 
 # Time resolution of entries. Entries of one tick share their value object, which leaves about
 # 110 bytes for each block.
--- a/coltsfootfront/keptcache.py
+++ b/coltsfootfront/targets/keptcache.py
@@ -4,7 +4,7 @@
 
 from returns.result import Result
 
-from coltsfootfront.errors import Failure
+from coltsfootfront.common.errors import Failure
 
 
 class KeptCache(ABC):
--- a/coltsfootfront/openai.py
+++ b/coltsfootfront/targets/openai.py
@@ -7,8 +7,9 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.engine import (
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.targets.engine import (
     CacheEvent,
     Engine,
     EngineState,
@@ -17,8 +18,7 @@
     Order,
     Piece,
 )
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.httpclient import Exchange, HttpClient
+from coltsfootfront.targets.httpclient import Exchange, HttpClient
 
 T = TypeVar("T")
 
--- a/coltsfootfront/orders.py
+++ b/coltsfootfront/targets/orders.py
@@ -11,14 +11,14 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.document import LoadedModel, Target
-from coltsfootfront.engine import Engine, EngineState, Order
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.gate import Gate
-from coltsfootfront.leases import HeldKey, LoadSlots, TargetLease
-from coltsfootfront.logs import event
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.configuration.document import LoadedModel, Target
+from coltsfootfront.keyvalue.leases import HeldKey, LoadSlots, TargetLease
+from coltsfootfront.targets.engine import Engine, EngineState, Order
+from coltsfootfront.targets.gate import Gate
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/prefills.py
+++ b/coltsfootfront/targets/prefills.py
@@ -8,9 +8,9 @@
 import asyncio
 from collections.abc import Callable
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.fairqueue import Turn
-from coltsfootfront.index import CacheIndex
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.targets.fairqueue import Turn
+from coltsfootfront.targets.index import CacheIndex
 
 # Time between two looks at the index while a request is held; cache events come one by one.
 LOOK_INTERVAL_S = 0.02
--- a/coltsfootfront/requestserver.py
+++ b/coltsfootfront/targets/requestserver.py
@@ -9,16 +9,17 @@
 import logbook
 from returns.result import Success
 
-from coltsfootfront import metrics
-from coltsfootfront.claims import Claims
-from coltsfootfront.clock import Clock
-from coltsfootfront.connection import Connection, Identity
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.execution import Backend, EngineBackend, Execution, ask_of
-from coltsfootfront.fairqueue import FairQueue
-from coltsfootfront.gate import Ask, Gate
-from coltsfootfront.logs import event
-from coltsfootfront.messages import (
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.common.pause import PauseDetector
+from coltsfootfront.common.settings import AgentSettings
+from coltsfootfront.configuration.revision import InForce, Revision
+from coltsfootfront.configuration.spread import Spread
+from coltsfootfront.keyvalue.claims import Claims
+from coltsfootfront.peers.connection import Connection, Identity
+from coltsfootfront.peers.messages import (
     Acknowledge,
     Cancel,
     Message,
@@ -30,11 +31,10 @@
     StatusReply,
     fail_message,
 )
-from coltsfootfront.pause import PauseDetector
-from coltsfootfront.revision import InForce, Revision
-from coltsfootfront.settings import AgentSettings
-from coltsfootfront.spread import Spread
-from coltsfootfront.streams import Attempt, AttemptKey, Streams
+from coltsfootfront.targets.execution import Backend, EngineBackend, Execution, ask_of
+from coltsfootfront.targets.fairqueue import FairQueue
+from coltsfootfront.targets.gate import Ask, Gate
+from coltsfootfront.targets.streams import Attempt, AttemptKey, Streams
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/streams.py
+++ b/coltsfootfront/targets/streams.py
@@ -12,12 +12,12 @@
 
 import logbook
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import Clock
-from coltsfootfront.connection import ConnectionLostError
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Accepted, Chunk, End, Fail, Head, Message, fail_message
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.common.logs import event
+from coltsfootfront.peers.connection import ConnectionLostError
+from coltsfootfront.peers.messages import Accepted, Chunk, End, Fail, Head, Message, fail_message
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/targetwatch.py
+++ b/coltsfootfront/targets/targetwatch.py
@@ -5,12 +5,12 @@
 import logbook
 from returns.result import Success
 
-from coltsfootfront.clock import Clock
-from coltsfootfront.engine import Engine
-from coltsfootfront.gate import Gate
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.logs import event
-from coltsfootfront.service import PlainService
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.targets.engine import Engine
+from coltsfootfront.targets.gate import Gate
+from coltsfootfront.targets.index import CacheIndex
+from coltsfootfront.targets.service import PlainService
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/transfer.py
+++ b/coltsfootfront/targets/transfer.py
@@ -12,15 +12,15 @@
 import logbook
 from returns.result import Success
 
-from coltsfootfront import metrics
-from coltsfootfront.blocks import salt
-from coltsfootfront.clock import Clock
-from coltsfootfront.document import KIND_KEPT_CACHE, Document
-from coltsfootfront.engine import Engine
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.keptcache import KeptCache
-from coltsfootfront.logs import event
-from coltsfootfront.messages import Run
+from coltsfootfront.calls.blocks import salt
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.configuration.document import KIND_KEPT_CACHE, Document
+from coltsfootfront.peers.messages import Run
+from coltsfootfront.targets.engine import Engine
+from coltsfootfront.targets.index import CacheIndex
+from coltsfootfront.targets.keptcache import KeptCache
 
 log = logbook.Logger(__name__)
 
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -3,7 +3,8 @@
 import random
 from collections.abc import AsyncIterator, Callable
 
-from coltsfootfront.clock import Clock, SystemClock
+from coltsfootfront.common.clock import Clock, SystemClock
+from coltsfootfront.common.errors import Failure
 from coltsfootfront.direct.call import Call, CallerWriter, PromptPart
 from coltsfootfront.direct.directory import Directory, Entry, Target
 from coltsfootfront.direct.forwarder import Forwarder
@@ -22,7 +23,6 @@
     TrafficDocument,
 )
 from coltsfootfront.direct.versions import Versions
-from coltsfootfront.errors import Failure
 
 REGIONS = {"a": "east", "b": "east", "c": "west"}
 MODEL = "m"
--- a/coltsfootfront/tests/support.py
+++ b/coltsfootfront/tests/support.py
@@ -9,9 +9,12 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront import entries
-from coltsfootfront.clock import Clock
-from coltsfootfront.engine import (
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.configuration import entries
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.keyvalue.store import KeyValue, Outcome, Store, Transaction, WatchEvent
+from coltsfootfront.targets.engine import (
     CacheEvent,
     Engine,
     EngineState,
@@ -20,10 +23,7 @@
     Order,
     Piece,
 )
-from coltsfootfront.errors import ErrorKind, Failure, FailureError
-from coltsfootfront.revision import Revision
-from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
-from coltsfootfront.store import KeyValue, Outcome, Store, Transaction, WatchEvent
+from coltsfootfront.targets.service import PlainService, ServiceCall, ServiceHead
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 
--- a/coltsfootfront/tests/test_admin.py
+++ b/coltsfootfront/tests/test_admin.py
@@ -8,12 +8,12 @@
 
 import aiohttp
 
-from coltsfootfront.admin import Admin
-from coltsfootfront.authentication import hash_key
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.connection import Connection
-from coltsfootfront.messages import Explain, ExplainReply, Status, StatusReply
-from coltsfootfront.settings import AdminSettings
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.settings import AdminSettings
+from coltsfootfront.operation.admin import Admin
+from coltsfootfront.peers.connection import Connection
+from coltsfootfront.peers.messages import Explain, ExplainReply, Status, StatusReply
+from coltsfootfront.serving.authentication import hash_key
 from coltsfootfront.tests.test_schema import example
 from coltsfootfront.tests.test_spread import Node
 from coltsfootfront_dev.store import StoreStandIn
@@ -320,7 +320,7 @@
         """Guards against a caller that keeps a place by sending its body slowly."""
         host, _, port = self.admin.address.rpartition(":")
         head = f"POST /v1/apply HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {BOOTSTRAP_KEY}\r\n"
-        with mock.patch("coltsfootfront.admin.BODY_TIMEOUT_S", 0.2):
+        with mock.patch("coltsfootfront.operation.admin.BODY_TIMEOUT_S", 0.2):
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(f"{head}Content-Length: 100\r\n\r\n{{".encode())
             async with asyncio.timeout(3):
--- a/coltsfootfront/tests/test_baselines.py
+++ b/coltsfootfront/tests/test_baselines.py
@@ -3,9 +3,9 @@
 import unittest
 from collections import Counter
 
-from coltsfootfront.baselines import PREFIX_BLOCKS, make_baseline
-from coltsfootfront.document import Grant
-from coltsfootfront.placement import PlacementRequest, Policy, TargetLoad
+from coltsfootfront.configuration.document import Grant
+from coltsfootfront.placing.baselines import PREFIX_BLOCKS, make_baseline
+from coltsfootfront.placing.placement import PlacementRequest, Policy, TargetLoad
 
 GRANTS = [Grant(f"t{number}", "terms", 5, "v1") for number in range(6)]
 NAMES = [grant.target for grant in GRANTS]
--- a/coltsfootfront/tests/test_breaker.py
+++ b/coltsfootfront/tests/test_breaker.py
@@ -3,7 +3,7 @@
 import unittest
 from collections.abc import Callable
 
-from coltsfootfront.breaker import FIRST_OPEN_S, MAX_OPEN_S, Breaker, Incarnation
+from coltsfootfront.placing.breaker import FIRST_OPEN_S, MAX_OPEN_S, Breaker, Incarnation
 from coltsfootfront.tests.support import ManualClock
 
 FIRST = Incarnation("a1", "e1")
--- a/coltsfootfront/tests/test_claims.py
+++ b/coltsfootfront/tests/test_claims.py
@@ -4,7 +4,7 @@
 
 from returns.result import Success
 
-from coltsfootfront.claims import Claim, Claims, StoredOutcome
+from coltsfootfront.keyvalue.claims import Claim, Claims, StoredOutcome
 from coltsfootfront.tests.support import ManualClock, MemoryStore
 
 OUTCOME = StoredOutcome(201, [["Location", "/1"]], b"done")
--- a/coltsfootfront/tests/test_cli.py
+++ b/coltsfootfront/tests/test_cli.py
@@ -10,8 +10,12 @@
 from typing import Any
 from unittest import mock
 
-from coltsfootfront import __version__, cli, settings
-from coltsfootfront.cli import (
+from coltsfootfront import __version__
+from coltsfootfront.common import settings
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.settings import OperatorSettings
+from coltsfootfront.operation import cli
+from coltsfootfront.operation.cli import (
     Apply,
     Check,
     Command,
@@ -24,8 +28,6 @@
     Rollback,
     Status,
 )
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.settings import OperatorSettings
 from coltsfootfront.tests.test_admin import BOOTSTRAP_KEY, KEY, AdminCase
 from coltsfootfront.tests.test_schema import EXAMPLES, ROOT, example
 
--- a/coltsfootfront/tests/test_connection.py
+++ b/coltsfootfront/tests/test_connection.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from coltsfootfront.channel import Channel
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.connection import Connection, ConnectionLostError, Identity, Listener
-from coltsfootfront.messages import Greet, GreetReply, MessageError, Probe, decode, encode
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.peers.channel import Channel
+from coltsfootfront.peers.connection import Connection, ConnectionLostError, Identity, Listener
+from coltsfootfront.peers.messages import Greet, GreetReply, MessageError, Probe, decode, encode
 
 
 def _identity(name: str, secret: str = "shared") -> Identity:
--- a/coltsfootfront/tests/test_depthpolicy.py
+++ b/coltsfootfront/tests/test_depthpolicy.py
@@ -7,13 +7,13 @@
 from collections import Counter
 from typing import Any
 
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.depthpolicy import DepthPolicy
-from coltsfootfront.document import Grant, PolicySettings
-from coltsfootfront.messages import Probe, ProbeReply, encode
-from coltsfootfront.placement import Candidate, PlacementRequest, TargetLoad
-from coltsfootfront.probes import LoadTable, ProbeQuestion, Prober, ProbeTarget
-from coltsfootfront.rendezvous import rank
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.rendezvous import rank
+from coltsfootfront.configuration.document import Grant, PolicySettings
+from coltsfootfront.peers.messages import Probe, ProbeReply, encode
+from coltsfootfront.placing.depthpolicy import DepthPolicy
+from coltsfootfront.placing.placement import Candidate, PlacementRequest, TargetLoad
+from coltsfootfront.placing.probes import LoadTable, ProbeQuestion, Prober, ProbeTarget
 from coltsfootfront.tests.support import ManualClock
 from coltsfootfront.tests.test_dispatch import Harness, model_job, started
 from coltsfootfront_dev.fakeagent import FakeAgent, pool
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -3,12 +3,12 @@
 import unittest
 from dataclasses import dataclass
 
-from coltsfootfront.clock import SystemClock
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind, RunState
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.targetclient import Directive, Loss, Reply
 from coltsfootfront.direct.traffic import Repeat, TrafficDocument
-from coltsfootfront.errors import ErrorKind, RunState
 from coltsfootfront.tests.direct_support import (
     Bench,
     FakeReply,
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -7,7 +7,8 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.clock import SystemClock
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.direct import gossip
 from coltsfootfront.direct.directory import MISSING_S, Directory
 from coltsfootfront.direct.events import StreamBrokenError, StreamChecker
@@ -15,8 +16,7 @@
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.holders import KEPT_S, Holders
 from coltsfootfront.direct.retrying import ServiceBudgets
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.store import KeyValue
+from coltsfootfront.keyvalue.store import KeyValue
 from coltsfootfront.tests.direct_support import REGIONS, entry
 from coltsfootfront.tests.support import ManualClock
 
--- a/coltsfootfront/tests/test_dispatch.py
+++ b/coltsfootfront/tests/test_dispatch.py
@@ -10,18 +10,28 @@
 
 from returns.result import Failure as Failed
 
-from coltsfootfront.breaker import Breaker
-from coltsfootfront.callers import CollectCaller
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.connection import Connection
-from coltsfootfront.document import Grant
-from coltsfootfront.entries import digest, split
-from coltsfootfront.errors import ErrorKind, RunState
-from coltsfootfront.job import KIND_COMPLETION, KIND_SERVICE, Job
-from coltsfootfront.messages import Accepted, Cancel, Chunk, End, Fail, Head, Message, Resume, Run
-from coltsfootfront.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
-from coltsfootfront.router import Router
-from coltsfootfront.settings import RouterSettings
+from coltsfootfront.calls.job import KIND_COMPLETION, KIND_SERVICE, Job
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind, RunState
+from coltsfootfront.common.settings import RouterSettings
+from coltsfootfront.configuration.document import Grant
+from coltsfootfront.configuration.entries import digest, split
+from coltsfootfront.peers.connection import Connection
+from coltsfootfront.peers.messages import (
+    Accepted,
+    Cancel,
+    Chunk,
+    End,
+    Fail,
+    Head,
+    Message,
+    Resume,
+    Run,
+)
+from coltsfootfront.placing.breaker import Breaker
+from coltsfootfront.placing.placement import Candidate, Choice, PlacementRequest, Policy, TargetLoad
+from coltsfootfront.serving.callers import CollectCaller
+from coltsfootfront.serving.router import Router
 from coltsfootfront_dev.fakeagent import SECRET, FakeAgent, answer_text, entries_of
 
 TEXT = "one two three"
@@ -62,8 +72,12 @@
         settings = RouterSettings("r1", "dc-1", SECRET, "http://127.0.0.1:1", **options)
         clock = SystemClock()
         with (
-            mock.patch("coltsfootfront.router._build_policy", return_value=policy or ByName()),
-            mock.patch("coltsfootfront.router.Breaker", return_value=breaker or Breaker(clock)),
+            mock.patch(
+                "coltsfootfront.serving.router._build_policy", return_value=policy or ByName()
+            ),
+            mock.patch(
+                "coltsfootfront.serving.router.Breaker", return_value=breaker or Breaker(clock)
+            ),
         ):
             self.router = Router(settings, clock)
         entries = split(entries_of(agents))
--- a/coltsfootfront/tests/test_document.py
+++ b/coltsfootfront/tests/test_document.py
@@ -3,8 +3,8 @@
 import unittest
 from typing import Any
 
-from coltsfootfront.document import Document
-from coltsfootfront.entries import split
+from coltsfootfront.configuration.document import Document
+from coltsfootfront.configuration.entries import split
 
 TARGET = {
     "owner": "lab",
--- a/coltsfootfront/tests/test_drain.py
+++ b/coltsfootfront/tests/test_drain.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from coltsfootfront.drain import Drain, Source
-from coltsfootfront.leaving import STATE_LEAVING, STATE_LIVE, Vm
-from coltsfootfront.pause import PauseDetector
+from coltsfootfront.common.pause import PauseDetector
+from coltsfootfront.peers.leaving import STATE_LEAVING, STATE_LIVE, Vm
+from coltsfootfront.targets.drain import Drain, Source
 from coltsfootfront.tests.support import ManualClock, make_revision, one_target, put_in_force
 
 WITHDRAWN = one_target(target={"withdrawn": True})
--- a/coltsfootfront/tests/test_engine.py
+++ b/coltsfootfront/tests/test_engine.py
@@ -12,11 +12,11 @@
 
 from returns.pipeline import is_successful
 
-from coltsfootfront import blocks
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.engine import CacheEvent, Engine, Finish, GenerateRequest, Order, Piece
-from coltsfootfront.errors import ErrorKind, FailureError, RunState
-from coltsfootfront.openai import OpenAiEngine
+from coltsfootfront.calls import blocks
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind, FailureError, RunState
+from coltsfootfront.targets.engine import CacheEvent, Engine, Finish, GenerateRequest, Order, Piece
+from coltsfootfront.targets.openai import OpenAiEngine
 from coltsfootfront.tests.support import canned_server
 from coltsfootfront_dev.engine import EngineStandIn, Options
 from coltsfootfront_dev.text import expected_text
--- a/coltsfootfront/tests/test_execution.py
+++ b/coltsfootfront/tests/test_execution.py
@@ -4,14 +4,15 @@
 import unittest
 from typing import Any, cast
 
-from coltsfootfront.channel import ChannelPool
-from coltsfootfront.claims import Claims
-from coltsfootfront.connection import Connection, ConnectionLostError, Identity
-from coltsfootfront.engine import Finish, Piece
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.execution import Backend, EngineBackend, ServiceBackend
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.messages import (
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.common.pause import PauseDetector
+from coltsfootfront.common.settings import AgentSettings
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.configuration.spread import Spread
+from coltsfootfront.keyvalue.claims import Claims
+from coltsfootfront.peers.channel import ChannelPool
+from coltsfootfront.peers.connection import Connection, ConnectionLostError, Identity
+from coltsfootfront.peers.messages import (
     Acknowledge,
     Cancel,
     Chunk,
@@ -24,13 +25,12 @@
     Resume,
     Run,
 )
-from coltsfootfront.pause import PauseDetector
-from coltsfootfront.requestserver import RequestServer
-from coltsfootfront.revision import Revision
-from coltsfootfront.service import ServiceHead
-from coltsfootfront.settings import AgentSettings
-from coltsfootfront.spread import Spread
-from coltsfootfront.streams import Streams
+from coltsfootfront.targets.engine import Finish, Piece
+from coltsfootfront.targets.execution import Backend, EngineBackend, ServiceBackend
+from coltsfootfront.targets.index import CacheIndex
+from coltsfootfront.targets.requestserver import RequestServer
+from coltsfootfront.targets.service import ServiceHead
+from coltsfootfront.targets.streams import Streams
 from coltsfootfront.tests.support import (
     FakeEngine,
     FakeService,
--- a/coltsfootfront/tests/test_fairqueue.py
+++ b/coltsfootfront/tests/test_fairqueue.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from coltsfootfront.fairqueue import MAX_PASSED, FairQueue, Share, Ticket
+from coltsfootfront.targets.fairqueue import MAX_PASSED, FairQueue, Share, Ticket
 from coltsfootfront.tests.support import ManualClock
 
 
--- a/coltsfootfront/tests/test_frontend.py
+++ b/coltsfootfront/tests/test_frontend.py
@@ -7,14 +7,14 @@
 
 import aiohttp
 
-from coltsfootfront import metrics
-from coltsfootfront.channel import Channel
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.connection import Connection
-from coltsfootfront.messages import Accepted, Chunk, End, Explain, ExplainReply, Head, Run
-from coltsfootfront.pauseguard import PauseGuard
-from coltsfootfront.router import Router
-from coltsfootfront.settings import RouterSettings
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.settings import RouterSettings
+from coltsfootfront.peers.channel import Channel
+from coltsfootfront.peers.connection import Connection
+from coltsfootfront.peers.messages import Accepted, Chunk, End, Explain, ExplainReply, Head, Run
+from coltsfootfront.serving.pauseguard import PauseGuard
+from coltsfootfront.serving.router import Router
 from coltsfootfront.tests.support import ManualClock
 from coltsfootfront_dev.fakeagent import SECRET, FakeAgent, answer_text, identity, revision_of
 
--- a/coltsfootfront/tests/test_gate.py
+++ b/coltsfootfront/tests/test_gate.py
@@ -5,11 +5,11 @@
 
 from returns.result import Success
 
-from coltsfootfront.drain import Drain
-from coltsfootfront.engine import EngineState
-from coltsfootfront.fairqueue import FairQueue
-from coltsfootfront.gate import Ask, Gate
-from coltsfootfront.revision import Revision
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.targets.drain import Drain
+from coltsfootfront.targets.engine import EngineState
+from coltsfootfront.targets.fairqueue import FairQueue
+from coltsfootfront.targets.gate import Ask, Gate
 from coltsfootfront.tests.support import ManualClock, make_revision, one_target, put_in_force
 
 OK = Ask("small", "", "m", "", "v1")
--- a/coltsfootfront/tests/test_httpservice.py
+++ b/coltsfootfront/tests/test_httpservice.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.errors import ErrorKind, FailureError, RunState
-from coltsfootfront.httpservice import HttpService
-from coltsfootfront.service import PlainService, ServiceCall, ServiceHead
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind, FailureError, RunState
+from coltsfootfront.targets.httpservice import HttpService
+from coltsfootfront.targets.service import PlainService, ServiceCall, ServiceHead
 from coltsfootfront.tests.support import ManualClock, canned_server
 from coltsfootfront_dev.service import Options, ServiceStandIn
 
--- a/coltsfootfront/tests/test_index.py
+++ b/coltsfootfront/tests/test_index.py
@@ -3,9 +3,9 @@
 import sys
 import unittest
 
-from coltsfootfront.cacheevents import CacheEvents
-from coltsfootfront.engine import CacheEvent
-from coltsfootfront.index import MIN_EVICTIONS, CacheIndex
+from coltsfootfront.targets.cacheevents import CacheEvents
+from coltsfootfront.targets.engine import CacheEvent
+from coltsfootfront.targets.index import MIN_EVICTIONS, CacheIndex
 from coltsfootfront.tests.support import FakeEngine, ManualClock
 
 
--- a/coltsfootfront/tests/test_keptcache.py
+++ b/coltsfootfront/tests/test_keptcache.py
@@ -7,10 +7,10 @@
 from returns.pipeline import is_successful
 from returns.result import Success
 
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.errors import ErrorKind
-from coltsfootfront.httpkeptcache import HttpKeptCache
-from coltsfootfront.keptcache import KeptCache
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind
+from coltsfootfront.targets.httpkeptcache import HttpKeptCache
+from coltsfootfront.targets.keptcache import KeptCache
 from coltsfootfront_dev.keptcache import KeptCacheStandIn, Options
 
 KEY, OTHER_KEY = b"12345678", b"87654321"
--- a/coltsfootfront/tests/test_leases.py
+++ b/coltsfootfront/tests/test_leases.py
@@ -5,7 +5,7 @@
 
 from returns.result import Success
 
-from coltsfootfront.leases import LoadSlots, TargetLease
+from coltsfootfront.keyvalue.leases import LoadSlots, TargetLease
 from coltsfootfront.tests.support import ManualClock, MemoryStore, settle
 
 KEY = "leases/target/t"
--- a/coltsfootfront/tests/test_leaving.py
+++ b/coltsfootfront/tests/test_leaving.py
@@ -5,8 +5,8 @@
 
 from returns.result import Success
 
-from coltsfootfront.errors import ErrorKind
-from coltsfootfront.leaving import HttpVmList, Vm
+from coltsfootfront.common.errors import ErrorKind
+from coltsfootfront.peers.leaving import HttpVmList, Vm
 from coltsfootfront_dev.vms import VmStandIn
 
 
--- a/coltsfootfront/tests/test_link.py
+++ b/coltsfootfront/tests/test_link.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from coltsfootfront.link import LinkBudget
+from coltsfootfront.placing.link import LinkBudget
 from coltsfootfront.tests.support import ManualClock
 
 
--- a/coltsfootfront/tests/test_logs.py
+++ b/coltsfootfront/tests/test_logs.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from coltsfootfront.logs import BURST_LINES, REPORT_INTERVAL_S, BoundedHandler, event
+from coltsfootfront.common.logs import BURST_LINES, REPORT_INTERVAL_S, BoundedHandler, event
 from coltsfootfront.tests.support import ManualClock
 
 
--- a/coltsfootfront/tests/test_membership.py
+++ b/coltsfootfront/tests/test_membership.py
@@ -6,10 +6,10 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.leaving import Vm, VmList
-from coltsfootfront.membership import Membership
-from coltsfootfront.messages import Greet
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.peers.leaving import Vm, VmList
+from coltsfootfront.peers.membership import Membership
+from coltsfootfront.peers.messages import Greet
 from coltsfootfront.tests.support import ManualClock
 
 
@@ -101,7 +101,7 @@
 
     async def test_greetings_are_bounded(self) -> None:
         """Guards against memory that grows with greetings of ever new names."""
-        with mock.patch("coltsfootfront.membership.MAX_GREETED", 16):
+        with mock.patch("coltsfootfront.peers.membership.MAX_GREETED", 16):
             for number in range(40):
                 self.greet(f"r{number + 2}")
         self.assertEqual(17, len(self.members.routers()))
--- a/coltsfootfront/tests/test_orders.py
+++ b/coltsfootfront/tests/test_orders.py
@@ -7,11 +7,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.document import LoadedModel, Target
-from coltsfootfront.engine import EngineState, Order
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.leases import LoadSlots, TargetLease
-from coltsfootfront.orders import Orders, next_order
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.configuration.document import LoadedModel, Target
+from coltsfootfront.keyvalue.leases import LoadSlots, TargetLease
+from coltsfootfront.targets.engine import EngineState, Order
+from coltsfootfront.targets.orders import Orders, next_order
 from coltsfootfront.tests.support import (
     FakeEngine,
     ManualClock,
--- a/coltsfootfront/tests/test_platform_program.py
+++ b/coltsfootfront/tests/test_platform_program.py
@@ -12,8 +12,8 @@
 
 import aiohttp
 
+from coltsfootfront.common.settings import SettingsError
 from coltsfootfront.platform import settings
-from coltsfootfront.settings import SettingsError
 from coltsfootfront_dev.platformfleet import HOST, KEY, PlatformFleet, settings_fields, to_toml
 
 ROOT = Path(__file__).resolve().parents[2]
--- a/coltsfootfront/tests/test_publisher.py
+++ b/coltsfootfront/tests/test_publisher.py
@@ -10,12 +10,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.entries import Entries, pack
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.etcd import EtcdStore
-from coltsfootfront.publisher import Publisher
-from coltsfootfront.records import (
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.configuration.entries import Entries, pack
+from coltsfootfront.configuration.publisher import Publisher
+from coltsfootfront.configuration.records import (
     CHUNK_BYTES,
     HEAD_KEY,
     Change,
@@ -24,7 +23,8 @@
     Rejection,
     split_chunks,
 )
-from coltsfootfront.store import KeyValue, Outcome, Transaction
+from coltsfootfront.keyvalue.etcd import EtcdStore
+from coltsfootfront.keyvalue.store import KeyValue, Outcome, Transaction
 from coltsfootfront_dev.store import StoreStandIn
 
 UNAVAILABLE = Failure(ErrorKind.STORE_UNAVAILABLE, "injected")
@@ -253,7 +253,7 @@
     async def test_old_revisions_are_removed(self) -> None:
         """Guards against a store that fills up, and against the removal of a chunk in use."""
         contents = [entries_with(a=number) for number in (1, 2, 3, 1, 4, 2)]
-        with mock.patch("coltsfootfront.publisher.KEPT_REVISIONS", 2):
+        with mock.patch("coltsfootfront.configuration.publisher.KEPT_REVISIONS", 2):
             for number, content in enumerate(contents, 1):
                 await self.apply(content, f"op-{number}", number - 1)
                 self.assertEqual(Success(None), await self.publisher.prune(number))
--- a/coltsfootfront/tests/test_relay.py
+++ b/coltsfootfront/tests/test_relay.py
@@ -3,9 +3,9 @@
 import json
 import unittest
 
-from coltsfootfront.errors import ErrorKind, Failure, RunState
-from coltsfootfront.messages import Chunk, End
-from coltsfootfront.relay import (
+from coltsfootfront.common.errors import ErrorKind, Failure, RunState
+from coltsfootfront.peers.messages import Chunk, End
+from coltsfootfront.serving.relay import (
     Completion,
     ModelFormat,
     Progress,
--- a/coltsfootfront/tests/test_retries.py
+++ b/coltsfootfront/tests/test_retries.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from coltsfootfront.retries import MAX_DELAY_S, WINDOW_S, RetryBudget, delay_s
+from coltsfootfront.common.retries import MAX_DELAY_S, WINDOW_S, RetryBudget, delay_s
 from coltsfootfront.tests.support import ManualClock
 
 
--- a/coltsfootfront/tests/test_revision.py
+++ b/coltsfootfront/tests/test_revision.py
@@ -3,9 +3,9 @@
 import unittest
 from dataclasses import replace
 
-from coltsfootfront.entries import EntriesError, digest, join, pack, split, unpack
-from coltsfootfront.messages import Delta
-from coltsfootfront.revision import KEPT_DELTAS, Revision
+from coltsfootfront.configuration.entries import EntriesError, digest, join, pack, split, unpack
+from coltsfootfront.configuration.revision import KEPT_DELTAS, Revision
+from coltsfootfront.peers.messages import Delta
 
 
 def _entries(count: int, contact: str = "a") -> dict[str, bytes]:
--- a/coltsfootfront/tests/test_schema.py
+++ b/coltsfootfront/tests/test_schema.py
@@ -7,17 +7,17 @@
 from pathlib import Path
 from typing import Any
 
-from coltsfootfront import schema
-from coltsfootfront.authentication import hash_key
-from coltsfootfront.document import Document
-from coltsfootfront.entries import split
-from coltsfootfront.settings import (
+from coltsfootfront.common.settings import (
     AdminSettings,
     AgentSettings,
     OperatorSettings,
     RouterSettings,
     load,
 )
+from coltsfootfront.configuration import schema
+from coltsfootfront.configuration.document import Document
+from coltsfootfront.configuration.entries import split
+from coltsfootfront.serving.authentication import hash_key
 
 ROOT = Path(__file__).resolve().parents[2]
 EXAMPLES = ROOT / "examples"
--- a/coltsfootfront/tests/test_settings.py
+++ b/coltsfootfront/tests/test_settings.py
@@ -3,7 +3,7 @@
 import unittest
 from typing import Any
 
-from coltsfootfront.settings import OperatorSettings, RouterSettings, SettingsError, parse
+from coltsfootfront.common.settings import OperatorSettings, RouterSettings, SettingsError, parse
 
 REQUIRED = {
     "name": "router-1",
--- a/coltsfootfront/tests/test_spread.py
+++ b/coltsfootfront/tests/test_spread.py
@@ -3,13 +3,13 @@
 import asyncio
 import unittest
 
-from coltsfootfront.channel import Channel, ChannelPool
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.connection import Connection, Identity, Listener
-from coltsfootfront.entries import Entries, digest, pack
-from coltsfootfront.messages import Delta, Message, Pull
-from coltsfootfront.revision import Revision
-from coltsfootfront.spread import Spread
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.configuration.entries import Entries, digest, pack
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.configuration.spread import Spread
+from coltsfootfront.peers.channel import Channel, ChannelPool
+from coltsfootfront.peers.connection import Connection, Identity, Listener
+from coltsfootfront.peers.messages import Delta, Message, Pull
 
 GREET_INTERVAL_S = 0.1
 DEADLINE_S = 4.0
--- a/coltsfootfront/tests/test_store.py
+++ b/coltsfootfront/tests/test_store.py
@@ -7,9 +7,9 @@
 
 from returns.result import Result, Success
 
-from coltsfootfront.errors import ErrorKind, Failure, FailureError
-from coltsfootfront.etcd import EtcdStore
-from coltsfootfront.store import Compare, Put, Store, Transaction, WatchEvent
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.keyvalue.etcd import EtcdStore
+from coltsfootfront.keyvalue.store import Compare, Put, Store, Transaction, WatchEvent
 from coltsfootfront_dev.store import StoreStandIn
 
 WATCH_TIMEOUT_S = 3.0
--- a/coltsfootfront/tests/test_streams.py
+++ b/coltsfootfront/tests/test_streams.py
@@ -4,10 +4,10 @@
 import unittest
 from unittest import mock
 
-from coltsfootfront.connection import ConnectionLostError
-from coltsfootfront.errors import ErrorKind, Failure, FailureError, RunState
-from coltsfootfront.messages import Accepted, Chunk, End, Fail, Head, Message
-from coltsfootfront.streams import MAX_RECORDS, Streams
+from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
+from coltsfootfront.peers.connection import ConnectionLostError
+from coltsfootfront.peers.messages import Accepted, Chunk, End, Fail, Head, Message
+from coltsfootfront.targets.streams import MAX_RECORDS, Streams
 from coltsfootfront.tests.support import ManualClock, settle
 
 
@@ -165,7 +165,7 @@
 
     async def test_forgotten_attempts_are_not_called_not_run(self) -> None:
         """Guards against a false ``not_run`` for an attempt whose record had to make room."""
-        with mock.patch("coltsfootfront.streams.MAX_PAST", 4):
+        with mock.patch("coltsfootfront.targets.streams.MAX_PAST", 4):
             for number in range(6):
                 attempt = self.streams.open((str(number), 1), self.deadline_s)
                 attempt.forwarded = True
--- a/coltsfootfront/tests/test_supervisor.py
+++ b/coltsfootfront/tests/test_supervisor.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from coltsfootfront.supervisor import Supervisor
+from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.tests.support import ManualClock
 
 
--- a/coltsfootfront/tests/test_system_overload.py
+++ b/coltsfootfront/tests/test_system_overload.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from coltsfootfront.retries import WINDOW_S
+from coltsfootfront.common.retries import WINDOW_S
 from coltsfootfront_dev.caller import Caller, Reply
 from coltsfootfront_dev.launcher import Fleet, FleetOptions
 
--- a/coltsfootfront/tests/test_transfer.py
+++ b/coltsfootfront/tests/test_transfer.py
@@ -6,10 +6,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from coltsfootfront.errors import ErrorKind, Failure
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.keptcache import KeptCache
-from coltsfootfront.messages import Run
+from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.peers.messages import Run
+from coltsfootfront.targets.index import CacheIndex
+from coltsfootfront.targets.keptcache import KeptCache
+from coltsfootfront.targets.transfer import Transfer, allowed_customers, depths_of
 from coltsfootfront.tests.support import (
     FakeEngine,
     ManualClock,
@@ -18,7 +19,6 @@
     one_target,
     settle,
 )
-from coltsfootfront.transfer import Transfer, allowed_customers, depths_of
 
 KEYS = [number.to_bytes(8, "big") for number in range(6)]
 
--- a/coltsfootfront/tests/test_watcher.py
+++ b/coltsfootfront/tests/test_watcher.py
@@ -3,13 +3,13 @@
 import asyncio
 import unittest
 
-from coltsfootfront import metrics
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.etcd import EtcdStore
-from coltsfootfront.publisher import Publisher
-from coltsfootfront.records import Change
-from coltsfootfront.revision import Revision
-from coltsfootfront.watcher import Watcher, watchers_of
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.configuration.publisher import Publisher
+from coltsfootfront.configuration.records import Change
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.configuration.watcher import Watcher, watchers_of
+from coltsfootfront.keyvalue.etcd import EtcdStore
 from coltsfootfront_dev.store import StoreStandIn
 
 DEADLINE_S = 5.0
--- a/coltsfootfront_dev/batch.py
+++ b/coltsfootfront_dev/batch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from coltsfootfront.clock import Clock
+from coltsfootfront.common.clock import Clock
 from coltsfootfront_dev.prefixcache import PrefixCache
 
 
--- a/coltsfootfront_dev/caller.py
+++ b/coltsfootfront_dev/caller.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from coltsfootfront import blocks
+from coltsfootfront.calls import blocks
 from coltsfootfront_dev.launcher import Fleet
 from coltsfootfront_dev.text import expected_text
 
--- a/coltsfootfront_dev/engine.py
+++ b/coltsfootfront_dev/engine.py
@@ -13,8 +13,8 @@
 import cappa
 from aiohttp import web
 
-from coltsfootfront import blocks
-from coltsfootfront.clock import Clock, SystemClock
+from coltsfootfront.calls import blocks
+from coltsfootfront.common.clock import Clock, SystemClock
 from coltsfootfront_dev.batch import Batch, BatchCounters, BatchFaults, Generation, Speed
 from coltsfootfront_dev.eventfeed import EventFeed, FeedFaults
 from coltsfootfront_dev.prefixcache import CachedBlock, PrefixCache
--- a/coltsfootfront_dev/fakeagent.py
+++ b/coltsfootfront_dev/fakeagent.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from coltsfootfront.authentication import hash_key
-from coltsfootfront.channel import Channel, ChannelPool
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.connection import Connection, Identity, Listener
-from coltsfootfront.entries import digest, split
-from coltsfootfront.messages import (
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.configuration.entries import digest, split
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.peers.channel import Channel, ChannelPool
+from coltsfootfront.peers.connection import Connection, Identity, Listener
+from coltsfootfront.peers.messages import (
     Accepted,
     Acknowledge,
     Cancel,
@@ -28,7 +28,7 @@
     Status,
     StatusReply,
 )
-from coltsfootfront.revision import Revision
+from coltsfootfront.serving.authentication import hash_key
 
 SECRET = "shared"
 
--- a/coltsfootfront_dev/launcher.py
+++ b/coltsfootfront_dev/launcher.py
@@ -22,8 +22,8 @@
 
 import aiohttp
 
-from coltsfootfront.document import Document
-from coltsfootfront.entries import split
+from coltsfootfront.configuration.document import Document
+from coltsfootfront.configuration.entries import split
 from coltsfootfront_dev.forwarder import Forwarder
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/coltsfootfront_dev/load.py
+++ b/coltsfootfront_dev/load.py
@@ -18,7 +18,7 @@
 import aiohttp
 from hdrh.histogram import HdrHistogram
 
-from coltsfootfront import blocks
+from coltsfootfront.calls import blocks
 
 BLOCK_BYTES = 4000
 LARGEST_LATENCY_US = 300_000_000
--- a/coltsfootfront_dev/measure.py
+++ b/coltsfootfront_dev/measure.py
@@ -15,7 +15,7 @@
 
 import cappa
 
-from coltsfootfront.settings import RouterSettings
+from coltsfootfront.common.settings import RouterSettings
 from coltsfootfront_dev.launcher import DEPLOYMENTS, Fleet, FleetOptions
 from coltsfootfront_dev.load import (
     Arrival,
--- a/coltsfootfront_dev/slopes.py
+++ b/coltsfootfront_dev/slopes.py
@@ -18,14 +18,14 @@
 import cappa
 import psutil
 
-from coltsfootfront import messages
-from coltsfootfront.channel import Channel
-from coltsfootfront.clock import SystemClock
-from coltsfootfront.connection import Identity
-from coltsfootfront.entries import canonical, difference, digest, pack
-from coltsfootfront.index import CacheIndex
-from coltsfootfront.messages import Greet, GreetReply, Message, Probe, ProbeReply
-from coltsfootfront.revision import Revision
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.configuration.entries import canonical, difference, digest, pack
+from coltsfootfront.configuration.revision import Revision
+from coltsfootfront.peers import messages
+from coltsfootfront.peers.channel import Channel
+from coltsfootfront.peers.connection import Identity
+from coltsfootfront.peers.messages import Greet, GreetReply, Message, Probe, ProbeReply
+from coltsfootfront.targets.index import CacheIndex
 from coltsfootfront_dev import synthetic
 from coltsfootfront_dev.launcher import DEPLOYMENTS, PEER_SECRET, Fleet, FleetOptions, FleetProcess
 from coltsfootfront_dev.overhead import endpoints, raise_limits, stream
--- a/coltsfootfront_dev/standin.py
+++ b/coltsfootfront_dev/standin.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
-from coltsfootfront import runtime
+from coltsfootfront.common import runtime
 
 T = TypeVar("T")
 
--- a/coltsfootfront_dev/synthetic.py
+++ b/coltsfootfront_dev/synthetic.py
@@ -3,7 +3,7 @@
 import hashlib
 from typing import Any
 
-from coltsfootfront.entries import Entries, split
+from coltsfootfront.configuration.entries import Entries, split
 
 CUSTOMERS = 440
 TARGETS = 1400
--- a/coltsfootfront_dev/text.py
+++ b/coltsfootfront_dev/text.py
@@ -15,7 +15,7 @@
 ) -> list[str]:
     """Compute the tokens of one answer.
 
-    :param prompt: prompt in UTF-8, as :func:`coltsfootfront.blocks.prompt_bytes` builds it.
+    :param prompt: prompt in UTF-8, as :func:`coltsfootfront.calls.blocks.prompt_bytes` builds it.
     :param adapter: name of the adapter; empty for none.
     :param max_tokens: number of tokens.
     :returns: ``max_tokens`` tokens of four ASCII characters, three letters and a space.
