--- a/coltsfootfront/tests/test_system_answers.py
+++ b/coltsfootfront/tests/test_system_answers.py
@@ -11,7 +11,8 @@
 import unittest
 
 from coltsfootfront_dev.caller import Caller, Reply
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.programs import FleetOptions
 
 SERVICE = "trials-registry"
 MODELS = ("dossier-large", "label-small")
--- a/coltsfootfront/tests/test_system_cache.py
+++ b/coltsfootfront/tests/test_system_cache.py
@@ -16,7 +16,8 @@
 import aiohttp
 
 from coltsfootfront_dev.caller import Caller, ModelCall, Reply
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.programs import FleetOptions
 
 MODEL = "dossier-large"
 ADAPTER = f"{MODEL}:toppers-ro"
--- a/coltsfootfront/tests/test_system_configuration.py
+++ b/coltsfootfront/tests/test_system_configuration.py
@@ -7,8 +7,9 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from coltsfootfront_dev.caller import Caller
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
 from coltsfootfront_dev.operator import Operator
+from coltsfootfront_dev.programs import FleetOptions
 
 # The bound of the target: 12 s from acceptance to in force on every process.
 IN_FORCE_LIMIT_S = 12.0
--- a/coltsfootfront/tests/test_system_drain.py
+++ b/coltsfootfront/tests/test_system_drain.py
@@ -11,8 +11,9 @@
 import aiohttp
 
 from coltsfootfront_dev.caller import Caller, Reply
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
 from coltsfootfront_dev.operator import Operator
+from coltsfootfront_dev.programs import FleetOptions
 
 CUSTOMER = "dossier-desk"
 MODEL = "dossier-large"
--- a/coltsfootfront/tests/test_system_once.py
+++ b/coltsfootfront/tests/test_system_once.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 
 from coltsfootfront_dev.caller import Caller, Reply
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.programs import FleetOptions
 
 SERVICE = "trials-registry"
 CUSTOMER = "sleep-panel"
--- a/coltsfootfront/tests/test_system_overload.py
+++ b/coltsfootfront/tests/test_system_overload.py
@@ -6,7 +6,8 @@
 
 from coltsfootfront.common.retries import WINDOW_S
 from coltsfootfront_dev.caller import Caller, Reply
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.programs import FleetOptions
 
 LARGE, SMALL = "dossier-desk", "foam-lab"
 MODEL = "dossier-large"
--- a/coltsfootfront/tests/test_system_restart.py
+++ b/coltsfootfront/tests/test_system_restart.py
@@ -5,8 +5,9 @@
 import unittest
 
 from coltsfootfront_dev.caller import Caller
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
 from coltsfootfront_dev.operator import Operator
+from coltsfootfront_dev.programs import FleetOptions
 
 CUSTOMER = "dossier-desk"
 MODEL = "dossier-large"
--- a/coltsfootfront/tests/test_system_streams.py
+++ b/coltsfootfront/tests/test_system_streams.py
@@ -10,7 +10,8 @@
 import aiohttp
 
 from coltsfootfront_dev.caller import Caller, Reply
-from coltsfootfront_dev.launcher import Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.programs import FleetOptions
 
 CUSTOMER = "dossier-desk"
 MODEL = "dossier-large"
--- a/coltsfootfront_dev/demo.py
+++ b/coltsfootfront_dev/demo.py
@@ -13,7 +13,9 @@
 import cappa
 
 from coltsfootfront_dev.caller import Caller, ModelCall, Reply
-from coltsfootfront_dev.launcher import DEPLOYMENTS, Fleet, FleetError, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.processes import FleetError
+from coltsfootfront_dev.programs import DEPLOYMENTS, FleetOptions
 
 LONG_PROMPT_BYTES = 9000
 LONG_TOKENS = 48
--- a/coltsfootfront_dev/measure.py
+++ b/coltsfootfront_dev/measure.py
@@ -16,7 +16,7 @@
 import cappa
 
 from coltsfootfront.common.settings import RouterSettings
-from coltsfootfront_dev.launcher import DEPLOYMENTS, Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
 from coltsfootfront_dev.load import (
     Arrival,
     Caller,
@@ -28,6 +28,7 @@
     Workload,
 )
 from coltsfootfront_dev.oracle import Oracle, Reuse, Served, judge
+from coltsfootfront_dev.programs import DEPLOYMENTS, FleetOptions
 
 POLICIES = ("round_robin", "least_loaded", "prefix_hash", "bounded_load", "rendezvous")
 BLOCK_TOKENS = 1000
--- a/coltsfootfront_dev/operator.py
+++ b/coltsfootfront_dev/operator.py
@@ -8,7 +8,9 @@
 
 import aiohttp
 
-from coltsfootfront_dev.launcher import OPERATOR_KEY, Fleet, FleetProcess
+from coltsfootfront_dev.launcher import Fleet
+from coltsfootfront_dev.processes import FleetProcess
+from coltsfootfront_dev.programs import OPERATOR_KEY
 
 POLL_S = 0.02
 
--- a/coltsfootfront_dev/overhead.py
+++ b/coltsfootfront_dev/overhead.py
@@ -15,8 +15,9 @@
 import aiohttp
 import cappa
 
-from coltsfootfront_dev.launcher import DEPLOYMENTS, Fleet, FleetOptions
+from coltsfootfront_dev.launcher import Fleet
 from coltsfootfront_dev.load import Latencies
+from coltsfootfront_dev.programs import DEPLOYMENTS, FleetOptions
 
 CONCURRENCY = (1, 16, 64)
 # Each stream sends this many requests; one alone sends more, for a steady median.
--- a/coltsfootfront_dev/slopes.py
+++ b/coltsfootfront_dev/slopes.py
@@ -27,8 +27,10 @@
 from coltsfootfront.peers.messages import Greet, GreetReply, Message, Probe, ProbeReply
 from coltsfootfront.targets.index import CacheIndex
 from coltsfootfront_dev import synthetic
-from coltsfootfront_dev.launcher import DEPLOYMENTS, PEER_SECRET, Fleet, FleetOptions, FleetProcess
+from coltsfootfront_dev.launcher import Fleet
 from coltsfootfront_dev.overhead import endpoints, raise_limits, stream
+from coltsfootfront_dev.processes import FleetProcess
+from coltsfootfront_dev.programs import DEPLOYMENTS, PEER_SECRET, FleetOptions
 
 FRAME_HEADER_BYTES = 4
 # Large enough that memory which the allocator had left over before matters little.
