Tell peers of parts that a target is about to read

Cause: a part counted as held only after its first event, and peers heard of it 0.15 s later.

Change: a part is expected at its target from the moment of sending, and peers are told within 25 ms. A request that is rejected or lost withdraws it; one without an answer expires a second after the expected time. It can be fetched from there only once it is expected to be read.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -220,6 +220,7 @@
             raise self._timeout(state)
         state.sends += 1
         self._note_work(place)
+        self._expect_parts(state.call, place)
         if not target.in_flight:
             target.heard_s = self._clock.monotonic_s()
         target.in_flight += 1
@@ -245,6 +246,18 @@
         place.target.backlog.add(place.priority, work_s, self._clock.monotonic_s())
         self._gossip.tell_work(place.target.name, place.priority, work_s)
 
+    def _expect_parts(self, call: Call, place: Place) -> None:
+        if not place.salt:
+            return
+        name = place.target.name
+        for part in call.shared_parts:
+            if self._holders.expect(place.salt, part.key, name, place.expected_s):
+                self._gossip.tell_coming(place.salt, part.key, name, place.expected_s)
+
+    def _withdraw_parts(self, call: Call, place: Place) -> None:
+        for part in call.shared_parts:
+            self._holders.withdraw(place.salt, part.key, place.target.name)
+
     def _timeout(self, state: State) -> RefusedError:
         kind = ErrorKind.DEADLINE_EXCEEDED
         return RefusedError(Failure(kind, "no answer in time", state.run, may_repeat=False))
@@ -330,6 +343,7 @@
                 target.succeeded(now_s)
 
     def _rejected(self, state: State, place: Place, reply: Reply) -> Exception:
+        self._withdraw_parts(state.call, place)
         state.rejected.add(place.target.name)
         state.rejections += 1
         state.reason = f"rejected with {reply.status}"
@@ -351,6 +365,7 @@
     def _lost(self, state: State, place: Place, loss: Loss, reason: str) -> Exception:
         now_s = self._clock.monotonic_s()
         target = place.target
+        self._withdraw_parts(state.call, place)
         target.failed(now_s, is_silent=loss is not Loss.WRONG_ANSWER)
         state.reason = reason
         log.info(
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -23,12 +23,13 @@
 FLUSH_INTERVAL_S = 0.15
 # Work that targets were given is collected for this long; a prompt takes about as long to read.
 WORK_INTERVAL_S = 0.025
-# Parts in one message; each takes about 30 bytes.
-PARTS_PER_MESSAGE = 30
+# Parts in one message; each takes about 60 bytes.
+PARTS_PER_MESSAGE = 20
 
 LOADING = "loading"
 LOADED = "loaded"
 HELD = "held"
+COMING = "coming"
 REVISION = "revision"
 WORK = "work"
 
@@ -45,7 +46,8 @@
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
         self._peers: list[tuple[str, int]] = []
-        self._held: list[list[str]] = []
+        self._held: list[list[Any]] = []
+        self._coming: list[list[Any]] = []
         self._work: dict[tuple[str, int], float] = {}
 
     async def start(self, ip: str, port: int) -> None:
@@ -76,27 +78,34 @@
         """Tell peers soon that a target holds a part."""
         self._held.append([salt, key, target])
 
+    def tell_coming(self, salt: str, key: str, target: str, in_s: float) -> None:
+        """Tell peers at once that a target is about to read a part."""
+        self._coming.append([salt, key, target, round(in_s, 3)])
+
     def tell_work(self, target: str, priority: int, work_s: float) -> None:
         """Tell peers soon that a target has more prompts to read."""
         key = (target, priority)
         self._work[key] = self._work.get(key, 0.0) + work_s
 
     async def flush_work(self) -> None:
-        """Send collected work, for ever."""
+        """Send collected work, and the parts that it brings, for ever."""
         while True:
             await asyncio.sleep(WORK_INTERVAL_S)
             if self._work:
                 work, self._work = self._work, {}
                 self.tell(WORK, [[*key, work_s] for key, work_s in work.items()])
+            self._tell_parts(COMING, self._coming)
 
     async def flush_held(self) -> None:
         """Send collected facts about held parts, for ever."""
         while True:
             await asyncio.sleep(FLUSH_INTERVAL_S)
-            while self._held:
-                batch = self._held[:PARTS_PER_MESSAGE]
-                del self._held[:PARTS_PER_MESSAGE]
-                self.tell(HELD, batch)
+            self._tell_parts(HELD, self._held)
+
+    def _tell_parts(self, kind: str, parts: list[list[Any]]) -> None:
+        while parts:
+            self.tell(kind, parts[:PARTS_PER_MESSAGE])
+            del parts[:PARTS_PER_MESSAGE]
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         try:
--- a/coltsfootfront/direct/holders.py
+++ b/coltsfootfront/direct/holders.py
@@ -19,14 +19,25 @@
 # A part that was used within this time has hardly been evicted, even on a busy target.
 FRESH_S = 3.0
 MAX_PARTS = 8192
+# A part that a target was to read is believed to be there for this long past the expected time
+# without an answer that shows it.
+UNCONFIRMED_S = 1.0
 # Name under which the kept-cache service stands among the holders.
 KEPT_CACHE = "kept-cache"
 
 
 @dataclass(slots=True)
 class _Use:
+    """One target's use of a part.
+
+    :param ready_s: monotonic time from which the target is expected to have it; in the past once
+        an answer has shown that it has.
+    """
+
     used_s: float
     told_s: float
+    ready_s: float = -math.inf
+    is_confirmed: bool = True
 
 
 class Holders:
@@ -59,13 +70,41 @@
             entry[target] = _Use(now_s, now_s)
             return True
         use.used_s = now_s
-        if now_s - use.told_s < RENEW_S:
+        if use.is_confirmed and now_s - use.told_s < RENEW_S:
             return False
+        use.is_confirmed, use.ready_s = True, now_s
         use.told_s = now_s
         return True
 
+    def expect(self, salt: str, key: str, target: str, in_s: float) -> bool:
+        """Note that a target has been given a prompt and is about to read a part.
+
+        Later requests with the part follow to the same target instead of having it read twice.
+
+        :param in_s: time until it is expected to have the part.
+        :returns: whether peers should be told.
+        """
+        if self.holds(salt, key, target):
+            return False
+        now_s = self._clock.monotonic_s()
+        self.note(salt, key, target)
+        ready_s = now_s + in_s
+        self._parts[(salt, key)][target] = _Use(ready_s, now_s, ready_s, is_confirmed=False)
+        return True
+
+    def withdraw(self, salt: str, key: str, target: str) -> None:
+        """Note that a target does not read a part as expected."""
+        use = self._parts.get((salt, key), {}).get(target)
+        if use is not None and not use.is_confirmed:
+            del self._parts[(salt, key)][target]
+
+    def ready_s(self, salt: str, key: str, target: str) -> float:
+        """Monotonic time from which a target can give a part to another."""
+        use = self._parts.get((salt, key), {}).get(target)
+        return use.ready_s if use else math.inf
+
     def holds(self, salt: str, key: str, target: str) -> bool:
-        """Whether a target has used a part lately."""
+        """Whether a target has used a part lately, or is about to read it."""
         return self._age_s(salt, key, target) < KEPT_S
 
     def is_fresh(self, salt: str, key: str, target: str) -> bool:
@@ -74,16 +113,23 @@
 
     def _age_s(self, salt: str, key: str, target: str) -> float:
         use = self._parts.get((salt, key), {}).get(target)
-        return self._clock.monotonic_s() - use.used_s if use else math.inf
+        return _age_s(use, self._clock.monotonic_s()) if use else math.inf
 
     def of(self, salt: str, key: str) -> Iterator[str]:
-        """Targets that have used a part lately."""
+        """Targets that have used a part lately, or are about to read it."""
         now_s = self._clock.monotonic_s()
         for target, use in self._parts.get((salt, key), {}).items():
-            if now_s - use.used_s < KEPT_S or target == KEPT_CACHE:
+            if _age_s(use, now_s) < KEPT_S or target == KEPT_CACHE:
                 yield target
 
     def forget(self, target: str) -> None:
         """Forget what a target held; it was started again or has taken new weights."""
         for entry in self._parts.values():
             entry.pop(target, None)
+
+
+def _age_s(use: _Use, now_s: float) -> float:
+    age_s = now_s - use.used_s
+    if not use.is_confirmed and age_s > UNCONFIRMED_S:
+        return math.inf
+    return age_s
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -343,16 +343,23 @@
         if kind == gossip.HELD:
             for salt, key, name in fields:
                 self._holders.note(salt, key, name)
-            return
-        if kind == gossip.WORK:
-            for name, priority, work_s in fields:
-                target = self._directory.get(name)
-                if target is not None:
-                    target.backlog.add(priority, work_s, self._clock.monotonic_s())
-            return
-        if kind == gossip.REVISION:
+        elif kind == gossip.COMING:
+            for salt, key, name, in_s in fields:
+                self._holders.expect(salt, key, name, in_s)
+        elif kind == gossip.WORK:
+            self._take_work(fields)
+        elif kind == gossip.REVISION:
             self._follower.peer_revision = max(self._follower.peer_revision, fields[0])
-            return
+        else:
+            self._take_loading(kind, fields)
+
+    def _take_work(self, fields: list[Any]) -> None:
+        for name, priority, work_s in fields:
+            target = self._directory.get(name)
+            if target is not None:
+                target.backlog.add(priority, work_s, self._clock.monotonic_s())
+
+    def _take_loading(self, kind: str, fields: list[Any]) -> None:
         name, model, version, for_s = fields
         target = self._directory.get(name)
         if target is None:
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -325,6 +325,8 @@
                 holder = self._versions.target(name)
                 if holder is None or not self._can_give(call, holder, target, now_s):
                     continue
+                if self._holders.ready_s(salt, key, name) > now_s + target.wait_s(0, now_s):
+                    continue
                 is_doubtful = not self._holders.is_fresh(salt, key, name)
                 factor, address = _distance_factor(holder, target), holder.entry.address
             # A holder that may have evicted the part is asked when there is no other: it costs
--- a/coltsfootfront/tests/test_direct_placing.py
+++ b/coltsfootfront/tests/test_direct_placing.py
@@ -71,6 +71,40 @@
         self.assertNotEqual(home.target.name, other.target.name)
         self.assertEqual(home.target.entry.address, other.fetch_from)
 
+    def test_part_that_is_being_read_is_not_read_elsewhere(self) -> None:
+        """Guards against concurrent first requests that each have the same part read."""
+        request = call(parts=(("std", 500), ("doc", 5000), ("own", 100)))
+        home = self._place(request)
+        home.target.backlog.add(0, 0.1, self.clock.monotonic_s())
+        other = self._place(request)
+        self.assertNotEqual(home.target.name, other.target.name)
+        for key in ("std", "doc"):
+            self.assertTrue(self.holders.expect(home.salt, key, home.target.name, 0.2))
+            self.assertFalse(self.holders.expect(home.salt, key, home.target.name, 0.2))
+        self.assertEqual(home.target.name, self._place(request).target.name)
+        # A part that is not there yet cannot be fetched; one that will be when the reading begins
+        # can.
+        home.target.backlog.add(0, 2.0, self.clock.monotonic_s())
+        self.assertEqual("", self._place(request).fetch_from)
+        for number in range(6):
+            target = self.directory.get(f"e{number}")
+            assert target is not None
+            target.backlog.add(0, 0.3, self.clock.monotonic_s())
+        self.assertEqual(home.target.entry.address, self._place(request).fetch_from)
+
+    def test_part_that_was_not_read_as_expected_is_not_relied_on(self) -> None:
+        """Guards against belief in parts whose request was rejected or lost."""
+        self.holders.expect("s", "doc", "e0", 0.2)
+        self.holders.withdraw("s", "doc", "e0")
+        self.assertFalse(self.holders.holds("s", "doc", "e0"))
+        self.holders.expect("s", "doc", "e0", 0.2)
+        self.holders.expect("s", "doc", "e1", 0.2)
+        self.holders.note("s", "doc", "e1")
+        self.holders.withdraw("s", "doc", "e1")
+        self.clock.advance(1.3)
+        self.assertEqual(["e1"], list(self.holders.of("s", "doc")))
+        self.assertFalse(self.holders.holds("s", "doc", "e0"))
+
     def test_parts_that_may_be_evicted_come_from_the_kept_cache(self) -> None:
         """Guards against reading again what the target has dropped meanwhile."""
         request = call(parts=(("std", 500), ("doc", 5000), ("own", 100)))
