Reckon with where the kept cache stands and how wide its link is

Cause: every transfer from the kept cache was taken to cross regions, over the engines' link. The configuration names its data centre and its own link; near engines ranked it last for no reason.

Change: the finding of sources moves from `placing` to a module of its own, `sources`, and the kept cache is a giver like any other: its distance and the narrower of the two links count.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -200,15 +200,12 @@
         if state.customer is not None and state.customer.is_isolated:
             wall = state.customer.name
         kept = self.document.kept_cache()
-        kept_address = kept.kept_cache_address if kept else ""
         service = self.document.services.get(state.service)
         facts = service.engine if service else None
         rank_offset = state.route.priority
         if state.customer is not None and state.customer.priority is not None:
             rank_offset = state.customer.priority
-        return self._prompts.choose(
-            state.call, wall, targets, until_s, facts, kept_address, rank_offset
-        )
+        return self._prompts.choose(state.call, wall, targets, until_s, facts, kept, rank_offset)
 
     def _refusal(self, state: State, message: str) -> RefusedError:
         return refusal(state, message, self._clock.monotonic_s(), self._generator)
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -29,6 +29,7 @@
 from coltsfootfront.direct.registration import ROUTER_PREFIX, Registration, decode_address
 from coltsfootfront.direct.retrying import ServiceBudgets
 from coltsfootfront.direct.settings import NodeSettings
+from coltsfootfront.direct.sources import PartSources
 from coltsfootfront.direct.targetclient import TargetClient
 from coltsfootfront.direct.traffic import CallerLimits, TrafficDocument
 from coltsfootfront.direct.versions import Versions
@@ -306,12 +307,13 @@
     def _build_forwarder(self) -> Forwarder:
         settings = self._settings
         plain = PlainPlacement(self._clock, settings.data_centre, settings.region, self._generator)
+        sources = PartSources(self._clock, settings.regions, self._holders, self._versions)
         return Forwarder(
             self._clock,
             self._directory,
             self._client,
             plain,
-            PromptPlacement(self._clock, settings.region, self._holders, self._versions),
+            PromptPlacement(self._clock, settings.region, sources, self._versions),
             self._holders,
             self._versions,
             self._gossip,
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -7,17 +7,16 @@
 """
 
 import bisect
-import math
 import random
 from dataclasses import dataclass
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.backlog import PRIORITIES
-from coltsfootfront.direct.call import Call, PromptPart
+from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Target
-from coltsfootfront.direct.holders import KEPT_CACHE, Holders
-from coltsfootfront.direct.traffic import EngineFacts
+from coltsfootfront.direct.sources import PartSources
+from coltsfootfront.direct.traffic import EngineFacts, KeptCache
 from coltsfootfront.direct.versions import Versions
 
 # Load, as a share of the slots, that another data centre and another region count for.
@@ -38,13 +37,8 @@
 RUNNING_S = 0.001
 # A request beyond the slots waits for one of those that run.
 SLOT_WAIT_S = 0.05
-# Transfers between data centres take twice, between regions ten times as long.
-OTHER_DATA_CENTRE_FACTOR = 2.0
-OTHER_REGION_FACTOR = 10.0
 # Bounds of the priorities by the tokens that are read; each class takes twice as long.
 READ_CLASSES_TOKENS = (800, 1600, 3200, 6400)
-# Shorter parts are read again sooner than they are brought from elsewhere.
-MIN_SAVED_TOKENS = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,17 +80,6 @@
     until_s: float
 
 
-@dataclass(slots=True)
-class _Source:
-    """Where the parts of a prompt come from at one target."""
-
-    held_tokens: int = 0
-    fetched_tokens: int = 0
-    reread_tokens: int = 0
-    fetch_from: str = ""
-    factor: float = 1.0
-
-
 def salt_of(model: str, version: int, wall: str) -> str:
     """Salt of the cached parts that one version of a model made for those behind one wall."""
     return f"{model}:{version}:{wall}"
@@ -162,14 +145,14 @@
 
     :param clock: time source.
     :param region: region of this router.
-    :param holders: which targets have read which parts.
+    :param sources: where targets get parts from.
     :param versions: named versions of the weights.
     """
 
-    def __init__(self, clock: Clock, region: str, holders: Holders, versions: Versions) -> None:
+    def __init__(self, clock: Clock, region: str, sources: PartSources, versions: Versions) -> None:
         self._clock = clock
         self._region = region
-        self._holders = holders
+        self._sources = sources
         self._versions = versions
 
     def choose(
@@ -179,7 +162,7 @@
         targets: list[Target],
         wait_until_s: float,
         facts: EngineFacts | None,
-        kept_address: str,
+        kept_cache: KeptCache | None,
         rank_offset: int,
     ) -> Place | Wait | None:
         """Choose a target.
@@ -188,7 +171,7 @@
         :param targets: targets of the service that have not been tried.
         :param wait_until_s: monotonic time until which the request may wait for its target.
         :param facts: what the configuration says of the engines.
-        :param kept_address: address of the kept-cache service, empty when there is none.
+        :param kept_cache: None when there is none.
         :param rank_offset: priority of the route or the customer, 0 is the most urgent.
         """
         now_s = self._clock.monotonic_s()
@@ -199,7 +182,7 @@
         usable = preferred(usable, now_s)
         home = self._home(call, wall, usable)
         places = [
-            self._place(call, wall, target, home, facts, kept_address, rank_offset)
+            self._place(call, wall, target, home, facts, kept_cache, rank_offset)
             for target in usable
         ]
         ready = [place for place in places if not place.target.is_loading(now_s)]
@@ -222,18 +205,18 @@
         target: Target,
         home: str,
         facts: EngineFacts | None,
-        kept_address: str,
+        kept_cache: KeptCache | None,
         rank_offset: int,
     ) -> Place:
         now_s = self._clock.monotonic_s()
         version = target.versions.get(call.model)
         salt = salt_of(call.model, version, wall) if version is not None else ""
-        source = self._source(call, salt, target, kept_address)
+        source = self._sources.find(call, salt, target, facts, kept_cache)
         read_tokens = max(0, call.prompt_tokens - source.held_tokens - source.fetched_tokens)
         priority = read_priority(read_tokens, rank_offset)
         cost_s = target.wait_s(priority, now_s) + read_time_s(read_tokens)
         cost_s += read_time_s(source.reread_tokens) * REREAD_FACTOR
-        cost_s += _transfer_s(source, facts)
+        cost_s += source.transfer_s
         load = target.load(now_s)
         cost_s += RUNNING_S * load + SLOT_WAIT_S * max(0, load - target.entry.slots)
         if target.region != self._region:
@@ -247,7 +230,7 @@
             version=version,
             salt=salt,
             fetch_from=source.fetch_from,
-            save_to=kept_address if self._is_worth_saving(call, salt) else "",
+            save_to=self._sources.save_to(call, salt, kept_cache),
             held_tokens=source.held_tokens,
             read_tokens=read_tokens,
             shared_tokens=sum(part.tokens for part in call.shared_parts),
@@ -255,104 +238,3 @@
             expected_s=cost_s,
             load=load,
         )
-
-    def _is_worth_saving(self, call: Call, salt: str) -> bool:
-        """Whether the kept-cache service should get the deepest shared part.
-
-        A part that is used again is likely to be used often; the service's link cannot take
-        every part when new weights empty all targets.
-        """
-        shared = call.shared_parts
-        if not salt or not shared or shared[-1].tokens < MIN_SAVED_TOKENS:
-            return False
-        if self._holders.holds(salt, shared[-1].key, KEPT_CACHE):
-            return False
-        return any(True for _ in self._holders.of(salt, shared[-1].key))
-
-    def _source(self, call: Call, salt: str, target: Target, kept_address: str) -> _Source:
-        """Find out what a target holds of a prompt, and where it can get more."""
-        result = _Source()
-        if not salt:
-            return result
-        shared = call.shared_parts
-        depth = 0
-        while depth < len(shared) and self._holders.holds(salt, shared[depth].key, target.name):
-            result.held_tokens += shared[depth].tokens
-            depth += 1
-        for end in range(len(shared), depth, -1):
-            part = shared[end - 1]
-            found = self._fetch_source(call, salt, part.key, target, kept_address)
-            if found is not None:
-                result.fetch_from, result.factor = found
-                result.fetched_tokens = sum(item.tokens for item in shared[depth:end])
-                depth = end
-                break
-        self._add_kept_cache(result, salt, shared, target, kept_address)
-        for part in shared[depth:]:
-            if any(True for _ in self._holders.of(salt, part.key)):
-                result.reread_tokens += part.tokens
-        return result
-
-    def _add_kept_cache(
-        self,
-        result: _Source,
-        salt: str,
-        shared: tuple[PromptPart, ...],
-        target: Target,
-        kept_address: str,
-    ) -> None:
-        """Name the kept-cache service for parts that the target may have evicted by now."""
-        if result.fetch_from or not kept_address or not shared:
-            return
-        key = shared[-1].key
-        if self._holders.is_fresh(salt, key, target.name):
-            return
-        if self._holders.holds(salt, key, KEPT_CACHE):
-            result.fetch_from, result.factor = kept_address, OTHER_REGION_FACTOR
-
-    def _fetch_source(
-        self, call: Call, salt: str, key: str, target: Target, kept_address: str
-    ) -> tuple[str, float] | None:
-        """Address from which a part can be fetched, and how much longer than usual it takes."""
-        now_s = self._clock.monotonic_s()
-        best: tuple[str, float] | None = None
-        best_rank = (math.inf, math.inf)
-        for name in self._holders.of(salt, key):
-            is_doubtful = False
-            if name == KEPT_CACHE:
-                factor, address = OTHER_REGION_FACTOR, kept_address
-            else:
-                holder = self._versions.target(name)
-                if holder is None or not self._can_give(call, holder, target, now_s):
-                    continue
-                if self._holders.ready_s(salt, key, name) > now_s + target.wait_s(0, now_s):
-                    continue
-                is_doubtful = not self._holders.is_fresh(salt, key, name)
-                factor, address = _distance_factor(holder, target), holder.entry.address
-            # A holder that may have evicted the part is asked when there is no other: it costs
-            # little to find nothing.
-            source_rank = (float(is_doubtful), factor)
-            if address and source_rank < best_rank:
-                best, best_rank = (address, factor), source_rank
-        return best
-
-    def _can_give(self, call: Call, holder: Target, target: Target, now_s: float) -> bool:
-        return (
-            holder is not target
-            and holder.missing_since_s is None
-            and holder.is_sound(now_s)
-            and not holder.is_loading(now_s)
-            and holder.versions.get(call.model) == target.versions.get(call.model)
-        )
-
-
-def _distance_factor(holder: Target, target: Target) -> float:
-    if holder.entry.data_centre == target.entry.data_centre:
-        return 1.0
-    return OTHER_DATA_CENTRE_FACTOR if holder.region == target.region else OTHER_REGION_FACTOR
-
-
-def _transfer_s(source: _Source, facts: EngineFacts | None) -> float:
-    if not source.fetch_from or facts is None or not facts.link_bytes_per_s:
-        return 0.0
-    return source.factor * source.fetched_tokens * facts.token_bytes / facts.link_bytes_per_s
--- /dev/null
+++ b/coltsfootfront/direct/sources.py
@@ -0,0 +1,213 @@
+"""Where a target gets the parts of a prompt from, and when the kept cache should get them.
+
+A part that the target holds costs nothing, one that another target or the kept cache has costs a
+transfer, and all others are read again.
+"""
+
+import math
+from dataclasses import dataclass
+
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.direct.call import Call, PromptPart
+from coltsfootfront.direct.directory import Target
+from coltsfootfront.direct.holders import KEPT_CACHE, Holders
+from coltsfootfront.direct.traffic import EngineFacts, KeptCache
+from coltsfootfront.direct.versions import Versions
+
+# Transfers between data centres take twice, between regions ten times as long.
+OTHER_DATA_CENTRE_FACTOR = 2.0
+OTHER_REGION_FACTOR = 10.0
+# Shorter parts are read again sooner than they are brought from elsewhere.
+MIN_SAVED_TOKENS = 1024
+
+
+@dataclass(slots=True)
+class Source:
+    """Where the parts of a prompt come from at one target.
+
+    :param held_tokens: tokens that the target is believed to hold.
+    :param fetched_tokens: tokens that come from ``fetch_from``.
+    :param reread_tokens: tokens of parts that it reads though another target has read them.
+    :param fetch_from: address of the other target or the kept cache, empty for none.
+    :param transfer_s: time that the transfer takes.
+    """
+
+    held_tokens: int = 0
+    fetched_tokens: int = 0
+    reread_tokens: int = 0
+    fetch_from: str = ""
+    transfer_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Giver:
+    """What can give a part: a target or the kept cache."""
+
+    address: str
+    factor: float
+    link_bytes_per_s: float
+
+
+class PartSources:
+    """Finds the sources of prompt parts.
+
+    :param clock: time source.
+    :param regions: region of each data centre.
+    :param holders: which targets have read which parts.
+    :param versions: named versions of the weights.
+    """
+
+    def __init__(
+        self, clock: Clock, regions: dict[str, str], holders: Holders, versions: Versions
+    ) -> None:
+        self._clock = clock
+        self._regions = regions
+        self._holders = holders
+        self._versions = versions
+
+    def find(
+        self,
+        call: Call,
+        salt: str,
+        target: Target,
+        facts: EngineFacts | None,
+        kept_cache: KeptCache | None,
+    ) -> Source:
+        """Find out what a target holds of a prompt, and where it can get more.
+
+        :param salt: salt of the cached parts, empty when they cannot be shared.
+        :param facts: what the configuration says of the engines.
+        """
+        result = Source()
+        if not salt:
+            return result
+        shared = call.shared_parts
+        depth = self._held_parts(salt, shared, target)
+        result.held_tokens = sum(part.tokens for part in shared[:depth])
+        giver: _Giver | None = None
+        for end in range(len(shared), depth, -1):
+            giver = self._giver(call, salt, shared[end - 1].key, target, facts, kept_cache)
+            if giver is not None:
+                result.fetched_tokens = sum(part.tokens for part in shared[depth:end])
+                depth = end
+                break
+        giver = giver or self._kept_copy(salt, shared, target, facts, kept_cache)
+        if giver is not None:
+            result.fetch_from = giver.address
+            result.transfer_s = _transfer_s(giver, result.fetched_tokens, facts)
+        for part in shared[depth:]:
+            if any(True for _ in self._holders.of(salt, part.key)):
+                result.reread_tokens += part.tokens
+        return result
+
+    def save_to(self, call: Call, salt: str, kept_cache: KeptCache | None) -> str:
+        """Address of the kept cache if it should get the deepest shared part.
+
+        A part that is used again is likely to be used often; the kept cache's link cannot take
+        every part when new weights empty all targets.
+
+        :returns: an empty string if it should not.
+        """
+        shared = call.shared_parts
+        if kept_cache is None or not salt or not shared:
+            return ""
+        part = shared[-1]
+        if part.tokens < MIN_SAVED_TOKENS or self._holders.holds(salt, part.key, KEPT_CACHE):
+            return ""
+        is_known = any(True for _ in self._holders.of(salt, part.key))
+        return kept_cache.address if is_known else ""
+
+    def _held_parts(self, salt: str, shared: tuple[PromptPart, ...], target: Target) -> int:
+        depth = 0
+        while depth < len(shared) and self._holders.holds(salt, shared[depth].key, target.name):
+            depth += 1
+        return depth
+
+    def _kept_copy(
+        self,
+        salt: str,
+        shared: tuple[PromptPart, ...],
+        target: Target,
+        facts: EngineFacts | None,
+        kept_cache: KeptCache | None,
+    ) -> _Giver | None:
+        """The kept cache, for parts that the target may have evicted by now."""
+        if kept_cache is None or not shared:
+            return None
+        key = shared[-1].key
+        if self._holders.is_fresh(salt, key, target.name):
+            return None
+        if not self._holders.holds(salt, key, KEPT_CACHE):
+            return None
+        return self._kept_giver(target, facts, kept_cache)
+
+    def _giver(
+        self,
+        call: Call,
+        salt: str,
+        key: str,
+        target: Target,
+        facts: EngineFacts | None,
+        kept_cache: KeptCache | None,
+    ) -> _Giver | None:
+        """The best giver of a part.
+
+        A holder that may have evicted the part is asked when there is no other: it costs little
+        to find nothing.
+        """
+        best: _Giver | None = None
+        best_rank = (math.inf, math.inf)
+        for name in self._holders.of(salt, key):
+            is_doubtful = False
+            if name == KEPT_CACHE:
+                if kept_cache is None:
+                    continue
+                giver = self._kept_giver(target, facts, kept_cache)
+            else:
+                holder = self._versions.target(name)
+                if holder is None or not self._can_give(call, salt, key, holder, target):
+                    continue
+                is_doubtful = not self._holders.is_fresh(salt, key, name)
+                factor = self._factor(holder.entry.data_centre, target)
+                giver = _Giver(holder.entry.address, factor, _link_bytes_per_s(facts))
+            rank = (float(is_doubtful), giver.factor)
+            if rank < best_rank:
+                best, best_rank = giver, rank
+        return best
+
+    def _can_give(self, call: Call, salt: str, key: str, holder: Target, target: Target) -> bool:
+        now_s = self._clock.monotonic_s()
+        return (
+            holder is not target
+            and holder.missing_since_s is None
+            and holder.is_sound(now_s)
+            and not holder.is_loading(now_s)
+            and holder.versions.get(call.model) == target.versions.get(call.model)
+            # A part that is still being read must be there when the target comes to it.
+            and self._holders.ready_s(salt, key, holder.name) <= now_s + target.wait_s(0, now_s)
+        )
+
+    def _kept_giver(
+        self, target: Target, facts: EngineFacts | None, kept_cache: KeptCache
+    ) -> _Giver:
+        link = min(
+            _link_bytes_per_s(facts), kept_cache.link_bytes_per_s or _link_bytes_per_s(facts)
+        )
+        return _Giver(kept_cache.address, self._factor(kept_cache.data_centre, target), link)
+
+    def _factor(self, data_centre: str, target: Target) -> float:
+        """How much longer than usual a transfer from a data centre to a target takes."""
+        if data_centre == target.entry.data_centre:
+            return 1.0
+        is_near = self._regions.get(data_centre) == target.region
+        return OTHER_DATA_CENTRE_FACTOR if is_near else OTHER_REGION_FACTOR
+
+
+def _link_bytes_per_s(facts: EngineFacts | None) -> float:
+    return facts.link_bytes_per_s if facts is not None else 0.0
+
+
+def _transfer_s(giver: _Giver, tokens: int, facts: EngineFacts | None) -> float:
+    if facts is None or not giver.link_bytes_per_s:
+        return 0.0
+    return giver.factor * tokens * facts.token_bytes / giver.link_bytes_per_s
--- a/coltsfootfront/direct/traffic.py
+++ b/coltsfootfront/direct/traffic.py
@@ -73,17 +73,30 @@
     models: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class KeptCache:
+    """Where engines save parts of prompts that they have read.
+
+    :param address: host and port that engines use.
+    :param link_bytes_per_s: rate at which it gives and takes KV cache, 0 when not said.
+    """
+
+    address: str
+    data_centre: str
+    link_bytes_per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """Targets that do the same work.
 
     :param engine: facts about model engines, None for plain services and kept cache.
-    :param kept_cache_address: address of the kept-cache service, empty for all others.
+    :param kept_cache: None for all others.
     """
 
     name: str
     engine: EngineFacts | None = None
-    kept_cache_address: str = ""
+    kept_cache: KeptCache | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,9 +154,9 @@
         routes.append(route)
         routes.sort(key=lambda item: len(item.prefix), reverse=True)
 
-    def kept_cache(self) -> Service | None:
+    def kept_cache(self) -> KeptCache | None:
         """The kept-cache service, if there is one."""
         for service in self.services.values():
-            if service.kept_cache_address:
-                return service
+            if service.kept_cache is not None:
+                return service.kept_cache
         return None
--- a/coltsfootfront/platform/documents.py
+++ b/coltsfootfront/platform/documents.py
@@ -19,6 +19,7 @@
     CallerLimits,
     Customer,
     EngineFacts,
+    KeptCache,
     Repeat,
     Route,
     Service,
@@ -136,14 +137,21 @@
     if engine:
         facts = EngineFacts(
             token_bytes=int(engine["kv-token-bytes"]),
-            link_bytes_per_s=float(engine.get("link-mbps", 0)) * 1e6 / 8,
+            link_bytes_per_s=_bytes_per_s(engine),
             models=tuple(model["name"] for model in engine.get("models", [])),
         )
-    return Service(
-        name=item["name"],
-        engine=facts,
-        kept_cache_address=item.get("kv-store-addr", ""),
-    )
+    kept_cache = None
+    if item.get("kv-store-addr"):
+        kept_cache = KeptCache(
+            address=item["kv-store-addr"],
+            data_centre=item.get("zone", ""),
+            link_bytes_per_s=_bytes_per_s(item),
+        )
+    return Service(name=item["name"], engine=facts, kept_cache=kept_cache)
+
+
+def _bytes_per_s(item: Json) -> float:
+    return float(item.get("link-mbps", 0)) * 1e6 / 8
 
 
 def _customer(tenant: Json) -> Customer:
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -12,10 +12,12 @@
 from coltsfootfront.direct.holders import Holders
 from coltsfootfront.direct.placing import PlainPlacement, PromptPlacement
 from coltsfootfront.direct.retrying import ServiceBudgets
+from coltsfootfront.direct.sources import PartSources
 from coltsfootfront.direct.targetclient import Directive, Loss, Reply, TargetClient, TargetLostError
 from coltsfootfront.direct.traffic import (
     Customer,
     EngineFacts,
+    KeptCache,
     Repeat,
     Route,
     Service,
@@ -27,6 +29,8 @@
 REGIONS = {"a": "east", "b": "east", "c": "west"}
 MODEL = "m"
 FACTS = EngineFacts(token_bytes=18_432, link_bytes_per_s=35e9, models=(MODEL,))
+# A part of 5,000 tokens occupies its link for 18 ms in its data centre, for 180 ms far away.
+KEPT = KeptCache("kept:1", "c", 5e9)
 
 
 def entry(
@@ -213,7 +217,8 @@
         self.holders = Holders(clock)
         self.versions = Versions(clock, self.directory, 10.0)
         self.client = FakeClient(script)
-        self.placement = PromptPlacement(clock, "east", self.holders, self.versions)
+        sources = PartSources(clock, REGIONS, self.holders, self.versions)
+        self.placement = PromptPlacement(clock, "east", sources, self.versions)
         self.forwarder = Forwarder(
             clock,
             self.directory,
--- a/coltsfootfront/tests/test_direct_placing.py
+++ b/coltsfootfront/tests/test_direct_placing.py
@@ -16,8 +16,9 @@
     read_priority,
     salt_of,
 )
+from coltsfootfront.direct.sources import PartSources
 from coltsfootfront.direct.versions import Versions
-from coltsfootfront.tests.direct_support import FACTS, MODEL, REGIONS, call, entry
+from coltsfootfront.tests.direct_support import FACTS, KEPT, MODEL, REGIONS, call, entry
 from coltsfootfront.tests.support import ManualClock
 
 # Aim of a short request, and what an engine reads in a second, from the users' sheet.
@@ -31,14 +32,15 @@
         self.directory = Directory(self.clock, REGIONS)
         self.holders = Holders(self.clock)
         self.versions = Versions(self.clock, self.directory, 10.0)
-        self.placement = PromptPlacement(self.clock, "east", self.holders, self.versions)
+        sources = PartSources(self.clock, REGIONS, self.holders, self.versions)
+        self.placement = PromptPlacement(self.clock, "east", sources, self.versions)
         for number in range(6):
             self.directory.put(entry(f"e{number}", data_centre="ab"[number % 2]))
 
     def _choose(self, request: Call, wall: str = "", wait_s: float = 0.0) -> Place | Wait | None:
         until_s = self.clock.monotonic_s() + wait_s
         targets = self.directory.of_service("engines")
-        return self.placement.choose(request, wall, targets, until_s, FACTS, "kept:1", 0)
+        return self.placement.choose(request, wall, targets, until_s, FACTS, KEPT, 0)
 
     def _place(self, request: Call, wall: str = "") -> Place:
         found = self._choose(request, wall)
@@ -120,6 +122,23 @@
         again = self._place(request)
         self.assertEqual(("kept:1", ""), (again.fetch_from, again.save_to))
 
+    def test_part_is_fetched_from_the_nearer_of_two_givers(self) -> None:
+        """Guards against transfers between regions while a copy is near."""
+        request = call(parts=(("std", 500), ("doc", 5000), ("own", 100)))
+        self.directory.put(entry("near", data_centre="c"))
+        salt = self._place(request).salt
+        for key in ("std", "doc"):
+            self.holders.note(salt, key, "e0")
+            self.holders.note(salt, key, KEPT_CACHE)
+        for target in self.directory.of_service("engines"):
+            target.backlog.add(0, 0.0 if target.name == "near" else 2.0, self.clock.monotonic_s())
+        self.assertEqual("kept:1", self._place(request).fetch_from)
+        for target in self.directory.of_service("engines"):
+            target.backlog.add(0, 0.0 if target.name == "e1" else 4.0, self.clock.monotonic_s())
+        holder = self.directory.get("e0")
+        assert holder is not None
+        self.assertEqual(holder.entry.address, self._place(request).fetch_from)
+
     def test_target_that_loads_weights_is_waited_for_only_briefly(self) -> None:
         """Guards against requests that wait past their aim for the target of their part."""
         request = call(parts=(("std", 500), ("doc", 5000), ("own", 100)))
@@ -232,7 +251,8 @@
         clock = ManualClock()
         directory = Directory(clock, REGIONS)
         versions = Versions(clock, directory, 10.0)
-        placement = PromptPlacement(clock, "east", Holders(clock), versions)
+        sources = PartSources(clock, REGIONS, Holders(clock), versions)
+        placement = PromptPlacement(clock, "east", sources, versions)
         engines: dict[str, _Engine] = {}
         for number in range(self.ENGINES):
             directory.put(entry(f"e{number}"))
@@ -272,7 +292,7 @@
         targets = directory.of_service("engines")
         if not by_time:
             return min(targets, key=lambda item: len(waiting[item.name]))
-        found = placement.choose(request, "", targets, 0.0, FACTS, "", 0)
+        found = placement.choose(request, "", targets, 0.0, FACTS, None, 0)
         assert isinstance(found, Place)
         return found.target
 
