--- a/coltsfootfront/common/errors.py
+++ b/coltsfootfront/common/errors.py
@@ -3,6 +3,13 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+# Exit status of a program whose settings cannot be used.
+EXIT_BAD_SETTING = 2
+
+
+class SettingsError(Exception):
+    """A settings file that cannot be used; the message is one line."""
+
 
 class RunState(Enum):
     """What is known about the execution of a request that failed."""
--- a/coltsfootfront/common/runtime.py
+++ b/coltsfootfront/common/runtime.py
@@ -2,16 +2,9 @@
 
 import asyncio
 import signal
-import sys
 from abc import ABC, abstractmethod
-from pathlib import Path
-from typing import TypeVar
 
-from coltsfootfront.common import logs, settings
-
-T = TypeVar("T")
-
-EXIT_BAD_SETTING = 2
+from coltsfootfront.common import logs
 
 
 class Program(ABC):
@@ -33,15 +26,6 @@
         """Release everything."""
 
 
-def load_or_exit(path: Path, cls: type[T]) -> T:
-    """Read settings; on an error print one line and exit with status 2."""
-    try:
-        return settings.load(path, cls)
-    except settings.SettingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTING)
-
-
 def serve(program: Program, name: str, log_level: str) -> None:
     """Run a program until SIGTERM or SIGINT, then drain and close it.
 
--- a/coltsfootfront/common/settings.py
+++ b/coltsfootfront/common/settings.py
@@ -6,21 +6,20 @@
 """
 
 import re
+import sys
 import tomllib
 from dataclasses import MISSING, Field, dataclass, field, fields
 from pathlib import Path
 from typing import Any, TypeVar
 
+from coltsfootfront.common.errors import EXIT_BAD_SETTING, SettingsError
+
 T = TypeVar("T")
 
 _KEY_HASH = re.compile("[0-9a-f]{64}")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
-class SettingsError(Exception):
-    """A settings file that cannot be used; the message is one line."""
-
-
 def _setting(
     default: Any,
     unit: str,
@@ -203,6 +202,15 @@
     timeout_s: float = _setting(10.0, "seconds", "Limit for one call.", 0.1, 600)
 
 
+def load_or_exit(path: Path, cls: type[T]) -> T:
+    """Read settings; on an error print one line and exit with status 2."""
+    try:
+        return load(path, cls)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTING)
+
+
 def load(path: Path, cls: type[T]) -> T:
     """Read a settings file.
 
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -11,9 +11,9 @@
 from coltsfootfront import __version__
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.runtime import Program
-from coltsfootfront.common.settings import SettingsError
 from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.direct import gossip
 from coltsfootfront.direct.call import Call, CallerWriter
--- a/coltsfootfront/operation/admin.py
+++ b/coltsfootfront/operation/admin.py
@@ -22,7 +22,7 @@
 from coltsfootfront.common.clock import Clock, SystemClock
 from coltsfootfront.common.errors import ErrorKind, Failure, FailureError, RunState
 from coltsfootfront.common.logs import event
-from coltsfootfront.common.settings import AdminSettings
+from coltsfootfront.common.settings import AdminSettings, load_or_exit
 from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.configuration import schema
 from coltsfootfront.configuration.entries import Entries, canonical, digest, join, split
@@ -527,7 +527,7 @@
 def main() -> None:
     """Run the program until SIGTERM."""
     arguments = cappa.parse(Arguments, version=__version__)
-    settings = runtime.load_or_exit(arguments.config, AdminSettings)
+    settings = load_or_exit(arguments.config, AdminSettings)
     runtime.serve(Admin(settings, SystemClock()), settings.name, settings.log_level)
 
 
--- a/coltsfootfront/operation/cli.py
+++ b/coltsfootfront/operation/cli.py
@@ -16,15 +16,14 @@
 import cappa
 
 from coltsfootfront import __version__
-from coltsfootfront.common import runtime
 from coltsfootfront.common.clock import Clock, SystemClock
-from coltsfootfront.common.errors import ErrorKind, RunState
-from coltsfootfront.common.settings import OperatorSettings
+from coltsfootfront.common.errors import EXIT_BAD_SETTING, ErrorKind, RunState
+from coltsfootfront.common.settings import OperatorSettings, load_or_exit
 from coltsfootfront.configuration import schema
 from coltsfootfront.keyvalue.etcd import read_bounded
 
 EXIT_FAILURE = 1
-EXIT_BAD_INPUT = runtime.EXIT_BAD_SETTING
+EXIT_BAD_INPUT = EXIT_BAD_SETTING
 # A change whose outcome is unknown is repeated with its operation id.
 CHANGE_ATTEMPTS = 4
 RETRY_S = 0.5
@@ -384,7 +383,7 @@
     arguments = cappa.parse(Arguments, version=__version__)
     settings = OperatorSettings()
     if arguments.config is not None:
-        settings = runtime.load_or_exit(arguments.config, OperatorSettings)
+        settings = load_or_exit(arguments.config, OperatorSettings)
     try:
         lines = asyncio.run(run(arguments.command, settings, SystemClock()))
     except CommandError as error:
--- a/coltsfootfront/platform/program.py
+++ b/coltsfootfront/platform/program.py
@@ -7,8 +7,8 @@
 
 from coltsfootfront import __version__
 from coltsfootfront.common.clock import SystemClock
-from coltsfootfront.common.runtime import EXIT_BAD_SETTING, serve
-from coltsfootfront.common.settings import SettingsError
+from coltsfootfront.common.errors import EXIT_BAD_SETTING, SettingsError
+from coltsfootfront.common.runtime import serve
 from coltsfootfront.direct.node import Node
 from coltsfootfront.direct.settings import NodeSettings
 from coltsfootfront.platform import settings
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any
 
-from coltsfootfront.common.settings import SettingsError
+from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.direct.settings import Bounds, NodeSettings, StoreSettings
 
 PATH_VARIABLE = "COLTSFOOTFRONT_CONFIG"
--- a/coltsfootfront/serving/router.py
+++ b/coltsfootfront/serving/router.py
@@ -14,8 +14,8 @@
 from coltsfootfront.common.clock import Clock, SystemClock
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.retries import RetryBudget
-from coltsfootfront.common.runtime import Program, load_or_exit, serve
-from coltsfootfront.common.settings import RouterSettings
+from coltsfootfront.common.runtime import Program, serve
+from coltsfootfront.common.settings import RouterSettings, load_or_exit
 from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.configuration.document import Region
 from coltsfootfront.configuration.revision import InForce, Revision
--- a/coltsfootfront/targets/agent.py
+++ b/coltsfootfront/targets/agent.py
@@ -13,8 +13,8 @@
 from coltsfootfront.common.clock import Clock, SystemClock
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.pause import PauseDetector
-from coltsfootfront.common.runtime import Program, load_or_exit, serve
-from coltsfootfront.common.settings import AgentSettings
+from coltsfootfront.common.runtime import Program, serve
+from coltsfootfront.common.settings import AgentSettings, load_or_exit
 from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.configuration.document import KIND_ENGINE, KIND_KEPT_CACHE, KIND_SERVICE
 from coltsfootfront.configuration.revision import InForce, Revision
--- a/coltsfootfront/tests/test_platform_program.py
+++ b/coltsfootfront/tests/test_platform_program.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from coltsfootfront.common.settings import SettingsError
+from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.platform import settings
 from coltsfootfront_dev.platformfleet import HOST, KEY, PlatformFleet, settings_fields, to_toml
 
--- a/coltsfootfront/tests/test_settings.py
+++ b/coltsfootfront/tests/test_settings.py
@@ -3,7 +3,8 @@
 import unittest
 from typing import Any
 
-from coltsfootfront.common.settings import OperatorSettings, RouterSettings, SettingsError, parse
+from coltsfootfront.common.errors import SettingsError
+from coltsfootfront.common.settings import OperatorSettings, RouterSettings, parse
 
 REQUIRED = {
     "name": "router-1",
