Use every kept cache that the configuration names

Cause: grown deployments have three kept-cache services; the router took the first it found. Its 804 thousand tokens cannot hold the 1.3 million of Granite's dossiers, so that most parts were dropped before their next use.

Ruled out: concurrent first reads (0.19 million) and choices against a holder (0.05 million).

Change: a part goes to one of the kept caches in its target's region, by rendezvous hashing, and each is a holder of its own.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -199,13 +199,14 @@
         wall = ""
         if state.customer is not None and state.customer.is_isolated:
             wall = state.customer.name
-        kept = self.document.kept_cache()
         service = self.document.services.get(state.service)
         facts = service.engine if service else None
         rank_offset = state.route.priority
         if state.customer is not None and state.customer.priority is not None:
             rank_offset = state.customer.priority
-        return self._prompts.choose(state.call, wall, targets, until_s, facts, kept, rank_offset)
+        return self._prompts.choose(
+            state.call, wall, targets, until_s, facts, self.document.kept_caches(), rank_offset
+        )
 
     def _refusal(self, state: State, message: str) -> RefusedError:
         return refusal(state, message, self._clock.monotonic_s(), self._generator)
@@ -314,7 +315,7 @@
             version=place.version,
             salt=place.salt,
             fetch_from=place.fetch_from,
-            save_to=place.save_to,
+            save_to=place.save_to.address if place.save_to else "",
             resume_after=state.checker.last,
         )
 
--- a/coltsfootfront/direct/holders.py
+++ b/coltsfootfront/direct/holders.py
@@ -22,8 +22,18 @@
 # A part that a target was to read is believed to be there for this long past the expected time
 # without an answer that shows it.
 UNCONFIRMED_S = 1.0
-# Name under which the kept-cache service stands among the holders.
-KEPT_CACHE = "kept-cache"
+# Begins the names under which kept-cache services stand among the holders.
+_KEPT_PREFIX = "kept/"
+
+
+def kept_name(service: str) -> str:
+    """Name under which a kept-cache service stands among the holders."""
+    return _KEPT_PREFIX + service
+
+
+def is_kept_name(name: str) -> bool:
+    """Whether a holder is a kept-cache service."""
+    return name.startswith(_KEPT_PREFIX)
 
 
 @dataclass(slots=True)
@@ -119,7 +129,7 @@
         """Targets that have used a part lately, or are about to read it."""
         now_s = self._clock.monotonic_s()
         for target, use in self._parts.get((salt, key), {}).items():
-            if _age_s(use, now_s) < KEPT_S or target == KEPT_CACHE:
+            if _age_s(use, now_s) < KEPT_S or is_kept_name(target):
                 yield target
 
     def forget(self, target: str) -> None:
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -48,7 +48,7 @@
     :param version: version of the weights that must answer, None for plain services.
     :param salt: separates cached parts of different versions and isolated customers.
     :param fetch_from: address of a target that holds more of the prompt, empty for none.
-    :param save_to: address of the kept-cache service if the prompt's parts should go there.
+    :param save_to: kept-cache service to which the prompt's parts should go, None for none.
     :param held_tokens: tokens of the prompt that the target is believed to hold.
     :param read_tokens: tokens of the prompt that it is expected to read.
     :param shared_tokens: tokens of the prompt that other requests may share.
@@ -61,7 +61,7 @@
     version: int | None = None
     salt: str = ""
     fetch_from: str = ""
-    save_to: str = ""
+    save_to: KeptCache | None = None
     held_tokens: int = 0
     read_tokens: int = 0
     shared_tokens: int = 0
@@ -162,7 +162,7 @@
         targets: list[Target],
         wait_until_s: float,
         facts: EngineFacts | None,
-        kept_cache: KeptCache | None,
+        kept_caches: tuple[KeptCache, ...],
         rank_offset: int,
     ) -> Place | Wait | None:
         """Choose a target.
@@ -171,7 +171,7 @@
         :param targets: targets of the service that have not been tried.
         :param wait_until_s: monotonic time until which the request may wait for its target.
         :param facts: what the configuration says of the engines.
-        :param kept_cache: None when there is none.
+        :param kept_caches: where engines may save parts and fetch them.
         :param rank_offset: priority of the route or the customer, 0 is the most urgent.
         """
         now_s = self._clock.monotonic_s()
@@ -182,7 +182,7 @@
         usable = preferred(usable, now_s)
         home = self._home(call, wall, usable)
         places = [
-            self._place(call, wall, target, home, facts, kept_cache, rank_offset)
+            self._place(call, wall, target, home, facts, kept_caches, rank_offset)
             for target in usable
         ]
         ready = [place for place in places if not place.target.is_loading(now_s)]
@@ -205,13 +205,13 @@
         target: Target,
         home: str,
         facts: EngineFacts | None,
-        kept_cache: KeptCache | None,
+        kept_caches: tuple[KeptCache, ...],
         rank_offset: int,
     ) -> Place:
         now_s = self._clock.monotonic_s()
         version = target.versions.get(call.model)
         salt = salt_of(call.model, version, wall) if version is not None else ""
-        source = self._sources.find(call, salt, target, facts, kept_cache)
+        source = self._sources.find(call, salt, target, facts, kept_caches)
         read_tokens = max(0, call.prompt_tokens - source.held_tokens - source.fetched_tokens)
         priority = read_priority(read_tokens, rank_offset)
         cost_s = target.wait_s(priority, now_s) + read_time_s(read_tokens)
@@ -230,7 +230,7 @@
             version=version,
             salt=salt,
             fetch_from=source.fetch_from,
-            save_to=self._sources.save_to(call, salt, kept_cache),
+            save_to=self._sources.save_to(call, salt, target, kept_caches),
             held_tokens=source.held_tokens,
             read_tokens=read_tokens,
             shared_tokens=sum(part.tokens for part in call.shared_parts),
--- a/coltsfootfront/direct/relaying.py
+++ b/coltsfootfront/direct/relaying.py
@@ -7,7 +7,7 @@
 from coltsfootfront.direct.call import CallerWriter
 from coltsfootfront.direct.course import AgainError, State, refusal
 from coltsfootfront.direct.gossip import Gossip
-from coltsfootfront.direct.holders import KEPT_CACHE, Holders
+from coltsfootfront.direct.holders import Holders, kept_name
 from coltsfootfront.direct.placing import Place
 from coltsfootfront.direct.retrying import ServiceBudgets
 from coltsfootfront.direct.targetclient import Loss, Reply, TargetLostError
@@ -130,7 +130,7 @@
     def _note_parts(self, state: State, place: Place) -> None:
         name = place.target.name
         for part in state.call.shared_parts:
-            names = [name, KEPT_CACHE] if place.save_to else [name]
+            names = [name, kept_name(place.save_to.name)] if place.save_to else [name]
             for holder in names:
                 if self._holders.note(place.salt, part.key, holder):
                     self._gossip.tell_held(place.salt, part.key, holder)
--- a/coltsfootfront/direct/sources.py
+++ b/coltsfootfront/direct/sources.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass
 
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.call import Call, PromptPart
 from coltsfootfront.direct.directory import Target
-from coltsfootfront.direct.holders import KEPT_CACHE, Holders
+from coltsfootfront.direct.holders import Holders, is_kept_name, kept_name
 from coltsfootfront.direct.traffic import EngineFacts, KeptCache
 from coltsfootfront.direct.versions import Versions
 
@@ -71,7 +72,7 @@
         salt: str,
         target: Target,
         facts: EngineFacts | None,
-        kept_cache: KeptCache | None,
+        kept_caches: tuple[KeptCache, ...],
     ) -> Source:
         """Find out what a target holds of a prompt, and where it can get more.
 
@@ -86,12 +87,12 @@
         result.held_tokens = sum(part.tokens for part in shared[:depth])
         giver: _Giver | None = None
         for end in range(len(shared), depth, -1):
-            giver = self._giver(call, salt, shared[end - 1].key, target, facts, kept_cache)
+            giver = self._giver(call, salt, shared[end - 1].key, target, facts, kept_caches)
             if giver is not None:
                 result.fetched_tokens = sum(part.tokens for part in shared[depth:end])
                 depth = end
                 break
-        giver = giver or self._kept_copy(salt, shared, target, facts, kept_cache)
+        giver = giver or self._kept_copy(salt, shared, target, facts, kept_caches)
         if giver is not None:
             result.fetch_from = giver.address
             result.transfer_s = _transfer_s(giver, result.fetched_tokens, facts)
@@ -100,22 +101,35 @@
                 result.reread_tokens += part.tokens
         return result
 
-    def save_to(self, call: Call, salt: str, kept_cache: KeptCache | None) -> str:
-        """Address of the kept cache if it should get the deepest shared part.
+    def save_to(
+        self, call: Call, salt: str, target: Target, kept_caches: tuple[KeptCache, ...]
+    ) -> KeptCache | None:
+        """Kept cache that should get the deepest shared part from a target.
 
-        A part that is used again is likely to be used often; the kept cache's link cannot take
-        every part when new weights empty all targets.
-
-        :returns: an empty string if it should not.
+        A part that is used again is likely to be used often; the kept caches' links cannot take
+        every part when new weights empty all targets. Several kept caches share the parts of a
+        region, so that each part is kept once, near its target.
         """
         shared = call.shared_parts
-        if kept_cache is None or not salt or not shared:
-            return ""
+        if not kept_caches or not salt or not shared:
+            return None
         part = shared[-1]
-        if part.tokens < MIN_SAVED_TOKENS or self._holders.holds(salt, part.key, KEPT_CACHE):
-            return ""
-        is_known = any(True for _ in self._holders.of(salt, part.key))
-        return kept_cache.address if is_known else ""
+        if part.tokens < MIN_SAVED_TOKENS:
+            return None
+        if any(self._is_kept(salt, part.key, cache) for cache in kept_caches):
+            return None
+        if not any(True for _ in self._holders.of(salt, part.key)):
+            return None
+        near = {
+            cache.name: cache
+            for cache in kept_caches
+            if self._regions.get(cache.data_centre) == target.region
+        }
+        candidates = near or {cache.name: cache for cache in kept_caches}
+        return candidates[rank(f"{salt}/{part.key}".encode(), list(candidates), 1)[0]]
+
+    def _is_kept(self, salt: str, key: str, cache: KeptCache) -> bool:
+        return self._holders.holds(salt, key, kept_name(cache.name))
 
     def _held_parts(self, salt: str, shared: tuple[PromptPart, ...], target: Target) -> int:
         depth = 0
@@ -129,17 +143,17 @@
         shared: tuple[PromptPart, ...],
         target: Target,
         facts: EngineFacts | None,
-        kept_cache: KeptCache | None,
+        kept_caches: tuple[KeptCache, ...],
     ) -> _Giver | None:
-        """The kept cache, for parts that the target may have evicted by now."""
-        if kept_cache is None or not shared:
-            return None
-        key = shared[-1].key
-        if self._holders.is_fresh(salt, key, target.name):
-            return None
-        if not self._holders.holds(salt, key, KEPT_CACHE):
+        """The nearest kept copy of parts that the target may have evicted by now."""
+        if not shared or self._holders.is_fresh(salt, shared[-1].key, target.name):
             return None
-        return self._kept_giver(target, facts, kept_cache)
+        givers = [
+            self._kept_giver(target, facts, cache)
+            for cache in kept_caches
+            if self._is_kept(salt, shared[-1].key, cache)
+        ]
+        return min(givers, key=lambda giver: giver.factor, default=None)
 
     def _giver(
         self,
@@ -148,7 +162,7 @@
         key: str,
         target: Target,
         facts: EngineFacts | None,
-        kept_cache: KeptCache | None,
+        kept_caches: tuple[KeptCache, ...],
     ) -> _Giver | None:
         """The best giver of a part.
 
@@ -157,12 +171,13 @@
         """
         best: _Giver | None = None
         best_rank = (math.inf, math.inf)
+        caches = {kept_name(cache.name): cache for cache in kept_caches}
         for name in self._holders.of(salt, key):
             is_doubtful = False
-            if name == KEPT_CACHE:
-                if kept_cache is None:
+            if is_kept_name(name):
+                if name not in caches:
                     continue
-                giver = self._kept_giver(target, facts, kept_cache)
+                giver = self._kept_giver(target, facts, caches[name])
             else:
                 holder = self._versions.target(name)
                 if holder is None or not self._can_give(call, salt, key, holder, target):
@@ -170,9 +185,9 @@
                 is_doubtful = not self._holders.is_fresh(salt, key, name)
                 factor = self._factor(holder.entry.data_centre, target)
                 giver = _Giver(holder.entry.address, factor, _link_bytes_per_s(facts))
-            rank = (float(is_doubtful), giver.factor)
-            if rank < best_rank:
-                best, best_rank = giver, rank
+            giver_rank = (float(is_doubtful), giver.factor)
+            if giver_rank < best_rank:
+                best, best_rank = giver, giver_rank
         return best
 
     def _can_give(self, call: Call, salt: str, key: str, holder: Target, target: Target) -> bool:
--- a/coltsfootfront/direct/traffic.py
+++ b/coltsfootfront/direct/traffic.py
@@ -75,12 +75,13 @@
 
 @dataclass(frozen=True, slots=True)
 class KeptCache:
-    """Where engines save parts of prompts that they have read.
+    """A service in which engines save parts of prompts that they have read.
 
     :param address: host and port that engines use.
     :param link_bytes_per_s: rate at which it gives and takes KV cache, 0 when not said.
     """
 
+    name: str
     address: str
     data_centre: str
     link_bytes_per_s: float
@@ -154,9 +155,7 @@
         routes.append(route)
         routes.sort(key=lambda item: len(item.prefix), reverse=True)
 
-    def kept_cache(self) -> KeptCache | None:
-        """The kept-cache service, if there is one."""
-        for service in self.services.values():
-            if service.kept_cache is not None:
-                return service.kept_cache
-        return None
+    def kept_caches(self) -> tuple[KeptCache, ...]:
+        """The kept-cache services."""
+        found = (service.kept_cache for service in self.services.values())
+        return tuple(cache for cache in found if cache is not None)
--- a/coltsfootfront/platform/documents.py
+++ b/coltsfootfront/platform/documents.py
@@ -143,6 +143,7 @@
     kept_cache = None
     if item.get("kv-store-addr"):
         kept_cache = KeptCache(
+            name=item["name"],
             address=item["kv-store-addr"],
             data_centre=item.get("zone", ""),
             link_bytes_per_s=_bytes_per_s(item),
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -30,7 +30,7 @@
 MODEL = "m"
 FACTS = EngineFacts(token_bytes=18_432, link_bytes_per_s=35e9, models=(MODEL,))
 # A part of 5,000 tokens occupies its link for 18 ms in its data centre, for 180 ms far away.
-KEPT = KeptCache("kept:1", "c", 5e9)
+KEPT = KeptCache("kept", "kept:1", "c", 5e9)
 
 
 def entry(
--- a/coltsfootfront/tests/test_direct_placing.py
+++ b/coltsfootfront/tests/test_direct_placing.py
@@ -7,7 +7,7 @@
 
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Directory, Target
-from coltsfootfront.direct.holders import KEPT_CACHE, Holders
+from coltsfootfront.direct.holders import Holders, kept_name
 from coltsfootfront.direct.placing import (
     Place,
     PlainPlacement,
@@ -17,6 +17,7 @@
     salt_of,
 )
 from coltsfootfront.direct.sources import PartSources
+from coltsfootfront.direct.traffic import KeptCache
 from coltsfootfront.direct.versions import Versions
 from coltsfootfront.tests.direct_support import FACTS, KEPT, MODEL, REGIONS, call, entry
 from coltsfootfront.tests.support import ManualClock
@@ -29,6 +30,7 @@
 class PromptPlacementTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
+        self.kept: tuple[KeptCache, ...] = (KEPT,)
         self.directory = Directory(self.clock, REGIONS)
         self.holders = Holders(self.clock)
         self.versions = Versions(self.clock, self.directory, 10.0)
@@ -40,7 +42,7 @@
     def _choose(self, request: Call, wall: str = "", wait_s: float = 0.0) -> Place | Wait | None:
         until_s = self.clock.monotonic_s() + wait_s
         targets = self.directory.of_service("engines")
-        return self.placement.choose(request, wall, targets, until_s, FACTS, KEPT, 0)
+        return self.placement.choose(request, wall, targets, until_s, FACTS, self.kept, 0)
 
     def _place(self, request: Call, wall: str = "") -> Place:
         found = self._choose(request, wall)
@@ -111,16 +113,16 @@
         """Guards against reading again what the target has dropped meanwhile."""
         request = call(parts=(("std", 500), ("doc", 5000), ("own", 100)))
         home = self._place(request)
-        self.assertEqual("", home.save_to)
+        self.assertIsNone(home.save_to)
         for key in ("std", "doc"):
             self.holders.note(home.salt, key, home.target.name)
-        self.assertEqual("kept:1", self._place(request).save_to)
+        self.assertIs(KEPT, self._place(request).save_to)
         for key in ("std", "doc"):
-            self.holders.note(home.salt, key, KEPT_CACHE)
+            self.holders.note(home.salt, key, kept_name(KEPT.name))
         self.assertEqual("", self._place(request).fetch_from)
         self.clock.advance(8.0)
         again = self._place(request)
-        self.assertEqual(("kept:1", ""), (again.fetch_from, again.save_to))
+        self.assertEqual(("kept:1", None), (again.fetch_from, again.save_to))
 
     def test_part_is_fetched_from_the_nearer_of_two_givers(self) -> None:
         """Guards against transfers between regions while a copy is near."""
@@ -129,7 +131,7 @@
         salt = self._place(request).salt
         for key in ("std", "doc"):
             self.holders.note(salt, key, "e0")
-            self.holders.note(salt, key, KEPT_CACHE)
+            self.holders.note(salt, key, kept_name(KEPT.name))
         for target in self.directory.of_service("engines"):
             target.backlog.add(0, 0.0 if target.name == "near" else 2.0, self.clock.monotonic_s())
         self.assertEqual("kept:1", self._place(request).fetch_from)
@@ -139,6 +141,26 @@
         assert holder is not None
         self.assertEqual(holder.entry.address, self._place(request).fetch_from)
 
+    def test_kept_caches_share_the_parts_of_their_region(self) -> None:
+        """Guards against one kept cache that drops what it was given while others stand empty."""
+        names = ("one", "two", "three", "far")
+        self.kept = tuple(
+            KeptCache(name, f"{name}:1", "c" if name == "far" else "a", 5e9) for name in names
+        )
+        saved = set()
+        for number in range(30):
+            request = call(parts=((f"doc{number}", 5000), ("own", 100)))
+            place = self._place(request)
+            self.holders.note(place.salt, f"doc{number}", place.target.name)
+            first = self._place(request).save_to
+            assert first is not None
+            saved.add(first.name)
+            self.holders.note(place.salt, f"doc{number}", kept_name(first.name))
+            self.assertIsNone(self._place(request).save_to)
+            self.clock.advance(8.0)
+            self.assertEqual(first.address, self._place(request).fetch_from)
+        self.assertEqual({"one", "two", "three"}, saved)
+
     def test_target_that_loads_weights_is_waited_for_only_briefly(self) -> None:
         """Guards against requests that wait past their aim for the target of their part."""
         request = call(parts=(("std", 500), ("doc", 5000), ("own", 100)))
@@ -292,7 +314,7 @@
         targets = directory.of_service("engines")
         if not by_time:
             return min(targets, key=lambda item: len(waiting[item.name]))
-        found = placement.choose(request, "", targets, 0.0, FACTS, None, 0)
+        found = placement.choose(request, "", targets, 0.0, FACTS, (), 0)
         assert isinstance(found, Place)
         return found.target
 
