Hold the platform's store to the contract of every store

The contract tests of the store's interface ran against the etcd adapter alone. A store that goes away under an open connection leaves a write ambiguous, as it may have read it; only a refused connection is certain.

--- a/coltsfootfront/tests/test_store.py
+++ b/coltsfootfront/tests/test_store.py
@@ -10,6 +10,8 @@
 from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
 from coltsfootfront.keyvalue.etcd import EtcdStore
 from coltsfootfront.keyvalue.store import Compare, Put, Store, Transaction, WatchEvent
+from coltsfootfront.platform.store import PlatformStore
+from coltsfootfront_dev.platformstore import PlatformStoreStandIn
 from coltsfootfront_dev.store import StoreStandIn
 
 WATCH_TIMEOUT_S = 3.0
@@ -194,3 +196,40 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class PlatformStoreTest(Contracts.StoreContract):
+    """The adapter of the users' platform against its stand-in."""
+
+    async def make_store(self) -> Store:
+        self.stand_in = PlatformStoreStandIn()
+        await self.stand_in.start()
+        store = PlatformStore(self.stand_in.address)
+        await store.start()
+        self.addAsyncCleanup(self.stand_in.close)
+        self.addAsyncCleanup(store.close)
+        return store
+
+    async def expire_leases(self) -> None:
+        self.stand_in.expire_leases()
+
+    async def test_faults(self) -> None:
+        """Guards against a wrong claim about the effect of a call that failed."""
+        unavailable, ambiguous = ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_AMBIGUOUS
+        self.stand_in.faults.refuses = True
+        self.assertEqual(unavailable, kind_of(await self.store.get("f/1")))
+        self.assertIn(
+            kind_of(await self.store.commit(create("f/1", b""))), (unavailable, ambiguous)
+        )
+        self.stand_in.faults.refuses = False
+        self.assertEqual(Success(None), await self.store.get("f/1"))
+        self.stand_in.faults.loses_writes = True
+        self.assertEqual(ambiguous, kind_of(await self.store.commit(create("f/2", b""))))
+        self.stand_in.faults.loses_writes = False
+        self.assertIsNotNone((await self.store.get("f/2")).unwrap())
+
+    async def test_refused_connection_has_no_effect(self) -> None:
+        """Guards against calling a write ambiguous that never left this process."""
+        await self.stand_in.close()
+        result = await self.store.commit(create("k", b""))
+        self.assertEqual(ErrorKind.STORE_UNAVAILABLE, kind_of(result))
--- a/coltsfootfront_dev/platformstore.py
+++ b/coltsfootfront_dev/platformstore.py
@@ -93,6 +93,11 @@
         self._history.clear()
         self._kept_after = self._revision
 
+    def expire_leases(self) -> None:
+        """Let every lease lapse, as when its holder was paused for long."""
+        for lease in list(self._leases):
+            self._end_lease(lease)
+
     def get(self, key: str) -> bytes | None:
         """Value of a key."""
         self._expire()
