Bound the requests under way by the memory of the VM

Cause: a router took every request that came.

Change: beyond (memory - 80 MB) / 128 kB requests a new one is refused at once with a time to come back. The decision is `admission`, which needs no network. Ruled out: a fixed number, which would refuse on a large VM while targets have room.

The fields of a request's last log line moved from `forwarder` to `course`.

--- a/coltsfootfront/direct/course.py
+++ b/coltsfootfront/direct/course.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass, field
+from typing import Any
 
 from coltsfootfront.common.errors import ErrorKind, Failure, RunState
 from coltsfootfront.direct.call import Call
@@ -76,3 +77,36 @@
         return RefusedError(Failure(ErrorKind.OVERLOADED, message, retry_after_s=wait_s))
     kind = ErrorKind.TARGET_FAILED
     return RefusedError(Failure(kind, message, state.run, may_repeat=False))
+
+
+def course_fields(call: Call, state: State | None) -> dict[str, Any]:
+    """What decided the course of a request, for its log line; unknown fields are None.
+
+    :param state: None for a request that was refused before it had a route.
+    """
+    fields: dict[str, Any] = {"id": call.request_id, "reason": None, "sends": 0}
+    if state is None:
+        return fields
+    fields |= {
+        "reason": state.reason or None,
+        "sends": state.sends,
+        "route": state.route.name,
+        "customer": state.customer.name if state.customer else None,
+        "status": state.status,
+        "placed_s": state.placed_s,
+        "first_s": state.first_s,
+    }
+    place = state.place
+    if place is None:
+        return fields
+    return fields | {
+        "target": place.target.name,
+        "weights": place.version,
+        "fetch": place.fetch_from or None,
+        "held_tokens": place.held_tokens,
+        "shared_tokens": place.shared_tokens,
+        "read_tokens": place.read_tokens,
+        "prompt_tokens": call.prompt_tokens or None,
+        "load": place.load,
+        "expected_s": place.expected_s,
+    }
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -14,8 +14,9 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, Failure, RunState
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct import admission
 from coltsfootfront.direct.call import Call, CallerWriter
-from coltsfootfront.direct.course import AgainError, RefusedError, State, refusal
+from coltsfootfront.direct.course import AgainError, RefusedError, State, course_fields, refusal
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.events import StreamBrokenError
 from coltsfootfront.direct.gossip import Gossip
@@ -86,6 +87,8 @@
         self.ends_s = math.inf
         """Monotonic time at which this process ends."""
         self.in_progress = 0
+        self.most_in_progress = math.inf
+        """Bound on requests under way, by the memory of the VM."""
 
     async def serve(self, call: Call, writer: CallerWriter) -> None:
         """Answer one request."""
@@ -110,34 +113,17 @@
             self.in_progress -= 1
 
     def _log_end(self, call: Call, state: State | None, outcome: str, reason: str) -> None:
-        place = state.place if state else None
-        log.info(
-            event(
-                "request_ended",
-                id=call.request_id,
-                outcome=outcome,
-                reason=reason or (state.reason if state else "") or None,
-                route=state.route.name if state else None,
-                customer=state.customer.name if state and state.customer else None,
-                target=place.target.name if place else None,
-                weights=place.version if place else None,
-                fetch=(place.fetch_from or None) if place else None,
-                held_tokens=place.held_tokens if place else None,
-                shared_tokens=place.shared_tokens if place else None,
-                read_tokens=place.read_tokens if place else None,
-                prompt_tokens=call.prompt_tokens or None,
-                load=place.load if place else None,
-                expected_s=place.expected_s if place else None,
-                status=state.status if state else None,
-                sends=state.sends if state else 0,
-                config=self.document.number,
-                placed_s=state.placed_s if state else None,
-                first_s=state.first_s if state else None,
-                took_s=self._clock.monotonic_s() - call.received_s,
-            )
-        )
+        fields = course_fields(call, state)
+        fields["reason"] = reason or fields["reason"]
+        took_s = self._clock.monotonic_s() - call.received_s
+        config = self.document.number
+        log.info(event("request_ended", **fields, outcome=outcome, config=config, took_s=took_s))
 
     def _admit(self, call: Call) -> State:
+        if self.in_progress > self.most_in_progress:
+            message = f"{self.in_progress} requests are under way"
+            failure = Failure(ErrorKind.OVERLOADED, message, retry_after_s=admission.RETRY_S)
+            raise RefusedError(failure)
         document = self.document
         if not document.number:
             raise RefusedError(Failure(ErrorKind.NO_TARGET, "no configuration is known yet"))
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -15,7 +15,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.runtime import Program
 from coltsfootfront.common.supervisor import Supervisor
-from coltsfootfront.direct import gossip
+from coltsfootfront.direct import admission, gossip
 from coltsfootfront.direct.call import Call, CallerWriter
 from coltsfootfront.direct.directory import Directory, Entry, Target
 from coltsfootfront.direct.following import Follower, Item, WatchableStore
@@ -154,6 +154,7 @@
             clock, bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
         )
         self._forwarder = self._build_forwarder()
+        self._forwarder.most_in_progress = admission.most_requests(settings.memory_bytes)
         self._follower = Follower(store, self._peers, clock, "", self._take_item, generator)
         self._peers.follower = self._follower
         lease_life_s = max(LEASE_LIFE_S, settings.store.shortest_lease_s)
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -47,6 +47,7 @@
     :param peer_address: where other routers connect.
     :param gossip_port: UDP port for short messages between routers.
     :param metrics_port: port of the metrics address.
+    :param memory_bytes: memory of the VM; a process that takes more is ended.
     :param seed_addresses: peer addresses of a few routers, which may be stale.
     """
 
@@ -60,6 +61,7 @@
     peer_address: str
     gossip_port: int
     metrics_port: int
+    memory_bytes: int
     seed_addresses: list[str]
     store: StoreSettings
     bounds: Bounds
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -44,6 +44,7 @@
         peer_address=reader.address("listen.control"),
         gossip_port=first_port,
         metrics_port=last_port,
+        memory_bytes=int(reader.number("limits.memory-mb") * 1024 * 1024),
         seed_addresses=[str(item) for item in fields.get("seed-addrs", [])],
         store=StoreSettings(
             address=reader.address("provider.address"),
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -5,6 +5,7 @@
 
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.errors import ErrorKind, RunState
+from coltsfootfront.direct.admission import most_requests
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.targetclient import Directive, Loss, Reply
@@ -105,6 +106,25 @@
                 assert writer.failure is not None
                 self.assertEqual(kind, writer.failure.kind)
 
+    async def test_requests_under_way_are_bounded_by_memory(self) -> None:
+        """Guards against a process that is ended since its requests outgrow its memory."""
+        bound = most_requests(150 * 1024 * 1024)
+        self.assertLess(80 * 1024 * 1024 + bound * 104 * 1024, 150 * 1024 * 1024)
+        self.assertGreater(most_requests(300 * 1024 * 1024), 2 * bound)
+        self.assertGreater(most_requests(0), 0)
+        bench = self._bench()
+        bench.forwarder.document = document(route())
+        bench.add(entry("p0", service="plain"))
+        bench.forwarder.most_in_progress = 3
+        for before, kind in ((3, ErrorKind.OVERLOADED), (2, None)):
+            bench.forwarder.in_progress = before
+            writer = FakeWriter()
+            await bench.forwarder.serve(call(), writer)
+            self.assertEqual(kind, writer.failure.kind if writer.failure else None)
+            self.assertEqual(before, bench.forwarder.in_progress)
+            if writer.failure:
+                self.assertGreater(writer.failure.wait_s or 0, 0)
+
     async def test_refusal_says_when_to_come_back_within_a_third_of_the_time(self) -> None:
         """Guards against a wait that the caller cannot keep to."""
         bench = self._bench()
