Obey leaving targets and their pauses, and bound answers without end

Cause: nothing read Server-Leaving or the Retry-After of a target. An answer head, interim answers, a chunk's extension or bytes after an answer could come without end until the deadline of the request. A second copy of an answer that arrived on an idle connection was read as the answer to the next request; the request id kept it from the caller, but that request failed. A rejection without a request id was believed by any request, and the second copy of one could have been believed when the request came to the same target again.

Change: a target that has said that it leaves gets nothing more from this router and its peers, for that start of the target, whatever older entries say. A target that asks for a pause is left out for so long; a caller whose only targets pause is refused at once with the time. Connections to targets bound head, interim answers and framing, and are closed when bytes come that nobody asked for. Every answer must name the request.

--- a/coltsfootfront/direct/course.py
+++ b/coltsfootfront/direct/course.py
@@ -14,6 +14,8 @@
 RETRY_AFTER_S = 0.5
 RETRY_JITTER_S = 0.5
 MIN_RETRY_AFTER_S = 0.05
+# Spreads the return of callers after a pause that a target has asked for.
+PAUSE_JITTER_S = 0.25
 
 
 @dataclass(slots=True)
@@ -64,13 +66,24 @@
     """The request should go to another target."""
 
 
-def refusal(state: State, message: str, now_s: float, generator: random.Random) -> RefusedError:
+def refusal(
+    state: State,
+    message: str,
+    now_s: float,
+    generator: random.Random,
+    pause_s: float | None = None,
+) -> RefusedError:
     """Build the final answer for a request that no target will serve.
 
     A request that has not run is told when to come back; callers keep to a wait of up to a third
     of the time that they have left.
+
+    :param pause_s: time for which no target wants requests, None when that is not the reason.
     """
     if state.run is RunState.NOT_RUN and not state.has_begun:
+        if pause_s is not None:
+            wait_s = pause_s + generator.uniform(0, PAUSE_JITTER_S)
+            return RefusedError(Failure(ErrorKind.OVERLOADED, message, retry_after_s=wait_s))
         left_s = state.call.deadline_s - now_s
         wait_s = RETRY_AFTER_S + generator.uniform(0, RETRY_JITTER_S)
         wait_s = max(MIN_RETRY_AFTER_S, min(wait_s, left_s / 3))
--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -1,6 +1,7 @@
 """Targets that may be used, and what this router knows of each."""
 
 import asyncio
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 import logbook
@@ -27,6 +28,8 @@
 # Time in which the share of failures halves when the target gets no requests.
 FORGET_S = 2.0
 PRUNE_INTERVAL_S = 0.2
+# Targets that have left and are remembered, in case an older entry of one of them comes back.
+MAX_LEFT = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,10 @@
     """Limits of the exchanges that may be given up when the target is dark."""
     is_replaced: bool = False
     """Another target answers at this address."""
+    has_said_leaving: bool = False
+    """One of its answers said that it leaves; an older entry in the store does not undo this."""
+    paused_until_s: float = 0.0
+    """Until when it wants no requests from this router."""
 
     @property
     def name(self) -> str:
@@ -120,7 +127,15 @@
 
     def is_usable(self) -> bool:
         """Whether the target may get requests at all."""
-        return not self.entry.is_leaving and not self.is_replaced
+        return not (self.entry.is_leaving or self.has_said_leaving or self.is_replaced)
+
+    def is_paused(self, now_s: float) -> bool:
+        """Whether the target has turned a request away and wants none from this router yet."""
+        return now_s < self.paused_until_s
+
+    def pause(self, for_s: float, now_s: float) -> None:
+        """Note that the target wants no requests for some time."""
+        self.paused_until_s = max(self.paused_until_s, now_s + for_s)
 
     def succeeded(self, now_s: float) -> None:
         """Note a request that the target answered."""
@@ -177,6 +192,8 @@
         self._regions = regions
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
+        self._left: OrderedDict[tuple[str, int], None] = OrderedDict()
+        """Names and starts of targets that have said that they leave."""
         self._changed = asyncio.Event()
 
     def get(self, name: str) -> Target | None:
@@ -220,6 +237,24 @@
         target.versions.update(entry.versions)
         self.notify()
 
+    def note_leaving(self, name: str, started_ms: int, told_by: str) -> bool:
+        """Note that a target has said that it leaves.
+
+        :param started_ms: the start of the target that said so; a later one may be used.
+        :param told_by: who knows it, for the log.
+        :returns: whether this is new.
+        """
+        self._left[(name, started_ms)] = None
+        if len(self._left) > MAX_LEFT:
+            self._left.popitem(last=False)
+        target = self._targets.get(name)
+        if target is None or target.entry.started_ms != started_ms or target.has_said_leaving:
+            return False
+        target.has_said_leaving = True
+        log.info(event("target_leaves", target=name, service=target.entry.service, by=told_by))
+        self.notify()
+        return True
+
     def remove(self, name: str) -> None:
         """Note that the entry of a target has vanished."""
         target = self._targets.get(name)
@@ -243,6 +278,7 @@
             self._drop(before)
         region = self._regions.get(entry.data_centre, "")
         target = Target(entry, region, versions=dict(entry.versions))
+        target.has_said_leaving = (entry.name, entry.started_ms) in self._left
         self._targets[entry.name] = target
         self._by_service.setdefault(entry.service, []).append(target)
         log.info(
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -14,7 +14,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, Failure, RunState
 from coltsfootfront.common.logs import event
-from coltsfootfront.direct import admission
+from coltsfootfront.direct import admission, gossip
 from coltsfootfront.direct.call import Call, CallerWriter
 from coltsfootfront.direct.course import AgainError, RefusedError, State, course_fields, refusal
 from coltsfootfront.direct.directory import Directory, Target
@@ -160,23 +160,34 @@
         call, route = state.call, state.route
         hold_until_s = min(call.received_s + HOLD_SHARE * route.aim_s, state.end_s)
         while True:
-            targets = [
+            now_s = self._clock.monotonic_s()
+            untried = [
                 target
                 for target in self._directory.of_service(state.service)
-                if target.name not in state.tried and target.name not in state.rejected
+                if target.name not in state.tried
+            ]
+            targets = [
+                target
+                for target in untried
+                if target.name not in state.rejected and not target.is_paused(now_s)
             ]
             found = self._choose(state, targets, hold_until_s)
             if isinstance(found, Place):
                 return found
-            now_s = self._clock.monotonic_s()
+            pause_end_s = _pause_end_s(untried, now_s)
+            if found is None and pause_end_s <= hold_until_s:
+                found = Wait(pause_end_s)
             if isinstance(found, Wait) and now_s < hold_until_s:
                 wait_s = min(found.until_s, hold_until_s) - now_s
                 await self._directory.wait_for_change(max(wait_s, 0.005))
                 continue
             if state.rejected and now_s < hold_until_s:
                 state.rejected.clear()
-                await self._clock.sleep(REJECTED_PAUSE_S)
+                if pause_end_s is math.inf:
+                    await self._clock.sleep(REJECTED_PAUSE_S)
                 continue
+            if pause_end_s < math.inf:
+                raise self._refusal(state, "the targets want no requests", pause_end_s - now_s)
             raise self._refusal(state, "no target can take the request now")
 
     def _choose(self, state: State, targets: list[Target], until_s: float) -> Place | Wait | None:
@@ -194,8 +205,8 @@
             state.call, wall, targets, until_s, facts, self.document.kept_caches(), rank_offset
         )
 
-    def _refusal(self, state: State, message: str) -> RefusedError:
-        return refusal(state, message, self._clock.monotonic_s(), self._generator)
+    def _refusal(self, state: State, message: str, pause_s: float | None = None) -> RefusedError:
+        return refusal(state, message, self._clock.monotonic_s(), self._generator, pause_s)
 
     async def _attempt(self, state: State, place: Place, writer: CallerWriter) -> None:
         target = place.target
@@ -310,6 +321,11 @@
         target.heard_s = now_s
         if reply.load is not None:
             target.note_load(reply.load, now_s)
+        if reply.is_leaving and not reply.is_other_target:
+            self._note_leaving(target)
+        if reply.pause_s is not None:
+            target.pause(reply.pause_s, now_s)
+            log.info(event("target_paused", target=target.name, for_s=reply.pause_s))
         if reply.version is not None and state.call.model and not reply.is_other_target:
             known = target.versions.get(state.call.model, 0)
             if reply.version > known:
@@ -326,6 +342,11 @@
             else:
                 target.succeeded(now_s)
 
+    def _note_leaving(self, target: Target) -> None:
+        started_ms = target.entry.started_ms
+        if self._directory.note_leaving(target.name, started_ms, told_by="its answer"):
+            self._gossip.tell(gossip.LEAVING, [target.name, started_ms])
+
     def _rejected(self, state: State, place: Place, reply: Reply) -> Exception:
         self._withdraw_parts(state.call, place)
         state.rejected.add(place.target.name)
@@ -383,3 +404,18 @@
         if self._budgets.of(state.service).take(reason):
             return AgainError()
         return self._refusal(state, f"{message}, and the retry budget is used up")
+
+
+def _pause_end_s(targets: list[Target], now_s: float) -> float:
+    """Monotonic time at which the first of the paused targets takes requests again.
+
+    :returns: infinity when none is paused.
+    """
+    return min(
+        (
+            target.paused_until_s
+            for target in targets
+            if target.is_usable() and target.is_paused(now_s)
+        ),
+        default=math.inf,
+    )
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -32,6 +32,7 @@
 COMING = "coming"
 REVISION = "revision"
 WORK = "work"
+LEAVING = "leaving"
 
 OnMessage = Callable[[str, list[Any]], None]
 
--- a/coltsfootfront/direct/targetclient.py
+++ b/coltsfootfront/direct/targetclient.py
@@ -74,6 +74,10 @@
     """Version of the weights that answer."""
     load: int | None
     """Requests that run or wait at the target."""
+    is_leaving: bool
+    """The target says that it leaves."""
+    pause_s: float | None
+    """Time for which the target wants no requests from this router, None when it does not say."""
 
     @abstractmethod
     def pieces(self) -> AsyncIterator[bytes]:
--- a/coltsfootfront/platform/headers.py
+++ b/coltsfootfront/platform/headers.py
@@ -27,6 +27,8 @@
 NOT_RUN = "X-Not-Executed"
 TARGET = "X-Instance-Id"
 VERSION = "X-Weight-Versions"
+# Present on every answer of a target that leaves.
+LEAVING = "Server-Leaving"
 # Running, waiting and slots, separated by commas.
 LOAD = "X-Server-Load"
 
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -1,12 +1,16 @@
 """Gives requests to the platform's targets over HTTP."""
 
+import math
 from collections.abc import AsyncIterator
 
 import aiohttp
+import logbook
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from yarl import URL
 
+from coltsfootfront.common.logs import event
+from coltsfootfront.direct.answerguard import guard
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.sockets import connect_socket
@@ -24,8 +28,14 @@
 # Added unasked by the client; an encoding that the caller did not ask for would reach it.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 OK = 200
+UNAVAILABLE = 503
 REDIRECTION = 300
 MISDIRECTED = 421
+# A longer pause than this is taken for a fault of the target.
+MAX_PAUSE_S = 60.0
+MAX_REASON_CHARACTERS = 120
+
+log = logbook.Logger(__name__)
 
 
 class _Response(aiohttp.ClientResponse):
@@ -45,11 +55,13 @@
     __slots__ = (
         "_response",
         "headers",
+        "is_leaving",
         "is_not_run",
         "is_other_target",
         "is_other_version",
         "length_bytes",
         "load",
+        "pause_s",
         "status",
         "version",
     )
@@ -70,18 +82,22 @@
         self.is_other_version = self.status == MISDIRECTED and answered_by == target.name
         self.version = _number(found.get(headers.VERSION, ""))
         self.load = _load(found.get(headers.LOAD, ""))
+        self.is_leaving = headers.LEAVING in found
+        self.pause_s = _pause_s(target, self.status, found.get(headers.RETRY_AFTER))
 
     async def pieces(self) -> AsyncIterator[bytes]:
         try:
             async for piece in self._response.content.iter_any():
                 yield piece
         except (aiohttp.ClientError, OSError) as error:
-            raise TargetLostError(Loss.WRONG_ANSWER, f"the answer broke off: {error!r}") from error
+            raise TargetLostError(
+                Loss.WRONG_ANSWER, f"the answer broke off: {_text(error)}"
+            ) from error
         stream = self._response.stream
         failure = stream.exception() if stream is not None else None
         # A body without a length ends with its connection, which must not have been reset.
         if self.length_bytes is None and isinstance(failure, aiohttp.ClientOSError):
-            raise TargetLostError(Loss.WRONG_ANSWER, f"the answer was reset: {failure!r}")
+            raise TargetLostError(Loss.WRONG_ANSWER, f"the answer was reset: {_text(failure)}")
 
     def close(self) -> None:
         self._response.close()
@@ -119,24 +135,30 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise TargetLostError(Loss.NOT_SENT, f"no connection: {error!r}") from error
+            raise TargetLostError(Loss.NOT_SENT, f"no connection: {_text(error)}") from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            raise TargetLostError(Loss.NO_ANSWER, f"no answer: {error!r}") from error
+            raise TargetLostError(Loss.NO_ANSWER, f"no answer: {_text(error)}") from error
         try:
             _check(response, call)
         except TargetLostError:
             response.close()
             raise
         assert isinstance(response, _Response)
-        return PlatformReply(response, target)
+        reply = PlatformReply(response, target)
+        if reply.is_not_run and session is self._once and response.stream is not None:
+            # The request may come here again; a late copy of this answer must not meet it.
+            response.stream.close()
+        return reply
 
 
 def _session(keepalive_s: float) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        keepalive_timeout=keepalive_s,
-        socket_factory=connect_socket,
-        use_dns_cache=False,
+    connector = guard(
+        aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=keepalive_s,
+            socket_factory=connect_socket,
+            use_dns_cache=False,
+        )
     )
     session = aiohttp.ClientSession(
         connector=connector,
@@ -178,15 +200,37 @@
     """Check that an answer belongs to the request and is the target's own."""
     found = response.headers
     answered = found.get(headers.REQUEST_ID)
-    if answered is not None and answered != call.request_id:
+    if answered != call.request_id:
         raise TargetLostError(Loss.WRONG_ANSWER, f"the answer belongs to request {answered}")
-    is_own = answered is not None and headers.SIGNATURE in found
-    if OK <= response.status < REDIRECTION and not is_own:
-        raise TargetLostError(Loss.WRONG_ANSWER, "a success without signature or request id")
+    if response.status < OK:
+        raise TargetLostError(Loss.WRONG_ANSWER, f"a final answer with status {response.status}")
+    if OK <= response.status < REDIRECTION and headers.SIGNATURE not in found:
+        raise TargetLostError(Loss.WRONG_ANSWER, "a success without signature")
     if "Content-Encoding" in found:
         raise TargetLostError(Loss.WRONG_ANSWER, "the answer has an encoding nobody asked for")
 
 
+def _pause_s(target: Target, status: int, text: str | None) -> float | None:
+    """Time for which a target that is full wants no requests, None when it does not say."""
+    if status != UNAVAILABLE or text is None:
+        return None
+    try:
+        pause_s = float(text)
+    except ValueError:
+        pause_s = math.nan
+    if not pause_s >= 0:
+        log.warning(event("pause_unreadable", target=target.name, value=text[:40]))
+        return None
+    if pause_s > MAX_PAUSE_S:
+        log.warning(event("pause_cut", target=target.name, pause_s=pause_s, to_s=MAX_PAUSE_S))
+    return min(pause_s, MAX_PAUSE_S)
+
+
+def _text(error: Exception) -> str:
+    """Kind and message of an error; aiohttp quotes what the target sent."""
+    return f"{type(error).__name__}: {str(error)[:MAX_REASON_CHARACTERS]}"
+
+
 def _number(text: str) -> int | None:
     return int(text) if text.isdigit() else None
 
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -1,5 +1,6 @@
 """Parts that the tests of the direct router share."""
 
+import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
 
@@ -121,16 +122,18 @@
 
 
 class FakeReply(Reply):
-    """An answer with given pieces; an exception among them breaks it off."""
+    """An answer with given pieces; an exception breaks it off, a number is a pause in seconds."""
 
     def __init__(
         self,
         status: int = 200,
-        pieces: tuple[bytes | Exception, ...] = (b"body",),
+        pieces: tuple[bytes | float | Exception, ...] = (b"body",),
         is_not_run: bool = False,
         version: int | None = None,
         is_other_target: bool = False,
         is_other_version: bool = False,
+        is_leaving: bool = False,
+        pause_s: float | None = None,
     ) -> None:
         self.status = status
         self.headers = []
@@ -140,6 +143,8 @@
         self.is_other_version = is_other_version
         self.version = version
         self.load = None
+        self.is_leaving = is_leaving
+        self.pause_s = pause_s
         self.is_closed = False
         self._pieces = pieces
 
@@ -147,6 +152,9 @@
         for piece in self._pieces:
             if isinstance(piece, Exception):
                 raise piece
+            if isinstance(piece, float):
+                await asyncio.sleep(piece)
+                continue
             yield piece
 
     def close(self) -> None:
--- /dev/null
+++ b/coltsfootfront_dev/endless.py
@@ -0,0 +1,46 @@
+"""Answers of a faulty target whose bytes come without end, until the caller closes."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+PAUSE_S = 0.0005
+
+# What a faulty target sends: first bytes, and then the same bytes again and again.
+ENDLESS: dict[str, Callable[[bytes], tuple[bytes, bytes]]] = {
+    "fields": lambda head: (b"HTTP/1.1 200 OK\r\n" + head, b"X-Filler: " + b"x" * 900 + b"\r\n"),
+    "line": lambda head: (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x" * 1024),
+    "interim": lambda head: (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "extension": lambda head: (_chunked(head) + b"4;", b"x" * 1024),
+    "trailer": lambda head: (_chunked(head) + b"4\r\nbody\r\n0\r\n", b"X-Filler: xxxxxxxx\r\n"),
+    "after": lambda head: (
+        b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 4\r\n\r\nbody",
+        b"x" * 1024,
+    ),
+    "body": lambda head: (_chunked(head), b"400\r\n" + b"x" * 1024 + b"\r\n"),
+    "comments": lambda head: (_chunked(head), b"400\r\n" + b": xx\n\n" * 170 + b"\n\n\n\n\r\n"),
+}
+
+
+def _chunked(head: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\n" + head + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+async def send_endless(
+    request: web.BaseRequest, headers: dict[str, str], kind: str
+) -> web.StreamResponse:
+    """Send bytes without end.
+
+    :param kind: a key of :data:`ENDLESS`.
+    """
+    transport = request.transport
+    assert transport is not None
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    first, again = ENDLESS[kind](lines.encode())
+    transport.write(first)
+    while not transport.is_closing():
+        if transport.get_write_buffer_size() < len(again) * 64:
+            transport.write(again)
+        await asyncio.sleep(PAUSE_S)
+    return web.Response()
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from coltsfootfront_dev.endless import send_endless
+
 EVENTS = 6
 SIGNATURE = "X-Response-Signature"
 
@@ -38,6 +40,10 @@
     :param unframed: the answer has no length, and its connection is reset within it.
     :param crosses: answers carry the id of another request.
     :param hangs: requests run and get no answer.
+    :param pause: value of ``Retry-After`` on rejections, empty for none.
+    :param is_leaving: every answer says that the target leaves.
+    :param repeats: a second copy of a plain answer follows after this many seconds, 0 for none.
+    :param endless: where bytes come without end; see :mod:`coltsfootfront_dev.endless`.
     """
 
     rejects: bool = False
@@ -45,6 +51,10 @@
     unframed: bool = False
     crosses: bool = False
     hangs: bool = False
+    pause: str = ""
+    is_leaving: bool = False
+    repeats: float = 0.0
+    endless: str = ""
 
 
 class PlatformTargetStandIn:
@@ -66,6 +76,8 @@
         self.event_interval_s = 0.002
         self.work_s = 0.0
         self.cancelled = 0
+        self.open_requests = 0
+        self._transports: set[asyncio.BaseTransport | None] = set()
         self.address = ""
         self._runner: web.ServerRunner | None = None
 
@@ -101,16 +113,25 @@
             found["models"] = [{"name": "m", "version": self.version, "adapters": []}]
         return found
 
+    @property
+    def connections(self) -> int:
+        """Connections on which requests have come."""
+        return len(self._transports)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._transports.add(request.transport)
         if request.path == "/v1/order":
             return await self._order(request)
         if request.path == "/v1/report":
             return web.json_response(self._report())
+        self.open_requests += 1
         try:
             return await self._run(request)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        finally:
+            self.open_requests -= 1
 
     def _report(self) -> dict[str, Any]:
         models: list[dict[str, Any]] = [{"name": "m", "version": self.version, "adapters": []}]
@@ -136,14 +157,19 @@
 
     def _rejection(self, request: web.BaseRequest) -> web.Response | None:
         found = request.headers
-        own = {"X-Instance-Id": self.name}
+        own = {"X-Instance-Id": self.name, "X-Request-Id": found["X-Request-Id"]}
+        if self.faults.is_leaving:
+            own["Server-Leaving"] = "1"
         if found.get("X-Expect-Instance", self.name) != self.name:
             return web.Response(status=421, headers=own)
         expected = found.get("X-Expect-Version")
         if expected is not None and int(expected) != self.version:
             return web.Response(status=421, headers=own)
         if self.faults.rejects:
-            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+            own["X-Not-Executed"] = "1"
+            if self.faults.pause:
+                own["Retry-After"] = self.faults.pause
+            return web.Response(status=503, headers=own)
         return None
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -168,6 +194,10 @@
         headers = {"X-Request-Id": request_id, SIGNATURE: f"{self.name}.{request_id}"}
         if self.faults.crosses:
             headers["X-Request-Id"] = "another"
+        if self.faults.is_leaving:
+            headers["Server-Leaving"] = "1"
+        if self.faults.endless:
+            return await send_endless(request, headers, self.faults.endless)
         if self.version is None:
             return await self._plain(request, headers)
         return await self._stream(request, headers)
@@ -194,6 +224,12 @@
             return response
         await response.write(body)
         await response.write_eof()
+        if self.faults.repeats and request.transport is not None:
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            head = "\r\n".join(["HTTP/1.1 200 OK", *lines, f"Content-Length: {len(body)}", "", ""])
+            asyncio.get_running_loop().call_later(
+                self.faults.repeats, request.transport.write, head.encode() + body
+            )
         return response
 
     async def _stream(
