--- a/coltsfootfront/direct/events.py
+++ b/coltsfootfront/direct/events.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 SEPARATOR = b"\n\n"
+# Bytes without a numbered event that a sound stream does not reach: an event has some hundred.
+MAX_IDLE_BYTES = 65_536
 ID_FIELD = b"id:"
 
 
@@ -18,16 +20,26 @@
     """
 
     last: int | None = None
+    events: int = 0
+    """Numbered events that were passed on."""
     _rest: bytes = b""
+    _idle_bytes: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Take a piece of the stream.
 
         :returns: the whole events that may be passed on now.
-        :raises StreamBrokenError: when an event is out of order.
+        :raises StreamBrokenError: when an event is out of order, or when none comes.
         """
-        end = (self._rest + data).rfind(SEPARATOR)
+        self._idle_bytes += len(data)
+        events = self._cut(data)
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            raise StreamBrokenError(f"no event in {self._idle_bytes} bytes")
+        return events
+
+    def _cut(self, data: bytes) -> bytes:
         text = self._rest + data
+        end = text.rfind(SEPARATOR)
         if end < 0:
             self._rest = text
             return b""
@@ -47,6 +59,7 @@
     def restart(self) -> None:
         """Go on with the stream of another target; the rest of a cut event is dropped."""
         self._rest = b""
+        self._idle_bytes = 0
 
     def _is_next(self, block: bytes) -> bool:
         number = _event_number(block)
@@ -58,6 +71,8 @@
             if number != self.last + 1:
                 raise StreamBrokenError(f"event {number} follows event {self.last}")
         self.last = number
+        self.events += 1
+        self._idle_bytes = 0
         return True
 
 
--- a/coltsfootfront/direct/following.py
+++ b/coltsfootfront/direct/following.py
@@ -4,6 +4,7 @@
 that configuration, revoked keys and leaving targets reach it all the same.
 """
 
+import asyncio
 import random
 from abc import ABC, abstractmethod
 from collections import deque
@@ -37,6 +38,9 @@
 MAX_PAUSE_S = 1.0
 # Pause between two questions to a peer while the store does not answer.
 PEER_INTERVAL_S = 0.4
+# Time in which a router that was paused asks whether its copy is still the newest. The store
+# answers in milliseconds; callers wait meanwhile.
+CONFIRM_S = 1.0
 # Changes that a router keeps for peers; a peer that is further behind reads the whole copy.
 KEPT_CHANGES = 2000
 
@@ -70,10 +74,12 @@
     """Changes after a revision.
 
     :param revision: store revision up to which the changes are complete.
+    :param is_whole: the items are all keys that exist; a key that is not among them was removed.
     """
 
     items: list[Item]
     revision: int
+    is_whole: bool = False
 
 
 class WatchableStore(Store):
@@ -138,6 +144,9 @@
         self._kept_after = 0
         self._contact_s = clock.monotonic_s()
         self._failing = False
+        self._confirmed = asyncio.Event()
+        self._confirmed.set()
+        self._confirming: asyncio.Task[None] | None = None
         self.gather_s = GATHER_S
         """Pause after changes."""
         self.revision = 0
@@ -159,7 +168,7 @@
     def changes_after(self, revision: int) -> Changes:
         """Answer a peer: changes after its revision, or all keys when it is too far behind."""
         if revision < self._kept_after:
-            return Changes(list(self._items.values()), self.revision)
+            return Changes(list(self._items.values()), self.revision, is_whole=True)
         changed = [item for item in self._kept if item.revision > revision]
         return Changes(changed, self.revision)
 
@@ -185,20 +194,76 @@
             await self._clock.sleep(PEER_INTERVAL_S)
             if self.revision and not self._failing and self.peer_revision <= self.revision:
                 continue
-            changes = await self._peers.read_peer(self.revision)
-            if changes is None or changes.revision <= self.revision:
-                continue
-            log.info(
-                event(
-                    "peer_copy_read",
-                    revision=changes.revision,
-                    before=self.revision,
-                    changes=len(changes.items),
-                )
+            await self._read_peer()
+
+    async def _read_peer(self) -> bool:
+        """Take over what a peer knows; False when no peer answers."""
+        changes = await self._peers.read_peer(self.revision)
+        if changes is None:
+            return False
+        if changes.revision <= self.revision:
+            return True
+        log.info(
+            event(
+                "peer_copy_read",
+                revision=changes.revision,
+                before=self.revision,
+                changes=len(changes.items),
+                is_whole=changes.is_whole,
             )
-            for item in changes.items:
-                self._apply(item)
-            self.revision = max(self.revision, changes.revision)
+        )
+        self._take(changes)
+        return True
+
+    def doubt(self) -> None:
+        """Treat the copy as old until the store or a peer has confirmed it."""
+        self._confirmed.clear()
+
+    async def confirm(self) -> None:
+        """Wait until the copy is known to be as new as that of the store, or of a peer.
+
+        A router that nobody answers goes on with what it has after a while.
+        """
+        if self._confirmed.is_set():
+            return
+        if self._confirming is None:
+            self._confirming = asyncio.create_task(self._confirm())
+        await asyncio.shield(self._confirming)
+
+    async def _confirm(self) -> None:
+        outcome = "nobody answers in time"
+        try:
+            async with asyncio.timeout(CONFIRM_S):
+                outcome = await self._ask_newest()
+        except TimeoutError:
+            pass
+        finally:
+            log.info(event("copy_confirmed", by=outcome, revision=self.revision))
+            self._confirmed.set()
+            self._confirming = None
+
+    async def _ask_newest(self) -> str:
+        """Bring the copy up to date, from the store or else from a peer.
+
+        :returns: who answered.
+        """
+        changed = await self._store.changes(self._prefix, self.revision, 0.0)
+        if isinstance(changed, Success):
+            self._take(changed.unwrap())
+            return "store"
+        if changed.failure().kind is ErrorKind.STALE_REVISION:
+            read = await self._store.snapshot(self._prefix)
+            if isinstance(read, Success):
+                self._adopt(read.unwrap())
+                return "store"
+        return "peer" if await self._read_peer() else "nobody answers"
+
+    def _take(self, changes: Changes) -> None:
+        for item in changes.items:
+            self._apply(item)
+        if changes.is_whole:
+            self._remove_absent({item.key for item in changes.items}, changes.revision)
+        self.revision = max(self.revision, changes.revision)
 
     async def _read_store(self) -> Failure | None:
         if not self.is_complete:
@@ -213,9 +278,7 @@
             return changed.failure()
         self._note_contact()
         changes = changed.unwrap()
-        for item in changes.items:
-            self._apply(item)
-        self.revision = max(self.revision, changes.revision)
+        self._take(changes)
         if changes.items:
             await self._clock.sleep(self.gather_s)
         return None
@@ -229,15 +292,18 @@
         for found in snapshot.items:
             present.add(found.key)
             self._apply(Item(found.key, found.value, found.mod_revision))
-        for key in [key for key in self._items if key not in present]:
-            if self._items[key].revision <= snapshot.revision:
-                self._apply(Item(key, None, snapshot.revision))
+        self._remove_absent(present, snapshot.revision)
         if not self._kept_after:
             self._kept_after = snapshot.revision
         self.revision = max(self.revision, snapshot.revision)
         self.is_complete = True
         log.info(event("store_read", revision=self.revision, keys=len(self._items)))
 
+    def _remove_absent(self, present: set[str], revision: int) -> None:
+        for key in [key for key in self._items if key not in present]:
+            if self._items[key].revision <= revision:
+                self._apply(Item(key, None, revision))
+
     def _note_contact(self) -> None:
         now_s = self._clock.monotonic_s()
         if self._failing:
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -13,6 +13,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.pause import PauseDetector
 from coltsfootfront.common.runtime import Program
 from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.direct import admission, gossip
@@ -52,6 +53,9 @@
 GIVE_UP_S = 0.5
 DRAIN_POLL_S = 0.05
 REVISION_INTERVAL_S = 0.3
+# A pause after which keys may have been withdrawn and targets may have left without this router
+# having been told; well below the time within which a change must be in force.
+PAUSE_S = 1.0
 # The settings may change without a signal.
 SETTINGS_INTERVAL_S = 2.0
 
@@ -101,6 +105,14 @@
     def close_idle(self) -> None:
         """Close connections on which no request is under way."""
 
+    @abstractmethod
+    def stop_listening(self) -> None:
+        """Take no further connections; open ones go on."""
+
+    @abstractmethod
+    def count_busy(self) -> int:
+        """Number of connections on which a request has begun to arrive and is not answered."""
+
     @abstractmethod
     def count_connections(self) -> int:
         """Number of open connections."""
@@ -174,6 +186,7 @@
         self._registration = Registration(
             store, clock, settings.name, settings.peer_address, generator
         )
+        self._pause = PauseDetector(clock, PAUSE_S, self._note_pause)
         self._make_callers = make_callers
         self._callers: CallerServer | None = None
 
@@ -184,6 +197,8 @@
 
     async def serve(self, call: Call, writer: CallerWriter) -> None:
         """Answer one request."""
+        self._pause.check()
+        await self._follower.confirm()
         await self._forwarder.serve(call, writer)
 
     async def start(self) -> None:
@@ -214,6 +229,7 @@
         supervisor.add("work", self._gossip.flush_work)
         supervisor.add("registration", self._registration.run)
         supervisor.add("orders", self._orders.run)
+        supervisor.add("pause", self._pause.run)
         supervisor.add("settings", self._watch_settings)
         await supervisor.start()
         self._callers = self._make_callers(self.serve)
@@ -234,17 +250,26 @@
         await self._supervisor.stop("orders")
         await self._lease.release()
         due_s = list(CLOSE_IDLE_S)
+        is_listening = True
         while True:
             await self._clock.sleep(DRAIN_POLL_S)
             passed_s = self._clock.monotonic_s() - began_s
             if due_s and passed_s >= due_s[0]:
                 del due_s[0]
                 callers.close_idle()
+            if not due_s and is_listening:
+                # What has been accepted until now is still answered.
+                callers.stop_listening()
+                is_listening = False
+                continue
             if passed_s >= grace_s - GIVE_UP_S:
                 return
-            if not due_s and not self._forwarder.in_progress:
+            if not due_s and not self._forwarder.in_progress and not callers.count_busy():
                 return
 
+    def _note_pause(self, gap_s: float) -> None:
+        self._follower.doubt()
+
     def reload(self) -> None:
         """Take over changed settings; addresses and names stay as they are."""
         try:
@@ -352,6 +377,9 @@
                 self._holders.expect(salt, key, name, in_s)
         elif kind == gossip.WORK:
             self._take_work(fields)
+        elif kind == gossip.LEAVING:
+            name, started_ms = fields
+            self._directory.note_leaving(name, started_ms, told_by="a peer")
         elif kind == gossip.REVISION:
             self._follower.peer_revision = max(self._follower.peer_revision, fields[0])
         else:
--- a/coltsfootfront/direct/orders.py
+++ b/coltsfootfront/direct/orders.py
@@ -66,6 +66,8 @@
     REPLACED = "replaced"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    WITHHELD = "withheld"
+    """The right to give orders ended before this one was sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,11 +98,19 @@
 
     @abstractmethod
     async def load_version(
-        self, target: Target, model: str, version: int, orders: int, fencing: int
+        self,
+        target: Target,
+        model: str,
+        version: int,
+        orders: int,
+        fencing: int,
+        may_send: Callable[[], bool],
     ) -> OrderAnswer:
         """Order a target to take a version of a model's weights.
 
         :param orders: the order is void unless the target has accepted exactly this many.
+        :param may_send: asked right before the order goes out on an open connection; it is
+            withheld when the answer is no.
         """
 
     @abstractmethod
@@ -245,7 +255,7 @@
         now_s = self._clock.monotonic_s()
         due = []
         for target in engines:
-            if target.name in self._loads:
+            if target.name in self._loads or target.is_paused(now_s):
                 continue
             if now_s < self._progress.setdefault(target.name, Progress()).blocked_until_s:
                 continue
@@ -314,8 +324,9 @@
         for _ in range(MAX_UNANSWERED):
             if not self._lease.is_held:
                 return answer
+            fencing = self._lease.fencing
             answer = await self._client.load_version(
-                target, model, version, orders, self._lease.fencing
+                target, model, version, orders, fencing, lambda: self._lease.is_held
             )
             if answer is not OrderAnswer.UNKNOWN:
                 return answer
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -20,6 +20,7 @@
 TIMEOUT_S = 1.0
 # Peers asked for their copy at once.
 ASKED_AT_ONCE = 2
+ASKED_AT_START = 5
 
 
 class Peers(PeerSource):
@@ -77,9 +78,9 @@
     async def read_peer(self, after: int) -> Changes | None:
         asked = self.addresses()
         self._generator.shuffle(asked)
-        answers = await asyncio.gather(
-            *(self._ask(address, after) for address in asked[:ASKED_AT_ONCE])
-        )
+        # A router that has just started has nothing newer with which to notice an old copy.
+        at_once = ASKED_AT_ONCE if after else ASKED_AT_START
+        answers = await asyncio.gather(*(self._ask(address, after) for address in asked[:at_once]))
         found = [answer for answer in answers if answer is not None]
         return max(found, key=lambda changes: changes.revision, default=None)
 
@@ -88,8 +89,8 @@
         url = f"http://{address}{COPY_PATH}"
         try:
             async with self._session.get(url, params={"after": str(after)}) as response:
-                revision, rows = msgpack.unpackb(await response.read())
-                return Changes([Item(*row) for row in rows], revision)
+                revision, rows, is_whole = msgpack.unpackb(await response.read())
+                return Changes([Item(*row) for row in rows], revision, is_whole)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, TypeError) as error:
             log.info(event("peer_silent", peer=address, reason=repr(error)))
             return None
@@ -100,4 +101,4 @@
         after = int(request.query.get("after", "0"))
         changes = self.follower.changes_after(after)
         rows = [[item.key, item.value, item.revision] for item in changes.items]
-        return web.Response(body=msgpack.packb([changes.revision, rows]))
+        return web.Response(body=msgpack.packb([changes.revision, rows, changes.is_whole]))
--- a/coltsfootfront/direct/relaying.py
+++ b/coltsfootfront/direct/relaying.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.direct.call import CallerWriter
@@ -11,13 +12,18 @@
 from coltsfootfront.direct.placing import Place
 from coltsfootfront.direct.retrying import ServiceBudgets
 from coltsfootfront.direct.targetclient import Loss, Reply, TargetLostError
-from coltsfootfront.direct.traffic import Repeat
+from coltsfootfront.direct.traffic import Repeat, Route
 
-# Longest pause between two events of a resumable stream before it goes on at another target.
+# Shortest pause between two events of a resumable stream before it goes on at another target.
 EVENT_SILENCE_S = 1.0
+# The pause is longer where the route allows long ones, or the stream has shown that it is slow.
+GAP_FACTOR = 4.0
+SLOW_FACTOR = 3.0
 # An answer up to this size is read whole before it is passed on, so that a broken one can be
 # replaced.
 BUFFER_BYTES = 262144
+# An answer that is not a stream and grows beyond this has no end.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Answers whose status promises that the request has not run.
 PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
 FIRST_ERROR_STATUS = 500
@@ -74,7 +80,11 @@
         await writer.begin(reply.status, reply.headers, length_bytes)
         await writer.write(bytes(body))
         if not whole:
+            passed_bytes = len(body)
             async for piece in pieces:
+                passed_bytes += len(piece)
+                if passed_bytes > MAX_ANSWER_BYTES:
+                    raise TargetLostError(Loss.WRONG_ANSWER, "the answer has no end")
                 await writer.write(piece)
         await writer.end()
 
@@ -87,12 +97,15 @@
         """
         pieces = reply.pieces()
         is_first = True
+        progress = _Progress(state.route, state.checker.events, self._clock.monotonic_s())
         while True:
-            piece = await self._next_piece(state, pieces)
-            place.target.heard_s = self._clock.monotonic_s()
+            piece = await self._next_piece(state, pieces, progress)
+            now_s = self._clock.monotonic_s()
+            place.target.heard_s = now_s
             if piece is None:
                 break
             events = state.checker.feed(piece)
+            progress.note(state.checker.events, now_s)
             if not events:
                 continue
             if is_first:
@@ -112,20 +125,29 @@
         state.first_s = self._clock.monotonic_s() - state.call.received_s
         await writer.begin(reply.status, reply.headers, None)
 
-    async def _next_piece(self, state: State, pieces: object) -> bytes | None:
-        step = anext(pieces, None)  # type: ignore[call-overload]
+    async def _next_piece(
+        self, state: State, pieces: AsyncIterator[bytes], progress: "_Progress"
+    ) -> bytes | None:
+        """Next bytes of a stream, None at its end.
+
+        :raises TargetLostError: when no whole event has come for too long, and the stream may go
+            on at another target.
+        """
+        step = anext(pieces, None)
         can_go_on = (
             state.route.repeat is Repeat.RESUMABLE and len(state.tried) < state.route.max_attempts
         )
         if not can_go_on:
-            return await step  # type: ignore[no-any-return]
+            return await step
+        left_s = progress.left_s(self._clock.monotonic_s())
         try:
-            async with asyncio.timeout(EVENT_SILENCE_S) as limit:
-                return await step  # type: ignore[no-any-return]
+            async with asyncio.timeout(left_s) as limit:
+                return await step
         except TimeoutError:
             if not limit.expired():
                 raise
-            raise TargetLostError(Loss.NO_ANSWER, f"no event in {EVENT_SILENCE_S} s") from None
+            reason = f"no event in {progress.limit_s:.2f} s"
+            raise TargetLostError(Loss.NO_ANSWER, reason) from None
 
     def _note_parts(self, state: State, place: Place) -> None:
         name = place.target.name
@@ -134,3 +156,33 @@
             for holder in names:
                 if self._holders.note(place.salt, part.key, holder):
                     self._gossip.tell_held(place.salt, part.key, holder)
+
+
+class _Progress:
+    """Progress of one target's stream, judged by whole events.
+
+    :param events: number of events that were passed on before this target's.
+    :param now_s: monotonic time at which the target's stream began.
+    """
+
+    __slots__ = ("_event_s", "_events", "_has_begun", "limit_s")
+
+    def __init__(self, route: Route, events: int, now_s: float) -> None:
+        self._event_s = now_s
+        self._events = events
+        self._has_begun = False
+        self.limit_s = max(EVENT_SILENCE_S, GAP_FACTOR * route.gap_aim_s)
+
+    def note(self, events: int, now_s: float) -> None:
+        """Note how many events have been passed on so far."""
+        if events == self._events:
+            return
+        if self._has_begun:
+            self.limit_s = max(self.limit_s, SLOW_FACTOR * (now_s - self._event_s))
+        self._has_begun = True
+        self._events = events
+        self._event_s = now_s
+
+    def left_s(self, now_s: float) -> float:
+        """Time in which the next event must come."""
+        return max(0.0, self._event_s + self.limit_s - now_s)
--- a/coltsfootfront/direct/traffic.py
+++ b/coltsfootfront/direct/traffic.py
@@ -36,6 +36,7 @@
     :param priority: rank of the route's requests, 0 is the most urgent.
     :param max_attempts: number of targets that one request may be given to.
     :param is_open: callers need no key.
+    :param gap_aim_s: longest pause between events that counts as good, 0 when not said.
     """
 
     name: str
@@ -50,6 +51,7 @@
     priority: int
     max_attempts: int
     is_open: bool
+    gap_aim_s: float = 0.0
 
     def choose_service(self, generator: random.Random) -> str:
         """Draw a service by the weights of the split."""
--- a/coltsfootfront/platform/documents.py
+++ b/coltsfootfront/platform/documents.py
@@ -128,6 +128,7 @@
         priority=int(item.get("priority", 0)),
         max_attempts=int(item.get("max-attempts", 1)),
         is_open=bool(item.get("anonymous")),
+        gap_aim_s=float(item.get("gap-aim-ms") or 0) / 1000,
     )
 
 
--- a/coltsfootfront/platform/front.py
+++ b/coltsfootfront/platform/front.py
@@ -99,6 +99,12 @@
             front.note_data(self)
         super().data_received(data)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        front = self._manager
+        super().connection_lost(exc)
+        if isinstance(front, CallerFront):
+            front.note_end(self)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -151,6 +157,17 @@
         """Note that a client has sent something on a connection."""
         self._busy.add(protocol)
 
+    def note_end(self, protocol: web.RequestHandler) -> None:
+        """Note that a connection has ended."""
+        self._busy.discard(protocol)
+
+    def stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    def count_busy(self) -> int:
+        return len(self._busy)
+
     def close_idle(self) -> None:
         for protocol in list(self.connections):
             # The protocol's own close() leaves the transport of an idle connection open.
--- a/coltsfootfront/platform/orders.py
+++ b/coltsfootfront/platform/orders.py
@@ -1,5 +1,7 @@
 """Gives the platform's targets orders and asks for their state."""
 
+import json
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -28,6 +30,31 @@
 }
 
 
+class _Permission:
+    """Body of an order that is only sent while the permission to give it holds.
+
+    The check comes after the connection was opened, which may take long, or wait for a process
+    that was paused.
+    """
+
+    __slots__ = ("_body", "_may_send", "is_withheld")
+
+    def __init__(self, body: bytes, may_send: Callable[[], bool]) -> None:
+        self._body = body
+        self._may_send = may_send
+        self.is_withheld = False
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """The body, or an error instead of it.
+
+        :raises OSError: when the permission has ended.
+        """
+        if not self._may_send():
+            self.is_withheld = True
+            raise OSError("the permission to give orders has ended")
+        yield self._body
+
+
 class PlatformOrders(OrderClient):
     """Client for orders.
 
@@ -49,9 +76,15 @@
             await self._session.close()
 
     async def load_version(
-        self, target: Target, model: str, version: int, orders: int, fencing: int
+        self,
+        target: Target,
+        model: str,
+        version: int,
+        orders: int,
+        fencing: int,
+        may_send: Callable[[], bool],
     ) -> OrderAnswer:
-        body = {
+        fields = {
             "op": "version",
             "model": model,
             "version": version,
@@ -63,11 +96,20 @@
         }
         assert self._session is not None
         url = f"http://{target.entry.address}/v1/order"
-        expected = {headers.EXPECTED_TARGET: target.name}
+        body = json.dumps(fields).encode()
+        sent = {
+            headers.EXPECTED_TARGET: target.name,
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+        }
+        permission = _Permission(body, may_send)
         try:
-            async with self._session.post(url, json=body, headers=expected) as response:
+            async with self._session.post(url, data=permission.pieces(), headers=sent) as response:
                 return ANSWERS.get(response.status, OrderAnswer.REFUSED)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            if permission.is_withheld:
+                log.info(event("order_withheld", target=target.name, version=version))
+                return OrderAnswer.WITHHELD
             log.warning(event("order_unanswered", target=target.name, reason=repr(error)))
             return OrderAnswer.UNKNOWN
 
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -1,5 +1,6 @@
 """Tests of the course of one request: what is repeated, and what the caller gets."""
 
+import asyncio
 import unittest
 from dataclasses import dataclass
 
@@ -209,3 +210,127 @@
         await bench.forwarder.serve(call(), FakeWriter())
         self.assertEqual(1, len(bench.client.sent))
         self.assertEqual(ErrorKind.OVERLOADED, writer.failure and writer.failure.kind)
+
+    async def test_target_that_has_said_that_it_leaves_gets_no_more_requests(self) -> None:
+        """Guards against new work for a leaving target, also after an older entry comes back."""
+        for first in (
+            FakeReply(is_leaving=True),
+            FakeReply(500, is_leaving=True),
+            FakeReply(503, is_not_run=True, is_leaving=True),
+        ):
+            with self.subTest(status=first.status):
+                bench = self._bench(first)
+                bench.add(entry("t1", "plain"))
+                bench.forwarder.document = document(route())
+                await bench.forwarder.serve(call(), FakeWriter())
+                self.assertEqual(1, len(bench.client.sent))
+                bench.add(entry("t1", "plain"))
+                writer = FakeWriter()
+                await bench.forwarder.serve(call(), writer)
+                self.assertEqual(1, len(bench.client.sent))
+                assert writer.failure is not None
+                self.assertEqual(ErrorKind.OVERLOADED, writer.failure.kind)
+                bench.add(entry("t1", "plain", started_ms=2))
+                writer = FakeWriter()
+                await bench.forwarder.serve(call(), writer)
+                self.assertTrue(writer.is_complete)
+
+    async def test_leaving_outlasts_the_entry(self) -> None:
+        """Guards against a target that is used again since its entry was seen anew."""
+        bench = self._bench(FakeReply(is_leaving=True))
+        bench.add(entry("t1", "plain"))
+        bench.forwarder.document = document(route())
+        await bench.forwarder.serve(call(), FakeWriter())
+        target = bench.directory.get("t1")
+        assert target is not None
+        bench.directory._drop(target)
+        bench.add(entry("t1", "plain"))
+        await bench.forwarder.serve(call(), FakeWriter())
+        self.assertEqual(1, len(bench.client.sent))
+
+    async def test_target_is_left_alone_for_as_long_as_it_asks(self) -> None:
+        """Guards against requests that reach a full target during the pause it asked for."""
+        full = FakeReply(503, is_not_run=True, pause_s=0.4)
+        bench = self._bench(full)
+        bench.add(entry("t1", "plain"))
+        bench.forwarder.document = document(route(aim_s=0.2))
+        began_s = bench.clock.monotonic_s()
+        for number in range(5):
+            writer = FakeWriter()
+            await bench.forwarder.serve(call(request_id=str(number)), writer)
+            assert writer.failure is not None and writer.failure.wait_s is not None
+            self.assertEqual(RunState.NOT_RUN, writer.failure.run)
+            ends_s = bench.clock.monotonic_s() + writer.failure.wait_s
+            self.assertGreaterEqual(ends_s, began_s + 0.4)
+        # Whoever cannot be served is told at once.
+        self.assertLess(bench.clock.monotonic_s() - began_s, 0.2)
+        self.assertEqual(1, len(bench.client.sent))
+        bench.add(entry("t2", "plain"))
+        await bench.forwarder.serve(call(), FakeWriter())
+        self.assertEqual(["t1", "t2"], [name for name, _ in bench.client.sent])
+        await asyncio.sleep(0.45)
+        target = bench.directory.get("t1")
+        assert target is not None
+        self.assertFalse(target.is_paused(bench.clock.monotonic_s()))
+
+    async def test_short_pause_is_waited_for(self) -> None:
+        """Guards against refusals though the only target is back within the aim."""
+        bench = self._bench(FakeReply(503, is_not_run=True, pause_s=0.05))
+        bench.add(entry("t1", "plain"))
+        bench.forwarder.document = document(route(aim_s=1.0))
+        writer = FakeWriter()
+        await bench.forwarder.serve(call(), writer)
+        self.assertTrue(writer.is_complete)
+        self.assertEqual(2, len(bench.client.sent))
+
+
+class StreamProgressTest(unittest.IsolatedAsyncioTestCase):
+    """Streams of targets that are slow, stalled, or send what is no event."""
+
+    async def _serve(self, first: FakeReply) -> tuple[Bench, FakeWriter]:
+        answers = [first, FakeReply(pieces=(MORE,))]
+        bench = Bench(SystemClock(), lambda target, sent, directive: answers.pop(0))
+        bench.add(entry("e1"), entry("e2"))
+        bench.forwarder.document = document(
+            route("/ask/", "engines", Repeat.RESUMABLE, is_stream=True, timeout_s=8.0)
+        )
+        writer = FakeWriter()
+        request = call("/ask/x", parts=(("p", 100), ("q", 10)), deadline_s=8.0)
+        async with asyncio.timeout(6.0):
+            await bench.forwarder.serve(request, writer)
+        return bench, writer
+
+    async def test_stalled_stream_that_drips_goes_on_elsewhere(self) -> None:
+        """Guards against a stream that single bytes keep alive until its deadline."""
+        drips: tuple[bytes | float, ...] = (0.3, b"i") * 40
+        for first in (
+            FakeReply(pieces=(EVENTS, *drips)),
+            FakeReply(pieces=(EVENTS, *((0.3, b": wait\n\n") * 40))),
+        ):
+            bench, writer = await self._serve(first)
+            self.assertEqual(2, len(bench.client.sent))
+            self.assertTrue(writer.is_complete)
+            self.assertTrue(writer.body.endswith(MORE))
+            self.assertTrue(first.is_closed)
+
+    async def test_slow_but_sound_stream_is_not_cut(self) -> None:
+        """Guards against a stream that is given up since its events are far apart."""
+        slow = FakeReply(
+            pieces=(b"id: 0\n\n", 0.9, b"id: 1\n\n", 1.6, b"id: 2\n\n", 0.8, b"id: 3\n\n")
+        )
+        bench, writer = await self._serve(slow)
+        self.assertEqual(1, len(bench.client.sent))
+        self.assertTrue(writer.is_complete)
+        self.assertIn(b"id: 3", writer.body)
+
+    async def test_bytes_without_events_are_bounded(self) -> None:
+        """Guards against a stream of comments, or one endless event, that fills the memory."""
+        for filler in (b": comment\n\n" * 100, b"x" * 1000):
+            first = FakeReply(pieces=(EVENTS, *(filler,) * 1000))
+            bench, writer = await self._serve(first)
+            self.assertEqual(2, len(bench.client.sent))
+            self.assertTrue(writer.is_complete)
+            self.assertLess(len(writer.body), 200_000)
+            target = bench.directory.get(bench.client.sent[0][0])
+            assert target is not None
+            self.assertGreater(target.failure_share, 0)
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -242,6 +242,50 @@
         self.assertEqual(["b"], [item.key for item in follower.changes_after(5).items])
         self.assertEqual(2, len(follower.changes_after(0).items))
 
+    async def test_whole_copy_of_a_peer_removes_what_is_gone(self) -> None:
+        """Guards against a target that has left and stays known to a router that fell behind."""
+        peer = self._follower(ScriptedStore())
+        peer._adopt(Snapshot([_value("a", b"1", 5)], 9))
+        follower = self._follower(ScriptedStore(), peer.changes_after(6))
+        follower._adopt(Snapshot([_value("a", b"1", 5), _value("b", b"1", 6)], 6))
+        self.assertTrue(await follower._read_peer())
+        self.assertIsNone(follower.get("b"))
+        self.assertEqual(9, follower.revision)
+
+    async def test_copy_is_confirmed_after_a_pause_before_it_is_used(self) -> None:
+        """Guards against a key that was withdrawn while the router stood still."""
+        cases: tuple[tuple[str, ScriptedStore, Changes | None], ...] = (
+            ("store", ScriptedStore(Success(Changes([Item("a", b"2", 9)], 9))), None),
+            (
+                "store without history",
+                ScriptedStore(Failed(LOST_HISTORY), Success(Snapshot([_value("a", b"2", 9)], 9))),
+                None,
+            ),
+            (
+                "peer",
+                ScriptedStore(Failed(UNAVAILABLE)),
+                Changes([Item("a", b"2", 9)], 9),
+            ),
+        )
+        for name, store, peer in cases:
+            with self.subTest(name):
+                follower = self._follower(store, peer)
+                follower._adopt(Snapshot([_value("a", b"1", 5)], 5))
+                await follower.confirm()
+                self.assertEqual(b"1", follower.get("a"))
+                follower.doubt()
+                async with asyncio.timeout(5.0):
+                    await asyncio.gather(follower.confirm(), follower.confirm())
+                self.assertEqual(b"2", follower.get("a"))
+
+    async def test_router_that_nobody_answers_goes_on_after_a_while(self) -> None:
+        """Guards against requests that wait for ever when store and peers are gone."""
+        follower = self._follower(ScriptedStore())
+        follower.doubt()
+        async with asyncio.timeout(3.0):
+            await follower.confirm()
+            await follower.confirm()
+
 
 class GossipTest(unittest.IsolatedAsyncioTestCase):
     async def test_facts_reach_peers_and_rubbish_is_ignored(self) -> None:
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -9,8 +9,11 @@
 
 import aiohttp
 
-from coltsfootfront.direct.node import Node
+from coltsfootfront.direct import gossip
+from coltsfootfront.direct.node import LEAVE_ROTATION_S, Node
+from coltsfootfront.direct.orders import OrderAnswer
 from coltsfootfront.platform import program, settings
+from coltsfootfront.platform.orders import PlatformOrders
 from coltsfootfront_dev.platformfleet import (
     CUSTOMER,
     HOST,
@@ -234,3 +237,70 @@
         callers = self.node._callers
         assert callers is not None
         self.assertEqual(0, callers.count_connections())
+
+    async def test_request_whose_body_still_arrives_outlasts_a_planned_stop(self) -> None:
+        """Guards against a stop that cuts a request which is accepted but not yet read."""
+        fields = settings_fields("router-2", self.fleet.store.address, [])
+        fields["bounds"]["grace-s"] = 8
+        node = make_node(fields)
+        await node.start()
+        await self._until(lambda: node.is_ready)
+        host, _, port = fields["listen"]["front"].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        stopping = asyncio.create_task(self._stop(node))
+        head = (
+            f"POST /file/a HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: slow\r\n"
+            f"X-Deadline-Ms: 6000\r\nAuthorization: Token {KEY}\r\nContent-Length: 4\r\n\r\n"
+        )
+        writer.write(head[:4].encode())
+        await asyncio.sleep(LEAVE_ROTATION_S - 0.5)
+        # The time of the request begins with its head.
+        writer.write(head[4:].encode() + b"bo")
+        await asyncio.sleep(1.5)
+        writer.write(b"dy")
+        answer = await reader.read(2000)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertIn(b"connection: close", answer.lower())
+        writer.close()
+        await stopping
+
+    async def _stop(self, node: Node) -> None:
+        await node.drain()
+        await node.close()
+
+    async def test_connections_that_end_are_forgotten(self) -> None:
+        """Guards against a stop that waits for callers who left in the middle of a request."""
+        host, _, port = self.fields["listen"]["front"].rpartition(":")
+        callers = self.node._callers
+        assert callers is not None
+        for sent in (b"GET /look/a HTT", b"rubbish\r\n\r\n", b"POST /x HTTP/1.1\r\n"):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(sent)
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+        await self._until(lambda: not callers.count_busy())
+
+    async def test_order_is_withheld_when_its_permission_has_ended(self) -> None:
+        """Guards against an order that goes out after the lease ended while it connected."""
+        engine = self.fleet.engines[0]
+        target = self.node._directory.get(engine.name)
+        assert target is not None
+        before = len(engine.orders)
+        client = PlatformOrders("router-1")
+        await client.start()
+        answers = []
+        for number, may_send in enumerate((bool, lambda: True)):
+            fencing = 10**6 + number
+            answers.append(await client.load_version(target, "m", 5, 0, fencing, may_send))
+        await client.close()
+        self.assertEqual([OrderAnswer.WITHHELD, OrderAnswer.ACCEPTED], answers)
+        self.assertEqual(before + 1, len(engine.orders))
+
+    async def test_peers_learn_that_a_target_leaves(self) -> None:
+        """Guards against new work from a router that has not heard the target itself."""
+        first, second = self.fleet.plain
+        started_ms = first.entry()["born"]
+        self.node._take_message(gossip.LEAVING, [first.name, started_ms])
+        for _ in range(6):
+            self.assertEqual(200, (await self._send("/look/a"))[0])
+        self.assertEqual((0, 6), (len(first.runs), len(second.runs)))
--- a/coltsfootfront/tests/test_platform_program.py
+++ b/coltsfootfront/tests/test_platform_program.py
@@ -13,8 +13,16 @@
 import aiohttp
 
 from coltsfootfront.common.errors import SettingsError
+from coltsfootfront.direct.node import PAUSE_S
 from coltsfootfront.platform import settings
-from coltsfootfront_dev.platformfleet import HOST, KEY, PlatformFleet, settings_fields, to_toml
+from coltsfootfront_dev.platformfleet import (
+    HOST,
+    KEY,
+    PlatformFleet,
+    configuration,
+    settings_fields,
+    to_toml,
+)
 
 ROOT = Path(__file__).resolve().parents[2]
 COMMAND = [sys.executable, "-m", "coltsfootfront.platform"]
@@ -130,6 +138,31 @@
             await fleet.close()
         self.assertEqual(0, process.returncode)
 
+    async def test_key_withdrawn_during_a_pause_is_not_used_after_it(self) -> None:
+        """Guards against a router that acts on old permissions right after it was stopped."""
+        fleet = PlatformFleet(1, 0)
+        await fleet.start()
+        fields = settings_fields("router-1", fleet.store.address, [])
+        self.path.write_text(to_toml(fields), encoding="utf-8")
+        process = _start(self.path)
+        try:
+            await self._until_ready(fields["listen"]["ready"])
+            for version in (2, 4, 6):
+                self.assertEqual(200, await self._send(fields["listen"]["front"]))
+                process.send_signal(signal.SIGSTOP)
+                fleet.store.put_json("op/config", configuration(version, ("other",)))
+                request = asyncio.create_task(self._send(fields["listen"]["front"]))
+                await asyncio.sleep(PAUSE_S + 0.5)
+                process.send_signal(signal.SIGCONT)
+                self.assertEqual(401, await request)
+                fleet.store.put_json("op/config", configuration(version + 1))
+                await asyncio.sleep(1.0)
+            process.send_signal(signal.SIGTERM)
+            await asyncio.to_thread(process.communicate, timeout=WAIT_S)
+        finally:
+            process.kill()
+            await fleet.close()
+
     async def _until_ready(self, address: str) -> None:
         async with asyncio.timeout(WAIT_S), aiohttp.ClientSession() as session:
             while True:
