Wait for parts that are being read, learn the engines' pace, and learn parts at a start

Change: a request waits, within the share of its aim for which it waits for weights, while its target reads the shared part for another request. The pace of reading is fitted to the answers of each service. A router that starts takes over what a peer knows, or asks its share of the targets for their cache events and tells the others.

A test of the store's watch slept for 0.1 s until the watch was open, and failed once beside load; it waits for the watch now.

--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -1,7 +1,7 @@
 """Counters and gauges that every program exposes at ``/metrics``."""
 
 from aiohttp import web
-from aioprometheus.collectors import REGISTRY, Counter, Gauge
+from aioprometheus.collectors import REGISTRY, Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
 REFUSALS = Counter("coltsfootfront_refusals_total", "Requests refused, by reason.")
@@ -20,6 +20,23 @@
 CONFIGURATION = Counter(
     "coltsfootfront_configuration_events_total", "Spread of the configuration by event."
 )
+# Upper bounds in seconds, from an answer out of the same data centre to the longest deadline.
+TIME_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8]
+FIRST_EVENT_S = Histogram(
+    "coltsfootfront_first_event_seconds",
+    "Time from a request's arrival to the first event of its answer.",
+    buckets=TIME_BUCKETS_S,
+)
+ANSWER_S = Histogram(
+    "coltsfootfront_answer_seconds",
+    "Time from a request's arrival to the end of its answer, by outcome.",
+    buckets=TIME_BUCKETS_S,
+)
+ESTIMATE_ERROR_S = Histogram(
+    "coltsfootfront_estimate_error_seconds",
+    "Difference between the expected and the measured time to the first event.",
+    buckets=TIME_BUCKETS_S,
+)
 REVISION = Gauge("coltsfootfront_revision", "Configuration revision in force.")
 
 
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -21,12 +21,12 @@
 from coltsfootfront.direct.events import StreamBrokenError
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.holders import Holders
+from coltsfootfront.direct.pace import ReadPaces
 from coltsfootfront.direct.placing import (
     Place,
     PlainPlacement,
     PromptPlacement,
     Wait,
-    read_time_s,
 )
 from coltsfootfront.direct.relaying import FIRST_ERROR_STATUS, Relay
 from coltsfootfront.direct.retrying import ServiceBudgets
@@ -47,6 +47,8 @@
 # At a target with more requests than this an answer may take longer for want of capacity.
 BUSY_LOAD = 8
 MIN_SILENCE_S = 0.4
+# Part of the base time that passes before a prompt has been read; the rest makes the first event.
+READ_BASE_SHARE = 0.5
 # Nearly all runs end within this time; a stopping router takes no request that may not.
 LONG_RUN_S = 5.0
 # A caller that a stopping router refuses reaches another one.
@@ -57,6 +59,7 @@
     """Serves requests.
 
     :param budgets: retries allowed for each service.
+    :param paces: how fast engines read, learned from their answers.
     """
 
     def __init__(
@@ -70,9 +73,11 @@
         versions: Versions,
         gossip: Gossip,
         budgets: ServiceBudgets,
+        paces: ReadPaces,
         generator: random.Random,
     ) -> None:
         self._clock = clock
+        self._paces = paces
         self._directory = directory
         self._client = client
         self._plain = plain
@@ -82,7 +87,7 @@
         self._gossip = gossip
         self._budgets = budgets
         self._generator = generator
-        self._relay = Relay(clock, holders, gossip, budgets, generator)
+        self._relay = Relay(clock, holders, gossip, budgets, paces, generator)
         self.document = TrafficDocument()
         self.ends_s = math.inf
         """Monotonic time at which this process ends."""
@@ -116,6 +121,7 @@
         fields = course_fields(call, state)
         fields["reason"] = reason or fields["reason"]
         took_s = self._clock.monotonic_s() - call.received_s
+        metrics.ANSWER_S.observe({"outcome": outcome}, took_s)
         config = self.document.number
         log.info(event("request_ended", **fields, outcome=outcome, config=config, took_s=took_s))
 
@@ -237,7 +243,7 @@
     def _note_work(self, place: Place) -> None:
         if not place.read_tokens:
             return
-        work_s = read_time_s(place.read_tokens)
+        work_s = self._paces.of(place.target.entry.service).read_s(place.read_tokens)
         place.target.backlog.add(place.priority, work_s, self._clock.monotonic_s())
         self._gossip.tell_work(place.target.name, place.priority, work_s)
 
@@ -245,9 +251,14 @@
         if not place.salt:
             return
         name = place.target.name
+        pace = self._paces.of(place.target.entry.service)
+        tokens = 0
         for part in call.shared_parts:
-            if self._holders.expect(place.salt, part.key, name, place.expected_s):
-                self._gossip.tell_coming(place.salt, part.key, name, place.expected_s)
+            tokens += part.tokens
+            read_s = pace.read_s(max(0, tokens - place.held_tokens))
+            ready_s = place.begin_s + pace.base_s * READ_BASE_SHARE + read_s
+            if self._holders.expect(place.salt, part.key, name, ready_s):
+                self._gossip.tell_coming(place.salt, part.key, name, ready_s)
 
     def _withdraw_parts(self, call: Call, place: Place) -> None:
         for part in call.shared_parts:
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -25,6 +25,8 @@
 WORK_INTERVAL_S = 0.025
 # Parts in one message; each takes about 60 bytes.
 PARTS_PER_MESSAGE = 20
+# Messages about learned parts that go out at once; a burst would fill the queue of a small link.
+LEARNED_MESSAGES = 10
 
 LOADING = "loading"
 LOADED = "loaded"
@@ -33,6 +35,7 @@
 REVISION = "revision"
 WORK = "work"
 LEAVING = "leaving"
+LEARNED = "learned"
 
 OnMessage = Callable[[str, list[Any]], None]
 
@@ -49,6 +52,7 @@
         self._peers: list[tuple[str, int]] = []
         self._held: list[list[Any]] = []
         self._coming: list[list[Any]] = []
+        self._learned: list[list[Any]] = []
         self._work: dict[tuple[str, int], float] = {}
 
     async def start(self, ip: str, port: int) -> None:
@@ -79,6 +83,10 @@
         """Tell peers soon that a target holds a part."""
         self._held.append([salt, key, target])
 
+    def tell_learned(self, parts: list[tuple[str, str, str]]) -> None:
+        """Tell peers soon which parts targets hold, used at an unknown time."""
+        self._learned += [list(part) for part in parts]
+
     def tell_coming(self, salt: str, key: str, target: str, in_s: float) -> None:
         """Tell peers at once that a target is about to read a part."""
         self._coming.append([salt, key, target, round(in_s, 3)])
@@ -102,11 +110,17 @@
         while True:
             await asyncio.sleep(FLUSH_INTERVAL_S)
             self._tell_parts(HELD, self._held)
+            self._tell_parts(LEARNED, self._learned, LEARNED_MESSAGES)
+
+    def _tell_parts(self, kind: str, parts: list[list[Any]], messages: int | None = None) -> None:
+        """Send collected facts.
 
-    def _tell_parts(self, kind: str, parts: list[list[Any]]) -> None:
-        while parts:
+        :param messages: the most messages that go out now; the rest stays.
+        """
+        while parts and messages != 0:
             self.tell(kind, parts[:PARTS_PER_MESSAGE])
             del parts[:PARTS_PER_MESSAGE]
+            messages = messages - 1 if messages is not None else None
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         try:
--- a/coltsfootfront/direct/holders.py
+++ b/coltsfootfront/direct/holders.py
@@ -87,6 +87,21 @@
         use.told_s = now_s
         return True
 
+    def learn(self, salt: str, key: str, target: str) -> None:
+        """Note that a target holds a part, used at an unknown time, unless more is known."""
+        if self._parts.get((salt, key), {}).get(target) is not None:
+            return
+        self.note(salt, key, target)
+        use = self._parts[(salt, key)][target]
+        use.used_s -= FRESH_S
+        use.told_s = -math.inf
+
+    def all(self) -> Iterator[tuple[str, str, str]]:
+        """Salt, key and holder of each part that is believed to be held, the oldest first."""
+        for salt, key in self._parts:
+            for holder in self.of(salt, key):
+                yield salt, key, holder
+
     def expect(self, salt: str, key: str, target: str, in_s: float) -> bool:
         """Note that a target has been given a prompt and is about to read a part.
 
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -23,8 +23,10 @@
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.holders import Holders
+from coltsfootfront.direct.learning import PartLearner, PartReader
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.orders import OrderClient, OrderGiver
+from coltsfootfront.direct.pace import ReadPaces
 from coltsfootfront.direct.peers import Peers
 from coltsfootfront.direct.placing import PlainPlacement, PromptPlacement
 from coltsfootfront.direct.registration import ROUTER_PREFIX, Registration, decode_address
@@ -130,6 +132,7 @@
     :param decoder: decodes what operators and targets write there.
     :param targets: gives requests to targets.
     :param orders: gives orders to targets.
+    :param parts: asks targets which parts of prompts they hold.
     :param make_callers: builds the server of callers; called when the event loop runs.
     """
 
@@ -141,6 +144,7 @@
         decoder: ItemDecoder,
         targets: TargetClient,
         orders: OrderClient,
+        parts: PartReader,
         make_callers: Callable[[Serve], CallerServer],
         generator: random.Random,
     ) -> None:
@@ -183,6 +187,18 @@
             self._tell_loaded,
             generator,
         )
+        self._part_reader = parts
+        self._learner = PartLearner(
+            clock,
+            self._directory,
+            self._holders,
+            self._gossip,
+            self._peers,
+            parts,
+            lambda: self._forwarder.document,
+            generator,
+        )
+        self._peers.find_parts = self._learner.known_parts
         self._registration = Registration(
             store, clock, settings.name, settings.peer_address, generator
         )
@@ -215,6 +231,7 @@
         await self._store.start()
         await self._client.start()
         await self._order_client.start()
+        await self._part_reader.start()
         await self._peers.start()
         await self._gossip.start(settings.ip, settings.gossip_port)
         await self._listen(settings.ready_address, self._answer_ready)
@@ -230,6 +247,7 @@
         supervisor.add("registration", self._registration.run)
         supervisor.add("orders", self._orders.run)
         supervisor.add("pause", self._pause.run)
+        supervisor.add("learning", self._learner.run)
         supervisor.add("settings", self._watch_settings)
         await supervisor.start()
         self._callers = self._make_callers(self.serve)
@@ -303,6 +321,7 @@
         await self._peers.close()
         await self._client.close()
         await self._order_client.close()
+        await self._part_reader.close()
         await self._store.close()
 
     def take_document(self, document: TrafficDocument) -> None:
@@ -332,6 +351,7 @@
 
     def _build_forwarder(self) -> Forwarder:
         settings = self._settings
+        paces = ReadPaces()
         plain = PlainPlacement(self._clock, settings.data_centre, settings.region, self._generator)
         sources = PartSources(self._clock, settings.regions, self._holders, self._versions)
         return Forwarder(
@@ -339,11 +359,12 @@
             self._directory,
             self._client,
             plain,
-            PromptPlacement(self._clock, settings.region, sources, self._versions),
+            PromptPlacement(self._clock, settings.region, sources, self._versions, paces),
             self._holders,
             self._versions,
             self._gossip,
             self._budgets,
+            paces,
             self._generator,
         )
 
@@ -372,6 +393,9 @@
         if kind == gossip.HELD:
             for salt, key, name in fields:
                 self._holders.note(salt, key, name)
+        elif kind == gossip.LEARNED:
+            for salt, key, name in fields:
+                self._holders.learn(salt, key, name)
         elif kind == gossip.COMING:
             for salt, key, name, in_s in fields:
                 self._holders.expect(salt, key, name, in_s)
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import aiohttp
 import logbook
@@ -10,21 +11,26 @@
 
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.following import Changes, Follower, Item, PeerSource
+from coltsfootfront.direct.learning import KnownPart, PartCopies
 from coltsfootfront.direct.sockets import connect_socket
 
 log = logbook.Logger(__name__)
 
 COPY_PATH = "/peer/copy"
+PARTS_PATH = "/peer/parts"
 # A peer answers from memory; one in the other region within 50 ms.
 CONNECT_TIMEOUT_S = 0.3
 TIMEOUT_S = 1.0
+OK = 200
+# Parts that a peer tells, some 60 bytes each: a small link carries them in a fifth of a second.
+MAX_PARTS_TOLD = 8000
 # Peers asked for their copy at once.
 ASKED_AT_ONCE = 2
 ASKED_AT_START = 5
 
 
-class Peers(PeerSource):
-    """Client and server of the routers' copies.
+class Peers(PeerSource, PartCopies):
+    """Client and server of the routers' copies, and of what they know of held parts.
 
     :param own_address: peer address of this router.
     :param seed_addresses: peer addresses from the settings, which may be stale.
@@ -40,6 +46,8 @@
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
         self.follower: Follower | None = None
+        self.find_parts: Callable[[], list[KnownPart]] | None = None
+        """Returns the parts to tell to a router that has just started."""
 
     async def start(self) -> None:
         """Listen for other routers."""
@@ -84,21 +92,55 @@
         found = [answer for answer in answers if answer is not None]
         return max(found, key=lambda changes: changes.revision, default=None)
 
+    def names(self) -> list[str]:
+        return sorted(set(self._known.values()) | {self._own_address})
+
+    def own_name(self) -> str:
+        return self._own_address
+
+    async def read_parts(self) -> list[KnownPart]:
+        asked = self.addresses()
+        self._generator.shuffle(asked)
+        answers = await asyncio.gather(
+            *(self._get(address, PARTS_PATH) for address in asked[:ASKED_AT_ONCE])
+        )
+        copies = [_decode_parts(answer) for answer in answers if answer is not None]
+        return max(copies, key=len, default=[])
+
     async def _ask(self, address: str, after: int) -> Changes | None:
+        body = await self._get(address, COPY_PATH, after=str(after))
+        if body is None:
+            return None
+        try:
+            revision, rows, is_whole = msgpack.unpackb(body)
+            return Changes([Item(*row) for row in rows], revision, is_whole)
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
+            return None
+
+    async def _get(self, address: str, path: str, **params: str) -> bytes | None:
         assert self._session is not None
-        url = f"http://{address}{COPY_PATH}"
+        url = f"http://{address}{path}"
         try:
-            async with self._session.get(url, params={"after": str(after)}) as response:
-                revision, rows, is_whole = msgpack.unpackb(await response.read())
-                return Changes([Item(*row) for row in rows], revision, is_whole)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, TypeError) as error:
+            async with self._session.get(url, params=params) as response:
+                return await response.read() if response.status == OK else None
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(event("peer_silent", peer=address, reason=repr(error)))
             return None
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
-        if self.follower is None or request.path != COPY_PATH:
-            return web.Response(status=404)
-        after = int(request.query.get("after", "0"))
-        changes = self.follower.changes_after(after)
-        rows = [[item.key, item.value, item.revision] for item in changes.items]
-        return web.Response(body=msgpack.packb([changes.revision, rows, changes.is_whole]))
+        if request.path == COPY_PATH and self.follower is not None:
+            changes = self.follower.changes_after(int(request.query.get("after", "0")))
+            rows = [[item.key, item.value, item.revision] for item in changes.items]
+            return web.Response(body=msgpack.packb([changes.revision, rows, changes.is_whole]))
+        if request.path == PARTS_PATH and self.find_parts is not None:
+            return web.Response(body=msgpack.packb(self.find_parts()[-MAX_PARTS_TOLD:]))
+        return web.Response(status=404)
+
+
+def _decode_parts(body: bytes) -> list[KnownPart]:
+    try:
+        return [(str(salt), str(key), str(holder)) for salt, key, holder in msgpack.unpackb(body)]
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        log.warning(event("peer_unreadable", reason=repr(error)))
+        return []
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -15,6 +15,7 @@
 from coltsfootfront.direct.backlog import PRIORITIES
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Target
+from coltsfootfront.direct.pace import ReadPaces
 from coltsfootfront.direct.sources import PartSources
 from coltsfootfront.direct.traffic import EngineFacts, KeptCache
 from coltsfootfront.direct.versions import Versions
@@ -23,14 +24,14 @@
 OTHER_DATA_CENTRE_LOAD = 0.05
 OTHER_REGION_LOAD = 0.6
 
-# Prompt tokens that an engine reads in a second, the steps of running requests included.
-READ_TOKENS_PER_S = 65_000.0
 # Delay, there and back, and price of the bytes of a request to another region.
 OTHER_REGION_S = 0.06
 # Advantage of the target that ranks first, so that routers agree without telling each other.
 HOME_S = 0.03
 # Reading a part that another target holds costs as much again, since others wait meanwhile.
 REREAD_FACTOR = 3.0
+# Shorter waits for a part that is being read are not worth it.
+MIN_WAIT_S = 0.01
 # Cost of an answer on older weights, once these are worth less.
 OLD_WEIGHTS_S = 0.15
 # Steps of an engine grow longer with each running request.
@@ -53,6 +54,7 @@
     :param read_tokens: tokens of the prompt that it is expected to read.
     :param shared_tokens: tokens of the prompt that other requests may share.
     :param priority: 0 to 9 for the target, 0 is the most urgent.
+    :param begin_s: expected time until the target begins to read.
     :param expected_s: expected time until the first event.
     :param load: estimated load of the target when it was chosen.
     """
@@ -66,13 +68,14 @@
     read_tokens: int = 0
     shared_tokens: int = 0
     priority: int = 0
+    begin_s: float = 0.0
     expected_s: float = 0.0
     load: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Wait:
-    """The request should wait for its target, which loads weights.
+    """The request should wait for its target, which loads weights or reads a shared part.
 
     :param until_s: monotonic time at which the target is expected to be back.
     """
@@ -85,9 +88,9 @@
     return f"{model}:{version}:{wall}"
 
 
-def read_time_s(tokens: int) -> float:
-    """Time in which an engine reads so many tokens of a prompt."""
-    return tokens / READ_TOKENS_PER_S
+def is_salt_of(salt: str, model: str, version: int) -> bool:
+    """Whether a version of a model made the parts under a salt."""
+    return salt.startswith(salt_of(model, version, ""))
 
 
 def read_priority(read_tokens: int, rank_offset: int) -> int:
@@ -147,10 +150,19 @@
     :param region: region of this router.
     :param sources: where targets get parts from.
     :param versions: named versions of the weights.
+    :param paces: how fast engines read.
     """
 
-    def __init__(self, clock: Clock, region: str, sources: PartSources, versions: Versions) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        region: str,
+        sources: PartSources,
+        versions: Versions,
+        paces: ReadPaces,
+    ) -> None:
         self._clock = clock
+        self._paces = paces
         self._region = region
         self._sources = sources
         self._versions = versions
@@ -188,10 +200,23 @@
         ready = [place for place in places if not place.target.is_loading(now_s)]
         best = min(places, key=lambda place: place.expected_s)
         if not best.target.is_loading(now_s):
-            return best
+            return self._after_reading(call, best, wait_until_s)
         if best.target.loading_until_s <= wait_until_s or not ready:
             return Wait(best.target.loading_until_s)
-        return min(ready, key=lambda place: place.expected_s)
+        return self._after_reading(
+            call, min(ready, key=lambda place: place.expected_s), wait_until_s
+        )
+
+    def _after_reading(self, call: Call, place: Place, wait_until_s: float) -> Place | Wait:
+        """Let a request wait while its target reads a shared part for another request.
+
+        An engine finds a part only once it has been read whole; of two prompts that are given to
+        it closely after each other, both would be read. This answers a part that many requests
+        have in common and that is new, or hot.
+        """
+        ready_s = self._sources.ready_s(call, place.salt, place.target)
+        is_soon = self._clock.monotonic_s() + MIN_WAIT_S < ready_s <= wait_until_s
+        return Wait(ready_s) if is_soon else place
 
     def _home(self, call: Call, wall: str, targets: list[Target]) -> str:
         shared = call.shared_parts
@@ -214,8 +239,11 @@
         source = self._sources.find(call, salt, target, facts, kept_caches)
         read_tokens = max(0, call.prompt_tokens - source.held_tokens - source.fetched_tokens)
         priority = read_priority(read_tokens, rank_offset)
-        cost_s = target.wait_s(priority, now_s) + read_time_s(read_tokens)
-        cost_s += read_time_s(source.reread_tokens) * REREAD_FACTOR
+        pace = self._paces.of(target.entry.service)
+        begin_s = target.wait_s(priority, now_s)
+        ready_s = self._sources.ready_s(call, salt, target)
+        cost_s = max(begin_s, ready_s - now_s) + pace.read_s(read_tokens)
+        cost_s += pace.read_s(source.reread_tokens) * REREAD_FACTOR
         cost_s += source.transfer_s
         load = target.load(now_s)
         cost_s += RUNNING_S * load + SLOT_WAIT_S * max(0, load - target.entry.slots)
@@ -235,6 +263,7 @@
             read_tokens=read_tokens,
             shared_tokens=sum(part.tokens for part in call.shared_parts),
             priority=priority,
+            begin_s=begin_s + source.transfer_s,
             expected_s=cost_s,
             load=load,
         )
--- a/coltsfootfront/direct/relaying.py
+++ b/coltsfootfront/direct/relaying.py
@@ -4,11 +4,13 @@
 import random
 from collections.abc import AsyncIterator
 
+from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.direct.call import CallerWriter
 from coltsfootfront.direct.course import AgainError, State, refusal
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.holders import Holders, kept_name
+from coltsfootfront.direct.pace import ReadPaces
 from coltsfootfront.direct.placing import Place
 from coltsfootfront.direct.retrying import ServiceBudgets
 from coltsfootfront.direct.targetclient import Loss, Reply, TargetLostError
@@ -33,6 +35,7 @@
     """Passes answers on.
 
     :param budgets: retries allowed for each service.
+    :param paces: learned from the times of first events.
     """
 
     def __init__(
@@ -41,9 +44,11 @@
         holders: Holders,
         gossip: Gossip,
         budgets: ServiceBudgets,
+        paces: ReadPaces,
         generator: random.Random,
     ) -> None:
         self._clock = clock
+        self._paces = paces
         self._holders = holders
         self._gossip = gossip
         self._budgets = budgets
@@ -111,6 +116,7 @@
             if is_first:
                 is_first = False
                 self._note_parts(state, place)
+                self._note_pace(state, place, now_s)
             if not state.has_begun:
                 await self._begin_stream(state, reply, writer)
             await writer.write(events)
@@ -123,6 +129,7 @@
         state.has_begun = True
         state.status = reply.status
         state.first_s = self._clock.monotonic_s() - state.call.received_s
+        metrics.FIRST_EVENT_S.observe({}, state.first_s)
         await writer.begin(reply.status, reply.headers, None)
 
     async def _next_piece(
@@ -149,6 +156,15 @@
             reason = f"no event in {progress.limit_s:.2f} s"
             raise TargetLostError(Loss.NO_ANSWER, reason) from None
 
+    def _note_pace(self, state: State, place: Place, now_s: float) -> None:
+        """Learn from an answer to a prompt that came whole and at once to this target."""
+        if state.sends > 1 or place.fetch_from or state.placed_s is None:
+            return
+        pace = self._paces.of(place.target.entry.service)
+        ahead_tokens = place.begin_s * pace.tokens_per_s
+        sent_s = state.call.received_s + state.placed_s
+        pace.note(ahead_tokens + place.read_tokens, now_s - sent_s)
+
     def _note_parts(self, state: State, place: Place) -> None:
         name = place.target.name
         for part in state.call.shared_parts:
--- a/coltsfootfront/direct/sources.py
+++ b/coltsfootfront/direct/sources.py
@@ -102,6 +102,18 @@
                 result.reread_tokens += part.tokens
         return result
 
+    def ready_s(self, call: Call, salt: str, target: Target) -> float:
+        """Monotonic time from which a target has those parts that it is reading for others.
+
+        :returns: minus infinity when it reads none of them.
+        """
+        times_s = [
+            self._holders.ready_s(salt, part.key, target.name)
+            for part in call.shared_parts
+            if salt and self._holders.holds(salt, part.key, target.name)
+        ]
+        return max(times_s, default=-math.inf)
+
     def save_to(
         self, call: Call, salt: str, target: Target, kept_caches: tuple[KeptCache, ...]
     ) -> KeptCache | None:
--- a/coltsfootfront/platform/program.py
+++ b/coltsfootfront/platform/program.py
@@ -15,6 +15,7 @@
 from coltsfootfront.platform.documents import PlatformDecoder
 from coltsfootfront.platform.front import CallerFront
 from coltsfootfront.platform.orders import PlatformOrders
+from coltsfootfront.platform.parts import PlatformPartReader
 from coltsfootfront.platform.store import PlatformStore
 from coltsfootfront.platform.targets import PlatformTargetClient
 
@@ -52,6 +53,7 @@
         PlatformDecoder(),
         PlatformTargetClient(),
         PlatformOrders(found.name),
+        PlatformPartReader(),
         lambda handler: CallerFront(handler, clock),
         generator,
     )
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -11,6 +11,7 @@
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.holders import Holders
+from coltsfootfront.direct.pace import ReadPaces
 from coltsfootfront.direct.placing import PlainPlacement, PromptPlacement
 from coltsfootfront.direct.retrying import ServiceBudgets
 from coltsfootfront.direct.sources import PartSources
@@ -225,8 +226,9 @@
         self.holders = Holders(clock)
         self.versions = Versions(clock, self.directory, 10.0)
         self.client = FakeClient(script)
+        self.paces = ReadPaces()
         sources = PartSources(clock, REGIONS, self.holders, self.versions)
-        self.placement = PromptPlacement(clock, "east", sources, self.versions)
+        self.placement = PromptPlacement(clock, "east", sources, self.versions, self.paces)
         self.forwarder = Forwarder(
             clock,
             self.directory,
@@ -237,6 +239,7 @@
             self.versions,
             Gossip(lambda kind, fields: None),
             ServiceBudgets(clock, 0.2, fixed_retries, 10.0),
+            self.paces,
             generator,
         )
 
--- a/coltsfootfront/tests/test_direct_placing.py
+++ b/coltsfootfront/tests/test_direct_placing.py
@@ -1,6 +1,7 @@
 """Tests of placement: homes, fetches, weights, and what callers get under load."""
 
 import heapq
+import math
 import random
 import unittest
 from dataclasses import dataclass, field
@@ -8,6 +9,13 @@
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.holders import Holders, kept_name
+from coltsfootfront.direct.pace import (
+    MAX_BASE_S,
+    MAX_TOKENS_PER_S,
+    MIN_TOKENS_PER_S,
+    ReadPace,
+    ReadPaces,
+)
 from coltsfootfront.direct.placing import (
     Place,
     PlainPlacement,
@@ -27,6 +35,50 @@
 ENGINE_TOKENS_PER_S = 82_000.0
 
 
+class ReadPaceTest(unittest.TestCase):
+    def test_pace_of_slow_and_fast_engines_is_learned(self) -> None:
+        """Guards against a constant that fits the engines of one deployment only."""
+        for tokens_per_s in (20_000.0, 38_400.0, 81_900.0, 200_000.0):
+            for base_s in (0.02, 0.12):
+                with self.subTest(tokens_per_s=tokens_per_s, base_s=base_s):
+                    generator = random.Random(1)
+                    pace = ReadPace()
+                    for _ in range(400):
+                        tokens = generator.uniform(200, 12_000)
+                        noise = generator.uniform(0.9, 1.1)
+                        pace.note(tokens, (base_s + tokens / tokens_per_s) * noise)
+                    expected_s = base_s + 8000 / tokens_per_s
+                    self.assertAlmostEqual(
+                        expected_s, pace.base_s + pace.read_s(8000), delta=0.15 * expected_s
+                    )
+                    self.assertLess(abs(pace.tokens_per_s / tokens_per_s - 1), 0.3)
+
+    def test_pace_stays_within_bounds(self) -> None:
+        """Guards against estimates that a few odd answers drive to nonsense."""
+        cases = (
+            ("long", [(100.0, 50.0)] * 50),
+            ("falling", [(100.0, 2.0), (8000.0, 0.1)] * 50),
+            ("same length", [(500.0, 0.1)] * 500),
+            ("nothing read", [(0.0, 0.0)] * 500),
+        )
+        for name, answers in cases:
+            with self.subTest(name):
+                pace = ReadPace()
+                for tokens, took_s in answers:
+                    pace.note(tokens, took_s)
+                self.assertTrue(MIN_TOKENS_PER_S <= pace.tokens_per_s <= MAX_TOKENS_PER_S)
+                self.assertTrue(0 <= pace.base_s <= MAX_BASE_S)
+
+    def test_pace_follows_engines_that_turn_slow(self) -> None:
+        """Guards against estimates that keep to what was true before."""
+        pace = ReadPace()
+        for tokens_per_s in (80_000.0, 20_000.0):
+            for number in range(500):
+                tokens = 500.0 + number * 37 % 9000
+                pace.note(tokens, 0.05 + tokens / tokens_per_s)
+        self.assertLess(abs(pace.tokens_per_s / 20_000 - 1), 0.2)
+
+
 class PromptPlacementTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -35,7 +87,7 @@
         self.holders = Holders(self.clock)
         self.versions = Versions(self.clock, self.directory, 10.0)
         sources = PartSources(self.clock, REGIONS, self.holders, self.versions)
-        self.placement = PromptPlacement(self.clock, "east", sources, self.versions)
+        self.placement = PromptPlacement(self.clock, "east", sources, self.versions, ReadPaces())
         for number in range(6):
             self.directory.put(entry(f"e{number}", data_centre="ab"[number % 2]))
 
@@ -96,6 +148,50 @@
             target.backlog.add(0, 0.3, self.clock.monotonic_s())
         self.assertEqual(home.target.entry.address, self._place(request).fetch_from)
 
+    def test_request_waits_while_its_part_is_read_for_another(self) -> None:
+        """Guards against a part that is read twice since the first reading has not ended."""
+        request = call(parts=(("std", 500), ("doc", 5000), ("own", 100)))
+        home = self._place(request)
+        now_s = self.clock.monotonic_s()
+        for key in ("std", "doc"):
+            self.holders.expect(home.salt, key, home.target.name, 0.2)
+        found = self._choose(request, wait_s=0.5)
+        assert isinstance(found, Wait)
+        self.assertAlmostEqual(now_s + 0.2, found.until_s)
+        # One that cannot wait so long goes at once.
+        self.assertIsInstance(self._choose(request, wait_s=0.1), Place)
+        for key in ("std", "doc"):
+            self.holders.note(home.salt, key, home.target.name)
+        self.assertIsInstance(self._choose(request, wait_s=0.5), Place)
+
+    def test_hot_new_part_is_read_once(self) -> None:
+        """Plays a part that is new and asked for by many at once, and counts its readings."""
+        readings = {}
+        for waits in (False, True):
+            self.setUp()
+            ready_s: dict[str, float] = {}
+            arrivals = [(0.01 * number, number) for number in range(40)]
+            heapq.heapify(arrivals)
+            readings[waits] = 0
+            while arrivals:
+                at_s, number = heapq.heappop(arrivals)
+                self.clock.advance(max(0.0, at_s - self.clock.monotonic_s()))
+                request = call(parts=(("std", 500), ("doc", 5000), (f"own{number}", 100)))
+                found = self._choose(request, wait_s=0.5 if waits else 0.0)
+                if isinstance(found, Wait):
+                    heapq.heappush(arrivals, (found.until_s, number))
+                    continue
+                assert isinstance(found, Place)
+                name = found.target.name
+                if self.clock.monotonic_s() < ready_s.get(name, math.inf) and not found.fetch_from:
+                    readings[waits] += 1
+                took_s = found.begin_s + 5500 / ENGINE_TOKENS_PER_S
+                ready_s.setdefault(name, self.clock.monotonic_s() + took_s)
+                for key in ("std", "doc"):
+                    self.holders.expect(found.salt, key, name, took_s)
+        self.assertEqual(1, readings[True])
+        self.assertGreater(readings[False], 3)
+
     def test_part_that_was_not_read_as_expected_is_not_relied_on(self) -> None:
         """Guards against belief in parts whose request was rejected or lost."""
         self.holders.expect("s", "doc", "e0", 0.2)
@@ -274,7 +370,7 @@
         directory = Directory(clock, REGIONS)
         versions = Versions(clock, directory, 10.0)
         sources = PartSources(clock, REGIONS, Holders(clock), versions)
-        placement = PromptPlacement(clock, "east", sources, versions)
+        placement = PromptPlacement(clock, "east", sources, versions, ReadPaces())
         engines: dict[str, _Engine] = {}
         for number in range(self.ENGINES):
             directory.put(entry(f"e{number}"))
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -304,3 +304,15 @@
         for _ in range(6):
             self.assertEqual(200, (await self._send("/look/a"))[0])
         self.assertEqual((0, 6), (len(first.runs), len(second.runs)))
+
+    async def test_parts_are_known_again_after_a_restart(self) -> None:
+        """Guards against prompts that are read again after all routers were killed."""
+        await self._send("/long/a", "POST", **PROMPT)
+        node = make_node(settings_fields("router-2", self.fleet.store.address, []))
+        await node.start()
+        try:
+            await self._until(lambda: any(True for _ in node._holders.all()))
+            keys = {key for _, key, _ in node._holders.all()}
+            self.assertLessEqual({"aa", "bb"}, keys)
+        finally:
+            await node.close()
--- a/coltsfootfront/tests/test_store.py
+++ b/coltsfootfront/tests/test_store.py
@@ -187,7 +187,9 @@
     async def test_closed_watch_raises(self) -> None:
         """Guards against a watcher that waits for ever on a watch that has ended."""
         pending = asyncio.create_task(next_event(self.store.watch("w/")))
-        await asyncio.sleep(0.1)
+        async with asyncio.timeout(WATCH_TIMEOUT_S):
+            while not self.stand_in.keys.watches:  # noqa: ASYNC110 - the stand-in has no event
+                await asyncio.sleep(0.01)
         self.stand_in.control({"close_watches": True})
         with self.assertRaises(FailureError) as caught:
             await pending
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from aiohttp import web
@@ -21,6 +21,7 @@
     """One request that began to run.
 
     :param salt: cache salt that the request carried.
+    :param parts: parts of its prompt.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     salt: str
     path: str
     body: bytes
+    parts: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -124,6 +126,8 @@
             return await self._order(request)
         if request.path == "/v1/report":
             return web.json_response(self._report())
+        if request.path == "/v1/kv-events":
+            return web.json_response(self._events())
         self.open_requests += 1
         try:
             return await self._run(request)
@@ -133,6 +137,16 @@
         finally:
             self.open_requests -= 1
 
+    def _events(self) -> dict[str, Any]:
+        """Parts that its runs have read; it evicts none."""
+        events = [
+            [number, "+", run.salt, key, 100, "m"]
+            for number, (run, key) in enumerate(
+                (run, part.partition(":")[0]) for run in self.runs for part in run.parts
+            )
+        ]
+        return {"boot-epoch": 1, "next": len(events), "lost": False, "events": events}
+
     def _report(self) -> dict[str, Any]:
         models: list[dict[str, Any]] = [{"name": "m", "version": self.version, "adapters": []}]
         accepted = sum(1 for order in self.orders if order["accepted"])
@@ -186,6 +200,7 @@
             found.get("X-Cache-Salt", ""),
             request.path,
             body,
+            [part for part in found.get("X-Prompt-Prefix", "").split(",") if part],
         )
         self.runs.append(run)
         if self.faults.hangs:
