Tell facts across regions through one router, and bound the wait for a part that is read

Change: facts go to the routers of the own region, and to one of each other region, which passes them on.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -246,12 +246,12 @@
             return
         work_s = self._paces.of(place.target.entry.service).read_s(place.read_tokens)
         place.target.backlog.add(place.priority, work_s, self._clock.monotonic_s())
-        self._gossip.tell_work(place.target.name, place.priority, work_s, place.target.region)
+        self._gossip.tell_work(place.target.name, place.priority, work_s)
 
     def _expect_parts(self, call: Call, place: Place) -> None:
         if not place.salt:
             return
-        name, region = place.target.name, place.target.region
+        name = place.target.name
         pace = self._paces.of(place.target.entry.service)
         tokens = 0
         for part in call.shared_parts:
@@ -259,7 +259,7 @@
             read_s = pace.read_s(max(0, tokens - place.held_tokens))
             ready_s = place.begin_s + pace.base_s * READ_BASE_SHARE + read_s
             if self._holders.expect(place.salt, part.key, name, ready_s):
-                self._gossip.tell_coming(place.salt, part.key, name, ready_s, region)
+                self._gossip.tell_coming(place.salt, part.key, name, ready_s)
 
     def _withdraw_parts(self, call: Call, place: Place) -> None:
         for part in call.shared_parts:
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -3,9 +3,9 @@
 A lost message costs a wasted request or a fetch, never correctness. What must arrive goes
 through the store, or through a peer's copy of it.
 
-Facts about a target are told to the routers of its region, which send it nearly all of its
-requests. They are gathered for longer the more routers there are, so that what a router sends and
-receives grows more slowly than the fleet.
+Facts are gathered for longer the more routers there are, so that what a router sends and receives
+grows more slowly than the fleet. The link between regions is narrow and paid by volume: a message
+crosses it once, to any router of the other region, which passes it on there.
 """
 
 import asyncio
@@ -26,11 +26,11 @@
 # Facts about work and parts are gathered for this long among a few routers; a prompt takes about
 # as long to read.
 GATHER_S = 0.025
-# Routers of a region up to which that is so; more of them gather for longer in proportion.
-FEW_ROUTERS = 8
+# Peers up to which that is so; more of them gather for longer in proportion.
+FEW_PEERS = 16
 MAX_GATHER_S = 0.1
 # Facts that a target has read a part wait for others to go along with for this long.
-LAZY_S = 0.3
+LAZY_S = 0.15
 # Parts in one message; each takes about 60 bytes, so that it fits one packet on common links.
 PARTS_PER_MESSAGE = 18
 # Messages about learned parts that go out at once; a burst would fill the queue of a small link.
@@ -54,7 +54,7 @@
 
 @dataclass(slots=True)
 class _Facts:
-    """Facts for the routers of one region that have not been sent yet."""
+    """Facts that have not been sent yet."""
 
     work: dict[tuple[str, int], float] = field(default_factory=dict)
     coming: list[list[Any]] = field(default_factory=list)
@@ -67,14 +67,16 @@
     """Sends facts to peers and passes theirs on.
 
     :param on_message: called with the type of a message and its fields.
+    :param region: region of this router.
     """
 
-    def __init__(self, on_message: OnMessage, generator: random.Random) -> None:
+    def __init__(self, on_message: OnMessage, region: str, generator: random.Random) -> None:
         self._on_message = on_message
+        self._region = region
         self._generator = generator
         self._transport: asyncio.DatagramTransport | None = None
         self._peers: dict[str, list[Address]] = {}
-        self._facts: dict[str, _Facts] = {}
+        self._facts = _Facts()
 
     async def start(self, ip: str, port: int) -> None:
         """Open the socket."""
@@ -93,8 +95,8 @@
         self._peers = peers
 
     def tell(self, kind: str, fields: list[Any]) -> None:
-        """Send one message to every peer."""
-        self._send([[kind, fields]], [peer for found in self._peers.values() for peer in found])
+        """Tell every peer at once."""
+        self._spread([[kind, fields]])
 
     def tell_revision(self, revision: int) -> None:
         """Tell a few peers how far this router's copy of the store is."""
@@ -102,45 +104,39 @@
         chosen = self._generator.sample(peers, min(REVISION_PEERS, len(peers)))
         self._send([[REVISION, [revision]]], chosen)
 
-    def tell_held(self, salt: str, key: str, holder: str, region: str) -> None:
-        """Tell the routers of a region soon that a target there holds a part."""
-        facts = self._of(region)
-        if not facts.held:
-            facts.held_since_s = asyncio.get_running_loop().time()
-        facts.held.append([salt, key, holder])
+    def tell_held(self, salt: str, key: str, holder: str) -> None:
+        """Tell peers soon that a target holds a part."""
+        if not self._facts.held:
+            self._facts.held_since_s = asyncio.get_running_loop().time()
+        self._facts.held.append([salt, key, holder])
 
-    def tell_learned(self, parts: list[tuple[str, str, str]], region: str) -> None:
-        """Tell the routers of a region soon which parts targets hold, used at an unknown time."""
-        self._of(region).learned += [list(part) for part in parts]
+    def tell_learned(self, parts: list[tuple[str, str, str]]) -> None:
+        """Tell peers soon which parts targets hold, used at an unknown time."""
+        self._facts.learned += [list(part) for part in parts]
 
-    def tell_coming(self, salt: str, key: str, target: str, in_s: float, region: str) -> None:
-        """Tell the routers of a region that a target there is about to read a part."""
-        self._of(region).coming.append([salt, key, target, round(in_s, 3)])
+    def tell_coming(self, salt: str, key: str, target: str, in_s: float) -> None:
+        """Tell peers that a target is about to read a part."""
+        self._facts.coming.append([salt, key, target, round(in_s, 3)])
 
-    def tell_work(self, target: str, priority: int, work_s: float, region: str) -> None:
-        """Tell the routers of a region that a target there has more prompts to read."""
-        work = self._of(region).work
+    def tell_work(self, target: str, priority: int, work_s: float) -> None:
+        """Tell peers that a target has more prompts to read."""
         key = (target, priority)
-        work[key] = work.get(key, 0.0) + work_s
+        self._facts.work[key] = self._facts.work.get(key, 0.0) + work_s
 
     async def flush(self) -> None:
         """Send gathered facts, for ever."""
         while True:
-            most = max((len(found) for found in self._peers.values()), default=0)
-            await asyncio.sleep(min(MAX_GATHER_S, GATHER_S * max(1.0, most / FEW_ROUTERS)))
-            for region, facts in self._facts.items():
-                self._flush(facts, self._peers.get(region, []))
+            peers = sum(len(found) for found in self._peers.values())
+            await asyncio.sleep(min(MAX_GATHER_S, GATHER_S * max(1.0, peers / FEW_PEERS)))
+            self._flush(self._facts)
 
-    def _of(self, region: str) -> _Facts:
-        return self._facts.setdefault(region, _Facts())
-
-    def _flush(self, facts: _Facts, peers: list[Address]) -> None:
+    def _flush(self, facts: _Facts) -> None:
         now_s = asyncio.get_running_loop().time()
-        is_held_due = facts.held and now_s - facts.held_since_s >= LAZY_S
+        is_held_due = bool(facts.held) and now_s - facts.held_since_s >= LAZY_S
         for _ in range(LEARNED_MESSAGES):
             if not facts.learned:
                 break
-            self._send([[LEARNED, facts.learned[:PARTS_PER_MESSAGE]]], peers)
+            self._spread([[LEARNED, facts.learned[:PARTS_PER_MESSAGE]]])
             del facts.learned[:PARTS_PER_MESSAGE]
         while facts.work or facts.coming or is_held_due:
             message: list[list[Any]] = []
@@ -151,22 +147,34 @@
             for kind, parts in ((COMING, facts.coming), (HELD, facts.held)):
                 if parts and room:
                     message.append([kind, parts[:room]])
-                    room -= len(parts[:room])
+                    room -= len(message[-1][1])
                     del parts[: len(message[-1][1])]
-            is_held_due = is_held_due and facts.held
-            self._send(message, peers)
-
-    def _send(self, message: list[list[Any]], peers: list[Address]) -> None:
+            is_held_due = is_held_due and bool(facts.held)
+            self._spread(message)
+
+    def _spread(self, message: list[list[Any]]) -> None:
+        """Send a message to all routers, over each link between regions once."""
+        for region, peers in self._peers.items():
+            if region == self._region or len(peers) == 1:
+                self._send(message, peers)
+            else:
+                self._send(message, [self._generator.choice(peers)], passes_on=True)
+
+    def _send(
+        self, message: list[list[Any]], peers: list[Address], passes_on: bool = False
+    ) -> None:
         if self._transport is None or not peers:
             return
-        data = msgpack.packb([PROTOCOL_VERSION, message])
+        data = msgpack.packb([PROTOCOL_VERSION, passes_on, message])
         for peer in peers:
             self._transport.sendto(data, peer)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         try:
-            version, message = msgpack.unpackb(data)
+            version, passes_on, message = msgpack.unpackb(data)
             if version == PROTOCOL_VERSION:
+                if passes_on:
+                    self._send(message, self._peers.get(self._region, []))
                 for kind, fields in message:
                     self._on_message(kind, fields)
         except (ValueError, TypeError, msgpack.UnpackException) as error:
--- a/coltsfootfront/direct/learning.py
+++ b/coltsfootfront/direct/learning.py
@@ -158,19 +158,11 @@
                 continue
             known = [(part.salt, part.key, holder) for part in parts if self._is_current(part.salt)]
             self._take(known)
-            for region in self._regions_of(holder):
-                self._gossip.tell_learned(known, region)
+            self._gossip.tell_learned(known)
             log.info(event("parts_learned", by=holder, parts=len(known), of=len(parts)))
             return
         log.info(event("parts_not_learned", by=holder, tries=MAX_TRIES))
 
-    def _regions_of(self, holder: str) -> set[str]:
-        """Regions whose routers use a holder; a kept cache serves all."""
-        target = self._directory.get(holder)
-        if target is not None:
-            return {target.region}
-        return {found.region for found in self._directory.all()}
-
     def _is_current(self, salt: str) -> bool:
         return any(
             is_salt_of(salt, model, version)
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -163,7 +163,7 @@
         bounds = settings.bounds
         router = Router(settings.peer_address, settings.data_centre, settings.region)
         self._peers = Peers(router, settings.seed_addresses, generator)
-        self._gossip = Gossip(self._take_message, generator)
+        self._gossip = Gossip(self._take_message, settings.region, generator)
         self._directory = Directory(clock, settings.regions)
         self._versions = Versions(clock, self._directory, bounds.version_s)
         self._holders = Holders(clock)
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -219,9 +219,14 @@
         it closely after each other, both would be read. This answers a part that many requests
         have in common and that is new, or hot.
         """
+        now_s = self._clock.monotonic_s()
         ready_s = self._sources.ready_s(call, place.salt, place.target)
-        is_soon = self._clock.monotonic_s() + MIN_WAIT_S < ready_s <= wait_until_s
-        return Wait(ready_s) if is_soon else place
+        if ready_s <= now_s + MIN_WAIT_S:
+            return place
+        # Waiting for longer would cost this request more than the second reading costs all.
+        saved_s = self._paces.of(place.target.entry.service).read_s(place.held_tokens)
+        until_s = min(wait_until_s, now_s + REREAD_FACTOR * saved_s)
+        return Wait(ready_s) if ready_s <= until_s else place
 
     def _home(self, call: Call, wall: str, targets: list[Target]) -> str:
         shared = call.shared_parts
--- a/coltsfootfront/direct/relaying.py
+++ b/coltsfootfront/direct/relaying.py
@@ -171,7 +171,7 @@
             names = [name, kept_name(place.save_to.name)] if place.save_to else [name]
             for holder in names:
                 if self._holders.note(place.salt, part.key, holder):
-                    self._gossip.tell_held(place.salt, part.key, holder, place.target.region)
+                    self._gossip.tell_held(place.salt, part.key, holder)
 
 
 class _Progress:
