Leave older weights at a start before the bounds of a router count

A router that starts takes a version that it finds as named 1.4 s before, and so used the older weights for 5.6 s more, while it was bound by the limit 4 s after its start. The order giver was stopped three times in a row meanwhile, and each new one waits for three seconds where targets do not check fencing numbers.

Change: a version found at the start may be missing for as long as the router is not bound (the platform's stable-ms), less half a second. The test fails on the former code.

Ruled out: the waits for parts and the pauses of targets, which the log does not show near these requests.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -189,7 +189,7 @@
                 continue
             if state.rejected and now_s < hold_until_s:
                 state.rejected.clear()
-                if pause_end_s is math.inf:
+                if pause_end_s == math.inf:
                     await self._clock.sleep(REJECTED_PAUSE_S)
                 continue
             if pause_end_s < math.inf:
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -165,7 +165,7 @@
         self._peers = Peers(router, settings.seed_addresses, generator)
         self._gossip = Gossip(self._take_message, settings.region, generator)
         self._directory = Directory(clock, settings.regions)
-        self._versions = Versions(clock, self._directory, bounds.version_s)
+        self._versions = Versions(clock, self._directory, bounds.version_s, bounds.stable_s)
         self._holders = Holders(clock)
         self._budgets = ServiceBudgets(
             clock, bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -14,6 +14,7 @@
     :param retry_window_s: length of that window.
     :param targets_check_fencing: targets refuse orders with an old fencing number.
     :param version_s: time after which no request may begin on older weights.
+    :param stable_s: time without disruption from which a router is bound by these times.
     """
 
     grace_s: float
@@ -22,6 +23,7 @@
     retry_fixed: float
     retry_window_s: float
     version_s: float
+    stable_s: float
     targets_check_fencing: bool
 
 
--- a/coltsfootfront/direct/versions.py
+++ b/coltsfootfront/direct/versions.py
@@ -15,6 +15,8 @@
 PREFER_NEWEST_S = 1.4
 # Requests stop going to older weights this long before they must, for the way to the target.
 LIMIT_MARGIN_S = 1.0
+# A router that has just started leaves older weights this long before its bounds count.
+START_MARGIN_S = 0.5
 # Versions of a model that are remembered; a target further behind has been left long before.
 KEPT_VERSIONS = 64
 
@@ -39,10 +41,12 @@
     :param clock: time source.
     :param directory: targets.
     :param limit_s: time after which a request must not begin on older weights.
+    :param settle_s: time after its start from which a router is bound by that.
     """
 
-    def __init__(self, clock: Clock, directory: Directory, limit_s: float) -> None:
+    def __init__(self, clock: Clock, directory: Directory, limit_s: float, settle_s: float) -> None:
         self._clock = clock
+        self._settle_s = settle_s
         self._directory = directory
         self.limit_s = limit_s
         self._named: dict[str, list[Named]] = {}
@@ -56,8 +60,10 @@
         if known and version <= known[-1].version:
             return False
         now_s = self._clock.monotonic_s()
-        # A router that has just started does not know since when the version has been named.
-        named_s = now_s if known else now_s - PREFER_NEWEST_S
+        # A router that has just started does not know since when the version has been named; it
+        # may use older weights until it is bound by the limit.
+        unknown_s = self.limit_s - LIMIT_MARGIN_S - (self._settle_s - START_MARGIN_S)
+        named_s = now_s if known else now_s - max(PREFER_NEWEST_S, unknown_s)
         known.append(Named(version, named_s))
         del known[:-KEPT_VERSIONS]
         log.info(event("version_named", model=model, version=version))
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -224,7 +224,7 @@
         self.clock = clock
         self.directory = Directory(clock, REGIONS)
         self.holders = Holders(clock)
-        self.versions = Versions(clock, self.directory, 10.0)
+        self.versions = Versions(clock, self.directory, 10.0, 4.0)
         self.client = FakeClient(script)
         self.paces = ReadPaces()
         sources = PartSources(clock, REGIONS, self.holders, self.versions)
--- a/coltsfootfront/tests/test_direct_placing.py
+++ b/coltsfootfront/tests/test_direct_placing.py
@@ -85,7 +85,7 @@
         self.kept: tuple[KeptCache, ...] = (KEPT,)
         self.directory = Directory(self.clock, REGIONS)
         self.holders = Holders(self.clock)
-        self.versions = Versions(self.clock, self.directory, 10.0)
+        self.versions = Versions(self.clock, self.directory, 10.0, 4.0)
         sources = PartSources(self.clock, REGIONS, self.holders, self.versions)
         self.placement = PromptPlacement(self.clock, "east", sources, self.versions, ReadPaces())
         for number in range(6):
@@ -386,7 +386,7 @@
         generator = random.Random(7)
         clock = ManualClock()
         directory = Directory(clock, REGIONS)
-        versions = Versions(clock, directory, 10.0)
+        versions = Versions(clock, directory, 10.0, 4.0)
         sources = PartSources(clock, REGIONS, Holders(clock), versions)
         placement = PromptPlacement(clock, "east", sources, versions, ReadPaces())
         engines: dict[str, _Engine] = {}
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -18,6 +18,7 @@
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.holders import KEPT_S, Holders
 from coltsfootfront.direct.retrying import ServiceBudgets
+from coltsfootfront.direct.versions import Versions
 from coltsfootfront.keyvalue.store import KeyValue
 from coltsfootfront.tests.direct_support import REGIONS, entry
 from coltsfootfront.tests.support import ManualClock
@@ -76,6 +77,32 @@
         self.assertTrue(target.is_sound(clock.monotonic_s()))
 
 
+class VersionsTest(unittest.TestCase):
+    def test_router_that_has_just_started_leaves_old_weights_before_it_is_bound(self) -> None:
+        """Guards against old weights in use since a router does not know when others were named."""
+        settle_s = 4.0
+        for limit_s in (6.0, 8.0, 12.0):
+            with self.subTest(limit_s):
+                clock = ManualClock()
+                directory = Directory(clock, REGIONS)
+                directory.put(entry("e1", version=1))
+                versions = Versions(clock, directory, limit_s, settle_s)
+                versions.name("m", 2)
+                targets = directory.of_service("engines")
+                clock.advance(0.5)
+                self.assertEqual(targets, versions.allowed("m", targets))
+                # It may have been named long before; the bound holds from here on.
+                clock.advance(settle_s - 0.5)
+                self.assertEqual([], versions.allowed("m", targets))
+                # A version that is named while it runs gets its whole time.
+                directory.put(entry("e2", version=2))
+                versions.name("m", 3)
+                clock.advance(limit_s - 1.5)
+                found = directory.get("e2")
+                assert found is not None
+                self.assertEqual([found], versions.allowed("m", [found]))
+
+
 class HoldersTest(unittest.TestCase):
     def test_entries_age_and_end_with_their_target(self) -> None:
         """Guards against fetches from targets that dropped a part long ago."""
--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -53,6 +53,7 @@
             "retry-budget-slack": 56,
             "budget-window-s": 10,
             "version-ms": 10000,
+            "stable-ms": 4000,
             "require-fence": True,
         },
         "provider": {"address": store, "ttl-min-ms": 500},
