--- a/coltsfootfront/direct/course.py
+++ b/coltsfootfront/direct/course.py
@@ -7,7 +7,7 @@
 from coltsfootfront.common.errors import ErrorKind, Failure, RunState
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.events import StreamChecker
-from coltsfootfront.direct.placing import Place
+from coltsfootfront.direct.placing import Place, WaitReason
 from coltsfootfront.direct.traffic import Customer, Repeat, Route
 
 # When a refused caller should come back: long enough for a load of weights to end.
@@ -25,6 +25,10 @@
     :param tried: targets that may have run the request.
     :param rejected: targets that said that they did not run it, in the last round.
     :param run: what is known about its execution.
+    :param placed_s: time from its arrival until it had a target.
+    :param first_s: time from its arrival until its first event.
+    :param longest_pause_s: longest time between two events, None before the second.
+    :param waited_for: why it last waited for its target.
     """
 
     call: Call
@@ -44,6 +48,8 @@
     status: int = 0
     placed_s: float | None = None
     first_s: float | None = None
+    longest_pause_s: float | None = None
+    waited_for: WaitReason | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -108,6 +114,11 @@
         "status": state.status,
         "placed_s": state.placed_s,
         "first_s": state.first_s,
+        "aim_s": state.route.aim_s,
+        "waited_for": state.waited_for.value if state.waited_for else None,
+        "events": state.checker.events or None,
+        "longest_pause_s": state.longest_pause_s,
+        "pause_aim_s": state.route.gap_aim_s or None,
     }
     place = state.place
     if place is None:
@@ -121,5 +132,6 @@
         "read_tokens": place.read_tokens,
         "prompt_tokens": call.prompt_tokens or None,
         "load": place.load,
+        "begin_s": place.begin_s or None,
         "expected_s": place.expected_s,
     }
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -27,6 +27,7 @@
     PlainPlacement,
     PromptPlacement,
     Wait,
+    WaitReason,
 )
 from coltsfootfront.direct.relaying import FIRST_ERROR_STATUS, Relay
 from coltsfootfront.direct.retrying import ServiceBudgets
@@ -182,8 +183,9 @@
                 return found
             pause_end_s = _pause_end_s(untried, now_s)
             if found is None and pause_end_s <= hold_until_s:
-                found = Wait(pause_end_s)
+                found = Wait(pause_end_s, WaitReason.PAUSE)
             if isinstance(found, Wait) and now_s < hold_until_s:
+                state.waited_for = found.reason
                 wait_s = min(found.until_s, hold_until_s) - now_s
                 await self._directory.wait_for_change(max(wait_s, 0.005))
                 continue
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -9,6 +9,7 @@
 import bisect
 import random
 from dataclasses import dataclass
+from enum import Enum
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.rendezvous import rank
@@ -73,14 +74,26 @@
     load: int = 0
 
 
+class WaitReason(Enum):
+    """Why a request waits for its target."""
+
+    WEIGHTS = "weights"
+    """The target loads weights."""
+    PART = "part"
+    """The target reads a shared part for another request."""
+    PAUSE = "pause"
+    """Every target has asked for a pause."""
+
+
 @dataclass(frozen=True, slots=True)
 class Wait:
-    """The request should wait for its target, which loads weights or reads a shared part.
+    """The request should wait for its target.
 
     :param until_s: monotonic time at which the target is expected to be back.
     """
 
     until_s: float
+    reason: WaitReason
 
 
 def salt_of(model: str, version: int, wall: str) -> str:
@@ -202,7 +215,7 @@
         if not best.target.is_loading(now_s):
             return self._after_reading(call, best, wait_until_s)
         if best.target.loading_until_s <= wait_until_s or not ready:
-            return Wait(best.target.loading_until_s)
+            return Wait(best.target.loading_until_s, WaitReason.WEIGHTS)
         return self._after_reading(
             call, min(ready, key=lambda place: place.expected_s), wait_until_s
         )
@@ -226,7 +239,7 @@
         # Waiting for longer would cost this request more than the second reading costs all.
         saved_s = self._paces.of(place.target.entry.service).read_s(place.held_tokens)
         until_s = min(wait_until_s, now_s + REREAD_FACTOR * saved_s)
-        return Wait(ready_s) if ready_s <= until_s else place
+        return Wait(ready_s, WaitReason.PART) if ready_s <= until_s else place
 
     def _home(self, call: Call, wall: str, targets: list[Target]) -> str:
         shared = call.shared_parts
--- a/coltsfootfront/direct/relaying.py
+++ b/coltsfootfront/direct/relaying.py
@@ -111,6 +111,7 @@
                 break
             events = state.checker.feed(piece)
             progress.note(state.checker.events, now_s)
+            state.longest_pause_s = progress.longest_pause_s
             if not events:
                 continue
             if is_first:
@@ -181,20 +182,23 @@
     :param now_s: monotonic time at which the target's stream began.
     """
 
-    __slots__ = ("_event_s", "_events", "_has_begun", "limit_s")
+    __slots__ = ("_event_s", "_events", "_has_begun", "limit_s", "longest_pause_s")
 
     def __init__(self, route: Route, events: int, now_s: float) -> None:
         self._event_s = now_s
         self._events = events
         self._has_begun = False
         self.limit_s = max(EVENT_SILENCE_S, GAP_FACTOR * route.gap_aim_s)
+        self.longest_pause_s: float | None = None
 
     def note(self, events: int, now_s: float) -> None:
         """Note how many events have been passed on so far."""
         if events == self._events:
             return
         if self._has_begun:
-            self.limit_s = max(self.limit_s, SLOW_FACTOR * (now_s - self._event_s))
+            pause_s = now_s - self._event_s
+            self.longest_pause_s = max(self.longest_pause_s or 0.0, pause_s)
+            self.limit_s = max(self.limit_s, SLOW_FACTOR * pause_s)
         self._has_begun = True
         self._events = events
         self._event_s = now_s
--- a/coltsfootfront/operation/cli.py
+++ b/coltsfootfront/operation/cli.py
@@ -8,7 +8,10 @@
 import random
 import secrets
 import sys
+from collections.abc import Iterable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
+from itertools import chain
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -21,6 +24,7 @@
 from coltsfootfront.common.settings import OperatorSettings, load_or_exit
 from coltsfootfront.configuration import schema
 from coltsfootfront.keyvalue.etcd import read_bounded
+from coltsfootfront.operation import losses
 
 EXIT_FAILURE = 1
 EXIT_BAD_INPUT = EXIT_BAD_SETTING
@@ -136,7 +140,24 @@
     ] = None
 
 
-Command = Check | Apply | Diff | Document | History | Rollback | Status | Drain | Explain
+@cappa.command
+@dataclass
+class Losses:
+    """Show from routers' logs where requests were late, failed or were refused.
+
+    Example: cat router-*.log | coltsfootfront losses
+    """
+
+    files: Annotated[
+        list[Path], cappa.Arg(help="Logs of any number of routers; standard input without them.")
+    ] = field(default_factory=list)
+    as_json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON, with each request.")] = (
+        False
+    )
+
+
+ApiCommand = Apply | Diff | Document | History | Rollback | Status | Drain | Explain
+Command = Check | Losses | ApiCommand
 
 
 @cappa.command(name="coltsfootfront")
@@ -269,11 +290,18 @@
     :returns: lines for standard output.
     :raises CommandError: the command failed.
     """
-    api = Api(settings, clock)
     match command:
         case Check():
             read_document(command.file)
             return [f"{command.file}: valid"]
+        case Losses():
+            return _losses(command)
+        case _:
+            return await _call_api(command, Api(settings, clock))
+
+
+async def _call_api(command: ApiCommand, api: Api) -> list[str]:
+    match command:
         case Apply():
             return await _apply(api, command)
         case Diff():
@@ -378,6 +406,22 @@
     return [json.dumps(await api.post("/v1/explain", body), indent=2)]
 
 
+def _losses(command: Losses) -> list[str]:
+    try:
+        with ExitStack() as stack:
+            logs: list[Iterable[str]] = [
+                stack.enter_context(path.open(encoding="utf-8", errors="replace"))
+                for path in command.files
+            ]
+            found = losses.find_losses(chain.from_iterable(logs or [sys.stdin]))
+    except OSError as error:
+        message = f"{error.filename}: cannot be read: {error.strerror}: allowed: a router's log"
+        raise CommandError(message, EXIT_BAD_INPUT) from error
+    if command.as_json:
+        return [json.dumps(losses.as_json(found), indent=2)]
+    return losses.as_text(found)
+
+
 def main() -> None:
     """Run the command and exit."""
     arguments = cappa.parse(Arguments, version=__version__)
--- /dev/null
+++ b/coltsfootfront/tests/test_losses.py
@@ -0,0 +1,180 @@
+"""Tests of the command that says from routers' logs where requests were lost."""
+
+import contextlib
+import io
+import json
+import sys
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfootfront.common.logs import event
+from coltsfootfront.operation import cli, losses
+from coltsfootfront.operation.losses import Result, Stage
+from coltsfootfront.tests.test_cli import Files
+
+USUAL: dict[str, Any] = {
+    "id": "r1",
+    "route": "long",
+    "customer": "c1",
+    "target": "t1",
+    "outcome": "answered",
+    "status": 200,
+    "sends": 1,
+    "aim_s": 0.8,
+    "placed_s": 0.001,
+    "first_s": 0.3,
+    "expected_s": 0.2,
+    "prompt_tokens": 5000,
+    "took_s": 0.5,
+}
+
+
+def line(name: str, at_s: float = 10.0, process: str = "router-1", **fields: Any) -> str:
+    """One line of a router's log."""
+    stamp = f"time=2026-12-04T10:00:{at_s:09.6f}Z level=INFO process={process} module=m"
+    return f"{stamp} {event(name, **fields)}\n"
+
+
+def ended(**fields: Any) -> str:
+    """The line of a request that ended; usual fields unless the test says otherwise."""
+    at_s = fields.pop("at_s", 10.0)
+    process = fields.pop("process", "router-1")
+    return line("request_ended", at_s, process, **(USUAL | fields))
+
+
+class StageTest(unittest.TestCase):
+    """Guards against a request that is counted as good, or under another cause than its own."""
+
+    def check(self, result: Result, stage: Stage | None, *lines: str) -> None:
+        found = losses.find_losses(lines)
+        self.assertEqual(dict(found.results), {("long", result): 1})
+        self.assertEqual([loss.stage for loss in found.losses], [stage] if stage else [])
+        self.assertEqual(found.unreadable_lines, 0)
+
+    def test_stages(self) -> None:
+        late = {"first_s": 1.2, "took_s": 1.5}
+        lost = {"first_s": None, "outcome": "caller_left", "took_s": 3.2, "status": 0}
+        stopped = line("router_stopping", 9.0)
+        frozen = line("process_paused", 9.5, paused_s=2.0)
+        dark = line("target_dark", 9.0, target="t1")
+        cases: list[tuple[Result, Stage | None, tuple[str, ...]]] = [
+            (Result.GOOD, None, (ended(),)),
+            (Result.LATE, Stage.UNKNOWN_QUEUE, (ended(**late),)),
+            (Result.LATE, Stage.KNOWN_QUEUE, (ended(**late, expected_s=0.9),)),
+            (Result.LATE, Stage.WEIGHTS, (ended(**late, placed_s=0.5, waited_for="weights"),)),
+            (Result.LATE, Stage.PART, (ended(**late, placed_s=0.5, waited_for="part"),)),
+            (Result.LATE, Stage.PAUSE, (ended(**late, placed_s=0.5, waited_for="pause"),)),
+            (Result.LATE, Stage.PLACE, (ended(**late, placed_s=0.5),)),
+            (Result.LATE, Stage.SECOND, (ended(**late, sends=2),)),
+            (Result.LATE, Stage.EVENTS, (ended(longest_pause_s=0.5, pause_aim_s=0.4),)),
+            (Result.LATE, Stage.PLAIN, (ended(first_s=None, prompt_tokens=None, took_s=1.0),)),
+            (Result.LATE, Stage.ROUTER, (ended(**late), frozen)),
+            (Result.FAILED, Stage.UNKNOWN_QUEUE, (ended(**lost),)),
+            (Result.FAILED, Stage.DARK_TARGET, (dark, ended(**lost))),
+            (Result.FAILED, Stage.ROUTER, (dark, stopped, ended(**lost))),
+            (Result.FAILED, Stage.TARGET_ERROR, (ended(first_s=None, status=500),)),
+            (Result.FAILED, Stage.BROKEN, (ended(outcome="target_failed", status=0),)),
+            (Result.REFUSED, Stage.REFUSED, (ended(outcome="overloaded", first_s=None),)),
+            (Result.LEFT, None, (ended(outcome="caller_left", took_s=0.4, first_s=None),)),
+            (Result.LEFT, None, (ended(outcome="caller_left"),)),
+        ]
+        for result, stage, lines in cases:
+            with self.subTest(result=result, stage=stage):
+                self.check(result, stage, *lines)
+
+    def test_incidents_of_others_are_no_cause(self) -> None:
+        lost = ended(first_s=None, outcome="caller_left", took_s=3.2, status=0)
+        self.check(
+            Result.FAILED,
+            Stage.UNKNOWN_QUEUE,
+            line("target_dark", 10.0, target="t2"),
+            line("router_stopping", 10.0, process="router-2"),
+            line("target_dark", 30.0, target="t1"),
+            lost,
+        )
+
+    def test_callers_own_mistakes_are_not_owed(self) -> None:
+        found = losses.find_losses([ended(outcome="not_found"), ended(outcome="unauthenticated")])
+        self.assertEqual((dict(found.results), found.losses), ({}, []))
+
+
+class ReadingTest(unittest.TestCase):
+    """Guards against a log whose gaps or foreign lines are passed over in silence."""
+
+    def test_foreign_lines_and_gaps_are_counted(self) -> None:
+        found = losses.find_losses(
+            [
+                "no line of a log\n",
+                "time=yesterday process=p event=request_ended\n",
+                ended(took_s="soon"),
+                ended(),
+                line("log_lines_left_out", counts="request_ended:12,target_lost:3"),
+            ]
+        )
+        self.assertEqual(found.unreadable_lines, 1)
+        self.assertEqual(found.left_out_lines, 15)
+        self.assertEqual(sum(found.results.values()), 1)
+        text = "\n".join(losses.as_text(found))
+        self.assertIn("1 ended requests could not be read", text)
+        self.assertIn("15 lines were left out", text)
+
+    @given(st.text(), st.text())
+    def test_what_was_logged_is_read(self, reason: str, customer: str) -> None:
+        written = line("request_ended", reason=reason, customer=customer).rstrip("\n")
+        read = losses.parse_line(written).unwrap().fields
+        self.assertEqual((read["reason"], read["customer"]), (reason, customer))
+
+    def test_losses_are_counted_by_second_and_over_all_routers(self) -> None:
+        lines = [
+            ended(at_s=10.5, process="router-1", first_s=1.0, took_s=1.2),
+            ended(at_s=10.9, process="router-2", outcome="deadline_exceeded", took_s=0.9),
+            ended(at_s=13.0, process="router-2", first_s=1.0, took_s=1.0, customer="c2"),
+        ]
+        found = losses.find_losses(lines)
+        text = losses.as_text(found)
+        bars = text[text.index("by second (# lost, - late)") + 1 :]
+        self.assertEqual(
+            [bar.split()[1:] for bar in bars], [["1", "-"], ["1", "#"], ["0"], ["1", "-"]]
+        )
+        self.assertIn("      2  router-2", text)
+        self.assertIn("      2  c1", text)
+
+
+class CommandTest(Files):
+    """Guards against a command that an engineer on call cannot use."""
+
+    def run_main(self, *arguments: str, log: str = "") -> tuple[int, str, str]:
+        out, err = io.StringIO(), io.StringIO()
+        code: Any = 0
+        with (
+            mock.patch.object(sys, "argv", ["coltsfootfront", "losses", *arguments]),
+            mock.patch.object(sys, "stdin", io.StringIO(log)),
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            try:
+                cli.main()
+            except SystemExit as stop:
+                code = stop.code
+        return code, out.getvalue(), err.getvalue()
+
+    def test_files_and_standard_input_give_the_same(self) -> None:
+        one, two = ended(first_s=1.0, took_s=1.1), ended(id="r2", outcome="deadline_exceeded")
+        files = [str(self.write("one.log", one)), str(self.write("two.log", two))]
+        from_files = self.run_main("--json", *files)
+        from_input = self.run_main("--json", log=one + two)
+        self.assertEqual(from_files, from_input)
+        found = json.loads(from_files[1])
+        self.assertEqual([loss["id"] for loss in found["losses"]], ["r1", "r2"])
+        self.assertEqual(self.run_main(*files)[0], 0)
+
+    def test_missing_file_is_said_in_one_line(self) -> None:
+        missing = str(Path(self.folder) / "missing.log")
+        code, _, err = self.run_main(missing)
+        self.assertEqual((code, err.count("\n")), (2, 1))
+        self.assertIn("missing.log", err)
