--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -16,8 +16,10 @@
 
 # An entry that vanished is back within two seconds if the target lives; after that it is gone.
 MISSING_S = 2.0
-# Age after which a load that a target reported of itself no longer counts.
-LOAD_AGE_S = 1.0
+# A load that a target reported counts in full for this long, about the time between two reports
+# of a target in use, and then loses half of its weight in each further interval.
+LOAD_AGE_S = 0.2
+LOAD_HALF_S = 1.5
 # Weight of the latest result in the running share of failures.
 FAILURE_SMOOTHING = 0.25
 # Share of failures from which a target is only used when no other is left.
@@ -81,7 +83,7 @@
     result_s: float = 0.0
     reported_load: int = 0
     reported_own: int = 0
-    reported_s: float = -LOAD_AGE_S
+    reported_s: float = -math.inf
     heard_s: float = 0.0
     """When it sent something last, or got its first request after a pause."""
     limits: set[asyncio.Timeout] = field(default_factory=set)
@@ -100,9 +102,10 @@
 
     def load(self, now_s: float) -> int:
         """Requests that the target is estimated to have, from all routers."""
-        if now_s - self.reported_s > LOAD_AGE_S:
-            return self.in_flight
-        return max(self.in_flight, self.reported_load + self.in_flight - self.reported_own)
+        age_s = max(0.0, now_s - self.reported_s - LOAD_AGE_S)
+        others = max(0, self.reported_load - self.reported_own)
+        weight: float = 0.5 ** (age_s / LOAD_HALF_S)
+        return self.in_flight + round(others * weight)
 
     def note_load(self, total: int, now_s: float) -> None:
         """Take over the load that the target reported with an answer."""
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -335,6 +335,7 @@
         target.heard_s = now_s
         if reply.load is not None:
             target.note_load(reply.load, now_s)
+            self._gossip.tell_load(target.name, reply.load)
         if reply.is_leaving and not reply.is_other_target:
             self._note_leaving(target)
         if reply.pause_s is not None:
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -44,6 +44,7 @@
 COMING = "coming"
 REVISION = "revision"
 WORK = "work"
+LOAD = "load"
 LEAVING = "leaving"
 LEARNED = "learned"
 DARK = "dark"
@@ -57,6 +58,7 @@
     """Facts that have not been sent yet."""
 
     work: dict[tuple[str, int], float] = field(default_factory=dict)
+    loads: dict[str, int] = field(default_factory=dict)
     coming: list[list[Any]] = field(default_factory=list)
     held: list[list[Any]] = field(default_factory=list)
     learned: list[list[Any]] = field(default_factory=list)
@@ -123,6 +125,10 @@
         key = (target, priority)
         self._facts.work[key] = self._facts.work.get(key, 0.0) + work_s
 
+    def tell_load(self, target: str, load: int) -> None:
+        """Tell peers soon which load a target has reported."""
+        self._facts.loads[target] = load
+
     async def flush(self) -> None:
         """Send gathered facts, for ever."""
         while True:
@@ -138,8 +144,11 @@
                 break
             self._spread([[LEARNED, facts.learned[:PARTS_PER_MESSAGE]]])
             del facts.learned[:PARTS_PER_MESSAGE]
-        while facts.work or facts.coming or is_held_due:
+        while facts.work or facts.coming or facts.loads or is_held_due:
             message: list[list[Any]] = []
+            if facts.loads:
+                names = list(facts.loads)[:PARTS_PER_MESSAGE]
+                message.append([LOAD, [[name, facts.loads.pop(name)] for name in names]])
             if facts.work:
                 keys = list(facts.work)[:PARTS_PER_MESSAGE]
                 message.append([WORK, [[*key, round(facts.work.pop(key), 4)] for key in keys]])
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -396,6 +396,7 @@
             gossip.LEARNED: self._take_learned,
             gossip.COMING: self._take_coming,
             gossip.WORK: self._take_work,
+            gossip.LOAD: self._take_loads,
             gossip.LEAVING: lambda found: self._take_leaving(*found),
             gossip.DARK: lambda found: self._directory.suspect(*found),
             gossip.LOADING: lambda found: self._take_loading(kind, *found),
@@ -429,6 +430,12 @@
             if target is not None:
                 target.backlog.add(priority, work_s, self._clock.monotonic_s())
 
+    def _take_loads(self, fields: list[Any]) -> None:
+        for name, load in fields:
+            target = self._directory.get(name)
+            if target is not None:
+                target.note_load(load, self._clock.monotonic_s())
+
     def _take_loading(self, kind: str, name: str, model: str, version: int, for_s: float) -> None:
         target = self._directory.get(name)
         if target is None:
--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -35,8 +35,12 @@
 MIN_WAIT_S = 0.01
 # Cost of an answer on older weights, once these are worth less.
 OLD_WEIGHTS_S = 0.15
-# Steps of an engine grow longer with each running request.
-RUNNING_S = 0.001
+# Each running request shows what else an engine has to do, that no router has reckoned with, and
+# is held up itself while a prompt is read.
+RUNNING_S = 0.005
+# Share by which an engine reads more slowly for each request that it runs, since it makes their
+# next tokens in between.
+RUNNING_SHARE = 0.05
 # A request beyond the slots waits for one of those that run.
 SLOT_WAIT_S = 0.05
 # Bounds of the priorities by the tokens that are read; each class takes twice as long.
@@ -265,10 +269,11 @@
         pace = self._paces.of(target.entry.service)
         begin_s = target.wait_s(priority, now_s)
         ready_s = self._sources.ready_s(call, salt, target)
-        cost_s = max(begin_s, ready_s - now_s) + pace.read_s(read_tokens)
+        load = target.load(now_s)
+        cost_s = max(begin_s, ready_s - now_s)
+        cost_s += pace.read_s(read_tokens) * (1 + RUNNING_SHARE * load)
         cost_s += pace.read_s(source.reread_tokens) * REREAD_FACTOR
         cost_s += source.transfer_s
-        load = target.load(now_s)
         cost_s += RUNNING_S * load + SLOT_WAIT_S * max(0, load - target.entry.slots)
         if target.region != self._region:
             cost_s += OTHER_REGION_S
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -135,6 +135,7 @@
         is_other_version: bool = False,
         is_leaving: bool = False,
         pause_s: float | None = None,
+        load: int | None = None,
     ) -> None:
         self.status = status
         self.headers = []
@@ -143,7 +144,7 @@
         self.is_other_target = is_other_target
         self.is_other_version = is_other_version
         self.version = version
-        self.load = None
+        self.load = load
         self.is_leaving = is_leaving
         self.pause_s = pause_s
         self.is_closed = False
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -3,12 +3,14 @@
 import asyncio
 import unittest
 from dataclasses import dataclass, replace
+from unittest import mock
 
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.errors import ErrorKind, RunState
 from coltsfootfront.direct.admission import most_requests
 from coltsfootfront.direct.call import Call
 from coltsfootfront.direct.directory import Target
+from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.targetclient import Directive, Loss, Reply
 from coltsfootfront.direct.traffic import Repeat, TrafficDocument
@@ -274,6 +276,18 @@
         assert target is not None
         self.assertFalse(target.is_paused(bench.clock.monotonic_s()))
 
+    async def test_reported_load_is_noted_and_told_to_peers(self) -> None:
+        """Guards against peers that take a target for idle since they have asked it nothing."""
+        bench = Bench(SystemClock(), lambda target, call, directive: FakeReply(load=5))
+        bench.add(entry("t1", "plain"))
+        bench.forwarder.document = document(route())
+        with mock.patch.object(Gossip, "tell_load") as told:
+            await bench.forwarder.serve(call(), FakeWriter())
+        told.assert_called_once_with("t1", 5)
+        target = bench.directory.get("t1")
+        assert target is not None
+        self.assertEqual(5 - 1, target.load(bench.clock.monotonic_s()))
+
     async def test_short_pause_is_waited_for(self) -> None:
         """Guards against refusals though the only target is back within the aim."""
         bench = self._bench(FakeReply(503, is_not_run=True, pause_s=0.05))
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -1,6 +1,7 @@
 """Tests of what a router believes: directory, holders, copies of the store, gossip, budgets."""
 
 import asyncio
+import itertools
 import math
 import random
 import unittest
@@ -60,6 +61,25 @@
         self.assertFalse(after.is_dark)
         self.assertEqual([after], directory.of_service("engines"))
 
+    def test_reported_load_fades(self) -> None:
+        """Guards against a herd of requests to a full target that has reported nothing lately."""
+        clock = ManualClock()
+        directory = Directory(clock, REGIONS)
+        directory.put(entry("t1"))
+        target = directory.get("t1")
+        assert target is not None
+        target.in_flight = 4
+        target.note_load(44, clock.monotonic_s())
+        target.in_flight = 6
+        loads = []
+        for _ in range(60):
+            loads.append(target.load(clock.monotonic_s()))
+            clock.advance(0.2)
+        self.assertEqual(46, loads[0])
+        self.assertEqual(sorted(loads, reverse=True), loads)
+        self.assertLess(max(a - b for a, b in itertools.pairwise(loads)), 6)
+        self.assertEqual(6, loads[-1])
+
     def test_failing_target_recovers_with_time(self) -> None:
         """Guards against a target that is avoided for ever, or used while half of it fails."""
         clock = ManualClock()
@@ -422,6 +442,7 @@
         began_s = asyncio.get_running_loop().time()
         for _ in range(60):
             teller.tell_work("t", 1, 0.01)
+            teller.tell_load("t", 7)
             teller.tell_coming("s", "p", "t", 0.1)
             await asyncio.sleep(0.01)
         passed_s = asyncio.get_running_loop().time() - began_s
@@ -452,6 +473,7 @@
         with sends as sent:
             for number in range(40):
                 teller.tell_work(f"t{number}", 1, 0.1)
+                teller.tell_load(f"t{number}", 7)
                 teller.tell_coming("s", f"p{number}", "t", 0.1)
                 teller.tell_held("s", f"p{number}", "t")
             teller.tell(gossip.DARK, ["t", 1])
@@ -459,7 +481,8 @@
         flushing.cancel()
         self.assertEqual({1}, {len(item.args[1]) for item in sent.call_args_list})
         for heard in got:
-            self.assertEqual({gossip.WORK, gossip.COMING, gossip.HELD, gossip.DARK}, set(heard))
+            kinds = {gossip.WORK, gossip.LOAD, gossip.COMING, gossip.HELD, gossip.DARK}
+            self.assertEqual(kinds, set(heard))
             self.assertEqual(1, heard.count(gossip.DARK))
         for item in (teller, *hearers):
             await item.close()
