--- a/coltsfootfront/direct/following.py
+++ b/coltsfootfront/direct/following.py
@@ -194,6 +194,11 @@
         item = self._items.get(key)
         return item.value if item else None
 
+    @property
+    def has_copy(self) -> bool:
+        """Whether the store has been read once; what comes later is a change."""
+        return self.revision > 0
+
     def changes_after(self, revision: int) -> Changes:
         """Answer a peer: changes after its revision, or all keys when it is too far behind."""
         if revision < self._kept_after:
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -334,7 +334,7 @@
         self._directory.notify()
 
     def take_version(self, model: str, version: int) -> None:
-        self._versions.name(model, version)
+        self._versions.name(model, version, is_new=self._follower.has_copy)
 
     def take_entry(self, entry: Entry) -> None:
         before = self._directory.get(entry.name)
--- a/coltsfootfront/direct/versions.py
+++ b/coltsfootfront/direct/versions.py
@@ -51,22 +51,23 @@
         self.limit_s = limit_s
         self._named: dict[str, list[Named]] = {}
 
-    def name(self, model: str, version: int) -> bool:
+    def name(self, model: str, version: int, is_new: bool) -> bool:
         """Note a named version.
 
+        :param is_new: it was named just now; otherwise this router found it when it read the
+            store for the first time, and does not know since when it has been named.
         :returns: whether it is newer than the one known.
         """
         known = self._named.setdefault(model, [])
         if known and version <= known[-1].version:
             return False
         now_s = self._clock.monotonic_s()
-        # A router that has just started does not know since when the version has been named; it
-        # may use older weights until it is bound by the limit.
+        # Older weights may be used until this router is bound by the limit.
         unknown_s = self.limit_s - LIMIT_MARGIN_S - (self._settle_s - START_MARGIN_S)
-        named_s = now_s if known else now_s - max(PREFER_NEWEST_S, unknown_s)
+        named_s = now_s if is_new else now_s - max(PREFER_NEWEST_S, unknown_s)
         known.append(Named(version, named_s))
         del known[:-KEPT_VERSIONS]
-        log.info(event("version_named", model=model, version=version))
+        log.info(event("version_named", model=model, version=version, is_new=is_new))
         return True
 
     def newest(self, model: str) -> Named | None:
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -194,7 +194,7 @@
         rejected = FakeReply(421, is_not_run=True, is_other_version=True)
         bench = self._bench(rejected, FakeReply(pieces=(EVENTS,)))
         bench.add(entry("e1", version=1))
-        bench.versions.name("m", 3)
+        bench.versions.name("m", 3, is_new=True)
         bench.forwarder.document = document(
             route("/ask/", "engines", Repeat.RESUMABLE, is_stream=True)
         )
--- a/coltsfootfront/tests/test_direct_placing.py
+++ b/coltsfootfront/tests/test_direct_placing.py
@@ -288,8 +288,8 @@
 
     def test_old_weights_give_way_and_are_left_in_time(self) -> None:
         """Guards against requests that begin on old weights after their limit."""
-        self.versions.name(MODEL, 1)
-        self.versions.name(MODEL, 2)
+        self.versions.name(MODEL, 1, is_new=True)
+        self.versions.name(MODEL, 2, is_new=True)
         current = self.directory.get("e3")
         assert current is not None
         current.versions[MODEL] = 2
@@ -306,10 +306,10 @@
 
     def test_each_version_has_its_own_limit(self) -> None:
         """Guards against a limit that starts anew whenever a further version is named."""
-        self.versions.name(MODEL, 1)
-        self.versions.name(MODEL, 2)
+        self.versions.name(MODEL, 1, is_new=True)
+        self.versions.name(MODEL, 2, is_new=True)
         self.clock.advance(5.0)
-        self.versions.name(MODEL, 3)
+        self.versions.name(MODEL, 3, is_new=True)
         for number in range(1, 6):
             target = self.directory.get(f"e{number}")
             assert target is not None
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -107,7 +107,7 @@
                 directory = Directory(clock, REGIONS)
                 directory.put(entry("e1", version=1))
                 versions = Versions(clock, directory, limit_s, settle_s)
-                versions.name("m", 2)
+                versions.name("m", 2, is_new=False)
                 targets = directory.of_service("engines")
                 clock.advance(0.5)
                 self.assertEqual(targets, versions.allowed("m", targets))
@@ -116,12 +116,27 @@
                 self.assertEqual([], versions.allowed("m", targets))
                 # A version that is named while it runs gets its whole time.
                 directory.put(entry("e2", version=2))
-                versions.name("m", 3)
+                versions.name("m", 3, is_new=True)
                 clock.advance(limit_s - 1.5)
                 found = directory.get("e2")
                 assert found is not None
                 self.assertEqual([found], versions.allowed("m", [found]))
 
+    def test_first_version_that_is_named_while_a_router_runs_gets_its_whole_time(self) -> None:
+        """Guards against requests that are refused while engines may still use their weights."""
+        limit_s = 8.0
+        clock = ManualClock()
+        directory = Directory(clock, REGIONS)
+        directory.put(entry("e1", version=1))
+        versions = Versions(clock, directory, limit_s, 4.0)
+        clock.advance(20.0)
+        versions.name("m", 2, is_new=True)
+        targets = directory.of_service("engines")
+        clock.advance(limit_s - 1.5)
+        self.assertEqual(targets, versions.allowed("m", targets))
+        clock.advance(1.0)
+        self.assertEqual([], versions.allowed("m", targets))
+
 
 class HoldersTest(unittest.TestCase):
     def test_entries_age_and_end_with_their_target(self) -> None:
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.direct import gossip
 from coltsfootfront.direct.node import LEAVE_ROTATION_S, Node
 from coltsfootfront.direct.orders import OrderAnswer
@@ -151,8 +152,13 @@
 
     async def test_new_weights_are_ordered_and_expected(self) -> None:
         """Guards against engines that stay on old weights, and salts that outlive them."""
+        named_s = SystemClock().monotonic_s()
         self.fleet.store.put_json("op/version/m", {"model": "m", "version": 2})
         await self._until(lambda: all(engine.version == 2 for engine in self.fleet.engines))
+        # A name that comes while the router runs is not taken for an old one.
+        newest = self.node._versions.newest("m")
+        assert newest is not None
+        self.assertGreaterEqual(newest.named_s, named_s)
         await self._until(lambda: bool(self.fleet.engines[0].orders))
         fences = {order["fence"] for engine in self.fleet.engines for order in engine.orders}
         self.assertEqual(1, len(fences))
