--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -28,6 +28,9 @@
 SILENT_LIMIT = 2
 FIRST_SUSPENSION_S = 0.5
 MAX_SUSPENSION_S = 4.0
+# A target that turned a request away, as it was full or loaded weights that this router had not
+# heard of, is passed over for about as long as a load takes.
+REJECTION_S = 0.3
 # Time in which the share of failures halves when the target gets no requests.
 FORGET_S = 2.0
 PRUNE_INTERVAL_S = 0.2
@@ -94,6 +97,8 @@
     """One of its answers said that it leaves; an older entry in the store does not undo this."""
     paused_until_s: float = 0.0
     """Until when it wants no requests from this router."""
+    rejecting_until_s: float = 0.0
+    """Until when it is expected to turn requests away, since it has just turned one away."""
 
     @property
     def name(self) -> str:
@@ -123,7 +128,7 @@
 
     def is_sound(self, now_s: float) -> bool:
         """Whether requests to this target have mostly been answered lately."""
-        if self.is_dark or now_s < self.suspended_until_s:
+        if self.is_dark or now_s < max(self.suspended_until_s, self.rejecting_until_s):
             return False
         age_s = now_s - self.result_s
         forgotten: float = 0.5 ** (age_s / FORGET_S)
@@ -141,9 +146,14 @@
         """Note that the target wants no requests for some time."""
         self.paused_until_s = max(self.paused_until_s, now_s + for_s)
 
+    def rejected(self, now_s: float) -> None:
+        """Note a request that the target turned away."""
+        self.rejecting_until_s = now_s + REJECTION_S
+
     def succeeded(self, now_s: float) -> None:
         """Note a request that the target answered."""
         self.is_dark = False
+        self.rejecting_until_s = 0.0
         self.failure_share *= 1 - FAILURE_SMOOTHING
         self.silent_failures = 0
         self.suspension_s = FIRST_SUSPENSION_S
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 import random
+from http import HTTPStatus
 
 import logbook
 
@@ -351,11 +352,8 @@
         if reply.is_other_target:
             target.is_replaced = True
             log.warning(event("target_replaced", target=target.name, id=state.call.request_id))
-        elif not reply.is_not_run:
-            if reply.status >= FIRST_ERROR_STATUS:
-                target.failed(now_s, is_silent=False)
-            else:
-                target.succeeded(now_s)
+        else:
+            _note_result(target, reply, now_s)
 
     def _note_leaving(self, target: Target) -> None:
         started_ms = target.entry.started_ms
@@ -425,6 +423,16 @@
         return self._refusal(state, f"{message}, and the retry budget is used up")
 
 
+def _note_result(target: Target, reply: Reply, now_s: float) -> None:
+    if reply.is_not_run:
+        if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            target.rejected(now_s)
+    elif reply.status >= FIRST_ERROR_STATUS:
+        target.failed(now_s, is_silent=False)
+    else:
+        target.succeeded(now_s)
+
+
 def _pause_end_s(targets: list[Target], now_s: float) -> float:
     """Monotonic time at which the first of the paused targets takes requests again.
 
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -9,7 +9,7 @@
 from coltsfootfront.common.errors import ErrorKind, RunState
 from coltsfootfront.direct.admission import most_requests
 from coltsfootfront.direct.call import Call
-from coltsfootfront.direct.directory import Target
+from coltsfootfront.direct.directory import REJECTION_S, Target
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.targetclient import Directive, Loss, Reply
@@ -288,6 +288,32 @@
         assert target is not None
         self.assertEqual(5 - 1, target.load(bench.clock.monotonic_s()))
 
+    async def test_target_that_turns_requests_away_does_not_use_up_the_retries(self) -> None:
+        """Load: one of three engines loads weights that this router has not heard of.
+
+        Guards against a retry budget that is spent on one target, so that callers are refused
+        while the other two have room.
+        """
+
+        def script(target: Target, request: Call, directive: Directive) -> Reply:
+            if target.name == "e0":
+                return FakeReply(status=503, is_not_run=True)
+            return FakeReply(pieces=(EVENTS,))
+
+        bench = Bench(SystemClock(), script, fixed_retries=20.0)
+        bench.add(*(entry(f"e{number}") for number in range(3)))
+        bench.forwarder.document = document(route("/p/", "engines", Repeat.RESUMABLE, True))
+        writers = []
+        for number in range(60):
+            writers.append(FakeWriter())
+            request = call("/p/x", f"r{number}", parts=((f"own{number}", 400),))
+            await bench.forwarder.serve(request, writers[-1])
+            await asyncio.sleep(0.005)
+        self.assertEqual(len(writers), sum(writer.is_complete for writer in writers))
+        # One request finds out what the others need not try.
+        asked = [name for name, _ in bench.client.sent].count("e0")
+        self.assertLessEqual(asked, 1 + 60 * 0.01 / REJECTION_S)
+
     async def test_short_pause_is_waited_for(self) -> None:
         """Guards against refusals though the only target is back within the aim."""
         bench = self._bench(FakeReply(503, is_not_run=True, pause_s=0.05))
