--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -7,7 +7,6 @@
 import asyncio
 import math
 import random
-from http import HTTPStatus
 
 import logbook
 
@@ -16,6 +15,7 @@
 from coltsfootfront.common.errors import ErrorKind, Failure, RunState
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct import admission, gossip
+from coltsfootfront.direct.answerheads import AnswerHeads
 from coltsfootfront.direct.call import Call, CallerWriter
 from coltsfootfront.direct.course import AgainError, RefusedError, State, course_fields, refusal
 from coltsfootfront.direct.directory import Directory, Target
@@ -30,7 +30,7 @@
     Wait,
     WaitReason,
 )
-from coltsfootfront.direct.relaying import FIRST_ERROR_STATUS, Relay
+from coltsfootfront.direct.relaying import Relay
 from coltsfootfront.direct.retrying import ServiceBudgets
 from coltsfootfront.direct.targetclient import Directive, Loss, Reply, TargetClient, TargetLostError
 from coltsfootfront.direct.traffic import Repeat, TrafficDocument
@@ -85,10 +85,10 @@
         self._plain = plain
         self._prompts = prompts
         self._holders = holders
-        self._versions = versions
         self._gossip = gossip
         self._budgets = budgets
         self._generator = generator
+        self._heads = AnswerHeads(clock, directory, holders, versions, gossip)
         self._relay = Relay(clock, holders, gossip, budgets, paces, generator)
         self.document = TrafficDocument()
         self.ends_s = math.inf
@@ -276,7 +276,7 @@
         reply: Reply | None = None
         try:
             reply = await self._send(state, place)
-            self._note_head(place.target, state, reply)
+            self._heads.note(place.target, state.call, reply)
             if reply.is_not_run:
                 raise self._rejected(state, place, reply)
             state.run = RunState.UNKNOWN
@@ -331,35 +331,6 @@
             resume_after=state.checker.last,
         )
 
-    def _note_head(self, target: Target, state: State, reply: Reply) -> None:
-        now_s = self._clock.monotonic_s()
-        target.heard_s = now_s
-        if reply.load is not None:
-            target.note_load(reply.load, now_s)
-            self._gossip.tell_load(target.name, reply.load)
-        if reply.is_leaving and not reply.is_other_target:
-            self._note_leaving(target)
-        if reply.pause_s is not None:
-            target.pause(reply.pause_s, now_s)
-            log.info(event("target_paused", target=target.name, for_s=reply.pause_s))
-        if reply.version is not None and state.call.model and not reply.is_other_target:
-            known = target.versions.get(state.call.model, 0)
-            if reply.version > known:
-                target.versions[state.call.model] = reply.version
-                self._holders.forget(target.name)
-        if reply.is_other_version:
-            self._versions.correct(state.call.model, target)
-        if reply.is_other_target:
-            target.is_replaced = True
-            log.warning(event("target_replaced", target=target.name, id=state.call.request_id))
-        else:
-            _note_result(target, reply, now_s)
-
-    def _note_leaving(self, target: Target) -> None:
-        started_ms = target.entry.started_ms
-        if self._directory.note_leaving(target.name, started_ms, told_by="its answer"):
-            self._gossip.tell(gossip.LEAVING, [target.name, started_ms])
-
     def _rejected(self, state: State, place: Place, reply: Reply) -> Exception:
         self._withdraw_parts(state.call, place)
         state.rejected.add(place.target.name)
@@ -423,16 +394,6 @@
         return self._refusal(state, f"{message}, and the retry budget is used up")
 
 
-def _note_result(target: Target, reply: Reply, now_s: float) -> None:
-    if reply.is_not_run:
-        if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            target.rejected(now_s)
-    elif reply.status >= FIRST_ERROR_STATUS:
-        target.failed(now_s, is_silent=False)
-    else:
-        target.succeeded(now_s)
-
-
 def _pause_end_s(targets: list[Target], now_s: float) -> float:
     """Monotonic time at which the first of the paused targets takes requests again.
 
