--- a/coltsfootfront/direct/placing.py
+++ b/coltsfootfront/direct/placing.py
@@ -214,6 +214,13 @@
             self._place(call, wall, target, home, facts, kept_caches, rank_offset)
             for target in usable
         ]
+        places = [
+            place
+            for place in places
+            if self._versions.allows(call.model, place.target, place.expected_s)
+        ]
+        if not places:
+            return None
         ready = [place for place in places if not place.target.is_loading(now_s)]
         best = min(places, key=lambda place: place.expected_s)
         if not best.target.is_loading(now_s):
--- a/coltsfootfront/direct/versions.py
+++ b/coltsfootfront/direct/versions.py
@@ -16,7 +16,7 @@
 # Requests stop going to older weights this long before they must, for the way to the target.
 LIMIT_MARGIN_S = 1.0
 # A router that has just started leaves older weights this long before its bounds count.
-START_MARGIN_S = 0.5
+START_MARGIN_S = 1.0
 # Versions of a model that are remembered; a target further behind has been left long before.
 KEPT_VERSIONS = 64
 
@@ -109,8 +109,15 @@
 
     def allowed(self, model: str, targets: list[Target]) -> list[Target]:
         """Targets whose weights a request may use now."""
-        limit_s = self.limit_s - LIMIT_MARGIN_S
-        return [target for target in targets if self.outdated_s(model, target) < limit_s]
+        return [target for target in targets if self.allows(model, target, 0.0)]
+
+    def allows(self, model: str, target: Target, in_s: float) -> bool:
+        """Whether a request may begin to run on the weights of a target.
+
+        :param in_s: time until it is expected to begin, with its first event.
+        """
+        begin_s = self.outdated_s(model, target) + in_s
+        return begin_s < self.limit_s - LIMIT_MARGIN_S or not self.outdated_s(model, target)
 
     def is_outdated(self, model: str, target: Target) -> bool:
         """Whether answers of a target are worth less, since newer weights were named."""
--- a/coltsfootfront/tests/test_direct_placing.py
+++ b/coltsfootfront/tests/test_direct_placing.py
@@ -304,6 +304,21 @@
         current.versions[MODEL] = 1
         self.assertIsNone(self._choose(request))
 
+    def test_request_that_would_begin_too_late_on_old_weights_is_not_sent_there(self) -> None:
+        """Guards against a request that waits at a busy engine until its weights are too old."""
+        self.versions.name(MODEL, 1, is_new=True)
+        self.versions.name(MODEL, 2, is_new=True)
+        request = call(parts=(("doc", 5000), ("own", 100)))
+        self.clock.advance(8.0)
+        self.assertIsInstance(self._choose(request), Place)
+        for target in self.directory.of_service("engines"):
+            target.backlog.add(0, 1.5, self.clock.monotonic_s())
+        self.assertIsNone(self._choose(request))
+        current = self.directory.get("e3")
+        assert current is not None
+        current.versions[MODEL] = 2
+        self.assertEqual("e3", self._place(request).target.name)
+
     def test_each_version_has_its_own_limit(self) -> None:
         """Guards against a limit that starts anew whenever a further version is named."""
         self.versions.name(MODEL, 1, is_new=True)
