--- a/coltsfootfront/operation/cli.py
+++ b/coltsfootfront/operation/cli.py
@@ -24,7 +24,7 @@
 from coltsfootfront.common.settings import OperatorSettings, load_or_exit
 from coltsfootfront.configuration import schema
 from coltsfootfront.keyvalue.etcd import read_bounded
-from coltsfootfront.operation import losses
+from coltsfootfront.operation import losses, lossreport
 
 EXIT_FAILURE = 1
 EXIT_BAD_INPUT = EXIT_BAD_SETTING
@@ -418,8 +418,8 @@
         message = f"{error.filename}: cannot be read: {error.strerror}: allowed: a router's log"
         raise CommandError(message, EXIT_BAD_INPUT) from error
     if command.as_json:
-        return [json.dumps(losses.as_json(found), indent=2)]
-    return losses.as_text(found)
+        return [json.dumps(lossreport.as_json(found), indent=2)]
+    return lossreport.as_text(found)
 
 
 def main() -> None:
--- a/coltsfootfront/operation/losses.py
+++ b/coltsfootfront/operation/losses.py
@@ -1,4 +1,4 @@
-"""Says from the logs of routers where requests were late, failed or were refused.
+"""Finds in the logs of routers which requests were late, failed or were refused, and why.
 
 Each router writes one line when a request ends. The stage in which a request was lost follows from
 its times and from the lines about its target and its router meanwhile.
@@ -6,11 +6,11 @@
 
 import re
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import datetime
 from enum import Enum
-from typing import Any
+from http import HTTPStatus
 
 from returns.maybe import Maybe, Nothing, Some
 
@@ -18,16 +18,13 @@
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
 _ESCAPED = re.compile(r"\\(.)")
-# Customers and routers that are listed; the remaining ones are summed up.
-MOST_ROWS = 10
 # A wait for a place takes up most of the time when it is longer than this share of the aim.
 WAIT_SHARE = 0.5
 # A line about a target or a router concerns a request that was under way this shortly before.
 NEAR_S = 1.0
-BAR_CHARACTERS = 40
 ANSWERED = "answered"
 CALLER_LEFT = "caller_left"
-FIRST_ERROR_STATUS = 500
+
 # Refusals that are the caller's own doing.
 _NOT_OWED = frozenset(
     kind.value
@@ -220,7 +217,7 @@
 def _result(line: Line, outcome: str) -> Result:
     took_s, aim_s = _required(line, "took_s"), _required(line, "aim_s")
     if outcome == ANSWERED:
-        if int(line.fields.get("status", 0)) >= FIRST_ERROR_STATUS:
+        if int(line.fields.get("status", 0)) >= HTTPStatus.INTERNAL_SERVER_ERROR:
             return Result.FAILED
         first_s = line.number("first_s")
         is_late = (took_s if first_s is None else first_s) > aim_s
@@ -252,7 +249,7 @@
         return Stage.ROUTER
     if result is Result.FAILED and incidents.was_dark(target, begin_s, end_s):
         return Stage.DARK_TARGET
-    if int(line.fields.get("status", 0)) >= FIRST_ERROR_STATUS:
+    if int(line.fields.get("status", 0)) >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return Stage.TARGET_ERROR
     if line.fields["outcome"] == ErrorKind.TARGET_FAILED.value:
         return Stage.BROKEN
@@ -287,86 +284,3 @@
     if not value.startswith('"'):
         return value
     return _ESCAPED.sub(lambda found: {"n": "\n"}.get(found[1], found[1]), value[1:-1])
-
-
-def as_json(found: Losses) -> dict[str, Any]:
-    """The losses as values for JSON."""
-    return {
-        "results": [
-            {"route": route, "result": result.value, "requests": count}
-            for (route, result), count in sorted(
-                found.results.items(), key=lambda item: (item[0][0], item[0][1].value)
-            )
-        ],
-        "losses": [
-            {
-                "id": loss.request_id,
-                "at_s": round(loss.at_s, 3),
-                "route": loss.route,
-                "customer": loss.customer,
-                "router": loss.router,
-                "target": loss.target,
-                "result": loss.result.value,
-                "stage": loss.stage.value,
-                "detail": loss.detail,
-            }
-            for loss in found.losses
-        ],
-        "unreadable_lines": found.unreadable_lines,
-        "left_out_lines": found.left_out_lines,
-    }
-
-
-def as_text(found: Losses) -> list[str]:
-    """The losses as lines for a terminal."""
-    lines = [f"{'route':24}" + "".join(f"{result.value:>9}" for result in Result)]
-    for route in sorted({route for route, _ in found.results}):
-        counts = (found.results[route, result] for result in Result)
-        lines.append(f"{route:24}" + "".join(f"{count:9}" for count in counts))
-    lines += _table("route, result and stage", Counter(_kind_of(loss) for loss in found.losses))
-    for title, values in (
-        ("router", (loss.router for loss in found.losses)),
-        ("target", (loss.target or "none" for loss in found.losses)),
-        ("customer", (loss.customer or "none" for loss in found.losses)),
-    ):
-        lines += _table(title, Counter(values))
-    lines += _by_second(found.losses)
-    if found.unreadable_lines:
-        lines.append(f"{found.unreadable_lines} ended requests could not be read")
-    if found.left_out_lines:
-        lines.append(f"{found.left_out_lines} lines were left out by the routers")
-    return lines
-
-
-def _kind_of(loss: Loss) -> str:
-    kind = f"{loss.route}  {loss.result.value}  {loss.stage.value}"
-    return f"{kind}: {loss.detail}" if loss.stage is Stage.REFUSED else kind
-
-
-def _table(title: str, counts: Counter[str]) -> Iterator[str]:
-    yield ""
-    yield f"lost or late by {title}"
-    for name, count in counts.most_common(MOST_ROWS):
-        yield f"{count:7}  {name}"
-    rest = sum(counts.values()) - sum(count for _, count in counts.most_common(MOST_ROWS))
-    if rest:
-        yield f"{rest:7}  all others"
-
-
-def _by_second(losses: list[Loss]) -> Iterator[str]:
-    """A bar for each second: ``#`` for lost requests, ``-`` for late ones."""
-    if not losses:
-        return
-    yield ""
-    yield "by second (# lost, - late)"
-    first = int(losses[0].at_s)
-    lost: Counter[int] = Counter()
-    late: Counter[int] = Counter()
-    for loss in losses:
-        (late if loss.result is Result.LATE else lost)[int(loss.at_s) - first] += 1
-    most = max((lost + late).values())
-    scale = min(1.0, BAR_CHARACTERS / most)
-    for second in range(int(losses[-1].at_s) - first + 1):
-        bar = "#" * round(lost[second] * scale) + "-" * round(late[second] * scale)
-        start = datetime.fromtimestamp(first + second).astimezone()
-        yield f"{start:%H:%M:%S} {lost[second] + late[second]:5} {bar}"
--- /dev/null
+++ b/coltsfootfront/operation/lossreport.py
@@ -0,0 +1,95 @@
+"""Shows lost requests as text for a terminal or as values for JSON."""
+
+from collections import Counter
+from collections.abc import Iterator
+from datetime import datetime
+from typing import Any
+
+from coltsfootfront.operation.losses import Loss, Losses, Result, Stage
+
+# Routers, targets and customers that are listed; the remaining ones are summed up.
+MOST_ROWS = 10
+BAR_CHARACTERS = 40
+
+
+def as_json(found: Losses) -> dict[str, Any]:
+    """The losses as values for JSON."""
+    return {
+        "results": [
+            {"route": route, "result": result.value, "requests": count}
+            for (route, result), count in sorted(
+                found.results.items(), key=lambda item: (item[0][0], item[0][1].value)
+            )
+        ],
+        "losses": [
+            {
+                "id": loss.request_id,
+                "at_s": round(loss.at_s, 3),
+                "route": loss.route,
+                "customer": loss.customer,
+                "router": loss.router,
+                "target": loss.target,
+                "result": loss.result.value,
+                "stage": loss.stage.value,
+                "detail": loss.detail,
+            }
+            for loss in found.losses
+        ],
+        "unreadable_lines": found.unreadable_lines,
+        "left_out_lines": found.left_out_lines,
+    }
+
+
+def as_text(found: Losses) -> list[str]:
+    """The losses as lines for a terminal."""
+    lines = [f"{'route':24}" + "".join(f"{result.value:>9}" for result in Result)]
+    for route in sorted({route for route, _ in found.results}):
+        counts = (found.results[route, result] for result in Result)
+        lines.append(f"{route:24}" + "".join(f"{count:9}" for count in counts))
+    lines += _table("route, result and stage", Counter(_kind_of(loss) for loss in found.losses))
+    for title, values in (
+        ("router", (loss.router for loss in found.losses)),
+        ("target", (loss.target or "none" for loss in found.losses)),
+        ("customer", (loss.customer or "none" for loss in found.losses)),
+    ):
+        lines += _table(title, Counter(values))
+    lines += _by_second(found.losses)
+    if found.unreadable_lines:
+        lines.append(f"{found.unreadable_lines} ended requests could not be read")
+    if found.left_out_lines:
+        lines.append(f"{found.left_out_lines} lines were left out by the routers")
+    return lines
+
+
+def _kind_of(loss: Loss) -> str:
+    kind = f"{loss.route}  {loss.result.value}  {loss.stage.value}"
+    return f"{kind}: {loss.detail}" if loss.stage is Stage.REFUSED else kind
+
+
+def _table(title: str, counts: Counter[str]) -> Iterator[str]:
+    yield ""
+    yield f"lost or late by {title}"
+    for name, count in counts.most_common(MOST_ROWS):
+        yield f"{count:7}  {name}"
+    rest = sum(counts.values()) - sum(count for _, count in counts.most_common(MOST_ROWS))
+    if rest:
+        yield f"{rest:7}  all others"
+
+
+def _by_second(losses: list[Loss]) -> Iterator[str]:
+    """A bar for each second: ``#`` for lost requests, ``-`` for late ones."""
+    if not losses:
+        return
+    yield ""
+    yield "by second (# lost, - late)"
+    first = int(losses[0].at_s)
+    lost: Counter[int] = Counter()
+    late: Counter[int] = Counter()
+    for loss in losses:
+        (late if loss.result is Result.LATE else lost)[int(loss.at_s) - first] += 1
+    most = max((lost + late).values())
+    scale = min(1.0, BAR_CHARACTERS / most)
+    for second in range(int(losses[-1].at_s) - first + 1):
+        bar = "#" * round(lost[second] * scale) + "-" * round(late[second] * scale)
+        start = datetime.fromtimestamp(first + second).astimezone()
+        yield f"{start:%H:%M:%S} {lost[second] + late[second]:5} {bar}"
--- a/coltsfootfront/tests/test_cli.py
+++ b/coltsfootfront/tests/test_cli.py
@@ -35,7 +35,7 @@
 
 
 class Files(unittest.TestCase):
-    """Gives tests a directory for documents."""
+    """Gives tests a directory for files, and runs the command on them."""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -48,16 +48,13 @@
         path.write_text(content if isinstance(content, str) else json.dumps(content))
         return path
 
-
-class MainTest(Files):
-    """The program as a whole, without an API."""
-
-    def run_main(self, *arguments: str) -> tuple[int, str, str]:
+    def run_main(self, *arguments: str, stdin: str = "") -> tuple[int, str, str]:
         """Run ``main``; return exit code, standard output and standard error."""
         out, err = io.StringIO(), io.StringIO()
         code: Any = 0
         with (
             mock.patch.object(sys, "argv", ["coltsfootfront", *arguments]),
+            mock.patch.object(sys, "stdin", io.StringIO(stdin)),
             contextlib.redirect_stdout(out),
             contextlib.redirect_stderr(err),
         ):
@@ -67,6 +64,10 @@
                 code = error.code
         return int(code or 0), out.getvalue(), err.getvalue()
 
+
+class MainTest(Files):
+    """The program as a whole, without an API."""
+
     def test_exit_codes(self) -> None:
         """Guards against a wrong exit code, and against errors that do not name the place."""
         faulty = example()
--- a/coltsfootfront/tests/test_losses.py
+++ b/coltsfootfront/tests/test_losses.py
@@ -1,19 +1,15 @@
 """Tests of the command that says from routers' logs where requests were lost."""
 
-import contextlib
-import io
 import json
-import sys
 import unittest
 from pathlib import Path
 from typing import Any
-from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from coltsfootfront.common.logs import event
-from coltsfootfront.operation import cli, losses
+from coltsfootfront.operation import losses, lossreport
 from coltsfootfront.operation.losses import Result, Stage
 from coltsfootfront.tests.test_cli import Files
 
@@ -119,7 +115,7 @@
         self.assertEqual(found.unreadable_lines, 1)
         self.assertEqual(found.left_out_lines, 15)
         self.assertEqual(sum(found.results.values()), 1)
-        text = "\n".join(losses.as_text(found))
+        text = "\n".join(lossreport.as_text(found))
         self.assertIn("1 ended requests could not be read", text)
         self.assertIn("15 lines were left out", text)
 
@@ -136,7 +132,7 @@
             ended(at_s=13.0, process="router-2", first_s=1.0, took_s=1.0, customer="c2"),
         ]
         found = losses.find_losses(lines)
-        text = losses.as_text(found)
+        text = lossreport.as_text(found)
         bars = text[text.index("by second (# lost, - late)") + 1 :]
         self.assertEqual(
             [bar.split()[1:] for bar in bars], [["1", "-"], ["1", "#"], ["0"], ["1", "-"]]
@@ -148,33 +144,18 @@
 class CommandTest(Files):
     """Guards against a command that an engineer on call cannot use."""
 
-    def run_main(self, *arguments: str, log: str = "") -> tuple[int, str, str]:
-        out, err = io.StringIO(), io.StringIO()
-        code: Any = 0
-        with (
-            mock.patch.object(sys, "argv", ["coltsfootfront", "losses", *arguments]),
-            mock.patch.object(sys, "stdin", io.StringIO(log)),
-            contextlib.redirect_stdout(out),
-            contextlib.redirect_stderr(err),
-        ):
-            try:
-                cli.main()
-            except SystemExit as stop:
-                code = stop.code
-        return code, out.getvalue(), err.getvalue()
-
     def test_files_and_standard_input_give_the_same(self) -> None:
         one, two = ended(first_s=1.0, took_s=1.1), ended(id="r2", outcome="deadline_exceeded")
         files = [str(self.write("one.log", one)), str(self.write("two.log", two))]
-        from_files = self.run_main("--json", *files)
-        from_input = self.run_main("--json", log=one + two)
+        from_files = self.run_main("losses", "--json", *files)
+        from_input = self.run_main("losses", "--json", stdin=one + two)
         self.assertEqual(from_files, from_input)
         found = json.loads(from_files[1])
         self.assertEqual([loss["id"] for loss in found["losses"]], ["r1", "r2"])
-        self.assertEqual(self.run_main(*files)[0], 0)
+        self.assertEqual(self.run_main("losses", *files)[0], 0)
 
     def test_missing_file_is_said_in_one_line(self) -> None:
         missing = str(Path(self.folder) / "missing.log")
-        code, _, err = self.run_main(missing)
+        code, _, err = self.run_main("losses", missing)
         self.assertEqual((code, err.count("\n")), (2, 1))
         self.assertIn("missing.log", err)
