--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -39,6 +39,10 @@
     "Difference between the expected and the measured time to the first event.",
     buckets=TIME_BUCKETS_S,
 )
+TARGET_LIMIT_PER_S = Gauge(
+    "coltsfootfront_target_limit_per_second",
+    "Requests per second that a target accepts from all routers together, by target.",
+)
 REVISION = Gauge("coltsfootfront_revision", "Configuration revision in force.")
 
 
--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -11,6 +11,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.backlog import Backlog
+from coltsfootfront.direct.limits import TargetLimit
 
 log = logbook.Logger(__name__)
 
@@ -101,6 +102,8 @@
     """Until when it has asked this router to send no requests."""
     rejection_cooldown_until_s: float = 0.0
     """Until when it is avoided because it has just rejected a request."""
+    limit: TargetLimit | None = None
+    """Limit on the requests that it accepts from all routers together; None while it names none."""
 
     @property
     def name(self) -> str:
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -20,6 +20,7 @@
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.events import StreamBrokenError
 from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.limitrecorder import LimitRecorder
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.requeststate import (
     RefusedError,
@@ -93,6 +94,7 @@
         gossip: Gossip,
         budgets: ServiceRetryBudgets,
         prefill_rates: PrefillRates,
+        limits: LimitRecorder,
         generator: random.Random,
     ) -> None:
         self._clock = clock
@@ -105,7 +107,9 @@
         self._gossip = gossip
         self._budgets = budgets
         self._generator = generator
-        self._head_recorder = ResponseHeadRecorder(clock, directory, cache_index, versions, gossip)
+        self._head_recorder = ResponseHeadRecorder(
+            clock, directory, cache_index, versions, gossip, limits
+        )
         self._relay = ResponseRelay(clock, cache_index, gossip, budgets, prefill_rates, generator)
         self.routing_config = RoutingConfig()
         self.exit_at_s = math.inf
@@ -320,9 +324,10 @@
         self, state: RequestState, placement: Placement, writer: ResponseWriter
     ) -> None:
         response: TargetResponse | None = None
+        sent_s = self._clock.monotonic_s()
         try:
             response = await self._send(state, placement)
-            self._head_recorder.record(placement.target, state.request, response)
+            self._head_recorder.record(placement.target, state.request, response, sent_s)
             if response.is_not_executed:
                 raise self._handle_rejection(state, placement, response)
             state.execution_state = ExecutionState.UNKNOWN
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -24,6 +24,7 @@
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.limitrecorder import LimitRecorder
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.orders import OrderClient, OrderIssuer
 from coltsfootfront.direct.peers import Peers
@@ -175,6 +176,7 @@
         self._budgets = ServiceRetryBudgets(
             clock, bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
         )
+        self._limits = LimitRecorder(clock, self._directory)
         self._forwarder = self._build_forwarder()
         self._forwarder.max_in_progress = admission.max_requests_for_memory(settings.memory_bytes)
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
@@ -247,6 +249,7 @@
         supervisor.add(
             "liveness", LivenessWatch(self._clock, self._directory, self._announce_unreachable).run
         )
+        supervisor.add("limits", self._limits.run)
         supervisor.add("gossip", self._gossip.flush)
         supervisor.add("revision", self._announce_revision)
         supervisor.add("registration", self._registration.run)
@@ -376,6 +379,7 @@
             self._gossip,
             self._budgets,
             prefill_rates,
+            self._limits,
             self._generator,
         )
 
--- a/coltsfootfront/direct/responseheads.py
+++ b/coltsfootfront/direct/responseheads.py
@@ -1,8 +1,8 @@
 """Records the target state that response headers report.
 
 Besides the result of the request, the head of a response reports the target's load, whether it is
-draining or asks for a pause, its version of the weights, and whether another target now answers at
-its address.
+draining, asks for a pause or limits its requests, its version of the weights, and whether another
+target now answers at its address.
 """
 
 from http import HTTPStatus
@@ -16,6 +16,7 @@
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.limitrecorder import LimitRecorder
 from coltsfootfront.direct.targetclient import TargetResponse
 from coltsfootfront.direct.versions import WeightVersions
 
@@ -32,17 +33,22 @@
         cache_index: CacheIndex,
         versions: WeightVersions,
         gossip: Gossip,
+        limits: LimitRecorder,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._cache_index = cache_index
         self._versions = versions
         self._gossip = gossip
+        self._limits = limits
 
-    def record(self, target: Target, request: CallerRequest, response: TargetResponse) -> None:
+    def record(
+        self, target: Target, request: CallerRequest, response: TargetResponse, sent_s: float
+    ) -> None:
         """Record the head of a response.
 
         :param target: target that the request was sent to; another one may have answered.
+        :param sent_s: monotonic time at which the request was sent.
         """
         now_s = self._clock.monotonic_s()
         target.last_activity_s = now_s
@@ -51,6 +57,7 @@
             log.warning(event("target_replaced", target=target.name, id=request.request_id))
         else:
             self._record_state(target, response, now_s)
+            self._limits.record_response(target, response.limit_per_s, sent_s)
             self._record_result(target, response, now_s)
             self._record_version(target, request, response)
         if response.is_other_version:
--- a/coltsfootfront/direct/targetclient.py
+++ b/coltsfootfront/direct/targetclient.py
@@ -78,6 +78,8 @@
     """The target is draining and accepts no new requests."""
     retry_after_s: float | None
     """Time for which the target asks this router to send no requests, None if it does not ask."""
+    limit_per_s: float | None
+    """Requests per second that it accepts from all routers together, None if it names no limit."""
 
     @abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
--- a/coltsfootfront/platform/headers.py
+++ b/coltsfootfront/platform/headers.py
@@ -31,6 +31,8 @@
 DRAINING = "Server-Leaving"
 # Number of running requests, of waiting requests and of slots, separated by commas.
 LOAD = "X-Server-Load"
+# Requests per second that the target accepts from all routers together, as a decimal number.
+LIMIT = "Server-Limit"
 
 # Set by the router alone; these headers are dropped from callers' requests.
 RESERVED = frozenset(
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -1,6 +1,7 @@
 """Forwards requests to the platform's targets over HTTP."""
 
 import math
+import re
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -41,6 +42,8 @@
 # A longer Retry-After is treated as an error of the target and cut to this.
 MAX_RETRY_AFTER_S = 60.0
 MAX_ERROR_TEXT_CHARACTERS = 120
+# float() would also accept signs, exponents and names such as "inf".
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
 
 log = logbook.Logger(__name__)
 
@@ -67,6 +70,7 @@
         "is_other_target",
         "is_other_version",
         "length_bytes",
+        "limit_per_s",
         "load",
         "retry_after_s",
         "status",
@@ -92,6 +96,7 @@
         self.version = _parse_int(response_headers.get(headers.WEIGHTS_VERSION, ""))
         self.load = _parse_load(response_headers.get(headers.LOAD, ""))
         self.is_draining = headers.DRAINING in response_headers
+        self.limit_per_s = _parse_limit(target, response_headers.get(headers.LIMIT))
         self.retry_after_s = _parse_retry_after(
             target, self.status, response_headers.get(headers.RETRY_AFTER)
         )
@@ -279,6 +284,16 @@
     return min(pause_s, MAX_RETRY_AFTER_S)
 
 
+def _parse_limit(target: Target, text: str | None) -> float | None:
+    """Requests per second that a target accepts, None when it names no valid limit."""
+    if text is None:
+        return None
+    if DECIMAL_NUMBER.fullmatch(text) is None:
+        log.warning(event("target_limit_invalid", target=target.name, value=text[:40]))
+        return None
+    return float(text)
+
+
 def _describe_error(error: Exception) -> str:
     """Type and message of an error, shortened because aiohttp quotes what the target sent."""
     return f"{type(error).__name__}: {str(error)[:MAX_ERROR_TEXT_CHARACTERS]}"
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -12,6 +12,7 @@
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.limitrecorder import LimitRecorder
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import (
@@ -146,6 +147,7 @@
         is_leaving: bool = False,
         pause_s: float | None = None,
         load: int | None = None,
+        limit_per_s: float | None = None,
     ) -> None:
         self.status = status
         self.headers = []
@@ -157,6 +159,7 @@
         self.load = load
         self.is_draining = is_leaving
         self.retry_after_s = pause_s
+        self.limit_per_s = limit_per_s
         self.is_closed = False
         self._chunks = chunks
 
@@ -238,6 +241,7 @@
         self.directory = Directory(clock, REGIONS)
         self.cache_index = CacheIndex(clock)
         self.versions = WeightVersions(clock, self.directory, 10.0, 4.0)
+        self.limits = LimitRecorder(clock, self.directory)
         self.client = FakeClient(responder)
         self.prefill_rates = PrefillRates()
         cache_planner = CachePlanner(clock, REGIONS, self.cache_index, self.versions)
@@ -255,6 +259,7 @@
             Gossip(lambda kind, fields: None, "east", generator),
             ServiceRetryBudgets(clock, 0.2, fixed_retries, 10.0),
             self.prefill_rates,
+            self.limits,
             generator,
         )
 
--- a/coltsfootfront/tests/test_platform_responses.py
+++ b/coltsfootfront/tests/test_platform_responses.py
@@ -97,6 +97,33 @@
                     self.assertEqual(is_leaving, response.is_draining)
                     response.close()
 
+    async def test_limit_is_read_from_every_response(self) -> None:
+        """Guards against ignoring the limit that a target names, and against applying none."""
+        cases = (
+            ("", None),
+            ("1.3", 1.3),
+            ("0", 0.0),
+            ("12", 12.0),
+            (".5", 0.5),
+            ("many", None),
+            ("nan", None),
+            ("inf", None),
+            ("-1", None),
+            ("+1", None),
+            ("1e3", None),
+            ("1_0", None),
+            ("1,5", None),
+            ("9" * 400, None),
+        )
+        for rejects in (False, True):
+            self.stand_in.faults.rejects = rejects
+            for value, limit_per_s in cases:
+                with self.subTest(value, rejects=rejects):
+                    self.stand_in.faults.limit = value
+                    response = await self._send("r1")
+                    self.assertEqual(limit_per_s, response.limit_per_s)
+                    response.close()
+
     async def test_connections_are_reused(self) -> None:
         """Guards against the cost of a new connection for each request."""
         for method in ("GET", "POST"):
--- a/coltsfootfront/tests/test_platform_wire_names.py
+++ b/coltsfootfront/tests/test_platform_wire_names.py
@@ -9,7 +9,7 @@
 WIRE_NAMES = re.compile(
     r"X-(?:Expect|Cache-Salt|Kv-|Tenant|Response-Signature|Not-Executed|Prompt-Prefix|Weight)"
     r"|/v1/kv-|kv-(?:txn|range|watch|lease|keep)|op/config|servers/|cold-left|switch-mode"
-    r"|traffic-split|api-keys|wait-ms|store-revision|COLTSFOOTFRONT_CONFIG"
+    r"|Server-(?:Limit|Leaving|Load)|traffic-split|api-keys|wait-ms|store-revision|COLTSFOOTFRONT_CONFIG"
 )
 
 
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -44,6 +44,7 @@
     :param crosses: responses carry the ID of another request.
     :param hangs: requests are executed but never answered.
     :param pause: value of ``Retry-After`` on rejections; empty for none.
+    :param limit: value of ``Server-Limit`` on every response to a request; empty for none.
     :param is_leaving: every response to a request carries ``Server-Leaving``.
     :param repeats: seconds after which a plain response is sent a second time; 0 for never.
     :param endless: part of the response that never ends, as a key of
@@ -56,6 +57,7 @@
     crosses: bool = False
     hangs: bool = False
     pause: str = ""
+    limit: str = ""
     is_leaving: bool = False
     repeats: float = 0.0
     endless: str = ""
@@ -171,14 +173,18 @@
         self.on_loaded(self)
         return web.Response(status=202)
 
+    def _state_headers(self) -> dict[str, str]:
+        """Headers with which every response reports the target's state."""
+        state = {"Server-Leaving": "1"} if self.faults.is_leaving else {}
+        return state | ({"Server-Limit": self.faults.limit} if self.faults.limit else {})
+
     def _rejection_response(self, request: web.BaseRequest) -> web.Response | None:
         request_headers = request.headers
         response_headers = {
             "X-Instance-Id": self.name,
             "X-Request-Id": request_headers["X-Request-Id"],
         }
-        if self.faults.is_leaving:
-            response_headers["Server-Leaving"] = "1"
+        response_headers |= self._state_headers()
         if request_headers.get("X-Expect-Instance", self.name) != self.name:
             return web.Response(status=421, headers=response_headers)
         expected_version = request_headers.get("X-Expect-Version")
@@ -214,8 +220,7 @@
         headers = {"X-Request-Id": request_id, SIGNATURE_HEADER: f"{self.name}.{request_id}"}
         if self.faults.crosses:
             headers["X-Request-Id"] = "another"
-        if self.faults.is_leaving:
-            headers["Server-Leaving"] = "1"
+        headers |= self._state_headers()
         if self.faults.endless:
             return await send_endless_response(request, headers, self.faults.endless)
         if self.version is None:
