--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -27,22 +27,31 @@
     return ports
 
 
-def settings_fields(name: str, store: str, seeds: list[str]) -> dict[str, Any]:
-    """Return the fields of a router's settings file."""
-    front, ready, control, gossip, metrics = free_ports(5)
+def settings_fields(
+    name: str,
+    store: str,
+    seeds: list[str],
+    ip: str = "127.0.0.1",
+    ports: tuple[int, int, int, int, int] | None = None,
+) -> dict[str, Any]:
+    """Return the fields of a router's settings file.
+
+    :param ports: for callers, readiness, peers, gossip and metrics; None takes free ones.
+    """
+    front, ready, control, gossip, metrics = ports or free_ports(5)
     first_port, last_port = min(gossip, metrics), max(gossip, metrics)
     return {
         "node": name,
-        "ip": "127.0.0.1",
+        "ip": ip,
         "zone": "zone-a",
         "region": "region-1",
         "port-range": [first_port, last_port],
         "seed-addrs": seeds,
         "zones": {"zone-a": "region-1"},
         "listen": {
-            "front": f"127.0.0.1:{front}",
-            "ready": f"127.0.0.1:{ready}",
-            "control": f"127.0.0.1:{control}",
+            "front": f"{ip}:{front}",
+            "ready": f"{ip}:{ready}",
+            "control": f"{ip}:{control}",
         },
         "limits": {"memory-mb": 300, "max-fds": 1024},
         "bounds": {
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -75,6 +76,8 @@
         self.service = service
         self.version = version
         self.executions: list[Execution] = []
+        self.arrivals: list[tuple[float, str]] = []
+        """Monotonic time and ID of each request, rejected ones included."""
         self.orders: list[dict[str, Any]] = []
         self.highest_fencing_token = 0
         self.faults = TargetFaults()
@@ -198,6 +201,7 @@
         return None
 
     async def _execute(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.arrivals.append((time.monotonic(), request.headers["X-Request-Id"]))
         body = await request.read()
         rejected = self._rejection_response(request)
         if rejected is not None:
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -8,10 +8,8 @@
 
 import asyncio
 import json
-import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -30,16 +28,17 @@
     PlatformFleet,
     configuration,
     free_ports,
-    settings_fields,
-    to_toml,
+)
+from coltsfootfront_dev.platformrouters import (
+    PROCESS_TIMEOUT_S,
+    RouterProcess,
+    RouterProcesses,
 )
 from coltsfootfront_dev.platformtarget import STREAM_EVENT_COUNT
 from coltsfootfront_dev.tcpproxy import TcpProxy
 
-ROOT = Path(__file__).resolve().parents[1]
 CLIENTS = 8
 CLIENT_PAUSE_S = 0.03
-PROCESS_TIMEOUT_S = 15.0
 # Time without faults at the end; in its second half every request must succeed.
 FAULT_FREE_S = 4.0
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -80,63 +79,6 @@
         )
 
 
-class RouterProcess:
-    """One router, with a proxy between it and the store.
-
-    :param folder: where its settings and its log are written.
-    :param store: address of the store.
-    """
-
-    def __init__(self, name: str, folder: Path, store: str) -> None:
-        self.name = name
-        self.store_proxy = TcpProxy(f"127.0.0.1:{free_ports(1)[0]}", store)
-        self.settings = settings_fields(name, self.store_proxy.address, [])
-        self._path = folder / f"{name}.toml"
-        self._log = folder / f"{name}.log"
-        self._popen: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        """Write the settings and start the process."""
-        self._path.write_text(to_toml(self.settings), encoding="utf-8")
-        with self._log.open("ab") as log:
-            self._popen = subprocess.Popen(
-                [sys.executable, "-m", "coltsfootfront.platform"],
-                cwd=ROOT,
-                env={**os.environ, "COLTSFOOTFRONT_CONFIG": str(self._path)},
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process if it runs."""
-        if self._popen is not None and self._popen.poll() is None:
-            self._popen.send_signal(number)
-
-    async def wait(self, timeout_s: float) -> int:
-        """Wait until the process exits; kill it when the timeout expires.
-
-        :returns: its exit status.
-        """
-        # Another fault may start a new process meanwhile, which must not be waited for.
-        popen = self._popen
-        assert popen is not None
-        try:
-            return await asyncio.to_thread(popen.wait, timeout_s)
-        except subprocess.TimeoutExpired:
-            popen.kill()
-            return await asyncio.to_thread(popen.wait)
-
-    def is_running(self) -> bool:
-        """Whether the process runs."""
-        return self._popen is not None and self._popen.poll() is None
-
-    def state(self) -> str:
-        """Process id and exit status, for the report."""
-        if self._popen is None:
-            return "never started"
-        return f"pid {self._popen.pid}, exit status {self._popen.poll()}"
-
-
 class SoakRun:
     """One run of the soak test.
 
@@ -152,6 +94,7 @@
         self._folder = folder
         self._fleet = PlatformFleet(3, 3)
         self._router_count = routers
+        self._processes: RouterProcesses | None = None
         self._routers: list[RouterProcess] = []
         self._proxies: list[TcpProxy] = []
         self._refused_as_not_run: set[str] = set()
@@ -186,45 +129,22 @@
             target.address = proxy.address
             target.execution_time_s = 0.01
             self._fleet.register(target)
-        for number in range(self._router_count):
-            router = RouterProcess(f"router-{number}", self._folder, self._fleet.store.address)
-            await router.store_proxy.start()
-            self._routers.append(router)
-        seeds = [str(router.settings["listen"]["control"]) for router in self._routers]
-        for router in self._routers:
-            router.settings["seed-addrs"] = seeds
-            router.start()
-        await self._wait_all_ready()
+        self._processes = RouterProcesses(self._folder, self._fleet.store.address)
+        self._routers = self._processes.routers
+        await self._processes.start(self._router_count)
 
     async def _wait_all_ready(self) -> None:
         for router in self._routers:
             try:
-                async with asyncio.timeout(PROCESS_TIMEOUT_S):
-                    await self._wait_ready(router)
+                await router.wait_ready()
             except TimeoutError:
                 self.report.broken.append(
                     f"{router.name} was not ready after {PROCESS_TIMEOUT_S} s: {router.state()}"
                 )
 
-    async def _wait_ready(self, router: RouterProcess) -> None:
-        url = f"http://{router.settings['listen']['ready']}/v1/ready"
-        async with aiohttp.ClientSession() as session:
-            while True:
-                try:
-                    async with session.get(url) as response:
-                        if response.status == 200:
-                            return
-                except aiohttp.ClientError:
-                    pass
-                await asyncio.sleep(0.05)
-
     async def _close(self) -> None:
-        for router in self._routers:
-            router.signal(signal.SIGCONT)
-            router.signal(signal.SIGKILL)
-            if router.is_running():
-                await router.wait(PROCESS_TIMEOUT_S)
-            await router.store_proxy.close()
+        if self._processes is not None:
+            await self._processes.close()
         for proxy in self._proxies:
             await proxy.close()
         await self._fleet.close()
