--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -43,6 +43,14 @@
     "coltsfootfront_target_limit_per_second",
     "Requests per second that a target accepts from all routers together, by target.",
 )
+TARGET_LIMIT_SHARE = Gauge(
+    "coltsfootfront_target_limit_share",
+    "Share of a target's limit that this router gets, by target.",
+)
+TARGET_PERMITS = Counter(
+    "coltsfootfront_target_permits_total",
+    "Permits asked for requests to targets with a limit, by target and outcome.",
+)
 REVISION = Gauge("coltsfootfront_revision", "Configuration revision in force.")
 
 
--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -149,6 +149,11 @@
         """Whether the target has asked this router to send no requests for now."""
         return now_s < self.paused_until_s
 
+    def available_from_s(self) -> float:
+        """Monotonic time from which it may get requests, by its pause and its limit."""
+        blocked_until_s = self.limit.blocked_until_s if self.limit is not None else 0.0
+        return max(self.paused_until_s, blocked_until_s)
+
     def pause(self, for_s: float, now_s: float) -> None:
         """Send the target no requests for some time, as it has asked."""
         self.paused_until_s = max(self.paused_until_s, now_s + for_s)
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -21,6 +21,7 @@
 from coltsfootfront.direct.events import StreamBrokenError
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.limitrecorder import LimitRecorder
+from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.requeststate import (
     RefusedError,
@@ -80,6 +81,7 @@
 
     :param budgets: retry budget of each service.
     :param prefill_rates: prefill rate of each service's engines, estimated from their responses.
+    :param permits: permits for requests to targets with a limit.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         budgets: ServiceRetryBudgets,
         prefill_rates: PrefillRates,
         limits: LimitRecorder,
+        permits: Permits,
         generator: random.Random,
     ) -> None:
         self._clock = clock
@@ -107,6 +110,7 @@
         self._gossip = gossip
         self._budgets = budgets
         self._generator = generator
+        self._permits = permits
         self._head_recorder = ResponseHeadRecorder(
             clock, directory, cache_index, versions, gossip, limits
         )
@@ -202,30 +206,89 @@
                 for target in self._directory.of_service(state.service)
                 if target.name not in state.attempted
             ]
-            targets = [
+            available = [
                 target
                 for target in untried
-                if target.name not in state.rejected and not target.is_paused(now_s)
+                if target.name not in state.rejected and target.available_from_s() <= now_s
             ]
-            choice = self._choose_target(state, targets, wait_until_s)
+            choice = self._choose_target(state, available, wait_until_s)
+            if isinstance(choice, Placement):
+                if await self._permits.acquire(choice.target):
+                    return choice
+                continue
+            if choice is None:
+                choice = await self._choose_unavailable(state, untried, wait_until_s)
             if isinstance(choice, Placement):
                 return choice
-            pause_end_s = _earliest_pause_end_s(untried, now_s)
-            if choice is None and pause_end_s <= wait_until_s:
-                choice = Wait(pause_end_s, WaitReason.PAUSE)
+            now_s = self._clock.monotonic_s()
             if isinstance(choice, Wait) and now_s < wait_until_s:
                 state.waited_for = choice.reason
                 wait_s = min(choice.until_s, wait_until_s) - now_s
                 await self._directory.wait_for_change(max(wait_s, 0.005))
                 continue
+            unavailable = _unavailable_targets(untried, now_s)
             if state.rejected and now_s < wait_until_s:
                 state.rejected.clear()
-                if pause_end_s == math.inf:
+                if not unavailable:
                     await self._clock.sleep(REJECTION_RETRY_DELAY_S)
                 continue
-            if pause_end_s < math.inf:
-                raise self._refusal(state, "the targets want no requests", pause_end_s - now_s)
-            raise self._refusal(state, "no target can take the request now")
+            raise self._unavailable_error(state, unavailable, now_s)
+
+    async def _choose_unavailable(
+        self, state: RequestState, untried: list[Target], wait_until_s: float
+    ) -> Placement | Wait | None:
+        """Reserve a permit of a limited target, or wait for the end of a pause."""
+        now_s = self._clock.monotonic_s()
+        unavailable = _unavailable_targets(untried, now_s)
+        for target in unavailable:
+            is_only_limited = target.limit is not None and not target.is_paused(now_s)
+            if not is_only_limited or target.name in state.rejected:
+                continue
+            if target.available_from_s() > wait_until_s:
+                break
+            placement = self._choose_target(state, [target], wait_until_s)
+            if not isinstance(placement, Placement):
+                continue
+            state.waited_for = WaitReason.LIMIT
+            max_wait_s = max(0.0, wait_until_s - self._clock.monotonic_s())
+            if await self._permits.acquire(target, max_wait_s) and target.is_usable():
+                return placement
+        end_s, reason = min(
+            (
+                (
+                    target.available_from_s(),
+                    WaitReason.PAUSE if target.is_paused(now_s) else WaitReason.LIMIT,
+                )
+                for target in unavailable
+            ),
+            key=lambda item: item[0],
+            default=(math.inf, WaitReason.PAUSE),
+        )
+        return Wait(end_s, reason) if end_s <= wait_until_s else None
+
+    def _unavailable_error(
+        self, state: RequestState, unavailable: list[Target], now_s: float
+    ) -> RefusedError:
+        """Refuse a request with the time at which the first target can be expected to take it."""
+        expected = [
+            (
+                (
+                    max(target.paused_until_s, target.limit.expected_return_s(now_s))
+                    if target.limit is not None
+                    else target.paused_until_s
+                ),
+                target,
+            )
+            for target in unavailable
+        ]
+        if not expected:
+            return self._refusal(state, "no target can take the request now")
+        return_s, target = min(expected, key=lambda item: item[0])
+        if target.limit is None:
+            return self._refusal(state, "the targets want no requests", return_s - now_s)
+        target.limit.record_refusal(return_s, state.request.deadline_s)
+        message = "the limits of the targets admit no more requests"
+        return self._refusal(state, message, return_s - now_s)
 
     def _choose_target(
         self, state: RequestState, targets: list[Target], wait_until_s: float
@@ -459,16 +522,12 @@
         return self._refusal(state, f"{message}, and the retry budget is used up")
 
 
-def _earliest_pause_end_s(targets: list[Target], now_s: float) -> float:
-    """Monotonic time at which the first paused target accepts requests again.
+def _unavailable_targets(targets: list[Target], now_s: float) -> list[Target]:
+    """Targets that will accept requests after a pause, or when their limit admits another one.
 
-    :returns: infinity when none is paused.
+    :returns: the earliest available first.
     """
-    return min(
-        (
-            target.paused_until_s
-            for target in targets
-            if target.is_usable() and target.is_paused(now_s)
-        ),
-        default=math.inf,
-    )
+    unavailable = [
+        target for target in targets if target.is_usable() and target.available_from_s() > now_s
+    ]
+    return sorted(unavailable, key=Target.available_from_s)
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -49,6 +49,10 @@
 DRAINING = "leaving"
 LEARNED = "learned"
 UNREACHABLE = "dark"
+LIMIT = "limit"
+PERMIT_REQUEST = "permit_request"
+PERMIT_RESPONSE = "permit_response"
+ISSUER_SUSPECTED = "issuer_suspected"
 
 Address = tuple[str, int]
 OnMessage = Callable[[str, list[Any]], None]
@@ -101,6 +105,10 @@
         """Send an update to all peers at once."""
         self._broadcast([[kind, fields]])
 
+    def send(self, address: Address, kind: str, fields: list[Any]) -> None:
+        """Send an update to one router at once."""
+        self._send([[kind, fields]], [address])
+
     def send_revision(self, revision: int) -> None:
         """Send the revision of this router's copy of the store to a few peers."""
         peers = [peer for found in self._peers.values() for peer in found]
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -28,6 +28,12 @@
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.orders import OrderClient, OrderIssuer
 from coltsfootfront.direct.peers import Peers
+from coltsfootfront.direct.permits import (
+    PermitChannel,
+    PermitRequest,
+    PermitResponse,
+    Permits,
+)
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.registration import (
     ROUTER_PREFIX,
@@ -36,6 +42,7 @@
     decode_router_entry,
 )
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
+from coltsfootfront.direct.roster import RouterRoster
 from coltsfootfront.direct.routingconfig import CallerLimits, RoutingConfig
 from coltsfootfront.direct.settings import NodeSettings
 from coltsfootfront.direct.storefollower import Follower, Item, WatchableStore
@@ -64,6 +71,10 @@
 # Shortest process pause after which the copy of the store is revalidated, since keys may have been
 # revoked and targets drained meanwhile. Well below the time within which a change must be in force.
 PAUSE_LIMIT_S = 1.0
+# Time for which a router whose entry has disappeared may still issue permits. When the entries of
+# all routers expire in an outage of the store, they are back about two seconds after its end.
+ISSUER_GRACE_S = 5.0
+ROSTER_CHECK_INTERVAL_S = 1.0
 # The settings are polled, since they may change without a signal.
 SETTINGS_CHECK_INTERVAL_S = 2.0
 
@@ -130,6 +141,32 @@
         """Close every connection."""
 
 
+class GossipPermitChannel(PermitChannel):
+    """Carries requests for permits as gossip.
+
+    :param port: gossip port of all routers.
+    """
+
+    def __init__(self, sender: Gossip, port: int) -> None:
+        self._gossip = sender
+        self._port = port
+
+    def send_request(self, router: str, request: PermitRequest) -> None:
+        self._gossip.send(self._address(router), gossip.PERMIT_REQUEST, request.to_fields())
+
+    def send_response(self, router: str, response: PermitResponse) -> None:
+        self._gossip.send(self._address(router), gossip.PERMIT_RESPONSE, response.to_fields())
+
+    def announce_suspicion(self, router: str, for_s: float) -> None:
+        self._gossip.broadcast(gossip.ISSUER_SUSPECTED, [router, for_s])
+
+    def send_suspicion(self, router: str, for_s: float) -> None:
+        self._gossip.send(self._address(router), gossip.ISSUER_SUSPECTED, [router, for_s])
+
+    def _address(self, router: str) -> gossip.Address:
+        return router.rpartition(":")[0], self._port
+
+
 class Node(Program, StoreUpdateHandler):
     """The process of one router.
 
@@ -176,7 +213,16 @@
         self._budgets = ServiceRetryBudgets(
             clock, bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
         )
-        self._limits = LimitRecorder(clock, self._directory)
+        self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
+        self._issuers = RouterRoster(clock, ISSUER_GRACE_S)
+        self._permits = Permits(
+            clock,
+            self._directory,
+            settings.regions,
+            settings.peer_address,
+            GossipPermitChannel(self._gossip, settings.gossip_port),
+            generator,
+        )
         self._forwarder = self._build_forwarder()
         self._forwarder.max_in_progress = admission.max_requests_for_memory(settings.memory_bytes)
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
@@ -250,6 +296,8 @@
             "liveness", LivenessWatch(self._clock, self._directory, self._announce_unreachable).run
         )
         supervisor.add("limits", self._limits.run)
+        supervisor.add("permits", self._permits.run)
+        supervisor.add("roster", self._drop_routers)
         supervisor.add("gossip", self._gossip.flush)
         supervisor.add("revision", self._announce_revision)
         supervisor.add("registration", self._registration.run)
@@ -271,6 +319,7 @@
         if callers is None:
             return
         callers.is_draining = True
+        self._permits.resign()
         grace_s = self._settings.bounds.grace_s
         self._forwarder.exit_at_s = began_s + grace_s - ABORT_MARGIN_S
         await self._supervisor.stop("orders")
@@ -380,6 +429,7 @@
             self._budgets,
             prefill_rates,
             self._limits,
+            self._permits,
             self._generator,
         )
 
@@ -396,8 +446,11 @@
         router = decode_router_entry(item.value) if item.value is not None else None
         if router is None:
             self._peers.remove(name)
+            self._issuers.remove(name)
         else:
             self._peers.add(name, router)
+            self._issuers.put(name, router)
+        self._permits.set_routers(self._issuers.current())
         self._budgets.set_router_count(self._peers.count())
         self._follower.set_router_count(self._peers.count())
         self._cache_planner.set_router_count(self._peers.count())
@@ -419,6 +472,14 @@
             gossip.WEIGHTS_LOADING: lambda found: self._handle_loading(kind, *found),
             gossip.WEIGHTS_LOADED: lambda found: self._handle_loading(kind, *found),
             gossip.REVISION: self._handle_revision,
+            gossip.LIMIT: lambda found: self._handle_limit(*found),
+            gossip.PERMIT_REQUEST: lambda found: self._permits.handle_request(
+                PermitRequest.from_fields(found)
+            ),
+            gossip.PERMIT_RESPONSE: lambda found: self._permits.handle_response(
+                PermitResponse.from_fields(found)
+            ),
+            gossip.ISSUER_SUSPECTED: lambda found: self._permits.handle_suspicion(*found),
         }
         if kind in handlers:
             handlers[kind](fields)
@@ -438,6 +499,11 @@
     def _handle_draining(self, name: str, started_ms: int) -> None:
         self._directory.mark_draining(name, started_ms, reported_by="a peer")
 
+    def _handle_limit(self, name: str, started_ms: int, rate_per_s: float | None) -> None:
+        self._limits.record_peer(
+            name, started_ms, None if rate_per_s is None else float(rate_per_s)
+        )
+
     def _handle_revision(self, fields: list[Any]) -> None:
         self._follower.peer_revision = max(self._follower.peer_revision, fields[0])
 
@@ -462,6 +528,12 @@
         elif kind == gossip.WEIGHTS_LOADED:
             self._record_loaded(target, model, version)
 
+    async def _drop_routers(self) -> None:
+        """Run the loop that drops routers whose entries have been missing for long."""
+        while True:
+            await self._clock.sleep(ROSTER_CHECK_INTERVAL_S)
+            self._permits.set_routers(self._issuers.current())
+
     async def _announce_revision(self) -> None:
         """Run the loop that sends new store revisions to peers, so that lagging ones catch up."""
         announced = 0
@@ -471,6 +543,9 @@
                 announced = self._follower.revision
                 self._gossip.send_revision(announced)
 
+    def _announce_limit(self, target: Target, rate_per_s: float | None) -> None:
+        self._gossip.broadcast(gossip.LIMIT, [target.name, target.entry.started_ms, rate_per_s])
+
     def _announce_unreachable(self, target: Target) -> None:
         self._gossip.broadcast(gossip.UNREACHABLE, [target.name, target.entry.started_ms])
 
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -90,6 +90,8 @@
     """The target is prefilling a shared part for another request."""
     PAUSE = "pause"
     """Every target has asked this router to send no requests for a while."""
+    LIMIT = "limit"
+    """The limits of all targets admit no request now."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/operation/losses.py
+++ b/coltsfootfront/operation/losses.py
@@ -58,6 +58,7 @@
     WEIGHTS_WAIT = "waiting for weights"
     PREFILL_WAIT = "waiting for a part that is being read"
     PAUSE_WAIT = "waiting for a target that wants no requests"
+    LIMIT_WAIT = "waiting for a target's limit"
     PLACEMENT_WAIT = "waiting for a place"
     EXPECTED_QUEUE = "queue that was expected"
     UNEXPECTED_DELAY = "first event later than expected"
@@ -71,7 +72,12 @@
     SLOW_SERVICE = "slow plain target"
 
 
-_WAITS = {"weights": Stage.WEIGHTS_WAIT, "part": Stage.PREFILL_WAIT, "pause": Stage.PAUSE_WAIT}
+_WAITS = {
+    "weights": Stage.WEIGHTS_WAIT,
+    "part": Stage.PREFILL_WAIT,
+    "pause": Stage.PAUSE_WAIT,
+    "limit": Stage.LIMIT_WAIT,
+}
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -13,6 +13,12 @@
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.limitrecorder import LimitRecorder
+from coltsfootfront.direct.permits import (
+    PermitChannel,
+    PermitRequest,
+    PermitResponse,
+    Permits,
+)
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import (
@@ -232,6 +238,22 @@
         self.is_aborted = True
 
 
+class NoPeers(PermitChannel):
+    """Channel of a router that is alone."""
+
+    def send_request(self, router: str, request: PermitRequest) -> None:
+        pass
+
+    def send_response(self, router: str, response: PermitResponse) -> None:
+        pass
+
+    def announce_suspicion(self, router: str, for_s: float) -> None:
+        pass
+
+    def send_suspicion(self, router: str, for_s: float) -> None:
+        pass
+
+
 class ForwarderFixture:
     """A forwarder with its collaborators and a fake client."""
 
@@ -241,7 +263,8 @@
         self.directory = Directory(clock, REGIONS)
         self.cache_index = CacheIndex(clock)
         self.versions = WeightVersions(clock, self.directory, 10.0, 4.0)
-        self.limits = LimitRecorder(clock, self.directory)
+        self.limits = LimitRecorder(clock, self.directory, lambda target, rate_per_s: None)
+        self.permits = Permits(clock, self.directory, REGIONS, "own:1", NoPeers(), generator)
         self.client = FakeClient(responder)
         self.prefill_rates = PrefillRates()
         cache_planner = CachePlanner(clock, REGIONS, self.cache_index, self.versions)
@@ -260,6 +283,7 @@
             ServiceRetryBudgets(clock, 0.2, fixed_retries, 10.0),
             self.prefill_rates,
             self.limits,
+            self.permits,
             generator,
         )
 
