--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -214,7 +214,7 @@
             clock, bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
         )
         self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
-        self._issuers = RouterRoster(clock, ISSUER_GRACE_S)
+        self._roster = RouterRoster(clock, max(ISSUER_GRACE_S, bounds.retry_window_s))
         self._permits = Permits(
             clock,
             self._directory,
@@ -446,20 +446,27 @@
         router = decode_router_entry(item.value) if item.value is not None else None
         if router is None:
             self._peers.remove(name)
-            self._issuers.remove(name)
+            self._roster.remove(name)
         else:
             self._peers.add(name, router)
-            self._issuers.put(name, router)
-        self._permits.set_routers(self._issuers.current())
-        self._budgets.set_router_count(self._peers.count())
-        self._follower.set_router_count(self._peers.count())
-        self._cache_planner.set_router_count(self._peers.count())
+            self._roster.put(name, router)
+        self._apply_roster()
         addresses: dict[str, list[gossip.Address]] = {}
         for other in self._peers.others():
             address = (other.ip, self._settings.gossip_port)
             addresses.setdefault(other.region, []).append(address)
         self._gossip.set_peers(addresses)
 
+    def _apply_roster(self) -> None:
+        """Pass the routers on to all that share a limit or a budget with them."""
+        self._permits.set_routers(self._roster.current(ISSUER_GRACE_S))
+        # The retries of a router that has gone count until the end of the window.
+        sharing = self._roster.current(self._settings.bounds.retry_window_s)
+        count = len({*sharing, self._settings.peer_address})
+        self._budgets.set_router_count(count)
+        self._follower.set_router_count(count)
+        self._cache_planner.set_router_count(count)
+
     def _handle_message(self, kind: str, fields: list[Any]) -> None:
         handlers: dict[str, Callable[[list[Any]], None]] = {
             gossip.CACHED: self._handle_cached,
@@ -532,7 +539,7 @@
         """Run the loop that drops routers whose entries have been missing for long."""
         while True:
             await self._clock.sleep(ROSTER_CHECK_INTERVAL_S)
-            self._permits.set_routers(self._issuers.current())
+            self._apply_roster()
 
     async def _announce_revision(self) -> None:
         """Run the loop that sends new store revisions to peers, so that lagging ones catch up."""
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -80,10 +80,6 @@
         """Remove a router whose entry has disappeared from the store."""
         self._routers.pop(name, None)
 
-    def count(self) -> int:
-        """Number of routers, this one included."""
-        return len(self.names())
-
     def others(self) -> list[RouterEntry]:
         """Return the other registered routers, each address once."""
         found = {router.address: router for router in self._routers.values()}
--- a/coltsfootfront/direct/roster.py
+++ b/coltsfootfront/direct/roster.py
@@ -16,14 +16,14 @@
     the routers go on. A router that then counted itself alone would use the share of all.
 
     :param clock: time source.
-    :param grace_s: time for which a router counts after its entry has disappeared.
+    :param retention_s: longest time for which a router can count after its entry has disappeared.
     """
 
-    __slots__ = ("_clock", "_grace_s", "_removed_s", "_routers")
+    __slots__ = ("_clock", "_removed_s", "_retention_s", "_routers")
 
-    def __init__(self, clock: Clock, grace_s: float) -> None:
+    def __init__(self, clock: Clock, retention_s: float) -> None:
         self._clock = clock
-        self._grace_s = grace_s
+        self._retention_s = retention_s
         self._routers: dict[str, RouterEntry] = {}
         self._removed_s: dict[str, float] = {}
 
@@ -37,11 +37,15 @@
         if name in self._routers:
             self._removed_s.setdefault(name, self._clock.monotonic_s())
 
-    def current(self) -> dict[str, RouterEntry]:
-        """Routers that are registered or were within the grace period, by address."""
+    def current(self, grace_s: float) -> dict[str, RouterEntry]:
+        """Routers that are registered or were within a grace period, by address."""
         now_s = self._clock.monotonic_s()
         for name, removed_s in list(self._removed_s.items()):
-            if now_s - removed_s >= self._grace_s:
+            if now_s - removed_s >= self._retention_s:
                 del self._removed_s[name], self._routers[name]
                 log.info(event("router_dropped", router=name, missing_s=now_s - removed_s))
-        return {router.address: router for router in self._routers.values()}
+        return {
+            router.address: router
+            for name, router in self._routers.items()
+            if now_s - self._removed_s.get(name, now_s) < grace_s
+        }
