--- a/coltsfootfront/direct/permits.py
+++ b/coltsfootfront/direct/permits.py
@@ -46,8 +46,9 @@
 # Number of routers that may refer a request to the next one because they have just started. Beyond
 # that, all routers have probably started together, and the one asked issues.
 MAX_REFERRALS = 2
-# Number of routers that are asked for one permit.
+# Number of routers that are asked for one permit, and how many of them may be silent.
 MAX_ISSUERS_ASKED = 4
+MAX_SILENT = 2
 # Time for which a target is left alone when no issuer answered.
 UNANSWERED_BLOCK_S = 0.1
 # Routers ask again at slightly different times, so that the nearest one does not always come first.
@@ -73,6 +74,12 @@
     started_ms: int
     data_centre: str
 
+    @classmethod
+    def of(cls, target: Target) -> "TargetKey":
+        """Key of a target."""
+        entry = target.entry
+        return cls(entry.name, entry.started_ms, entry.data_centre)
+
 
 class Verdict(Enum):
     """Response of a router to a request for a permit."""
@@ -240,7 +247,9 @@
         while True:
             await self._clock.sleep(SHARE_LOG_INTERVAL_S)
             now_s = self._clock.monotonic_s()
-            limited = {_key(target): target for target in self._directory.all() if target.limit}
+            limited = {
+                TargetKey.of(target): target for target in self._directory.all() if target.limit
+            }
             logged = {key: counts for key, counts in logged.items() if key in limited}
             for key, target in limited.items():
                 limit = target.limit
@@ -285,6 +294,8 @@
         if limit is None:
             return True
         response = await self._request_permit(target, limit, max_wait_s)
+        if target.limit is not limit:
+            return target.limit is None
         limit.share = response.share
         is_granted = response.verdict is Verdict.GRANTED
         metrics.TARGET_LIMIT_SHARE.set({"target": target.name}, response.share)
@@ -325,9 +336,10 @@
     async def _request_permit(
         self, target: Target, limit: TargetLimit, max_wait_s: float
     ) -> PermitResponse:
-        key = _key(target)
+        key = TargetKey.of(target)
         demand = limit.take_demand()
         skipped: list[str] = []
+        silent = 0
         referred_to = ""
         for _ in range(MAX_ISSUERS_ASKED):
             request = PermitRequest(
@@ -337,7 +349,7 @@
                 rate_per_s=limit.rate_per_s,
                 max_wait_s=max_wait_s,
                 demand=demand,
-                skipped=skipped,
+                skipped=list(skipped),
                 suspected=self._suspected(),
             )
             asked = referred_to or self._first_issuer(key, skipped)
@@ -350,6 +362,9 @@
                 self._channel.announce_suspicion(asked, SUSPICION_S)
                 skipped.append(asked)
                 referred_to = ""
+                silent += 1
+                if silent >= MAX_SILENT:
+                    break
             elif response.verdict is not Verdict.REFERRED:
                 return response
             elif response.issuer == asked or response.issuer in skipped:
@@ -414,7 +429,7 @@
         key = request.target
         rate_per_s = request.rate_per_s
         target = self._directory.get(key.name)
-        if target is not None and target.limit is not None and _key(target) == key:
+        if target is not None and target.limit is not None and TargetKey.of(target) == key:
             rate_per_s = min(rate_per_s, target.limit.rate_per_s)
         issuance = self._issuances.get(key)
         if issuance is None:
@@ -495,7 +510,3 @@
         for key in list(self._issuances):
             if self._first_issuer(key, ()) != self._own_address:
                 del self._issuances[key]
-
-
-def _key(target: Target) -> TargetKey:
-    return TargetKey(target.name, target.entry.started_ms, target.entry.data_centre)
--- a/coltsfootfront/tests/test_direct_permits.py
+++ b/coltsfootfront/tests/test_direct_permits.py
@@ -6,7 +6,12 @@
 from collections import Counter
 
 from coltsfootfront.direct.limits import DemandShares, PermitSchedule, TargetLimit
-from coltsfootfront.direct.permits import SETTLE_S, SUSPICION_S
+from coltsfootfront.direct.permits import (
+    RESEND_INTERVAL_S,
+    SETTLE_S,
+    SUSPICION_S,
+    TargetKey,
+)
 from coltsfootfront.tests.permit_simulation import (
     STABLE_S,
     PermitSimulation,
@@ -205,6 +210,20 @@
         self.assertGreaterEqual(len(simulation.arrivals) - before, 5.0 * (2 * SUSPICION_S - 1.0))
         self.assertFalse(issuer.permits._issuances)
 
+    async def test_limit_that_ends_while_a_permit_is_asked_for(self) -> None:
+        """Guards against a request that waits for a permit which it no longer needs."""
+        simulation = self._simulate(8, 0.5, UNEVEN)
+        issuer = "10.0.0.1:80"
+        for router in simulation.routers.values():
+            router.is_cut = True
+            issuer = router.permits._first_issuer(TargetKey.of(router.target), ())
+        asking = next(item for item in simulation.routers.values() if item.name != issuer)
+        task = asyncio.ensure_future(asking.permits.acquire(asking.target))
+        await simulation.time.run_until(simulation.time.now_s + RESEND_INTERVAL_S)
+        asking.target.limit = None
+        await simulation.time.run_until(simulation.time.now_s + 1.0)
+        self.assertTrue(task.done() and task.result())
+
     async def test_permit_is_not_used_after_a_pause(self) -> None:
         """Guards against a router that acts on a permission that ran out while it was frozen."""
         simulation = self._simulate(7, 1.0, UNEVEN)
