--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 SEED ?= 1
 SEEDS ?= 10
 SECONDS ?= 10
+ROUTERS ?= 3
 
 all: test
 
@@ -38,7 +39,7 @@
 	@$(BIN)/python -m coltsfootfront_dev.slopes --deployment $(DEPLOYMENT)
 
 soak: setup
-	@$(BIN)/python -m coltsfootfront_dev.soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+	@$(BIN)/python -m coltsfootfront_dev.soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --routers $(ROUTERS)
 
 format: setup
 	$(BIN)/black coltsfootfront coltsfootfront_dev
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -388,10 +388,10 @@
                 )
 
 
-async def soak(seed: int, faults_s: float) -> SoakReport:
+async def soak(seed: int, faults_s: float, routers: int = 3) -> SoakReport:
     """Run one seed; settings and logs stay in a temporary directory."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    return await SoakRun(seed, faults_s, folder).run()
+    return await SoakRun(seed, faults_s, folder, routers).run()
 
 
 def main() -> None:
@@ -404,11 +404,12 @@
         seed: Annotated[int, cappa.Arg(long=True)] = 1
         seeds: Annotated[int, cappa.Arg(long=True)] = 1
         seconds: Annotated[float, cappa.Arg(long=True)] = 10.0
+        routers: Annotated[int, cappa.Arg(long=True)] = 3
 
     command = cappa.parse(Command, completion=False)
     broken = 0
     for seed in range(command.seed, command.seed + command.seeds):
-        report = asyncio.run(soak(seed, command.seconds))
+        report = asyncio.run(soak(seed, command.seconds, command.routers))
         broken += bool(report.broken)
         print(report.to_json(), flush=True)
     print(f"{command.seeds - broken} passed, {broken} failed")
