--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -154,6 +154,12 @@
         blocked_until_s = self.limit.blocked_until_s if self.limit is not None else 0.0
         return max(self.paused_until_s, blocked_until_s)
 
+    def expected_return_s(self, now_s: float) -> float:
+        """Monotonic time at which a caller that is refused now can expect it to take a request."""
+        if self.limit is None:
+            return self.paused_until_s
+        return max(self.paused_until_s, self.limit.expected_return_s(now_s))
+
     def pause(self, for_s: float, now_s: float) -> None:
         """Send the target no requests for some time, as it has asked."""
         self.paused_until_s = max(self.paused_until_s, now_s + for_s)
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -229,7 +229,7 @@
             unavailable = _unavailable_targets(untried, now_s)
             if state.rejected and now_s < wait_until_s:
                 state.rejected.clear()
-                if not unavailable:
+                if not any(target.is_paused(now_s) for target in unavailable):
                     await self._clock.sleep(REJECTION_RETRY_DELAY_S)
                 continue
             raise self._unavailable_error(state, unavailable, now_s)
@@ -253,41 +253,24 @@
             max_wait_s = max(0.0, wait_until_s - self._clock.monotonic_s())
             if await self._permits.acquire(target, max_wait_s) and target.is_usable():
                 return placement
-        end_s, reason = min(
-            (
-                (
-                    target.available_from_s(),
-                    WaitReason.PAUSE if target.is_paused(now_s) else WaitReason.LIMIT,
-                )
-                for target in unavailable
-            ),
-            key=lambda item: item[0],
-            default=(math.inf, WaitReason.PAUSE),
-        )
-        return Wait(end_s, reason) if end_s <= wait_until_s else None
+        first = min(unavailable, key=Target.available_from_s, default=None)
+        if first is None or first.available_from_s() > wait_until_s:
+            return None
+        reason = WaitReason.PAUSE if first.is_paused(now_s) else WaitReason.LIMIT
+        return Wait(first.available_from_s(), reason)
 
     def _unavailable_error(
         self, state: RequestState, unavailable: list[Target], now_s: float
     ) -> RefusedError:
         """Refuse a request with the time at which the first target can be expected to take it."""
-        expected = [
-            (
-                (
-                    max(target.paused_until_s, target.limit.expected_return_s(now_s))
-                    if target.limit is not None
-                    else target.paused_until_s
-                ),
-                target,
-            )
-            for target in unavailable
-        ]
-        if not expected:
+        if not unavailable:
             return self._refusal(state, "no target can take the request now")
-        return_s, target = min(expected, key=lambda item: item[0])
-        if target.limit is None:
-            return self._refusal(state, "the targets want no requests", return_s - now_s)
-        target.limit.record_refusal(return_s, state.request.deadline_s)
-        message = "the limits of the targets admit no more requests"
+        target = min(unavailable, key=lambda target: target.expected_return_s(now_s))
+        return_s = target.expected_return_s(now_s)
+        message = "the targets want no requests"
+        if target.limit is not None:
+            target.limit.record_refusal(return_s, state.request.deadline_s)
+            message = "the limits of the targets admit no more requests"
         return self._refusal(state, message, return_s - now_s)
 
     def _choose_target(
--- a/coltsfootfront/direct/limitrecorder.py
+++ b/coltsfootfront/direct/limitrecorder.py
@@ -1,5 +1,6 @@
 """Records the limits that targets name and shares them with the other routers."""
 
+import math
 from collections.abc import Callable
 
 import logbook
@@ -54,7 +55,7 @@
         if rate_per_s is not None:
             is_change = self._put(target, rate_per_s, "its answer")
             now_s = self._clock.monotonic_s()
-            announced_s = self._announced_s.get(target.name, 0.0)
+            announced_s = self._announced_s.get(target.name, -math.inf)
             if is_change or now_s - announced_s >= ANNOUNCEMENT_INTERVAL_S:
                 self._announced_s[target.name] = now_s
                 self._announce(target, rate_per_s)
--- a/coltsfootfront/direct/permits.py
+++ b/coltsfootfront/direct/permits.py
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetKey:
-    """One start of a target.
+    """Identifies one start of a target, for all routers alike.
 
     :param started_ms: Unix time of its start in milliseconds.
     """
@@ -414,7 +414,7 @@
         return self._issue(request)
 
     def _may_issue(self, request: PermitRequest) -> bool:
-        """Whether this router issues permits, unless no other is left to ask."""
+        """Whether this router may answer a request itself; always if no other is left to ask."""
         passed = {*request.skipped, *self._suspected()}
         others = set(self._order(request.target)) - {*passed, self._own_address}
         if not others:
