--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -28,12 +28,9 @@
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.orders import OrderClient, OrderIssuer
 from coltsfootfront.direct.peers import Peers
-from coltsfootfront.direct.permits import (
-    PermitChannel,
-    PermitRequest,
-    PermitResponse,
-    Permits,
-)
+from coltsfootfront.direct.permitgossip import GossipPermitChannel
+from coltsfootfront.direct.permitmessages import PermitRequest, PermitResponse
+from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.registration import (
     ROUTER_PREFIX,
@@ -141,32 +138,6 @@
         """Close every connection."""
 
 
-class GossipPermitChannel(PermitChannel):
-    """Carries requests for permits as gossip.
-
-    :param port: gossip port of all routers.
-    """
-
-    def __init__(self, sender: Gossip, port: int) -> None:
-        self._gossip = sender
-        self._port = port
-
-    def send_request(self, router: str, request: PermitRequest) -> None:
-        self._gossip.send(self._address(router), gossip.PERMIT_REQUEST, request.to_fields())
-
-    def send_response(self, router: str, response: PermitResponse) -> None:
-        self._gossip.send(self._address(router), gossip.PERMIT_RESPONSE, response.to_fields())
-
-    def announce_suspicion(self, router: str, for_s: float) -> None:
-        self._gossip.broadcast(gossip.ISSUER_SUSPECTED, [router, for_s])
-
-    def send_suspicion(self, router: str, for_s: float) -> None:
-        self._gossip.send(self._address(router), gossip.ISSUER_SUSPECTED, [router, for_s])
-
-    def _address(self, router: str) -> gossip.Address:
-        return router.rpartition(":")[0], self._port
-
-
 class Node(Program, StoreUpdateHandler):
     """The process of one router.
 
--- a/coltsfootfront/direct/permits.py
+++ b/coltsfootfront/direct/permits.py
@@ -1,8 +1,7 @@
 """Permits for requests to targets that limit the requests of all routers together.
 
 For each limited target one router, its issuer, permits the requests of all routers, so that their
-sum keeps to the limit whatever traffic each has. All routers derive the issuer from the registered
-routers by rendezvous hashing; routers near the target come first.
+sum keeps to the limit whatever traffic each has; see :mod:`coltsfootfront.direct.issuers`.
 
 A router that does not answer is suspected: for a while, it issues no permits and the next in order
 does. Suspicions are announced to all routers and carried by requests, since two issuers would
@@ -13,21 +12,25 @@
 import asyncio
 import math
 import random
-from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
-from enum import Enum
-from typing import Any
 
 import logbook
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
-from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.directory import Directory, Target
+from coltsfootfront.direct.issuers import SUSPICION_S, Issuers
 from coltsfootfront.direct.limits import DemandShares, PermitSchedule, TargetLimit
+from coltsfootfront.direct.permitmessages import (
+    PermitChannel,
+    PermitRequest,
+    PermitResponse,
+    TargetKey,
+    Verdict,
+)
 from coltsfootfront.direct.registration import RouterEntry
 
 log = logbook.Logger(__name__)
@@ -36,8 +39,6 @@
 # answers within 50 ms, unless its processor is busy.
 RESEND_INTERVAL_S = 0.06
 MAX_SENDS = 5
-# Time for which a router that did not answer is not asked.
-SUSPICION_S = 3.0
 # Interval at which an issuer tells the routers before it that they are suspected.
 NOTICE_INTERVAL_S = 0.2
 # Time after its start within which a router refers requests to the next one. Longer than the
@@ -63,142 +64,6 @@
 SHARE_LOG_INTERVAL_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class TargetKey:
-    """Identifies one start of a target, for all routers alike.
-
-    :param started_ms: Unix time of its start in milliseconds.
-    """
-
-    name: str
-    started_ms: int
-    data_centre: str
-
-    @classmethod
-    def of(cls, target: Target) -> "TargetKey":
-        """Key of a target."""
-        entry = target.entry
-        return cls(entry.name, entry.started_ms, entry.data_centre)
-
-
-class Verdict(Enum):
-    """Response of a router to a request for a permit."""
-
-    GRANTED = "granted"
-    DENIED = "denied"
-    REFERRED = "referred"
-    """Another router is the issuer, or this one must not issue for now."""
-
-
-@dataclass(frozen=True, slots=True)
-class PermitRequest:
-    """Request of a router for one permit.
-
-    :param number: identifies the request, also when it is sent again.
-    :param router: address of the router that asks.
-    :param rate_per_s: limit of the target as that router knows it.
-    :param max_wait_s: longest time until the permit may be used.
-    :param demand: requests that the router has for the target since its last request.
-    :param skipped: routers that did not answer or referred the request to the next.
-    :param suspected: for how long that router suspects others, by their addresses.
-    """
-
-    number: int
-    router: str
-    target: TargetKey
-    rate_per_s: float
-    max_wait_s: float
-    demand: int
-    skipped: list[str]
-    suspected: dict[str, float]
-
-    def to_fields(self) -> list[Any]:
-        """Fields of the message."""
-        target = self.target
-        return [
-            self.number,
-            self.router,
-            [target.name, target.started_ms, target.data_centre],
-            self.rate_per_s,
-            self.max_wait_s,
-            self.demand,
-            self.skipped,
-            self.suspected,
-        ]
-
-    @classmethod
-    def from_fields(cls, fields: list[Any]) -> "PermitRequest":
-        """Decode a message.
-
-        :raises ValueError: if it is malformed.
-        :raises TypeError: likewise.
-        """
-        number, router, (name, started_ms, data_centre), rate_per_s, max_wait_s, *rest = fields
-        demand, skipped, suspected = rest
-        target = TargetKey(str(name), int(started_ms), str(data_centre))
-        return cls(
-            int(number),
-            str(router),
-            target,
-            float(rate_per_s),
-            float(max_wait_s),
-            max(1, int(demand)),
-            [str(item) for item in skipped],
-            {str(item): float(for_s) for item, for_s in dict(suspected).items()},
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class PermitResponse:
-    """Response to a request for a permit.
-
-    :param number: of the request.
-    :param wait_s: time until the permit may be used, or until the next one is available.
-    :param share: share of the permits that the router which asked gets.
-    :param issuer: router to ask instead if the request is referred.
-    """
-
-    number: int
-    verdict: Verdict
-    wait_s: float = 0.0
-    share: float = 1.0
-    issuer: str = ""
-
-    def to_fields(self) -> list[Any]:
-        """Fields of the message."""
-        return [self.number, self.verdict.value, self.wait_s, self.share, self.issuer]
-
-    @classmethod
-    def from_fields(cls, fields: list[Any]) -> "PermitResponse":
-        """Decode a message.
-
-        :raises ValueError: if it is malformed.
-        :raises TypeError: likewise.
-        """
-        number, verdict, wait_s, share, issuer = fields
-        return cls(int(number), Verdict(verdict), float(wait_s), float(share), str(issuer))
-
-
-class PermitChannel(ABC):
-    """Carries messages between routers; any message may be lost."""
-
-    @abstractmethod
-    def send_request(self, router: str, request: PermitRequest) -> None:
-        """Send a request for a permit to a router."""
-
-    @abstractmethod
-    def send_response(self, router: str, response: PermitResponse) -> None:
-        """Send a response to the router that asked."""
-
-    @abstractmethod
-    def announce_suspicion(self, router: str, for_s: float) -> None:
-        """Tell all routers that a router is suspected for some time."""
-
-    @abstractmethod
-    def send_suspicion(self, router: str, for_s: float) -> None:
-        """Tell a router that it is suspected for some time."""
-
-
 @dataclass(slots=True)
 class _Issuance:
     """Permits that this router issues for one target."""
@@ -227,15 +92,12 @@
     ) -> None:
         self._clock = clock
         self._directory = directory
-        self._regions = regions
         self._own_address = own_address
         self._channel = channel
         self._generator = generator
         self._started_s = clock.monotonic_s()
         self._is_resigned = False
-        self._routers: Mapping[str, RouterEntry] = {}
-        self._orders: dict[TargetKey, list[str]] = {}
-        self._suspected_until_s: dict[str, float] = {}
+        self._issuers = Issuers(clock, regions, own_address)
         self._noticed_s: dict[str, float] = {}
         self._issuances: OrderedDict[TargetKey, _Issuance] = OrderedDict()
         self._pending: dict[int, asyncio.Future[PermitResponse]] = {}
@@ -263,7 +125,7 @@
                         limit_per_s=limit.rate_per_s,
                         for_s=now_s - limit.since_s,
                         by=limit.source,
-                        issuer=self._first_issuer(key, ()),
+                        issuer=self._issuers.first(key),
                         share=limit.share,
                         granted=limit.granted,
                         denied=limit.denied,
@@ -272,9 +134,7 @@
 
     def set_routers(self, routers: Mapping[str, RouterEntry]) -> None:
         """Set the routers that may issue permits, by address."""
-        if routers != self._routers:
-            self._routers = routers
-            self._orders.clear()
+        if self._issuers.set_routers(routers):
             self._drop_foreign_issuances()
 
     def resign(self) -> None:
@@ -350,9 +210,9 @@
                 max_wait_s=max_wait_s,
                 demand=demand,
                 skipped=list(skipped),
-                suspected=self._suspected(),
+                suspected=self._issuers.suspicions(),
             )
-            asked = referred_to or self._first_issuer(key, skipped)
+            asked = referred_to or self._issuers.first(key, skipped)
             if asked == self._own_address:
                 response: PermitResponse | None = self._respond(request)
             else:
@@ -406,7 +266,7 @@
     def _respond(self, request: PermitRequest) -> PermitResponse:
         for router, for_s in request.suspected.items():
             self._suspect(router, for_s, by="a peer")
-        issuer = self._first_issuer(request.target, request.skipped)
+        issuer = self._issuers.first(request.target, request.skipped)
         if issuer != self._own_address:
             return PermitResponse(request.number, Verdict.REFERRED, issuer=issuer)
         if not self._may_issue(request):
@@ -415,11 +275,11 @@
 
     def _may_issue(self, request: PermitRequest) -> bool:
         """Whether this router may answer a request itself; always if no other is left to ask."""
-        passed = {*request.skipped, *self._suspected()}
-        others = set(self._order(request.target)) - {*passed, self._own_address}
+        passed = {*request.skipped, *self._issuers.suspicions()}
+        others = set(self._issuers.order(request.target)) - {*passed, self._own_address}
         if not others:
             return True
-        if self._is_resigned or self._is_suspected(self._own_address):
+        if self._is_resigned or self._issuers.is_suspected(self._own_address):
             return False
         is_settled = self._clock.monotonic_s() - self._started_s >= SETTLE_S
         return is_settled or len(passed) >= MAX_REFERRALS
@@ -447,66 +307,21 @@
 
     def _notify_suspected(self, key: TargetKey, now_s: float) -> None:
         """Tell the suspected routers before this one that they are not the issuer."""
-        for router in self._order(key):
+        suspicions = self._issuers.suspicions()
+        for router in self._issuers.order(key):
             if router == self._own_address:
                 return
             is_due = now_s - self._noticed_s.get(router, -math.inf) >= NOTICE_INTERVAL_S
-            if is_due and self._is_suspected(router):
+            if is_due and router in suspicions:
                 self._noticed_s[router] = now_s
-                self._channel.send_suspicion(router, self._suspected_until_s[router] - now_s)
-
-    def _first_issuer(self, key: TargetKey, skipped: list[str] | tuple[str, ...]) -> str:
-        order = [router for router in self._order(key) if router not in skipped]
-        unsuspected = (router for router in order if not self._is_suspected(router))
-        return next(unsuspected, order[0] if order else self._own_address)
-
-    def _order(self, key: TargetKey) -> list[str]:
-        """Routers in the order in which they issue the permits of a target."""
-        order = self._orders.get(key)
-        if order is None:
-            order = rank(f"{key.name}/{key.started_ms}".encode(), self._routers)
-            # The sort is stable and keeps the rendezvous order among equally near routers.
-            order.sort(key=lambda router: self._distance(router, key.data_centre))
-            self._orders[key] = order
-            if len(self._orders) > MAX_SCHEDULES:
-                del self._orders[next(iter(self._orders))]
-        return order
-
-    def _distance(self, router: str, data_centre: str) -> int:
-        entry = self._routers[router]
-        if entry.data_centre == data_centre:
-            return 0
-        return 1 if entry.region == self._regions.get(data_centre) else 2
-
-    def _suspected(self) -> dict[str, float]:
-        now_s = self._clock.monotonic_s()
-        return {
-            router: until_s - now_s
-            for router, until_s in list(self._suspected_until_s.items())
-            if self._is_suspected(router)
-        }
-
-    def _is_suspected(self, router: str) -> bool:
-        until_s = self._suspected_until_s.get(router)
-        if until_s is None:
-            return False
-        if self._clock.monotonic_s() >= until_s:
-            del self._suspected_until_s[router]
-            self._noticed_s.pop(router, None)
-            return False
-        return True
+                self._channel.send_suspicion(router, suspicions[router])
 
     def _suspect(self, router: str, for_s: float, by: str) -> None:
-        is_new = not self._is_suspected(router)
-        until_s = self._clock.monotonic_s() + min(for_s, SUSPICION_S)
-        self._suspected_until_s[router] = max(until_s, self._suspected_until_s.get(router, 0.0))
-        if is_new:
-            metrics.CONNECTION_EVENTS.inc({"event": "issuer_suspected"})
-            log.info(event("permit_issuer_suspected", router=router, by=by))
+        if self._issuers.suspect(router, for_s, by):
             self._drop_foreign_issuances()
 
     def _drop_foreign_issuances(self) -> None:
         """Drop the schedules of targets that have another issuer, with accumulated permits."""
         for key in list(self._issuances):
-            if self._first_issuer(key, ()) != self._own_address:
+            if self._issuers.first(key) != self._own_address:
                 del self._issuances[key]
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -13,12 +13,8 @@
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.limitrecorder import LimitRecorder
-from coltsfootfront.direct.permits import (
-    PermitChannel,
-    PermitRequest,
-    PermitResponse,
-    Permits,
-)
+from coltsfootfront.direct.permitmessages import PermitChannel, PermitRequest, PermitResponse
+from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import (
--- a/coltsfootfront/tests/permit_simulation.py
+++ b/coltsfootfront/tests/permit_simulation.py
@@ -10,12 +10,8 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.limits import TargetLimit
-from coltsfootfront.direct.permits import (
-    PermitChannel,
-    PermitRequest,
-    PermitResponse,
-    Permits,
-)
+from coltsfootfront.direct.permitmessages import PermitChannel, PermitRequest, PermitResponse
+from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.tests.direct_support import REGIONS, make_entry
 from coltsfootfront_dev.limitcheck import Arrival, Period
--- a/coltsfootfront/tests/test_direct_limits.py
+++ b/coltsfootfront/tests/test_direct_limits.py
@@ -8,7 +8,7 @@
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.limitrecorder import LimitRecorder
-from coltsfootfront.direct.permits import PermitRequest, TargetKey
+from coltsfootfront.direct.permitmessages import PermitRequest, TargetKey
 from coltsfootfront.direct.targetclient import Directive, TargetResponse
 from coltsfootfront.tests.direct_support import (
     REGIONS,
--- a/coltsfootfront/tests/test_direct_permits.py
+++ b/coltsfootfront/tests/test_direct_permits.py
@@ -5,13 +5,10 @@
 import unittest
 from collections import Counter
 
+from coltsfootfront.direct.issuers import SUSPICION_S
 from coltsfootfront.direct.limits import DemandShares, PermitSchedule, TargetLimit
-from coltsfootfront.direct.permits import (
-    RESEND_INTERVAL_S,
-    SETTLE_S,
-    SUSPICION_S,
-    TargetKey,
-)
+from coltsfootfront.direct.permitmessages import TargetKey
+from coltsfootfront.direct.permits import RESEND_INTERVAL_S, SETTLE_S
 from coltsfootfront.tests.permit_simulation import (
     STABLE_S,
     PermitSimulation,
@@ -111,8 +108,8 @@
         )
 
     def _issuer(self, simulation: PermitSimulation) -> SimulatedRouter:
-        order = next(iter(simulation.routers.values())).permits._orders
-        return simulation.routers[next(iter(order.values()))[0]]
+        router = next(iter(simulation.routers.values()))
+        return simulation.routers[router.permits._issuers.first(TargetKey.of(router.target))]
 
     async def test_routers_of_unequal_traffic_use_the_whole_limit(self) -> None:
         """Guards against a limit that is exceeded, or left unused since each has a fixed part."""
@@ -216,7 +213,7 @@
         issuer = "10.0.0.1:80"
         for router in simulation.routers.values():
             router.is_cut = True
-            issuer = router.permits._first_issuer(TargetKey.of(router.target), ())
+            issuer = router.permits._issuers.first(TargetKey.of(router.target))
         asking = next(item for item in simulation.routers.values() if item.name != issuer)
         task = asyncio.ensure_future(asking.permits.acquire(asking.target))
         await simulation.time.run_until(simulation.time.now_s + RESEND_INTERVAL_S)
