Log the prompt parts of a lost exchange, and whether its target had begun to answer

The logs could not tell whether the lost requests have a part in common, nor which of them the target had begun to answer.

target_lost now has the shared parts and the time since the first event. Nothing decides by the new fields.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -309,6 +309,7 @@
         if remaining_s <= 0:
             raise self._deadline_error(state)
         state.sends += 1
+        state.answer_begun_s = None
         self._prompt_selector.record_placement(state.request, placement)
         self._record_prefill_work(placement)
         self._record_expected_parts(state.request, placement)
@@ -480,6 +481,10 @@
                 loss=failure.value,
                 reason=reason,
                 last_event=state.stream_validator.last_event_id,
+                answered_s=(
+                    now_s - state.answer_begun_s if state.answer_begun_s is not None else None
+                ),
+                parts=",".join(part.key for part in state.request.shared_parts) or None,
             )
         )
         if failure is ExchangeFailure.NOT_SENT:
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -33,6 +33,7 @@
     :param placed_s: time from its arrival until a target was chosen.
     :param first_s: time from its arrival until its first event.
     :param longest_pause_s: longest time between two events, None before the second.
+    :param answer_begun_s: monotonic time of the first event of the current attempt, None before.
     :param waited_for: why it last waited for a target.
     """
 
@@ -54,6 +55,7 @@
     placed_s: float | None = None
     first_s: float | None = None
     longest_pause_s: float | None = None
+    answer_begun_s: float | None = None
     waited_for: WaitReason | None = None
 
     @property
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -131,6 +131,7 @@
                 continue
             if is_first_event:
                 is_first_event = False
+                state.answer_begun_s = now_s
                 self._record_cached_parts(state, placement)
                 self._record_prefill_rate(state, placement, now_s)
             if not state.has_response_begun:
