--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import time
 from typing import Any
 
 from coltsfootfront_dev.platformstore import PlatformStoreStandIn
@@ -14,6 +15,8 @@
 PLAIN_SERVICE = "records"
 HOST = "host.example"
 HEARTBEAT_INTERVAL_S = 1.0
+# A target that has crashed is back after this time, under another name.
+RESTART_S = 1.5
 
 
 def free_ports(count: int) -> list[int]:
@@ -121,6 +124,9 @@
         self.engine_targets = [
             PlatformTargetStandIn(f"e{number}", ENGINE_SERVICE, 1) for number in range(engines)
         ]
+        self.crashes_s: list[float] = []
+        """Monotonic time of each crash of a target."""
+        self._restarts: set[asyncio.Task[None]] = set()
 
     @property
     def targets(self) -> list[PlatformTargetStandIn]:
@@ -133,16 +139,40 @@
         for target in self.targets:
             await target.start()
             target.on_loaded = self._register_at_next_heartbeat
+            target.on_crash = self.crash
             self.register(target)
         self.store.put_json("op/version/m", {"model": "m", "version": 1})
         self.store.put_json("op/config", configuration(1))
 
     async def close(self) -> None:
         """Stop the targets and the store."""
+        for task in self._restarts:
+            task.cancel()
+        await asyncio.gather(*self._restarts, return_exceptions=True)
         for target in self.targets:
             await target.close()
         await self.store.close()
 
+    def crash(self, target: PlatformTargetStandIn) -> None:
+        """Crash a target; it starts again after RESTART_S."""
+        if target.is_down:
+            return
+        target.is_down = True
+        self.crashes_s.append(time.monotonic())
+        task = asyncio.create_task(self._restart(target))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, target: PlatformTargetStandIn) -> None:
+        await target.crash()
+        await asyncio.sleep(RESTART_S)
+        self.store.delete(f"servers/{target.name}")
+        target.born += 1
+        target.name = f"{target.name.partition('.')[0]}.{target.born}"
+        await target.start()
+        target.is_down = False
+        self.register(target)
+
     def _register_at_next_heartbeat(self, target: PlatformTargetStandIn) -> None:
         """Write the registration of a target after a heartbeat interval."""
         asyncio.get_running_loop().call_later(HEARTBEAT_INTERVAL_S, self.register, target)
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -82,6 +82,12 @@
         self.highest_fencing_token = 0
         self.faults = TargetFaults()
         self.on_loaded: Callable[[PlatformTargetStandIn], None] = lambda target: None
+        self.on_crash: Callable[[PlatformTargetStandIn], None] = lambda target: None
+        self.deadly_parts: frozenset[str] = frozenset()
+        """Prompt parts on which it crashes when it begins to answer; see :meth:`crash`."""
+        self.crashes_before_head = False
+        self.born = 1
+        self.is_down = False
         self.event_interval_s = 0.002
         self.execution_time_s = 0.0
         self.cancelled_requests = 0
@@ -99,6 +105,15 @@
         host, port, *_ = self._runner.addresses[0]
         self.address = f"{host}:{port}"
 
+    async def crash(self) -> None:
+        """Reset all connections and stop listening, as a process that ends by itself."""
+        for transport in self._transports:
+            if isinstance(transport, asyncio.Transport):
+                transport.abort()
+        self._transports.clear()
+        await self.close()
+        self._runner = None
+
     async def close(self) -> None:
         """Stop listening."""
         if self._runner is not None:
@@ -115,7 +130,7 @@
             "state": state,
             "cold-left-ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.born,
         }
         if self.version is not None:
             registration["stage"] = "both"
@@ -266,11 +281,19 @@
     async def _send_stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
+        parts = request.headers.get("X-Prompt-Prefix", "").split(",")
+        is_deadly = not self.deadly_parts.isdisjoint(part.partition(":")[0] for part in parts)
+        if is_deadly and self.crashes_before_head:
+            self.on_crash(self)
+            await asyncio.Event().wait()
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         response.headers["X-Weight-Versions"] = str(self.version)
         await response.prepare(request)
+        if is_deadly:
+            self.on_crash(self)
+            await asyncio.Event().wait()
         begin = int(request.headers.get("Last-Event-Id", "-1")) + 1
         for number in range(begin, STREAM_EVENT_COUNT):
             await asyncio.sleep(self.event_interval_s)
