Hold back requests with prompt parts that crash targets, at all routers

Cause: no router remembers what was in progress at a target that crashed. Class of fault: whatever harms each target that it is given to is only ever held against the target.

Requests without an answer at a crashed target are suspects. A part is convicted that is among the suspects of three crashes at different moments, that no target has answered in between, and that explains more of them than any other; parts that were only seen together are held back only together. An answer clears a part at all routers. Draining targets, cut connections and targets that accept connections are no evidence. Evidence, clearings, convictions and releases travel as gossip; a conviction also stands in the store, so that routers which start later, or all at once, know of it. Queued requests with the part are withdrawn, new ones and repeats are refused at once as not run (502 if they may have run), with the time at which to come back. After 20 s one request of all routers together, claimed in the store, is tried: an answer releases the part, otherwise the time doubles, up to 600 s.

Why it works: a deadly part is in the suspects of every crash that it causes and is never answered, so three crashes suffice, and each sound part is cleared by its next answer.

--- a/coltsfootfront/common/errors.py
+++ b/coltsfootfront/common/errors.py
@@ -34,6 +34,7 @@
     KEY_REUSED = "key_reused"
     RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
     NO_TARGET = "no_target"
     TARGET_LEAVING = "target_leaving"
     TARGET_WITHDRAWN = "target_withdrawn"
@@ -79,6 +80,7 @@
     ErrorKind.KEY_REUSED: ErrorResponse(422),
     ErrorKind.RATE_LIMITED: ErrorResponse(429, retry_after_s=1.0),
     ErrorKind.OVERLOADED: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
+    ErrorKind.QUARANTINED: ErrorResponse(503, retry_after_s=1.0),
     ErrorKind.NO_TARGET: ErrorResponse(503, retry_after_s=1.0),
     ErrorKind.TARGET_LEAVING: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
     ErrorKind.TARGET_WITHDRAWN: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -51,6 +51,10 @@
     "coltsfootfront_target_permits_total",
     "Permits asked for requests to targets with a limit, by target and outcome.",
 )
+QUARANTINE = Counter(
+    "coltsfootfront_quarantine_total",
+    "Crashes of targets, prompt parts quarantined and released, requests held back and tried.",
+)
 REVISION = Gauge("coltsfootfront_revision", "Configuration revision in force.")
 
 
--- a/coltsfootfront/direct/callerrequest.py
+++ b/coltsfootfront/direct/callerrequest.py
@@ -50,6 +50,11 @@
         """Parts that other requests may have in common with this one."""
         return self.parts[:-1]
 
+    @property
+    def shared_keys(self) -> tuple[str, ...]:
+        """Keys of the shared parts."""
+        return tuple(part.key for part in self.shared_parts)
+
 
 class ResponseWriter(ABC):
     """Writes the response to one request."""
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -17,12 +17,14 @@
 from coltsfootfront.direct import admission, gossip
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
+from coltsfootfront.direct.crashobserver import CrashObserver
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.events import StreamBrokenError
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.limitrecorder import LimitRecorder
 from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
+from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
 from coltsfootfront.direct.requeststate import (
     RefusedError,
     RequestState,
@@ -74,6 +76,9 @@
 TYPICAL_MAX_REQUEST_S = 5.0
 # Short, since a caller that a stopping router refuses reaches another router.
 STOPPING_RETRY_AFTER_S = 0.05
+# Spreads the returns of callers whose requests were held back.
+QUARANTINE_JITTER_S = 1.0
+QUARANTINE_MESSAGE = "targets have crashed on a part of the prompt"
 
 
 class Forwarder:
@@ -82,6 +87,8 @@
     :param budgets: retry budget of each service.
     :param prefill_rates: prefill rate of each service's engines, estimated from their responses.
     :param permits: permits for requests to targets with a limit.
+    :param quarantine: holds requests back whose prompts crash targets.
+    :param crash_observer: told of each exchange, and of its failure.
     """
 
     def __init__(
@@ -98,6 +105,8 @@
         prefill_rates: PrefillRates,
         limits: LimitRecorder,
         permits: Permits,
+        quarantine: QuarantineKeeper,
+        crash_observer: CrashObserver,
         generator: random.Random,
     ) -> None:
         self._clock = clock
@@ -111,10 +120,14 @@
         self._budgets = budgets
         self._generator = generator
         self._permits = permits
+        self._quarantine = quarantine
+        self._crash_observer = crash_observer
         self._head_recorder = ResponseHeadRecorder(
             clock, directory, cache_index, versions, gossip, limits
         )
-        self._relay = ResponseRelay(clock, cache_index, gossip, budgets, prefill_rates, generator)
+        self._relay = ResponseRelay(
+            clock, cache_index, gossip, budgets, prefill_rates, quarantine, generator
+        )
         self.routing_config = RoutingConfig()
         self.exit_at_s = math.inf
         """Monotonic time at which this process exits."""
@@ -129,6 +142,8 @@
         try:
             state = self._admit(request)
             self._budgets.get(state.service).record_request()
+            state.is_trial = await self._quarantine.may_try(request.shared_keys)
+            self._check_quarantine(state)
             await self._serve_with_retries(state, writer)
             self._log_request_end(request, state, "answered", "")
         except RefusedError as refused:
@@ -187,12 +202,32 @@
         while True:
             state.placement = await self._wait_for_target(state)
             state.placed_s = self._clock.monotonic_s() - state.request.received_s
+            # Its parts may have been quarantined since it arrived or since it was last sent.
+            self._check_quarantine(state)
             try:
                 await self._attempt(state, state.placement, writer)
                 return
             except RetryError:
                 continue
 
+    def _check_quarantine(self, state: RequestState) -> None:
+        """Refuse a request whose prompt parts are quarantined, unless it is sent as a trial.
+
+        :raises RefusedError: if it is held back.
+        """
+        if state.is_trial and not state.sends:
+            return
+        held_s = self._quarantine.held_for_s(state.request.shared_keys)
+        if held_s is None:
+            return
+        state.reason = QUARANTINE_MESSAGE
+        if state.execution_state is not ExecutionState.NOT_RUN or state.has_response_begun:
+            raise self._refusal(state, QUARANTINE_MESSAGE)
+        retry_after_s = held_s + self._generator.uniform(0.0, QUARANTINE_JITTER_S)
+        raise RefusedError(
+            Failure(ErrorKind.QUARANTINED, QUARANTINE_MESSAGE, retry_after_s=retry_after_s)
+        )
+
     async def _wait_for_target(self, state: RequestState) -> Placement:
         request, route = state.request, state.route
         wait_until_s = min(
@@ -317,6 +352,9 @@
             target.last_activity_s = self._clock.monotonic_s()
         target.in_flight += 1
         timeout = asyncio.timeout(remaining_s)
+        keys = state.request.shared_keys
+        if keys:
+            state.exchange = self._crash_observer.begin(keys, timeout, state.is_trial)
         if state.may_retry:
             target.exchange_timeouts.add(timeout)
         try:
@@ -324,6 +362,9 @@
                 await self._exchange(state, placement, writer)
         except TimeoutError:
             state.execution_state = ExecutionState.UNKNOWN
+            if state.exchange is not None and state.exchange.is_withdrawn:
+                self._remove_expected_parts(state.request, placement)
+                raise self._refusal(state, QUARANTINE_MESSAGE) from None
             if self._clock.monotonic_s() < state.deadline_s:
                 raise self._handle_exchange_failure(
                     state, placement, ExchangeFailure.NO_RESPONSE, "the target became unreachable"
@@ -332,6 +373,8 @@
         finally:
             target.in_flight -= 1
             target.exchange_timeouts.discard(timeout)
+            if state.exchange is not None:
+                self._crash_observer.end(state.exchange)
 
     def _record_prefill_work(self, placement: Placement) -> None:
         if not placement.prefill_tokens:
@@ -379,6 +422,8 @@
                 raise self._handle_rejection(state, placement, response)
             state.execution_state = ExecutionState.UNKNOWN
             state.attempted.append(placement.target.name)
+            if state.exchange is not None:
+                state.exchange.is_answering = True
             if state.route.is_stream and response.status == 200:
                 await self._relay.relay_stream(state, placement, response, writer)
             else:
@@ -484,16 +529,19 @@
                 answered_s=(
                     now_s - state.answer_begun_s if state.answer_begun_s is not None else None
                 ),
-                parts=",".join(part.key for part in state.request.shared_parts) or None,
+                parts=",".join(state.request.shared_keys) or None,
             )
         )
         if failure is ExchangeFailure.NOT_SENT:
+            self._crash_observer.record_down(target)
             state.rejected.add(target.name)
             state.rejections += 1
             if state.rejections >= MAX_REJECTIONS:
                 return self._refusal(state, "targets cannot be reached")
             return self._retry_or_refuse(state, "unreachable", "the target cannot be reached")
         state.execution_state = ExecutionState.UNKNOWN
+        if state.exchange is not None:
+            self._crash_observer.record_loss(target, state.exchange)
         if target.name not in state.attempted:
             state.attempted.append(target.name)
         can_retry = state.may_retry and len(state.attempted) < state.route.max_attempts
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -36,8 +36,8 @@
 PARTS_PER_MESSAGE = 18
 # Messages about learned parts in one flush; a larger burst would fill the queue of a small link.
 LEARNED_MESSAGES_PER_FLUSH = 10
-# Peers that are sent a new store revision; each of them sends it to as many in turn.
-REVISION_FANOUT = 3
+# Peers that are sent a message which each of them sends to as many in turn.
+FANOUT = 3
 
 WEIGHTS_LOADING = "loading"
 WEIGHTS_LOADED = "loaded"
@@ -53,6 +53,10 @@
 PERMIT_REQUEST = "permit_request"
 PERMIT_RESPONSE = "permit_response"
 ISSUER_SUSPECTED = "issuer_suspected"
+CRASH = "crash"
+ANSWERED = "answered"
+QUARANTINED = "quarantined"
+RELEASED = "released"
 
 Address = tuple[str, int]
 OnMessage = Callable[[str, list[Any]], None]
@@ -111,9 +115,12 @@
 
     def send_revision(self, revision: int) -> None:
         """Send the revision of this router's copy of the store to a few peers."""
+        self.send_to_some(REVISION, [revision])
+
+    def send_to_some(self, kind: str, fields: list[Any]) -> None:
+        """Send an update to a few peers."""
         peers = [peer for found in self._peers.values() for peer in found]
-        chosen = self._generator.sample(peers, min(REVISION_FANOUT, len(peers)))
-        self._send([[REVISION, [revision]]], chosen)
+        self._send([[kind, fields]], self._generator.sample(peers, min(FANOUT, len(peers))))
 
     def queue_cached(self, salt: str, key: str, holder: str) -> None:
         """Queue an update that a target has a prompt part in its cache."""
--- a/coltsfootfront/direct/liveness.py
+++ b/coltsfootfront/direct/liveness.py
@@ -35,13 +35,19 @@
     :param clock: time source.
     :param directory: targets.
     :param on_unreachable: called with a target that was just found unreachable.
+    :param on_probe_failed: called with a target each time that it accepts no connection.
     """
 
     def __init__(
-        self, clock: Clock, directory: Directory, on_unreachable: Callable[[Target], None]
+        self,
+        clock: Clock,
+        directory: Directory,
+        on_unreachable: Callable[[Target], None],
+        on_probe_failed: Callable[[Target], None],
     ) -> None:
         self._clock = clock
         self._on_unreachable = on_unreachable
+        self._on_probe_failed = on_probe_failed
         self._directory = directory
         self._probes: dict[str, asyncio.Task[None]] = {}
 
@@ -55,6 +61,12 @@
             for task in self._probes.values():
                 task.cancel()
 
+    def confirm(self, target: Target) -> None:
+        """Probe a target at once, as it has just lost a request."""
+        task = self._probes.get(target.name)
+        if task is None or task.done():
+            self._probes[target.name] = asyncio.create_task(self._probe(target))
+
     def _start_probes(self) -> None:
         for name in [name for name, task in self._probes.items() if task.done()]:
             del self._probes[name]
@@ -89,6 +101,7 @@
                 log.info(event("target_back", target=target.name, silent_s=silent_s))
                 self._directory.notify()
         except (OSError, TimeoutError) as error:
+            self._on_probe_failed(target)
             if target.is_unreachable:
                 target.cancel_exchanges(self._clock.monotonic_s())
                 return
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -21,6 +21,7 @@
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
+from coltsfootfront.direct.crashobserver import CrashObserver
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
@@ -32,6 +33,7 @@
 from coltsfootfront.direct.permitmessages import PermitRequest, PermitResponse
 from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
+from coltsfootfront.direct.quarantinekeeper import QUARANTINE_PREFIX, QuarantineKeeper
 from coltsfootfront.direct.registration import (
     ROUTER_PREFIX,
     Registration,
@@ -194,6 +196,26 @@
             GossipPermitChannel(self._gossip, settings.gossip_port),
             generator,
         )
+        self._liveness = LivenessWatch(
+            clock,
+            self._directory,
+            self._announce_unreachable,
+            lambda target: self._crash_observer.record_down(target),
+        )
+        self._crash_observer = CrashObserver(
+            clock,
+            lambda target, suspects: self._quarantine.record_crash(target, suspects),
+            self._liveness.confirm,
+        )
+        self._quarantine = QuarantineKeeper(
+            clock,
+            settings.name,
+            self._gossip,
+            store,
+            lambda key: self._follower.revision_of(key),
+            self._crash_observer.withdraw,
+            generator,
+        )
         self._forwarder = self._build_forwarder()
         self._forwarder.max_in_progress = admission.max_requests_for_memory(settings.memory_bytes)
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
@@ -263,9 +285,9 @@
         supervisor.add("follow_store", self._follower.follow_store)
         supervisor.add("follow_peers", self._follower.follow_peers)
         supervisor.add("drop_missing", self._directory.drop_missing)
-        supervisor.add(
-            "liveness", LivenessWatch(self._clock, self._directory, self._announce_unreachable).run
-        )
+        supervisor.add("liveness", self._liveness.run)
+        supervisor.add("quarantine", self._quarantine.run)
+        supervisor.add("quarantine_writes", self._quarantine.run_writes)
         supervisor.add("limits", self._limits.run)
         supervisor.add("permits", self._permits.run)
         supervisor.add("roster", self._drop_routers)
@@ -401,6 +423,8 @@
             prefill_rates,
             self._limits,
             self._permits,
+            self._quarantine,
+            self._crash_observer,
             self._generator,
         )
 
@@ -409,6 +433,9 @@
             self._orders.lease_may_be_free = item.value is None
         elif item.key.startswith(ROUTER_PREFIX):
             self._handle_router(item)
+        elif item.key.startswith(QUARANTINE_PREFIX):
+            record_id = item.key.removeprefix(QUARANTINE_PREFIX)
+            self._quarantine.handle_stored(record_id, item.value)
         else:
             self._decoder.decode(item, self)
 
@@ -457,6 +484,10 @@
             gossip.PERMIT_RESPONSE: lambda found: self._permits.handle_response(
                 PermitResponse.from_fields(found)
             ),
+            gossip.CRASH: self._quarantine.handle_crash,
+            gossip.ANSWERED: self._quarantine.handle_answered,
+            gossip.QUARANTINED: self._quarantine.handle_quarantined,
+            gossip.RELEASED: self._quarantine.handle_released,
             gossip.ISSUER_SUSPECTED: lambda found: self._permits.handle_suspicion(*found),
         }
         if kind in handlers:
--- /dev/null
+++ b/coltsfootfront/direct/quarantinekeeper.py
@@ -0,0 +1,333 @@
+"""Shares evidence of crashes and quarantined prompt parts among the routers.
+
+Evidence travels as gossip, and each router convicts by what it has. A quarantined part is also
+written to the store, from where routers that start later learn of it.
+"""
+
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import logbook
+from returns.result import Success
+
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.direct import gossip
+from coltsfootfront.direct.crashevidence import CrashEvidence, Parts, Suspect
+from coltsfootfront.direct.directory import Target
+from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.quarantine import FIRST_HOLD_S, Quarantine, QuarantineRecord
+from coltsfootfront.keyvalue.store import Compare, Put, Store, Transaction
+
+log = logbook.Logger(__name__)
+
+QUARANTINE_PREFIX = "coltsfootfront/quarantine/"
+CHECK_INTERVAL_S = 0.1
+# Interval at which a record is told to a few peers, for those that have missed it.
+REPETITION_INTERVAL_S = 2.0
+# All routers convict at about the same time; the first one to write spares the others the call.
+MAX_WRITE_DELAY_S = 0.5
+# Time after which a write that failed is tried again, longer than the usual age of the copy.
+WRITE_RETRY_S = 1.5
+# Time after which a router that could not claim a trial asks the store again.
+TRIAL_RETRY_S = 1.0
+# Time for which the record of a release stays in the store, longer than any router lags behind.
+RELEASE_RETENTION_S = 60.0
+# Prompts in one message, of about 100 bytes each, so that it fits into one packet.
+SUSPECTS_PER_MESSAGE = 8
+
+ReadRevision = Callable[[str], int]
+
+
+@dataclass(slots=True)
+class _PendingWrite:
+    """Value that a key of the store should get.
+
+    :param value: None removes the key.
+    :param due_s: monotonic time from which it is written.
+    :param is_release: it records that the parts are released, or removes that record.
+    """
+
+    value: bytes | None
+    due_s: float
+    is_release: bool = False
+
+
+class QuarantineKeeper:
+    """Convicts the parts of prompts that crash targets, and holds their requests back.
+
+    :param router: name of this router.
+    :param revision_of: revision of a key in this router's copy of the store, 0 if it has none.
+    :param withdraw: ends the unanswered exchanges whose prompts have some parts, and counts them.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        router: str,
+        channel: Gossip,
+        store: Store,
+        revision_of: ReadRevision,
+        withdraw: Callable[[frozenset[str]], int],
+        generator: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._router = router
+        self._gossip = channel
+        self._store = store
+        self._revision_of = revision_of
+        self._withdraw = withdraw
+        self._generator = generator
+        self._evidence = CrashEvidence(clock)
+        self._quarantine = Quarantine(clock)
+        self._writes: dict[str, _PendingWrite] = {}
+        self._next_claim_s: dict[str, float] = {}
+        self._repeated_s = clock.monotonic_s()
+
+    def held_for_s(self, parts: Parts) -> float | None:
+        """Time for which requests with these parts are held back; None if they are not."""
+        record = self._quarantine.find(parts)
+        if record is None:
+            return None
+        record.held_back += 1
+        metrics.QUARANTINE.inc({"event": "held_back"})
+        return max(TRIAL_RETRY_S, record.left_s(self._clock.monotonic_s()))
+
+    async def may_try(self, parts: Parts) -> bool:
+        """Whether a request with quarantined parts is sent as a trial."""
+        record = self._quarantine.find(parts)
+        now_s = self._clock.monotonic_s()
+        if record is None or record.left_s(now_s) > 0:
+            return False
+        if now_s < self._next_claim_s.get(record.id, 0.0):
+            return False
+        self._next_claim_s[record.id] = now_s + TRIAL_RETRY_S
+        # Only one router can replace the record, so that one request is tried.
+        after = self._quarantine.begin_trial(record)
+        key = QUARANTINE_PREFIX + record.id
+        compare = Compare(key, self._revision_of(key))
+        committed = await self._store.commit(
+            Transaction([compare], [Put(key, _encode(after))], [], [key])
+        )
+        if not isinstance(committed, Success) or not committed.unwrap().succeeded:
+            return False
+        log.info(event("quarantine_trial", **_fields(record), next_hold_s=after.hold_s))
+        metrics.QUARANTINE.inc({"event": "trial"})
+        self._quarantine.put(after)
+        self._announce(after)
+        return True
+
+    def record_crash(self, target: Target, suspects: list[Suspect]) -> None:
+        """Record the unanswered requests of this router at a target that has crashed."""
+        started_ms = target.entry.started_ms
+        self._record_crash(target.name, started_ms, suspects, by="this router")
+        for begin in range(0, len(suspects), SUSPECTS_PER_MESSAGE):
+            rows = [
+                [item.is_answering, list(item.parts)]
+                for item in suspects[begin : begin + SUSPECTS_PER_MESSAGE]
+            ]
+            self._gossip.broadcast(gossip.CRASH, [target.name, started_ms, rows])
+
+    def record_answer(self, parts: Parts) -> None:
+        """Record that a target answers a prompt with these parts."""
+        cleared = self._evidence.record_answer(parts)
+        if cleared:
+            self._gossip.broadcast(gossip.ANSWERED, cleared)
+        for record in self._quarantine.answered(parts):
+            self._release(record, "a target answered them")
+
+    def handle_crash(self, fields: list[Any]) -> None:
+        """Record the requests that a peer has lost at a target that crashed."""
+        name, started_ms, rows = fields
+        suspects = [Suspect(tuple(parts), bool(is_answering)) for is_answering, parts in rows]
+        self._record_crash(name, started_ms, suspects, by="a peer")
+
+    def handle_answered(self, fields: list[Any]) -> None:
+        """Clear parts that a target has answered at a peer."""
+        self._evidence.record_answer(tuple(fields))
+
+    def handle_quarantined(self, fields: list[Any]) -> None:
+        """Adopt the records of a peer."""
+        for value in fields:
+            self._adopt(value, by="a peer")
+
+    def handle_released(self, fields: list[Any]) -> None:
+        """Release a record that a peer has released."""
+        record_id, reason = fields
+        self._drop(str(record_id), str(reason), by="a peer")
+
+    def handle_stored(self, record_id: str, value: bytes | None) -> None:
+        """Adopt a record from the store; a missing one does not end the quarantine."""
+        if value is None:
+            record = self._quarantine.get(record_id)
+            if record is not None:
+                self._save(record)
+        elif self._adopt(value, by="the store"):
+            self._cancel_write(record_id)
+
+    async def run(self) -> None:
+        """Run the loop that convicts parts and repeats what is quarantined."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL_S)
+            self._convict()
+            for record in self._quarantine.idle():
+                self._release(record, "no request came for them")
+            now_s = self._clock.monotonic_s()
+            if now_s - self._repeated_s >= REPETITION_INTERVAL_S:
+                self._repeated_s = now_s
+                for record in self._quarantine.records():
+                    self._gossip.send_to_some(gossip.QUARANTINED, [_encode(record)])
+
+    async def run_writes(self) -> None:
+        """Run the loop that writes records to the store."""
+        while True:
+            await self._clock.sleep(CHECK_INTERVAL_S)
+            now_s = self._clock.monotonic_s()
+            for record_id, write in list(self._writes.items()):
+                if now_s >= write.due_s:
+                    await self._write(record_id, write)
+
+    def _convict(self) -> None:
+        known = [record.parts for record in self._quarantine.records()]
+        conviction = self._evidence.convict(known)
+        if conviction is None:
+            return
+        record = QuarantineRecord(
+            parts=conviction.parts,
+            targets=len(conviction.targets),
+            hold_s=FIRST_HOLD_S,
+            trials=0,
+            since_ms=int(self._clock.unix_s() * 1000),
+            reported_by=self._router,
+        )
+        for other in self._quarantine.records():
+            if other.parts > record.parts:
+                self._release(other, "fewer parts explain the crashes")
+        log.warning(
+            event(
+                "quarantine_evidence",
+                parts=",".join(sorted(record.parts)),
+                targets=",".join(conviction.targets),
+                lasted_s=conviction.lasted_s,
+            )
+        )
+        self._quarantine.put(record, is_own=True)
+        self._begin(record, by="this router")
+        self._announce(record)
+        self._save(record)
+
+    def _record_crash(self, name: str, started_ms: int, suspects: list[Suspect], by: str) -> None:
+        is_new = self._evidence.record_crash(name, started_ms, suspects)
+        if is_new:
+            metrics.QUARANTINE.inc({"event": "crash"})
+            log.info(event("target_crashed", target=name, unanswered=len(suspects), by=by))
+
+    def _begin(self, record: QuarantineRecord, by: str) -> None:
+        withdrawn = self._withdraw(record.parts)
+        metrics.QUARANTINE.inc({"event": "quarantined"})
+        log.warning(event("parts_quarantined", **_fields(record), withdrawn=withdrawn, by=by))
+
+    def _adopt(self, value: Any, by: str) -> bool:
+        """Take over a record.
+
+        :returns: whether the parts are quarantined by it.
+        """
+        try:
+            body = json.loads(value)
+            record_id = str(body["id"])
+            if body["is_released"]:
+                self._drop(record_id, "released", by)
+                return False
+            record = QuarantineRecord(
+                parts=frozenset(str(part) for part in body["parts"]),
+                targets=int(body["targets"]),
+                hold_s=float(body["hold_s"]),
+                trials=int(body["trials"]),
+                since_ms=int(body["since_ms"]),
+                reported_by=str(body["reported_by"]),
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            log.warning(event("quarantine_unreadable", by=by, reason=repr(error)))
+            return False
+        is_known = self._quarantine.get(record.id) is not None
+        if record.parts and self._quarantine.put(record) and not is_known:
+            self._begin(record, by)
+        return self._quarantine.get(record.id) is not None
+
+    def _release(self, record: QuarantineRecord, reason: str) -> None:
+        self._drop(record.id, reason, by="this router")
+        self._gossip.broadcast(gossip.RELEASED, [record.id, reason])
+        self._writes[record.id] = _PendingWrite(
+            _encode(record, is_released=True), self._clock.monotonic_s(), is_release=True
+        )
+
+    def _drop(self, record_id: str, reason: str, by: str) -> None:
+        self._cancel_write(record_id)
+        record = self._quarantine.release(record_id)
+        if record is not None:
+            metrics.QUARANTINE.inc({"event": "released"})
+            log.warning(event("parts_released", **_fields(record), reason=reason, by=by))
+
+    def _announce(self, record: QuarantineRecord) -> None:
+        self._gossip.broadcast(gossip.QUARANTINED, [_encode(record)])
+
+    def _cancel_write(self, record_id: str) -> None:
+        write = self._writes.get(record_id)
+        if write is not None and not write.is_release:
+            del self._writes[record_id]
+
+    def _save(self, record: QuarantineRecord) -> None:
+        due_s = self._clock.monotonic_s() + self._generator.uniform(0.0, MAX_WRITE_DELAY_S)
+        self._writes[record.id] = _PendingWrite(_encode(record), due_s)
+
+    async def _write(self, record_id: str, write: _PendingWrite) -> None:
+        key = QUARANTINE_PREFIX + record_id
+        compare = Compare(key, self._revision_of(key))
+        if write.value is None:
+            transaction = Transaction([compare], deletes=[key])
+        else:
+            transaction = Transaction([compare], [Put(key, write.value)], [], [key])
+        committed = await self._store.commit(transaction)
+        if self._writes.get(record_id) is not write:
+            return
+        now_s = self._clock.monotonic_s()
+        if not isinstance(committed, Success) or not committed.unwrap().succeeded:
+            # The key has changed, or the store is away. The copy shows what it holds by then.
+            write.due_s = now_s + WRITE_RETRY_S
+        elif write.is_release and write.value is not None:
+            due_s = now_s + RELEASE_RETENTION_S
+            self._writes[record_id] = _PendingWrite(None, due_s, is_release=True)
+        else:
+            del self._writes[record_id]
+
+
+def _encode(record: QuarantineRecord, is_released: bool = False) -> bytes:
+    return json.dumps(
+        {
+            "id": record.id,
+            "parts": sorted(record.parts),
+            "targets": record.targets,
+            "hold_s": record.hold_s,
+            "trials": record.trials,
+            "since_ms": record.since_ms,
+            "reported_by": record.reported_by,
+            "is_released": is_released,
+        }
+    ).encode()
+
+
+def _fields(record: QuarantineRecord) -> dict[str, Any]:
+    """Log fields of a record."""
+    return {
+        "parts": ",".join(sorted(record.parts)),
+        "targets": record.targets,
+        "hold_s": record.hold_s,
+        "trials": record.trials,
+        "since_ms": record.since_ms,
+        "convicted_by": record.reported_by,
+        "held_back": record.held_back,
+    }
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -6,6 +6,7 @@
 
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.direct.callerrequest import CallerRequest
+from coltsfootfront.direct.crashobserver import Exchange
 from coltsfootfront.direct.events import StreamValidator
 from coltsfootfront.direct.routingconfig import Customer, RetryPolicy, Route
 from coltsfootfront.direct.targetselection import Placement, WaitReason
@@ -34,6 +35,8 @@
     :param first_s: time from its arrival until its first event.
     :param longest_pause_s: longest time between two events, None before the second.
     :param answer_begun_s: monotonic time of the first event of the current attempt, None before.
+    :param exchange: the current attempt, None before the first and for requests without a prompt.
+    :param is_trial: it is sent although its prompt parts are quarantined.
     :param waited_for: why it last waited for a target.
     """
 
@@ -56,6 +59,8 @@
     first_s: float | None = None
     longest_pause_s: float | None = None
     answer_begun_s: float | None = None
+    exchange: Exchange | None = None
+    is_trial: bool = False
     waited_for: WaitReason | None = None
 
     @property
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -10,6 +10,7 @@
 from coltsfootfront.direct.callerrequest import ResponseWriter
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.prefillrate import PrefillRates
+from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
 from coltsfootfront.direct.requeststate import RequestState, RetryError, build_refusal
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import RetryPolicy, Route
@@ -27,6 +28,8 @@
 MAX_BUFFERED_BYTES = 262144
 # A response that is not a stream is treated as endless and cut off beyond this size.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Events after which a target has not crashed at the beginning of its answer.
+MIN_EVENTS_OF_ANSWER = 2
 # Statuses from which a caller concludes that its request has not run; they are not relayed from a
 # target that may have run it.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
@@ -48,8 +51,10 @@
         gossip: Gossip,
         budgets: ServiceRetryBudgets,
         prefill_rates: PrefillRates,
+        quarantine: QuarantineKeeper,
         generator: random.Random,
     ) -> None:
+        self._quarantine = quarantine
         self._clock = clock
         self._prefill_rates = prefill_rates
         self._cache_index = cache_index
@@ -75,6 +80,7 @@
             if len(body) > MAX_BUFFERED_BYTES:
                 break
         is_buffered = len(body) <= MAX_BUFFERED_BYTES
+        self._record_answer(state)
         if response.status >= MIN_SERVER_ERROR_STATUS and state.may_retry and is_buffered:
             can_retry = len(state.attempted) < state.route.max_attempts
             if can_retry and self._budgets.get(state.service).try_spend("target_error"):
@@ -115,9 +121,8 @@
         """
         chunks = response.chunks()
         is_first_event = True
-        progress = _StreamProgress(
-            state.route, state.stream_validator.event_count, self._clock.monotonic_s()
-        )
+        events_before = state.stream_validator.event_count
+        progress = _StreamProgress(state.route, events_before, self._clock.monotonic_s())
         while True:
             chunk = await self._next_chunk(state, chunks, progress)
             now_s = self._clock.monotonic_s()
@@ -127,6 +132,8 @@
             events = state.stream_validator.feed(chunk)
             progress.record(state.stream_validator.event_count, now_s)
             state.longest_pause_s = progress.longest_pause_s
+            if state.stream_validator.event_count - events_before >= MIN_EVENTS_OF_ANSWER:
+                self._record_answer(state)
             if not events:
                 continue
             if is_first_event:
@@ -138,10 +145,17 @@
                 await self._begin_stream(state, response, writer)
             await writer.write(events)
         state.stream_validator.finish()
+        self._record_answer(state)
         if not state.has_response_begun:
             await self._begin_stream(state, response, writer)
         await writer.end()
 
+    def _record_answer(self, state: RequestState) -> None:
+        """Record that the target has not crashed when it began to answer."""
+        if state.exchange is not None and not state.exchange.is_answered:
+            state.exchange.is_answered = True
+            self._quarantine.record_answer(state.exchange.parts)
+
     async def _begin_stream(
         self, state: RequestState, response: TargetResponse, writer: ResponseWriter
     ) -> None:
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -203,6 +203,11 @@
         item = self._items.get(key)
         return item.value if item else None
 
+    def revision_of(self, key: str) -> int:
+        """Revision of a key in the copy, 0 if it does not exist."""
+        item = self._items.get(key)
+        return item.revision if item else 0
+
     @property
     def has_copy(self) -> bool:
         """Whether the copy has been filled once, so that later items are changes."""
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -9,6 +9,7 @@
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
+from coltsfootfront.direct.crashobserver import CrashObserver
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
@@ -16,6 +17,7 @@
 from coltsfootfront.direct.permitmessages import PermitChannel, PermitRequest, PermitResponse
 from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
+from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import (
     Customer,
@@ -36,6 +38,7 @@
 )
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
 from coltsfootfront.direct.versions import WeightVersions
+from coltsfootfront.tests.support import InMemoryStore
 
 REGIONS = {"a": "east", "b": "east", "c": "west"}
 MODEL = "m"
@@ -267,6 +270,21 @@
         self.selector = PromptTargetSelector(
             clock, "east", cache_planner, self.versions, self.prefill_rates
         )
+        channel = Gossip(lambda kind, fields: None, "east", generator)
+        self.crash_observer = CrashObserver(
+            clock,
+            lambda target, suspects: self.quarantine.record_crash(target, suspects),
+            lambda target: None,
+        )
+        self.quarantine = QuarantineKeeper(
+            clock,
+            "own",
+            channel,
+            InMemoryStore(clock),
+            lambda key: 0,
+            self.crash_observer.withdraw,
+            generator,
+        )
         self.forwarder = Forwarder(
             clock,
             self.directory,
@@ -275,11 +293,13 @@
             self.selector,
             self.cache_index,
             self.versions,
-            Gossip(lambda kind, fields: None, "east", generator),
+            channel,
             ServiceRetryBudgets(clock, 0.2, fixed_retries, 10.0),
             self.prefill_rates,
             self.limits,
             self.permits,
+            self.quarantine,
+            self.crash_observer,
             generator,
         )
 
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -387,7 +387,9 @@
         fixture.forwarder.routing_config = make_config(make_route())
         unreachable_targets: list[Target] = []
         watch = asyncio.create_task(
-            LivenessWatch(fixture.clock, fixture.directory, unreachable_targets.append).run()
+            LivenessWatch(
+                fixture.clock, fixture.directory, unreachable_targets.append, lambda target: None
+            ).run()
         )
         fixture.directory.suspect("t1", 1)
         fixture.directory.suspect("t1", 7)
