Log the era of the store, which rises when it is restored from an older copy

Each answer of the store has its era; the adapter reads it, logs a new one with the call that showed it (store_era) and exports it as a gauge. Nothing decides by it yet.

--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -55,6 +55,9 @@
     "coltsfootfront_quarantine_total",
     "Crashes of targets, prompt parts quarantined and released, requests held back and tried.",
 )
+STORE_ERA = Gauge(
+    "coltsfootfront_store_era", "Era of the key-value service, which rises when it is restored."
+)
 REVISION = Gauge("coltsfootfront_revision", "Configuration revision in force.")
 
 
--- a/coltsfootfront/keyvalue/store.py
+++ b/coltsfootfront/keyvalue/store.py
@@ -94,6 +94,15 @@
     connections, rate limits) and with ``store_ambiguous`` if a write may have taken effect.
     """
 
+    @property
+    def era(self) -> int:
+        """Latest known era of the store, 0 before the first call.
+
+        The era rises each time that the store is restored from an older copy. Revisions and leases
+        of different eras cannot be compared.
+        """
+        return 0
+
     @abstractmethod
     async def get(self, key: str) -> Result[KeyValue | None, Failure]:
         """Read one key."""
--- a/coltsfootfront/platform/headers.py
+++ b/coltsfootfront/platform/headers.py
@@ -1,4 +1,4 @@
-"""Names of the HTTP headers of the platform's callers and targets."""
+"""Names of the HTTP headers of the platform's callers, targets and store."""
 
 from coltsfootfront.calls.headers import HOP_BY_HOP
 
@@ -33,6 +33,8 @@
 LOAD = "X-Server-Load"
 # Requests per second that the target accepts from all routers together, as a decimal number.
 LIMIT = "Server-Limit"
+# On every response of the store; rises by one each time that it is restored from an older copy.
+STORE_ERA = "Store-Era"
 
 # Set by the router alone; these headers are dropped from callers' requests.
 RESERVED = frozenset(
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -7,14 +7,19 @@
 from typing import Any
 
 import aiohttp
+import logbook
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Item, Snapshot, WatchableStore
 from coltsfootfront.keyvalue.store import KeyValue, Transaction, TransactionResult, WatchEvent
+from coltsfootfront.platform import headers
+
+log = logbook.Logger(__name__)
 
 Json = dict[str, Any]
 
@@ -40,6 +45,11 @@
     def __init__(self, address: str) -> None:
         self._base_url = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        return self._era
 
     async def start(self) -> None:
         connector = aiohttp.TCPConnector(socket_factory=create_socket)
@@ -128,6 +138,13 @@
                     value = KeyValue(item.key, item.value, 0, item.revision)
                 yield WatchEvent(item.key, value)
 
+    def _record_era(self, text: str, call: str) -> None:
+        era = int(text) if text.isdigit() else 0
+        if era > self._era:
+            log.info(event("store_era", era=era, before=self._era, call=call))
+            metrics.STORE_ERA.set({}, era)
+            self._era = era
+
     async def _read(
         self,
         name: str,
@@ -165,6 +182,7 @@
                 method, url, params=query, json=body, timeout=timeout
             ) as response:
                 data = await response.read()
+                self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
                 result = _decode_response(
                     name, response.status, data, build_failure, allow_not_found
                 )
