--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -6,7 +6,7 @@
 import time
 from typing import Any
 
-from coltsfootfront_dev.platformstore import PlatformStoreStandIn
+from coltsfootfront_dev.platformstore import PlatformStoreStandIn, StoreCheckpoint
 from coltsfootfront_dev.platformtarget import PlatformTargetStandIn
 
 API_KEY = "key-1"
@@ -173,6 +173,17 @@
         target.is_down = False
         self.register(target)
 
+    async def restore_store(
+        self, checkpoint: StoreCheckpoint, outage_s: float, rewrite_delay_s: float
+    ) -> None:
+        """Let the store be away, come back from a copy, and get what others wrote since again."""
+        self.store.faults.refuses = True
+        await asyncio.sleep(outage_s)
+        lost = self.store.restore(checkpoint)
+        self.store.faults.refuses = False
+        await asyncio.sleep(rewrite_delay_s)
+        self.store.rewrite(lost)
+
     def _register_at_next_heartbeat(self, target: PlatformTargetStandIn) -> None:
         """Write the registration of a target after a heartbeat interval."""
         asyncio.get_running_loop().call_later(HEARTBEAT_INTERVAL_S, self.register, target)
--- a/coltsfootfront_dev/platformstore.py
+++ b/coltsfootfront_dev/platformstore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 
 ITEMS_PER_PAGE = 50
 WATCH_POLL_INTERVAL_S = 0.01
+ERA_HEADER = "Store-Era"
 
 
 @dataclass(slots=True)
@@ -28,6 +30,16 @@
     lease: int
 
 
+@dataclass(slots=True)
+class StoreCheckpoint:
+    """Copy of the store's state."""
+
+    items: dict[str, StoredKey]
+    history: list[dict[str, Any]]
+    revision: int
+    leases: dict[int, tuple[float, float]]
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """Current faults.
@@ -53,6 +65,8 @@
         self._history: list[dict[str, Any]] = []
         self._compacted_revision = 0
         self._revision = 1
+        self._granted_leases = 0
+        self.era = 1
         self._leases: dict[int, tuple[float, float]] = {}
         self._runner: web.ServerRunner | None = None
 
@@ -98,6 +112,38 @@
         self._history.clear()
         self._compacted_revision = self._revision
 
+    def checkpoint(self) -> StoreCheckpoint:
+        """Copy the current state."""
+        return copy.deepcopy(
+            StoreCheckpoint(self._items, self._history, self._revision, self._leases)
+        )
+
+    def restore(self, checkpoint: StoreCheckpoint) -> dict[str, bytes | None]:
+        """Go back to an earlier state.
+
+        :returns: values that operators and targets have written since, None for removed keys.
+        """
+        before = {key: item.value for key, item in self._items.items()}
+        state = copy.deepcopy(checkpoint)
+        self._items, self._history = state.items, state.history
+        self._revision, self._leases = state.revision, state.leases
+        self._compacted_revision = min(self._compacted_revision, self._revision)
+        self.era += 1
+        after = {key: item.value for key, item in self._items.items()}
+        return {
+            key: before.get(key)
+            for key in sorted({*before, *after})
+            if key.startswith(("op/", "servers/")) and before.get(key) != after.get(key)
+        }
+
+    def rewrite(self, values: dict[str, bytes | None]) -> None:
+        """Write values again that a restore has lost."""
+        for key, value in values.items():
+            if value is None:
+                self.delete(key)
+            else:
+                self.put(key, value)
+
     def expire_leases(self) -> None:
         """Expire every lease, as if its holder had been paused for longer than the lease."""
         for lease in list(self._leases):
@@ -136,10 +182,11 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.calls.append(f"{request.method} {request.path}")
         if self.faults.refuses:
-            return web.Response(status=503)
+            return web.Response(status=503, headers={ERA_HEADER: str(self.era)})
         self._expire_due_leases()
         operation = request.path.split("/")[2]
         response = await getattr(self, "_" + operation.replace("-", "_"))(request)
+        response.headers[ERA_HEADER] = str(self.era)
         if self.faults.loses_writes and request.method != "GET" and request.transport:
             request.transport.abort()
         return response  # type: ignore[no-any-return]
@@ -167,7 +214,7 @@
             if self.faults.deaf and before_deadline:
                 await asyncio.sleep(WATCH_POLL_INTERVAL_S)
                 continue
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self._revision:
                 return web.json_response({}, status=410)
             self._expire_due_leases()
             events = [
@@ -198,7 +245,8 @@
 
     async def _kv_lease(self, request: web.BaseRequest) -> web.Response:
         ttl_s = json.loads(await request.read())["ttl-ms"] / 1000
-        lease = len(self.calls) + 1000
+        self._granted_leases += 1
+        lease = self._granted_leases + 1000
         self._leases[lease] = (time.monotonic() + ttl_s, ttl_s)
         return web.json_response({"lease": lease, "ttl-ms": int(ttl_s * 1000)})
 
