Order everything that comes from the store by its era as well as its revision

What callers saw (CONFIG): after the store had come back from an older copy, routes that were added were answered 404, keys that were added 401, older weights stayed in use for over 10 s (VERSION), and a draining target got requests (DRAIN). Routers read all keys in a loop meanwhile, some hundred times.

Cause: a revision was taken as an order for all times. A key's change was dropped if its revision was not above the one in the copy, the copy's own revision never fell, a watch from a revision that the store had passed again skipped what lay below, peers and relays preferred the copy from before, and a new holder of the orders' lease had a fencing token below the one that targets had seen. Class of fault: a counter is assumed to only rise.

The fix: revisions are compared within an era, which each answer of the store tells. A copy has one era and is replaced as a whole by a later one, from the store, a relay or a peer; an earlier one is ignored, also in announcements. A watch that is answered in another era is followed by a full read. Leases of an earlier era are taken as lost, their numbers are neither renewed nor revoked, fencing tokens begin with the era, routers register again at once, and no write is conditional on a copy of another era. A draining target stays so whatever an older copy says, and one that had gone is doubted for 4 s if it is back with a restore.

Ruled out: nothing of the four hypotheses; each is shown by a test of its own on the code before.

Why it works: within an era the store is linearizable and its revisions rise, and the era itself only rises.

--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -37,8 +37,12 @@
 # Half-life of the failure rate while the target gets no requests.
 FAILURE_HALF_LIFE_S = 2.0
 PRUNE_INTERVAL_S = 0.2
-# Number of draining targets that are recorded, in case a stale entry of one is read later.
-MAX_DRAINED_STARTS = 1024
+# Number of starts of targets that are recorded as draining or gone, in case an older entry of one
+# is read later.
+MAX_RECORDED_STARTS = 1024
+# Time after a restore of the store for which a target that had gone is not used although its entry
+# is back. The store drops an entry after three missed heartbeats, which are up to 1.2 s apart.
+RESTORED_ENTRY_DOUBT_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,6 +225,23 @@
             )
 
 
+class _RecentStarts:
+    """Names and start times of targets, the latest MAX_RECORDED_STARTS of them."""
+
+    __slots__ = ("_starts",)
+
+    def __init__(self) -> None:
+        self._starts: OrderedDict[tuple[str, int], None] = OrderedDict()
+
+    def add(self, name: str, started_ms: int) -> None:
+        self._starts[(name, started_ms)] = None
+        if len(self._starts) > MAX_RECORDED_STARTS:
+            self._starts.popitem(last=False)
+
+    def has(self, name: str, started_ms: int) -> bool:
+        return (name, started_ms) in self._starts
+
+
 class Directory:
     """Known targets, by name and by service.
 
@@ -233,8 +254,10 @@
         self._regions = regions
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
-        self._drained_starts: OrderedDict[tuple[str, int], None] = OrderedDict()
-        """Name and start time of each target that has announced that it is draining."""
+        self._drained_starts = _RecentStarts()
+        """Starts of targets that have announced that they are draining."""
+        self._gone_starts = _RecentStarts()
+        """Starts of targets whose entries have disappeared."""
         self._changed = asyncio.Event()
 
     def get(self, name: str) -> Target | None:
@@ -266,13 +289,26 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    def put(self, entry: TargetEntry) -> None:
-        """Add or update a target from its entry; a new start replaces the earlier one."""
+    def put(self, entry: TargetEntry, is_from_restore: bool = False) -> None:
+        """Add or update a target from its entry; a new start replaces the earlier one.
+
+        :param is_from_restore: the store has gone back to an older copy that has this entry.
+        """
         target = self._targets.get(entry.name)
         if target is None or target.entry.started_ms != entry.started_ms:
             target = self._add(entry, target)
         if entry.is_draining and not target.entry.is_draining:
             log.info(event("target_leaves", target=entry.name, service=entry.service))
+        if entry.is_draining and entry.started_ms:
+            # A target does not stop draining; an older entry of the same start does not undo it.
+            self._drained_starts.add(entry.name, entry.started_ms)
+            target.has_announced_drain = True
+        if is_from_restore and (
+            target.missing_since_s is not None
+            or self._gone_starts.has(entry.name, entry.started_ms)
+        ):
+            target.pause(RESTORED_ENTRY_DOUBT_S, self._clock.monotonic_s())
+            log.info(event("target_doubted", target=entry.name, for_s=RESTORED_ENTRY_DOUBT_S))
         target.entry = entry
         target.missing_since_s = None
         target.versions.update(entry.versions)
@@ -297,9 +333,7 @@
         :param reported_by: source of the information, for the log.
         :returns: whether a target in the directory was newly marked.
         """
-        self._drained_starts[(name, started_ms)] = None
-        if len(self._drained_starts) > MAX_DRAINED_STARTS:
-            self._drained_starts.popitem(last=False)
+        self._drained_starts.add(name, started_ms)
         target = self._targets.get(name)
         if target is None or target.entry.started_ms != started_ms or target.has_announced_drain:
             return False
@@ -326,6 +360,7 @@
                     log.info(
                         event("target_gone", target=target.name, missing_s=now_s - missing_since_s)
                     )
+                    self._gone_starts.add(target.name, target.entry.started_ms)
                     self._drop(target)
 
     def _add(self, entry: TargetEntry, previous: Target | None) -> Target:
@@ -333,7 +368,7 @@
             self._drop(previous)
         region = self._regions.get(entry.data_centre, "")
         target = Target(entry, region, versions=dict(entry.versions))
-        target.has_announced_drain = (entry.name, entry.started_ms) in self._drained_starts
+        target.has_announced_drain = self._drained_starts.has(entry.name, entry.started_ms)
         self._targets[entry.name] = target
         self._by_service.setdefault(entry.service, []).append(target)
         log.info(
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -113,9 +113,9 @@
         """Send an update to one router at once."""
         self._send([[kind, fields]], [address])
 
-    def send_revision(self, revision: int) -> None:
-        """Send the revision of this router's copy of the store to a few peers."""
-        self.send_to_some(REVISION, [revision])
+    def send_position(self, era: int, revision: int) -> None:
+        """Send the position of this router's copy of the store to a few peers."""
+        self.send_to_some(REVISION, [revision, era])
 
     def send_to_some(self, kind: str, fields: list[Any]) -> None:
         """Send an update to a few peers."""
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -44,7 +44,7 @@
 from coltsfootfront.direct.roster import RouterRoster
 from coltsfootfront.direct.routingconfig import CallerLimits, RoutingConfig
 from coltsfootfront.direct.settings import NodeSettings
-from coltsfootfront.direct.storefollower import Follower, Item, WatchableStore
+from coltsfootfront.direct.storefollower import Follower, Item, Position, WatchableStore
 from coltsfootfront.direct.targetclient import TargetClient
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
 from coltsfootfront.direct.versions import WeightVersions
@@ -247,6 +247,7 @@
         )
         self._peers.list_parts_to_share = self._cache_discovery.parts_to_share
         self._registration = Registration(store, clock, settings.name, router, generator)
+        self._follower.on_restored = self._registration.register_again
         self._pause = PauseDetector(clock, PAUSE_LIMIT_S, self._on_pause)
         self._make_caller_server = make_caller_server
         self._caller_server: CallerServer | None = None
@@ -391,7 +392,7 @@
     def apply_entry(self, entry: TargetEntry) -> None:
         before = self._directory.get(entry.name)
         versions = dict(before.versions) if before is not None else {}
-        self._directory.put(entry)
+        self._directory.put(entry, is_from_restore=self._follower.is_restoring)
         target = self._directory.get(entry.name)
         if target is not None and versions and target.versions != versions:
             self._cache_index.remove_holder(entry.name)
@@ -514,7 +515,10 @@
         )
 
     def _handle_revision(self, fields: list[Any]) -> None:
-        self._follower.peer_revision = max(self._follower.peer_revision, fields[0])
+        revision, *rest = fields
+        # A peer of an earlier version tells no era.
+        era = rest[0] if rest else 0
+        self._follower.peer_position = max(self._follower.peer_position, Position(era, revision))
 
     def _handle_prefill_work(self, fields: list[Any]) -> None:
         for name, priority, work_s in fields:
@@ -544,13 +548,13 @@
             self._apply_roster()
 
     async def _announce_revision(self) -> None:
-        """Run the loop that sends new store revisions to peers, so that lagging ones catch up."""
-        announced = 0
+        """Run the loop that sends new store positions to peers, so that lagging ones catch up."""
+        announced = Position(0, 0)
         while True:
             await self._clock.sleep(REVISION_CHECK_INTERVAL_S)
-            if self._follower.revision != announced:
-                announced = self._follower.revision
-                self._gossip.send_revision(announced)
+            if self._follower.position != announced:
+                announced = self._follower.position
+                self._gossip.send_position(announced.era, announced.revision)
 
     def _announce_limit(self, target: Target, rate_per_s: float | None) -> None:
         self._gossip.broadcast(gossip.LIMIT, [target.name, target.entry.started_ms, rate_per_s])
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -14,7 +14,7 @@
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.sockets import create_socket
-from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource
+from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
 
 log = logbook.Logger(__name__)
 
@@ -104,21 +104,21 @@
         return rank(own.address.encode(), watchers, 1)[0]
 
     async def wait_for_peer_changes(
-        self, address: str, after: int, wait_s: float
+        self, address: str, after: Position, wait_s: float
     ) -> Changes | None:
         return await self._request_changes(address, after, wait_s)
 
-    async def read_peer_changes(self, after: int) -> Changes | None:
+    async def read_peer_changes(self, after: Position) -> Changes | None:
         peers = self.addresses()
         self._generator.shuffle(peers)
         # A router that has just started has no revision of its own to recognise a stale copy by, so
         # it queries more peers.
-        queried = PEERS_QUERIED if after else PEERS_QUERIED_AT_START
+        queried = PEERS_QUERIED if after.revision else PEERS_QUERIED_AT_START
         responses = await asyncio.gather(
             *(self._request_changes(address, after) for address in peers[:queried])
         )
         found = [response for response in responses if response is not None]
-        return max(found, key=lambda changes: changes.revision, default=None)
+        return max(found, key=lambda changes: changes.position, default=None)
 
     def names(self) -> list[str]:
         return sorted({router.address for router in self._routers.values()} | {self._own_address})
@@ -136,16 +136,19 @@
         return max(copies, key=len, default=[])
 
     async def _request_changes(
-        self, address: str, after: int, wait_s: float = 0.0
+        self, address: str, after: Position, wait_s: float = 0.0
     ) -> Changes | None:
-        query = {"after": str(after)} | ({"wait": str(wait_s)} if wait_s else {})
+        query = {"after": str(after.revision), "era": str(after.era)}
+        query |= {"wait": str(wait_s)} if wait_s else {}
         limit_s = wait_s + RELAY_TIMEOUT_MARGIN_S if wait_s else REQUEST_TIMEOUT_S
         body = await self._get(address, COPY_PATH, limit_s, **query)
         if body is None:
             return None
         try:
-            revision, rows, is_full_copy = msgpack.unpackb(body)
-            return Changes([Item(*row) for row in rows], revision, is_full_copy)
+            revision, rows, is_full_copy, *rest = msgpack.unpackb(body)
+            # A peer of an earlier version tells no era.
+            era = int(rest[0]) if rest else 0
+            return Changes([Item(*row) for row in rows], revision, is_full_copy, era)
         except (ValueError, TypeError, msgpack.UnpackException) as error:
             log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
             return None
@@ -165,7 +168,9 @@
 
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
         if request.path == COPY_PATH and self.follower is not None:
-            after = int(request.query.get("after", "0"))
+            after = Position(
+                int(request.query.get("era", "0")), int(request.query.get("after", "0"))
+            )
             changes: Changes | None
             if "wait" in request.query:
                 changes = await self.follower.wait_for_changes(after, float(request.query["wait"]))
@@ -174,7 +179,10 @@
             if changes is None:
                 return web.Response(status=503)
             rows = [[item.key, item.value, item.revision] for item in changes.items]
-            return web.Response(body=msgpack.packb([changes.revision, rows, changes.is_full_copy]))
+            fields = [changes.revision, rows, changes.is_full_copy]
+            if "era" in request.query:
+                fields.append(changes.era)
+            return web.Response(body=msgpack.packb(fields))
         if request.path == PARTS_PATH and self.list_parts_to_share is not None:
             return web.Response(body=msgpack.packb(self.list_parts_to_share()[-MAX_PARTS_SENT:]))
         return web.Response(status=404)
--- a/coltsfootfront/direct/quarantinekeeper.py
+++ b/coltsfootfront/direct/quarantinekeeper.py
@@ -40,7 +40,7 @@
 # Prompts in one message, of about 100 bytes each, so that it fits into one packet.
 SUSPECTS_PER_MESSAGE = 8
 
-ReadRevision = Callable[[str], int]
+ReadRevision = Callable[[str], int | None]
 
 
 @dataclass(slots=True)
@@ -61,7 +61,8 @@
     """Convicts the parts of prompts that crash targets, and holds their requests back.
 
     :param router: name of this router.
-    :param revision_of: revision of a key in this router's copy of the store, 0 if it has none.
+    :param revision_of: revision of a key in this router's copy of the store, 0 if it has none; None
+        while the copy must not decide a write.
     :param withdraw: ends the unanswered exchanges whose prompts have some parts, and counts them.
     """
 
@@ -109,7 +110,10 @@
         # Only one router can replace the record, so that one request is tried.
         after = self._quarantine.begin_trial(record)
         key = QUARANTINE_PREFIX + record.id
-        compare = Compare(key, self._revision_of(key))
+        revision = self._revision_of(key)
+        if revision is None:
+            return False
+        compare = Compare(key, revision)
         committed = await self._store.commit(
             Transaction([compare], [Put(key, _encode(after))], [], [key])
         )
@@ -286,7 +290,11 @@
 
     async def _write(self, record_id: str, write: _PendingWrite) -> None:
         key = QUARANTINE_PREFIX + record_id
-        compare = Compare(key, self._revision_of(key))
+        revision = self._revision_of(key)
+        if revision is None:
+            write.due_s = self._clock.monotonic_s() + WRITE_RETRY_S
+            return
+        compare = Compare(key, revision)
         if write.value is None:
             transaction = Transaction([compare], deletes=[key])
         else:
--- a/coltsfootfront/direct/registration.py
+++ b/coltsfootfront/direct/registration.py
@@ -1,5 +1,6 @@
 """Registers this router in the store, so that the other routers find it."""
 
+import asyncio
 import json
 import random
 from dataclasses import asdict, dataclass
@@ -54,6 +55,8 @@
         self._value = json.dumps(asdict(router)).encode()
         self._generator = generator
         self._lease = 0
+        self._lease_era = 0
+        self._restored = asyncio.Event()
 
     async def run(self) -> None:
         """Run the loop that registers the router and renews its lease."""
@@ -61,16 +64,34 @@
             if not self._lease and not await self._register():
                 await self._clock.sleep(self._generator.uniform(0.2, MAX_RETRY_DELAY_S))
                 continue
-            await self._clock.sleep(LEASE_TTL_S / RENEWALS_PER_TTL)
+            await self._wait_until_due()
+            if self._lease_era != self._store.era:
+                log.info(event("registration_lost", key=self._key, era=self._store.era))
+                self._lease = 0
+                continue
             renewed = await self._store.keep_alive(self._lease)
             if isinstance(renewed, Success) and renewed.unwrap() <= 0:
                 log.info(event("registration_lapsed", key=self._key))
                 self._lease = 0
 
+    def register_again(self) -> None:
+        """Register at once, as the store has been restored and may have lost the entry."""
+        self._restored.set()
+
+    async def _wait_until_due(self) -> None:
+        restored = asyncio.ensure_future(self._restored.wait())
+        timer = asyncio.ensure_future(self._clock.sleep(LEASE_TTL_S / RENEWALS_PER_TTL))
+        try:
+            await asyncio.wait((restored, timer), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            restored.cancel()
+            timer.cancel()
+        self._restored.clear()
+
     async def deregister(self) -> None:
         """Revoke the lease, which removes the entry."""
         lease, self._lease = self._lease, 0
-        if lease:
+        if lease and self._lease_era == self._store.era:
             await self._store.revoke_lease(lease)
 
     async def _register(self) -> bool:
@@ -78,11 +99,13 @@
         if not isinstance(granted, Success):
             return False
         lease = granted.unwrap()
+        lease_era = self._store.era
         put = Put(self._key, self._value, lease)
         committed = await self._store.commit(Transaction(puts=[put]))
         if not isinstance(committed, Success):
             return False
         self._lease = lease
+        self._lease_era = lease_era
         log.info(event("router_registered", key=self._key, lease=lease))
         return True
 
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import logbook
 from returns.result import Result, Success
@@ -70,15 +71,27 @@
     revision: int
 
 
+class Position(NamedTuple):
+    """Position in the store's changes; every position of an era comes after the eras before.
+
+    Revisions can only be compared within an era: after a restore the store gives them out again.
+    """
+
+    era: int
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Keys under a prefix, as of one store revision.
 
     :param revision: store revision after which changes must be read to miss none.
+    :param era: era of the store in which it was read.
     """
 
     items: list[KeyValue]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,11 +100,18 @@
 
     :param revision: store revision up to which the changes are complete.
     :param is_full_copy: the items are all existing keys; a key not among them was removed.
+    :param era: era of the store to which the revisions belong.
     """
 
     items: list[Item]
     revision: int
     is_full_copy: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> "Position":
+        """Position up to which the changes are complete."""
+        return Position(self.era, self.revision)
 
 
 class WatchableStore(Store):
@@ -123,7 +143,7 @@
 
     @abstractmethod
     async def wait_for_peer_changes(
-        self, address: str, after: int, wait_s: float
+        self, address: str, after: Position, wait_s: float
     ) -> Changes | None:
         """Wait for changes at the router that serves as this one's relay.
 
@@ -131,10 +151,10 @@
         """
 
     @abstractmethod
-    async def read_peer_changes(self, after: int) -> Changes | None:
+    async def read_peer_changes(self, after: Position) -> Changes | None:
         """Read changes from other routers, without waiting for new ones.
 
-        :param after: revision up to which this router's copy is complete.
+        :param after: position up to which this router's copy is complete.
         :returns: None if no peer answers.
         """
 
@@ -149,7 +169,8 @@
     :param peers: copies of other routers.
     :param clock: time source.
     :param prefix: prefix of the keys to follow; empty for all.
-    :param listener: called for each change of a key, in order of its revisions.
+    :param listener: called for each change of a key, in order of its revisions. After a restore of
+        the store it is called for the keys that differ from the copy before.
     """
 
     def __init__(
@@ -182,12 +203,18 @@
         self._current = asyncio.Event()
         self._current.set()
         self._revalidation: asyncio.Task[None] | None = None
+        self.on_restored: Callable[[], None] = lambda: None
+        """Called when a copy of a later era has replaced the one before."""
+        self.is_restoring = False
+        """Whether the listener is called for what a restore of the store has changed."""
         self.batch_delay_s = MIN_BATCH_DELAY_S
         """Delay after changes, so that further ones are read in one batch."""
         self.revision = 0
         """Store revision up to which this copy is complete."""
-        self.peer_revision = 0
-        """Highest revision that a peer has announced."""
+        self.era = 0
+        """Era of the store to which the revisions in this copy belong."""
+        self.peer_position = Position(0, 0)
+        """Last position that a peer has announced."""
         self.is_complete = False
         """Whether no snapshot is needed any more, as reading changes keeps the copy current.
 
@@ -198,13 +225,23 @@
         """Seconds since calls to the store began to fail, 0 while they succeed."""
         return self._clock.monotonic_s() - self._last_contact_s if self._is_store_failing else 0.0
 
+    @property
+    def position(self) -> Position:
+        """Position up to which this copy is complete."""
+        return Position(self.era, self.revision)
+
     def get(self, key: str) -> bytes | None:
         """Return the value of a key in the copy, None if it does not exist."""
         item = self._items.get(key)
         return item.value if item else None
 
-    def revision_of(self, key: str) -> int:
-        """Revision of a key in the copy, 0 if it does not exist."""
+    def revision_of(self, key: str) -> int | None:
+        """Revision of a key for the condition of a write, 0 if it does not exist.
+
+        :returns: None while the copy belongs to an earlier era of the store.
+        """
+        if self._store.era != self.era:
+            return None
         item = self._items.get(key)
         return item.revision if item else 0
 
@@ -213,12 +250,12 @@
         """Whether the copy has been filled once, so that later items are changes."""
         return self.revision > 0
 
-    def changes_after(self, revision: int) -> Changes:
-        """Return the changes after a peer's revision, or all keys if it is too far behind."""
-        if revision < self._change_log_after:
-            return Changes(list(self._items.values()), self.revision, is_full_copy=True)
-        changed = [item for item in self._change_log if item.revision > revision]
-        return Changes(changed, self.revision)
+    def changes_after(self, position: Position) -> Changes:
+        """Return the changes after a peer's position, or all keys if it is too far behind."""
+        if position.era != self.era or position.revision < self._change_log_after:
+            return Changes(list(self._items.values()), self.revision, True, self.era)
+        changed = [item for item in self._change_log if item.revision > position.revision]
+        return Changes(changed, self.revision, era=self.era)
 
     async def follow_store(self) -> None:
         """Run the loop that follows the store, directly or through the relay."""
@@ -252,27 +289,28 @@
     def _is_lagging(self) -> bool:
         """Whether a peer has been ahead for longer than the usual lag between routers."""
         now_s = self._clock.monotonic_s()
-        if self.peer_revision <= self.revision:
+        if self.peer_position <= self.position:
             self._last_caught_up_s = now_s
         return now_s - self._last_caught_up_s > self.batch_delay_s + LAG_MARGIN_S
 
     async def _read_peer(self) -> bool:
         """Apply the changes that peers have; False if no peer answers."""
-        changes = await self._peers.read_peer_changes(self.revision)
+        changes = await self._peers.read_peer_changes(self.position)
         if changes is None:
             return False
-        if changes.revision <= self.revision:
+        if changes.position <= self.position:
             return True
         log.info(
             event(
                 "peer_copy_read",
                 revision=changes.revision,
                 before=self.revision,
+                era=changes.era,
                 changes=len(changes.items),
                 is_whole=changes.is_full_copy,
             )
         )
-        self._apply_changes(changes)
+        self._apply_changes(changes, "a peer")
         return True
 
     def mark_stale(self) -> None:
@@ -308,29 +346,79 @@
         :returns: the source that answered, for the log.
         """
         changed = await self._store.changes(self._prefix, self.revision, 0.0)
-        if isinstance(changed, Success):
-            self._apply_changes(changed.unwrap())
+        is_current = isinstance(changed, Success) and self._apply_changes(changed.unwrap(), "store")
+        if is_current:
             return "store"
-        if changed.failure().kind is ErrorKind.STALE_REVISION:
+        if isinstance(changed, Success) or changed.failure().kind is ErrorKind.STALE_REVISION:
             read = await self._store.snapshot(self._prefix)
             if isinstance(read, Success):
                 self._load_snapshot(read.unwrap())
                 return "store"
         return "peer" if await self._read_peer() else "nobody answers"
 
-    def _apply_changes(self, changes: Changes) -> None:
+    def _apply_changes(self, changes: Changes, source: str) -> bool:
+        """Apply changes of the copy's era, or a full copy of a later one.
+
+        :returns: False if they belong to another era, so that a full copy is needed.
+        """
+        if changes.era != self.era:
+            if changes.era < self.era or not changes.is_full_copy:
+                return False
+            self._begin_era(changes.era, changes.items, changes.revision, source)
+            return True
         for item in changes.items:
             self._apply_item(item)
         if changes.is_full_copy:
             self._remove_missing_keys({item.key for item in changes.items}, changes.revision)
         self._advance_revision(changes.revision)
+        return True
+
+    def _begin_era(self, era: int, items: list[Item], revision: int, source: str) -> None:
+        """Replace the copy by one from a later era of the store, and forget its change log.
+
+        :param items: all existing keys.
+        """
+        before = self._items
+        if before:
+            metrics.CONFIGURATION_EVENTS.inc({"event": "store_restored"})
+            log.warning(
+                event(
+                    "store_restored",
+                    era=era,
+                    before=self.era,
+                    revision=revision,
+                    revision_before=self.revision,
+                    by=source,
+                )
+            )
+        self.era = era
+        self._items = {item.key: item for item in items}
+        self._change_log.clear()
+        self._change_log_after = self.revision = revision
+        self.is_restoring = bool(before)
+        try:
+            for key in before:
+                if key not in self._items:
+                    self._listener(Item(key, None, revision))
+            for item in items:
+                known = before.get(item.key)
+                if known is None or known.value != item.value:
+                    self._listener(item)
+        finally:
+            self.is_restoring = False
+        if before:
+            self.on_restored()
+        self._wake_waiting()
 
     def _advance_revision(self, revision: int) -> None:
         """Record that the copy is complete up to a revision, and wake the tasks that wait."""
         if revision > self.revision:
             self.revision = revision
-            changed, self._changed = self._changed, asyncio.Event()
-            changed.set()
+            self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     async def _follow_relay(self) -> bool:
         """Wait for changes at the relay.
@@ -343,22 +431,24 @@
         address = self._peers.relay_address()
         if address is None:
             return False
-        changes = await self._peers.wait_for_peer_changes(address, self.revision, RELAY_WAIT_S)
-        if changes is None:
+        changes = await self._peers.wait_for_peer_changes(address, self.position, RELAY_WAIT_S)
+        if changes is None or changes.era < self.era:
             direct_s = self._generator.uniform(DIRECT_WATCH_S / 2, DIRECT_WATCH_S)
             self._direct_until_s = self._clock.monotonic_s() + direct_s
             log.info(event("relay_left", relay=address, revision=self.revision, for_s=direct_s))
             return False
         self._record_contact()
-        self._apply_changes(changes)
+        self._apply_changes(changes, "the relay")
         return True
 
-    async def wait_for_changes(self, after: int, wait_s: float) -> Changes | None:
+    async def wait_for_changes(self, after: Position, wait_s: float) -> Changes | None:
         """Wait for changes on behalf of a router that uses this one as its relay.
 
-        :returns: None if this router has no contact with the store itself.
+        :returns: None if this router has no contact with the store itself, or an older era's copy.
         """
-        if self.revision <= after:
+        if self.era < after.era:
+            return None
+        if self.position <= after:
             try:
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
@@ -386,7 +476,10 @@
             return changed.failure()
         self._record_contact()
         changes = changed.unwrap()
-        self._apply_changes(changes)
+        if not self._apply_changes(changes, "the store"):
+            # The store's history before these changes is another one than this copy's.
+            self.is_complete = False
+            return None
         if changes.items:
             await self._clock.sleep(self.batch_delay_s)
         return None
@@ -398,6 +491,13 @@
         )
 
     def _load_snapshot(self, snapshot: Snapshot) -> None:
+        if snapshot.era < self.era:
+            return
+        if snapshot.era > self.era:
+            items = [Item(found.key, found.value, found.mod_revision) for found in snapshot.items]
+            self._begin_era(snapshot.era, items, snapshot.revision, "the store")
+            self._record_snapshot()
+            return
         present = set()
         for found in snapshot.items:
             present.add(found.key)
@@ -406,8 +506,11 @@
         if not self._change_log_after:
             self._change_log_after = snapshot.revision
         self._advance_revision(snapshot.revision)
+        self._record_snapshot()
+
+    def _record_snapshot(self) -> None:
         self.is_complete = True
-        log.info(event("store_read", revision=self.revision, keys=len(self._items)))
+        log.info(event("store_read", revision=self.revision, era=self.era, keys=len(self._items)))
 
     def _remove_missing_keys(self, present: set[str], revision: int) -> None:
         for key in [key for key in self._items if key not in present]:
--- a/coltsfootfront/keyvalue/leases.py
+++ b/coltsfootfront/keyvalue/leases.py
@@ -28,6 +28,9 @@
 # the target and the difference between the clocks.
 SAFETY_MARGIN_SHARE = 0.3
 RENEWAL_INTERVAL_SHARE = 1 / 4
+# Fencing tokens of a later era of the store are above all of the eras before. The revisions of one
+# era stay below this.
+TOKENS_PER_ERA = 2**40
 
 
 class LeaseLock:
@@ -46,9 +49,10 @@
         self._ttl_s = ttl_s
         self._holder = secrets.token_hex(16)
         self._lease = 0
+        self._lease_era = 0
         self._valid_until_s = 0.0
         self.fencing_token = 0
-        """Fencing token: create revision of the key, which grows with each new holder."""
+        """Fencing token: era and create revision of the key, which grows with each new holder."""
 
     @property
     def is_held(self) -> bool:
@@ -58,7 +62,9 @@
         after its lease has expired detects it here.
         """
         left_s = self._valid_until_s - self._clock.monotonic_s()
-        return self._lease != 0 and left_s > self._ttl_s * SAFETY_MARGIN_SHARE
+        # The store loses leases when it is restored, and may give out their numbers again.
+        has_lease = self._lease != 0 and self._lease_era == self._store.era
+        return has_lease and left_s > self._ttl_s * SAFETY_MARGIN_SHARE
 
     def invalidate(self) -> None:
         """Treat the lease as expired until the store confirms it."""
@@ -76,17 +82,21 @@
         if not isinstance(granted, Success):
             return Failed(granted.failure())
         self._lease = granted.unwrap()
+        self._lease_era = self._store.era
         self._holder = secrets.token_hex(16)
         created = await self._create(extra or [])
         if not isinstance(created, Success) or created.unwrap() is None:
             await self._revoke()
             return created.map(lambda _: False)
-        self.fencing_token = created.unwrap() or 0
+        self.fencing_token = self._lease_era * TOKENS_PER_ERA + (created.unwrap() or 0)
         self._valid_until_s = started_s + self._ttl_s
-        return Success(True)
+        return Success(self._lease_era == self._store.era)
 
     async def renew(self) -> bool:
         """Renew the lease and return whether the lock is still held."""
+        if self._lease_era != self._store.era:
+            self._valid_until_s = 0.0
+            return False
         started_s = self._clock.monotonic_s()
         renewed = await self._store.keep_alive(self._lease)
         _count("keep_alive")
@@ -135,7 +145,7 @@
     async def _revoke(self) -> None:
         lease, self._lease = self._lease, 0
         self._valid_until_s = 0.0
-        if lease:
+        if lease and self._lease_era == self._store.era:
             await self._store.revoke_lease(lease)
             _count("revoke")
 
--- a/coltsfootfront/keyvalue/store.py
+++ b/coltsfootfront/keyvalue/store.py
@@ -69,11 +69,13 @@
     :param succeeded: whether every condition held and the writes took effect.
     :param store_revision: store revision after the transaction.
     :param read: the existing keys of ``read_on_failure`` if a condition did not hold.
+    :param era: era of the store in which it was executed.
     """
 
     succeeded: bool
     store_revision: int
     read: list[KeyValue] = field(default_factory=list)
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -62,7 +62,7 @@
 
     async def get(self, key: str) -> Result[KeyValue | None, Failure]:
         result = await self._read("get", "/v1/kv-key", {"key": key}, allow_not_found=True)
-        return result.map(lambda body: _decode_key_value(body) if body else None)
+        return result.map(lambda body: _decode_key_value(body) if "key" in body else None)
 
     async def list_prefix(self, prefix: str) -> Result[list[KeyValue], Failure]:
         result = await self.snapshot(prefix)
@@ -71,18 +71,22 @@
     async def snapshot(self, prefix: str) -> Result[Snapshot, Failure]:
         items: list[KeyValue] = []
         revision = 0
+        era: int | None = None
         query = {"prefix": prefix}
         while True:
             page = await self._read("range", "/v1/kv-range", query)
             if not isinstance(page, Success):
                 return Failed(page.failure())
             body = page.unwrap()
+            if era is not None and body["era"] != era:
+                return Failed(_unavailable("the store was restored while its keys were read"))
+            era = body["era"]
             items += [_decode_key_value(item) for item in body["items"]]
             # Each page has a revision of its own. The snapshot takes the first page's, so that no
             # change is missed when the changes after it are read.
             revision = revision or int(body["store-revision"])
             if not body.get("has-more") or not items:
-                return Success(Snapshot(items, revision))
+                return Success(Snapshot(items, revision, era))
             query = {"prefix": prefix, "after": items[-1].key}
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
@@ -138,12 +142,14 @@
                     value = KeyValue(item.key, item.value, 0, item.revision)
                 yield WatchEvent(item.key, value)
 
-    def _record_era(self, text: str, call: str) -> None:
+    def _record_era(self, text: str, call: str) -> int:
+        """Record the era of one response, and return it."""
         era = int(text) if text.isdigit() else 0
         if era > self._era:
             log.info(event("store_era", era=era, before=self._era, call=call))
             metrics.STORE_ERA.set({}, era)
             self._era = era
+        return era
 
     async def _read(
         self,
@@ -182,10 +188,10 @@
                 method, url, params=query, json=body, timeout=timeout
             ) as response:
                 data = await response.read()
-                self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
+                era = self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
                 result = _decode_response(
                     name, response.status, data, build_failure, allow_not_found
-                )
+                ).map(lambda body: body | {"era": era})
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -245,11 +251,11 @@
         is_removed = bool(change.get("tombstone"))
         value = None if is_removed else base64.b64decode(change["value"])
         items.append(Item(change["key"], value, int(change["revision"])))
-    return Changes(items, int(body["store-revision"]))
+    return Changes(items, int(body["store-revision"]), era=body["era"])
 
 
 def _decode_transaction_result(body: Json) -> TransactionResult:
     if body.get("has-failed"):
         items = [_decode_key_value(item) for item in body.get("items", []) if item.get("value")]
-        return TransactionResult(False, 0, items)
-    return TransactionResult(True, int(body["revision"]))
+        return TransactionResult(False, 0, items, body["era"])
+    return TransactionResult(True, int(body["revision"]), era=body["era"])
--- a/coltsfootfront/tests/support.py
+++ b/coltsfootfront/tests/support.py
@@ -145,9 +145,14 @@
         self.values: dict[str, KeyValue] = {}
         self.leases: dict[int, tuple[float, float]] = {}
         self.revision = 100
+        self.current_era = 0
         self.mode = "ok"
         self.faults: list[str] = []
 
+    @property
+    def era(self) -> int:
+        return self.current_era
+
     async def get(self, key: str) -> Result[KeyValue | None, Failure]:
         if self._next_fault() != "ok":
             return Failed(Failure(ErrorKind.STORE_UNAVAILABLE))
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -14,11 +14,18 @@
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.direct import gossip
 from coltsfootfront.direct.cacheindex import CACHED_TTL_S, CacheIndex
-from coltsfootfront.direct.directory import MISSING_GRACE_S, Directory
+from coltsfootfront.direct.directory import MISSING_GRACE_S, RESTORED_ENTRY_DOUBT_S, Directory
 from coltsfootfront.direct.events import StreamBrokenError, StreamValidator
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
-from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Snapshot
+from coltsfootfront.direct.storefollower import (
+    Changes,
+    Follower,
+    Item,
+    PeerSource,
+    Position,
+    Snapshot,
+)
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.store import KeyValue
 from coltsfootfront.tests.direct_support import REGIONS, make_entry
@@ -48,6 +55,34 @@
         self.assertIsNone(directory.get("t1"))
         drop_task.cancel()
 
+    def test_draining_is_not_undone_by_an_older_entry(self) -> None:
+        """Guards against a target that is used again since the store went back to an older copy."""
+        clock = ManualClock()
+        directory = Directory(clock, REGIONS)
+        directory.put(make_entry("t1", started_ms=1))
+        directory.put(make_entry("t1", started_ms=1, is_leaving=True))
+        directory.put(make_entry("t1", started_ms=1), is_from_restore=True)
+        target = directory.get("t1")
+        assert target is not None
+        self.assertFalse(target.is_usable())
+        directory.put(make_entry("t1", started_ms=2))
+        target = directory.get("t1")
+        assert target is not None
+        self.assertTrue(target.is_usable())
+
+    def test_target_that_had_gone_is_doubted_after_a_restore(self) -> None:
+        """Guards against requests to a target that left before the store went back."""
+        clock = ManualClock()
+        directory = Directory(clock, REGIONS)
+        directory.put(make_entry("t1"))
+        directory.remove("t1")
+        directory.put(make_entry("t1"), is_from_restore=True)
+        target = directory.get("t1")
+        assert target is not None
+        self.assertTrue(target.is_paused(clock.monotonic_s()))
+        clock.advance(RESTORED_ENTRY_DOUBT_S)
+        self.assertFalse(target.is_paused(clock.monotonic_s()))
+
     def test_restart_under_the_same_name_resets_health_state(self) -> None:
         """Guards against health state of an earlier start that is applied to a restarted target."""
         directory = Directory(ManualClock(), REGIONS)
@@ -189,7 +224,9 @@
     async def snapshot(self, prefix: str) -> Result[Snapshot, Failure]:
         return await self._next()  # type: ignore[return-value]
 
-    async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
+    async def changes(
+        self, prefix: str, after: Position, wait_s: float
+    ) -> Result[Changes, Failure]:
         return await self._next()  # type: ignore[return-value]
 
     async def _next(self) -> Result[Snapshot, Failure] | Result[Changes, Failure]:
@@ -213,14 +250,14 @@
         return None if self.relay_responses is None else "relay"
 
     async def wait_for_peer_changes(
-        self, address: str, after: int, wait_s: float
+        self, address: str, after: Position, wait_s: float
     ) -> Changes | None:
         if self.relay_responses:
             return self.relay_responses.pop(0)
         await asyncio.Event().wait()
         return None
 
-    async def read_peer_changes(self, after: int) -> Changes | None:
+    async def read_peer_changes(self, after: Position) -> Changes | None:
         return self.changes
 
 
@@ -314,7 +351,7 @@
         store = ScriptedStore(Success(Snapshot([_value("a", b"1", 5)], 5)))
         follower = self._follower(store, Changes([Item("a", b"2", 9)], 9))
         await self._follow(follower, store)
-        follower.peer_revision = 9
+        follower.peer_position = Position(0, 9)
         self.item_received.clear()
         task = asyncio.create_task(follower.follow_peers())
         async with asyncio.timeout(5.0):
@@ -328,8 +365,8 @@
         follower._load_snapshot(Snapshot([_value("a", b"1", 5)], 5))
         follower._apply_item(Item("b", b"2", 6))
         follower.revision = 6
-        self.assertEqual(["b"], [item.key for item in follower.changes_after(5).items])
-        self.assertEqual(2, len(follower.changes_after(0).items))
+        self.assertEqual(["b"], [item.key for item in follower.changes_after(Position(0, 5)).items])
+        self.assertEqual(2, len(follower.changes_after(Position(0, 0)).items))
 
     async def test_router_follows_the_store_through_a_relay(self) -> None:
         """Guards against a store load of one watch for each router of a large fleet."""
@@ -360,32 +397,83 @@
         follower = self._follower(ScriptedStore())
         follower._load_snapshot(Snapshot([_value("a", b"1", 5)], 5))
         # The relay has not opened a watch of its own yet.
-        self.assertIsNone(await follower.wait_for_changes(5, 0.01))
+        self.assertIsNone(await follower.wait_for_changes(Position(0, 5), 0.01))
         follower._watch_deadline_s = math.inf
-        changes = await follower.wait_for_changes(5, 0.01)
+        changes = await follower.wait_for_changes(Position(0, 5), 0.01)
         assert changes is not None
         self.assertEqual(([], 5), (changes.items, changes.revision))
         follower._record_failure(UNAVAILABLE)
-        self.assertIsNone(await follower.wait_for_changes(5, 0.01))
+        self.assertIsNone(await follower.wait_for_changes(Position(0, 5), 0.01))
 
     async def test_relay_answers_as_soon_as_a_key_changes(self) -> None:
         """Guards against changes that reach routers behind a relay only after the full wait."""
         follower = self._follower(ScriptedStore())
         follower._load_snapshot(Snapshot([_value("a", b"1", 5)], 5))
         follower._watch_deadline_s = math.inf
-        waiting = asyncio.create_task(follower.wait_for_changes(5, 5.0))
+        waiting = asyncio.create_task(follower.wait_for_changes(Position(0, 5), 5.0))
         await asyncio.sleep(0.01)
-        follower._apply_changes(Changes([Item("a", b"2", 6)], 6))
+        follower._apply_changes(Changes([Item("a", b"2", 6)], 6), "the store")
         async with asyncio.timeout(1.0):
             changes = await waiting
         assert changes is not None
         self.assertEqual(["a"], [item.key for item in changes.items])
 
+    async def test_restored_store_replaces_the_copy(self) -> None:
+        """Guards against changes that are dropped since the store gives out revisions again."""
+        restored = [_value("a", b"older", 3), _value("c", b"1", 2)]
+        for name, responses in {
+            "history lost": (Failed(HISTORY_COMPACTED),),
+            "revision passed": (Success(Changes([Item("d", b"1", 30)], 30, era=2)),),
+        }.items():
+            with self.subTest(name):
+                store = ScriptedStore(
+                    Success(Snapshot([_value("a", b"1", 5), _value("b", b"1", 20)], 20, era=1)),
+                    *responses,
+                    Success(Snapshot([*restored], 4, era=2)),
+                    Success(Changes([Item("a", b"new", 5)], 5, era=2)),
+                )
+                follower = self._follower(store)
+                await self._follow(follower, store)
+                self.assertEqual(Position(2, 5), follower.position)
+                self.assertEqual(b"new", follower.get("a"))
+                self.assertIsNone(follower.get("b"))
+                changed = [(item.key, item.value) for item in self.received_items[2:]]
+                self.assertEqual(
+                    [("b", None), ("a", b"older"), ("c", b"1"), ("a", b"new")], changed
+                )
+                # A router behind this one gets the full copy, whatever its revision was.
+                self.assertTrue(follower.changes_after(Position(1, 20)).is_full_copy)
+
+    async def test_copies_of_an_earlier_era_are_ignored(self) -> None:
+        """Guards against a peer or relay that brings back the copy from before a restore."""
+        old = Changes([Item("a", b"old", 90)], 90, True, 1)
+        follower = self._follower(ScriptedStore(), old)
+        follower._load_snapshot(Snapshot([_value("a", b"1", 5)], 5, era=2))
+        follower._watch_deadline_s = math.inf
+        self.assertTrue(await follower._read_peer())
+        self.assertFalse(follower._apply_changes(old, "the relay"))
+        follower._load_snapshot(Snapshot([_value("a", b"old", 91)], 91, era=1))
+        self.assertEqual((b"1", Position(2, 5)), (follower.get("a"), follower.position))
+        self.assertIsNone(await follower.wait_for_changes(Position(3, 1), 0.01))
+        follower.peer_position = max(follower.peer_position, Position(1, 900))
+        self.assertFalse(follower._is_lagging())
+
+    async def test_router_behind_reads_a_later_era_from_a_peer(self) -> None:
+        """Guards against a router cut off from the store that keeps the copy of an earlier era."""
+        follower = self._follower(ScriptedStore(), Changes([Item("a", b"2", 3)], 3, True, 2))
+        follower._load_snapshot(Snapshot([_value("a", b"1", 50), _value("b", b"1", 7)], 50, era=1))
+        restored: list[bool] = []
+        follower.on_restored = lambda: restored.append(True)
+        self.assertTrue(await follower._read_peer())
+        self.assertEqual((b"2", None), (follower.get("a"), follower.get("b")))
+        self.assertEqual((Position(2, 3), [True]), (follower.position, restored))
+        self.assertFalse(follower._apply_changes(Changes([], 9, era=3), "the store"))
+
     async def test_full_copy_of_a_peer_removes_missing_keys(self) -> None:
         """Guards against removed keys that survive in the copy of a router that lagged behind."""
         peer = self._follower(ScriptedStore())
         peer._load_snapshot(Snapshot([_value("a", b"1", 5)], 9))
-        follower = self._follower(ScriptedStore(), peer.changes_after(6))
+        follower = self._follower(ScriptedStore(), peer.changes_after(Position(0, 6)))
         follower._load_snapshot(Snapshot([_value("a", b"1", 5), _value("b", b"1", 6)], 6))
         self.assertTrue(await follower._read_peer())
         self.assertIsNone(follower.get("b"))
--- a/coltsfootfront/tests/test_leases.py
+++ b/coltsfootfront/tests/test_leases.py
@@ -5,7 +5,7 @@
 
 from returns.result import Success
 
-from coltsfootfront.keyvalue.leases import LoadSlots, TargetLease
+from coltsfootfront.keyvalue.leases import LeaseLock, LoadSlots, TargetLease
 from coltsfootfront.tests.support import InMemoryStore, ManualClock, run_ready_tasks
 
 KEY = "leases/target/t"
@@ -50,6 +50,26 @@
         lease.invalidate()
         self.assertFalse(lease.is_held)
 
+    async def test_lease_ends_when_the_store_is_restored(self) -> None:
+        """Guards against two holders after a restore, and against fencing tokens that fall."""
+        first, second = (LeaseLock(self.store, self.clock, KEY, 10.0) for _ in range(2))
+        self.store.current_era = 1
+        self.assertTrue((await first.acquire()).unwrap())
+        self.assertTrue(first.is_held)
+        # The store goes back to before the lease, and gives out its number and revision again.
+        self.store.values.clear()
+        self.store.leases.clear()
+        self.store.revision = 50
+        self.store.current_era = 2
+        self.assertFalse(first.is_held)
+        self.assertTrue((await second.acquire()).unwrap())
+        self.assertGreater(second.fencing_token, first.fencing_token)
+        self.store.leases[first._lease] = (10.0, self.clock.monotonic_s() + 10.0)
+        self.assertFalse(await first.renew())
+        await first.release()
+        self.assertTrue(second.is_held)
+        self.assertEqual(2, len(self.store.leases))
+
     async def test_a_successor_waits_for_orders_in_progress(self) -> None:
         """Guards against orders of a new holder that overlap with those of a failed holder."""
         cases = [(False, False, True), (True, False, False), (False, True, False)]
--- a/coltsfootfront/tests/test_system_restore.py
+++ b/coltsfootfront/tests/test_system_restore.py
@@ -36,6 +36,7 @@
         await self.fleet.start()
         self.store = self.fleet.store
         self.version = 1
+        self.added: list[dict[str, Any]] = []
         self.processes = RouterProcesses(Path(self.folder.name), self.store.address)
         await self.processes.start(ROUTERS)
         self.routers = self.processes.routers
@@ -58,7 +59,8 @@
         config: dict[str, Any] = configuration(self.version)
         route = dict(config["routes"][1])
         path = f"/new{self.version}/"
-        config["routes"].append(route | {"name": path.strip("/"), "prefix": path})
+        self.added.append(route | {"name": path.strip("/"), "prefix": path})
+        config["routes"] += self.added
         self.store.put_json("op/config", config)
         return path
 
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -48,6 +49,7 @@
 # Share of the gossip that is lost on a bad link.
 GOSSIP_LOSS_RATE = 0.1
 MAX_ADDED_ROUTERS = 2
+CONFIGURATION_PATTERN = re.compile(r"event=configuration_in_force version=(\d+)")
 PATHS = (("/file/a", "POST"), ("/look/a", "GET"), ("/ask/a", "POST"), ("/long/a", "POST"))
 PROMPT_HEADERS = {
     "X-Model": "m",
@@ -127,6 +129,7 @@
             self._is_stopping = True
             await asyncio.gather(*clients)
             self._check_executions()
+            self._check_configurations()
             self.report.broken += self._monitor.violations()
         finally:
             await self._close()
@@ -183,6 +186,7 @@
             self._cut_gossip,
             self._lose_gossip,
             self._expire_leases,
+            self._restore_store,
             self._add_router,
         ]
         end_s = time.monotonic() + self._faults_s
@@ -304,6 +308,12 @@
     async def _expire_leases(self) -> None:
         self._fleet.store.expire_leases()
 
+    async def _restore_store(self) -> None:
+        checkpoint = self._fleet.store.checkpoint()
+        await self._wait_random_time()
+        outage_s, rewrite_delay_s = self._random.uniform(0.1, 1.0), self._random.uniform(0.0, 0.5)
+        await self._fleet.restore_store(checkpoint, outage_s, rewrite_delay_s)
+
     async def _add_router(self) -> None:
         assert self._processes is not None
         if len(self._routers) >= self._router_count + MAX_ADDED_ROUTERS:
@@ -372,6 +382,15 @@
         if not is_whole:
             self.report.broken.append(f"{request_id} on {path} got a wrong body: {body!r}")
 
+    def _check_configurations(self) -> None:
+        for router in self._routers:
+            log = router.log_path.read_text()
+            versions = CONFIGURATION_PATTERN.findall(log)
+            if not versions or int(versions[-1]) != self._customer_version:
+                self.report.broken.append(
+                    f"{router.name} has configuration {versions[-1:]}, not {self._customer_version}"
+                )
+
     def _check_executions(self) -> None:
         runs = [run for target in self._fleet.targets for run in target.executions]
         count = Counter(run.request_id for run in runs)
