Close the connection after a refusal of any request that may run once

What callers would see (a report of another operator): a faulty target writes an earlier refusal once more on a kept connection, and a request that it runs is answered "not run", or runs at a second target.

It happens here for streams that may not be resumed: a refused request goes back to the same target after 50 ms with the same id, and the connection was only closed after the refusal of a request without a prompt. The repeated refusal was read as the response to the second try. A repeated refusal of another request was and is noticed by its id. Fix: the condition is that the request is no GET, not which pool its connection came from.

Evidence: a router before stand-ins that run a request and repeat the earlier refusal. Requests without a prompt were right before.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -182,7 +182,7 @@
         target_response = PlatformTargetResponse(response, target)
         if (
             target_response.is_not_executed
-            and session is self._non_idempotent_session
+            and request.method != "GET"
             and response.connection_handler is not None
         ):
             # The same request may be retried at this target. A late duplicate of this response on
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -25,6 +25,7 @@
 )
 
 WAIT_S = 8.0
+CALLER_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
 POLL_S = 0.02
 # Time after a disruption from which the users expect the store to be usable again.
 STABLE_S = 4.0
@@ -82,7 +83,7 @@
         }
         body = b"body" if method == "POST" else None
         async with self.session.request(
-            method, url, data=body, headers=default_headers | headers
+            method, url, data=body, headers=default_headers | headers, timeout=CALLER_TIMEOUT
         ) as response:
             return response.status, await response.read(), request_id
 
@@ -143,6 +144,17 @@
             self.assertEqual(200, status)
             self.assertEqual(6, body.count(b"id: "))
 
+    async def test_repeated_refusal_on_a_kept_connection(self) -> None:
+        """Guards against "not run" for a request that ran, as an earlier refusal came once more."""
+        for target in self.fleet.targets:
+            target.faults.repeats_refusals = True
+        for path, headers in (("/file/a", {}), ("/long/a", PROMPT_HEADERS)):
+            for _ in range(6):
+                with self.subTest(path):
+                    status, _, request_id = await self._send(path, "POST", **headers)
+                    runs = self.fleet.execution_count(request_id)
+                    self.assertLessEqual(runs, 0 if status == 503 else 1, status)
+
     async def test_disconnect_of_a_caller_stops_the_generation(self) -> None:
         """Guards against engines that go on generating for callers that have disconnected."""
         for engine in self.fleet.engine_targets:
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -14,6 +14,8 @@
 from coltsfootfront_dev.endlessresponse import send_endless_response
 
 STREAM_EVENT_COUNT = 6
+# Time for which a request goes on running that was answered with an earlier rejection.
+REPEATED_REFUSAL_RUN_S = 0.2
 SIGNATURE_HEADER = "X-Response-Signature"
 
 
@@ -48,6 +50,12 @@
     :param limit: value of ``Server-Limit`` on every response to a request; empty for none.
     :param is_leaving: every response to a request carries ``Server-Leaving``.
     :param repeats: seconds after which a plain response is sent a second time; 0 for never.
+    :param repeats_refusals: the first request on a connection is rejected, and each later one runs
+        but is answered with that rejection once more.
+    :param resumed_status: status with which a stream that is resumed is answered; 0 for none.
+    :param unframed_events: a stream has neither a length nor chunks, and ends with its connection
+        after so many events, and within one if these are not all; 0 for none.
+    :param head_bytes: bytes of a response's head after which the connection is closed; 0 for all.
     :param endless: part of the response that never ends, as a key of
         :data:`coltsfootfront_dev.endlessresponse.ENDLESS_RESPONSES`; empty for none.
     """
@@ -61,6 +69,10 @@
     limit: str = ""
     is_leaving: bool = False
     repeats: float = 0.0
+    repeats_refusals: bool = False
+    resumed_status: int = 0
+    unframed_events: int = 0
+    head_bytes: int = 0
     endless: str = ""
 
 
@@ -93,6 +105,7 @@
         self.cancelled_requests = 0
         self.open_requests = 0
         self._transports: set[asyncio.BaseTransport | None] = set()
+        self._refusals: dict[asyncio.BaseTransport, bytes] = {}
         self.address = ""
         self._runner: web.ServerRunner | None = None
 
@@ -208,6 +221,12 @@
         expected_version = request_headers.get("X-Expect-Version")
         if expected_version is not None and int(expected_version) != self.version:
             return web.Response(status=421, headers=response_headers)
+        is_first = request.transport is not None and request.transport not in self._refusals
+        if self.faults.repeats_refusals and is_first:
+            response_headers["X-Not-Executed"] = "1"
+            head = _encode_head(503, response_headers | {"Content-Length": "0"})
+            self._refusals[request.transport] = head  # type: ignore[index]
+            return web.Response(status=503, headers=response_headers)
         if self.faults.rejects:
             response_headers["X-Not-Executed"] = "1"
             if self.faults.pause:
@@ -240,6 +259,18 @@
         if self.faults.crosses:
             headers["X-Request-Id"] = "another"
         headers |= self._state_headers()
+        if self.faults.repeats_refusals and request.transport in self._refusals:
+            request.transport.write(self._refusals[request.transport])
+            await asyncio.sleep(REPEATED_REFUSAL_RUN_S)
+            request.transport.abort()
+            return web.Response()
+        if self.faults.head_bytes and request.transport is not None:
+            head = _encode_head(200, headers | {"Content-Length": "24"})
+            request.transport.write(head[: self.faults.head_bytes])
+            request.transport.close()
+            return web.Response()
+        if self.faults.resumed_status and "Last-Event-Id" in request_headers:
+            return web.Response(status=self.faults.resumed_status, headers=headers, text="ERROR")
         if self.faults.endless:
             return await send_endless_response(request, headers, self.faults.endless)
         if self.version is None:
@@ -286,6 +317,14 @@
         if is_deadly and self.crashes_before_head:
             self.on_crash(self)
             await asyncio.Event().wait()
+        count = self.faults.unframed_events
+        if count and request.transport is not None:
+            request.transport.write(_encode_head(200, headers | {"Connection": "close"}))
+            events = "".join(f"id: {number}\ndata: {number}\n\n" for number in range(count))
+            rest = "" if count >= STREAM_EVENT_COUNT else f"id: {count}\nda"
+            request.transport.write((events + rest).encode())
+            request.transport.close()
+            return web.Response()
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
@@ -304,3 +343,9 @@
                 return response
         await response.write_eof()
         return response
+
+
+def _encode_head(status: int, headers: dict[str, str]) -> bytes:
+    """Encode the head of a response that is written to the transport directly."""
+    lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers.items())]
+    return "\r\n".join([*lines, "", ""]).encode()
