End a resumed stream when its next target answers with another status

It happens here: the answer to the resumed request was relayed like a first one, so that a second head was written into the open stream. Now such an answer counts as a failed exchange; the stream goes to a further target if it may, and is broken off otherwise.

Evidence: a router before two stand-in engines, of which each cuts its stream and answers a resumed one with 400, 404, 500, 502 or 503. Now each of the five is broken off.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 import random
+from http import HTTPStatus
 
 import logbook
 
@@ -424,6 +425,12 @@
             state.attempted.append(placement.target.name)
             if state.exchange is not None:
                 state.exchange.is_answering = True
+            if state.has_response_begun and response.status != HTTPStatus.OK:
+                # Only the rest of the stream may follow what the caller has received.
+                raise ExchangeError(
+                    ExchangeFailure.INVALID_RESPONSE,
+                    f"status {response.status} in answer to a stream that is resumed",
+                )
             if state.route.is_stream and response.status == 200:
                 await self._relay.relay_stream(state, placement, response, writer)
             else:
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -155,6 +155,16 @@
                     runs = self.fleet.execution_count(request_id)
                     self.assertLessEqual(runs, 0 if status == 503 else 1, status)
 
+    async def test_error_of_the_target_that_resumes_a_stream(self) -> None:
+        """Guards against an error's text within a stream, or a stream that looks complete."""
+        for engine in self.fleet.engine_targets:
+            engine.faults.cuts = True
+        for status in (400, 404, 500, 502, 503):
+            for engine in self.fleet.engine_targets:
+                engine.faults.resumed_status = status
+            with self.subTest(status), self.assertRaises(aiohttp.ClientError):
+                await self._send("/ask/a", "POST", **PROMPT_HEADERS)
+
     async def test_disconnect_of_a_caller_stops_the_generation(self) -> None:
         """Guards against engines that go on generating for callers that have disconnected."""
         for engine in self.fleet.engine_targets:
