--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -165,6 +165,28 @@
             with self.subTest(status), self.assertRaises(aiohttp.ClientError):
                 await self._send("/ask/a", "POST", **PROMPT_HEADERS)
 
+    async def test_target_that_stops_within_the_head_of_its_answer(self) -> None:
+        """Guards against an empty or short answer that looks complete."""
+        lengths = (1, 9, 12, 15, 16, 17, 30, 60, 80, 100, 110, 114, 115, 116, 117, 118, 119)
+        for path, headers in (("/file/a", {}), ("/long/a", PROMPT_HEADERS)):
+            for length in lengths:
+                for target in self.fleet.targets:
+                    target.faults.head_bytes = length
+                with self.subTest(path=path, length=length):
+                    status, _, _ = await self._send(path, "POST", **headers)
+                    self.assertEqual(502, status)
+
+    async def test_stream_that_ends_with_its_connection(self) -> None:
+        """Guards against a whole stream without a length that fails, or a cut one that succeeds."""
+        for engine in self.fleet.engine_targets:
+            engine.faults.unframed_events = 6
+        status, body, _ = await self._send("/long/a", "POST", **PROMPT_HEADERS)
+        self.assertEqual((200, 6), (status, body.count(b"id: ")))
+        for engine in self.fleet.engine_targets:
+            engine.faults.unframed_events = 3
+        with self.assertRaises(aiohttp.ClientError):
+            await self._send("/long/a", "POST", **PROMPT_HEADERS)
+
     async def test_disconnect_of_a_caller_stops_the_generation(self) -> None:
         """Guards against engines that go on generating for callers that have disconnected."""
         for engine in self.fleet.engine_targets:
