Discard changes that were asked for in another era than they are answered in

A router that waits for changes can get a copy of a later era from a peer meanwhile. A delta is now only applied if the revision it was asked from is of the same era; otherwise everything is read. The test of it, in test_direct_state, fails without the check.

Also forgets the time of the last claimed trial with its record.

--- a/coltsfootfront/direct/quarantinekeeper.py
+++ b/coltsfootfront/direct/quarantinekeeper.py
@@ -271,6 +271,7 @@
 
     def _drop(self, record_id: str, reason: str, by: str) -> None:
         self._cancel_write(record_id)
+        self._next_claim_s.pop(record_id, None)
         record = self._quarantine.release(record_id)
         if record is not None:
             metrics.QUARANTINE.inc({"event": "released"})
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -295,7 +295,8 @@
 
     async def _read_peer(self) -> bool:
         """Apply the changes that peers have; False if no peer answers."""
-        changes = await self._peers.read_peer_changes(self.position)
+        asked = self.position
+        changes = await self._peers.read_peer_changes(asked)
         if changes is None:
             return False
         if changes.position <= self.position:
@@ -310,7 +311,7 @@
                 is_whole=changes.is_full_copy,
             )
         )
-        self._apply_changes(changes, "a peer")
+        self._apply_changes(changes, "a peer", asked.era)
         return True
 
     def mark_stale(self) -> None:
@@ -345,9 +346,9 @@
 
         :returns: the source that answered, for the log.
         """
+        era = self.era
         changed = await self._store.changes(self._prefix, self.revision, 0.0)
-        is_current = isinstance(changed, Success) and self._apply_changes(changed.unwrap(), "store")
-        if is_current:
+        if isinstance(changed, Success) and self._apply_changes(changed.unwrap(), "store", era):
             return "store"
         if isinstance(changed, Success) or changed.failure().kind is ErrorKind.STALE_REVISION:
             read = await self._store.snapshot(self._prefix)
@@ -356,11 +357,14 @@
                 return "store"
         return "peer" if await self._read_peer() else "nobody answers"
 
-    def _apply_changes(self, changes: Changes, source: str) -> bool:
+    def _apply_changes(self, changes: Changes, source: str, asked_era: int) -> bool:
         """Apply changes of the copy's era, or a full copy of a later one.
 
+        :param asked_era: era of the revision after which changes were asked for.
         :returns: False if they belong to another era, so that a full copy is needed.
         """
+        if changes.era != asked_era and not changes.is_full_copy:
+            return False
         if changes.era != self.era:
             if changes.era < self.era or not changes.is_full_copy:
                 return False
@@ -431,14 +435,15 @@
         address = self._peers.relay_address()
         if address is None:
             return False
-        changes = await self._peers.wait_for_peer_changes(address, self.position, RELAY_WAIT_S)
+        asked = self.position
+        changes = await self._peers.wait_for_peer_changes(address, asked, RELAY_WAIT_S)
         if changes is None or changes.era < self.era:
             direct_s = self._generator.uniform(DIRECT_WATCH_S / 2, DIRECT_WATCH_S)
             self._direct_until_s = self._clock.monotonic_s() + direct_s
             log.info(event("relay_left", relay=address, revision=self.revision, for_s=direct_s))
             return False
         self._record_contact()
-        self._apply_changes(changes, "the relay")
+        self._apply_changes(changes, "the relay", asked.era)
         return True
 
     async def wait_for_changes(self, after: Position, wait_s: float) -> Changes | None:
@@ -471,12 +476,13 @@
             self._load_snapshot(read.unwrap())
             return None
         self._watch_deadline_s = self._clock.monotonic_s() + WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
+        era = self.era
         changed = await self._store.changes(self._prefix, self.revision, WATCH_WAIT_S)
         if not isinstance(changed, Success):
             return changed.failure()
         self._record_contact()
         changes = changed.unwrap()
-        if not self._apply_changes(changes, "the store"):
+        if not self._apply_changes(changes, "the store", era):
             # The store's history before these changes is another one than this copy's.
             self.is_complete = False
             return None
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -412,7 +412,7 @@
         follower._watch_deadline_s = math.inf
         waiting = asyncio.create_task(follower.wait_for_changes(Position(0, 5), 5.0))
         await asyncio.sleep(0.01)
-        follower._apply_changes(Changes([Item("a", b"2", 6)], 6), "the store")
+        follower._apply_changes(Changes([Item("a", b"2", 6)], 6), "the store", 0)
         async with asyncio.timeout(1.0):
             changes = await waiting
         assert changes is not None
@@ -451,7 +451,7 @@
         follower._load_snapshot(Snapshot([_value("a", b"1", 5)], 5, era=2))
         follower._watch_deadline_s = math.inf
         self.assertTrue(await follower._read_peer())
-        self.assertFalse(follower._apply_changes(old, "the relay"))
+        self.assertFalse(follower._apply_changes(old, "the relay", 2))
         follower._load_snapshot(Snapshot([_value("a", b"old", 91)], 91, era=1))
         self.assertEqual((b"1", Position(2, 5)), (follower.get("a"), follower.position))
         self.assertIsNone(await follower.wait_for_changes(Position(3, 1), 0.01))
@@ -467,7 +467,11 @@
         self.assertTrue(await follower._read_peer())
         self.assertEqual((b"2", None), (follower.get("a"), follower.get("b")))
         self.assertEqual((Position(2, 3), [True]), (follower.position, restored))
-        self.assertFalse(follower._apply_changes(Changes([], 9, era=3), "the store"))
+        self.assertFalse(follower._apply_changes(Changes([], 9, era=3), "the store", 2))
+        # Asked for before the peer's copy was read: what lies between the two is missing.
+        passed = Changes([Item("a", b"4", 51)], 51, era=2)
+        self.assertFalse(follower._apply_changes(passed, "the store", 1))
+        self.assertEqual(Position(2, 3), follower.position)
 
     async def test_full_copy_of_a_peer_removes_missing_keys(self) -> None:
         """Guards against removed keys that survive in the copy of a router that lagged behind."""
