Log requests that end with an unexpected error, and whether their answers had begun

A request whose handler raised anything but a refusal or a cancellation left no line with its id. Now request_ended names it with outcome=failed and the error, caller_request_failed with the bytes that its caller had got, and begun=True tells a refusal from an answer that was cut.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -80,6 +80,8 @@
 # Spreads the returns of callers whose requests were held back.
 QUARANTINE_JITTER_S = 1.0
 QUARANTINE_MESSAGE = "targets have crashed on a part of the prompt"
+# Length of an unexpected error in the log.
+MAX_ERROR_CHARACTERS = 200
 
 
 class Forwarder:
@@ -156,9 +158,13 @@
                 writer.abort()
             else:
                 await writer.refuse(refused.failure)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ConnectionError):
+            # The writer raises a ConnectionError when the caller's connection has been closed.
             self._log_request_end(request, state, "caller_left", "")
             raise
+        except Exception as error:
+            self._log_request_end(request, state, "failed", repr(error)[:MAX_ERROR_CHARACTERS])
+            raise
         finally:
             self.in_progress -= 1
 
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -125,6 +125,7 @@
         "route": state.route.name,
         "customer": state.customer.name if state.customer else None,
         "status": state.status,
+        "begun": state.has_response_begun or None,
         "placed_s": state.placed_s,
         "first_s": state.first_s,
         "aim_s": state.route.latency_objective_s,
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 from typing import Any
 
+import logbook
 from aiohttp import web
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.common.logs import event
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
 from coltsfootfront.direct.node import CallerServer, Serve
 from coltsfootfront.direct.routingconfig import CallerLimits
@@ -23,6 +25,10 @@
 LISTEN_BACKLOG = 1024
 BAD_REQUEST = 400
 SERVER_ERROR = 500
+# Length of an error in the log; parse errors quote what the caller sent.
+MAX_ERROR_CHARACTERS = 200
+
+log = logbook.Logger(__name__)
 
 
 class PlatformResponseWriter(ResponseWriter):
@@ -116,6 +122,15 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Respond to a request that could not be parsed or whose handler failed."""
+        log.warning(
+            event(
+                "caller_request_failed",
+                id=request.headers.get(headers.REQUEST_ID),
+                status=status,
+                sent_bytes=request.writer.output_size,
+                reason=repr(exc)[:MAX_ERROR_CHARACTERS],
+            )
+        )
         if request.writer.output_size > 0:
             raise ConnectionError("part of the response has already been sent")
         metrics.count_refusal(ErrorKind.INTERNAL.value if status >= SERVER_ERROR else "bad_request")
