Add failing tests of heads that cannot be sent, and of unexpected errors

A target's answer with a control character in a header, such as X-A: b\x01, passes the lenient parser of the client and fails when its head is written to the caller.

The target ran the request to its end.

--- /dev/null
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -0,0 +1,66 @@
+"""Tests of the bytes that callers get, against scripted targets over loopback."""
+
+import unittest
+from typing import Any
+from unittest import mock
+
+from coltsfootfront.direct.responserelay import ResponseRelay
+from coltsfootfront_dev.rawseries import CallerRequestPlan, Outcome, Path, RawHarness
+from coltsfootfront_dev.scriptedtarget import AnswerScript, Framing, Script
+
+FRAMINGS = (Framing.LENGTH, Framing.CHUNKED)
+
+
+class AnswerBytesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.harness = RawHarness()
+        await self.harness.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.harness.close()
+
+    async def _exchange(self, path: Path, script: Script) -> Outcome:
+        """Send one request, which each target answers by the script."""
+        return await self.harness.exchange(CallerRequestPlan(path, [script, script]))
+
+    async def test_control_character_in_a_head_causes_no_bytes_after_an_answer(self) -> None:
+        """Guards against a second framing of the error that follows a head that cannot be sent."""
+        for path in Path:
+            for framing in FRAMINGS:
+                for character in (b"\x01", b"\x1f", b"\x7f"):
+                    with self.subTest(path=path, framing=framing, character=character):
+                        line = b"X-A: b" + character
+                        script = Script(AnswerScript(framing=framing, lines=(line,)))
+                        outcome = await self._exchange(path, script)
+                        self.assertEqual([], outcome.findings)
+                        assert outcome.reply.answer is not None
+                        self.assertEqual(502, outcome.reply.answer.status)
+
+    async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
+        """Guards against an error that is not answered, or answered without the request's id."""
+        error = LookupError("before the head")
+        with mock.patch.object(ResponseRelay, "_begin_stream", side_effect=error):
+            outcome = await self._exchange(Path.LONG, Script(AnswerScript()))
+        answer = outcome.reply.answer
+        assert answer is not None
+        self.assertEqual((500, True), (answer.status, answer.is_complete))
+        self.assertEqual([outcome.request_id], answer.values("X-Request-Id"))
+
+    async def test_unexpected_error_within_an_answer_adds_no_second_one(self) -> None:
+        """Guards against an error's answer that follows a head that was prepared or sent."""
+        begin = ResponseRelay._begin_stream
+
+        async def fail_after(*arguments: Any) -> None:
+            await begin(*arguments)
+            raise LookupError("after the head")
+
+        with mock.patch.object(ResponseRelay, "_begin_stream", fail_after):
+            outcome = await self._exchange(Path.LONG, Script(AnswerScript()))
+        answer = outcome.reply.answer
+        self.assertTrue(self.harness.caller.is_closed)
+        self.assertEqual([], outcome.reply.findings)
+        self.assertTrue(answer is None or not answer.is_complete)
+
+
+if __name__ == "__main__":
+    unittest.main()
