Answer each request once, also when its answer cannot be written

On a raw connection: 500 with Content-Length: 30, and a body of 30 bytes within chunks. Each request had run to its end at its target, and no log line named it.

Cause: the head of the target's answer could not be written (a control character, which the client's lenient parser lets pass). The exception left the request's handler; aiohttp then wrote an error response with the writer on which chunks were already enabled. Two parties answered one request, and the second did not know what the first had set.

Why this works: a head that cannot be sent on is an invalid answer of its target, which is retried where that is allowed, else 502. Any other unexpected error ends in the writer, which alone knows whether its response has begun: 500 with the request's id and Connection: close if it has not, a cut connection if it has. aiohttp's own error response is left for requests that cannot be parsed.

--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -10,7 +10,7 @@
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
-from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
 from coltsfootfront.direct.node import CallerServer, Serve
@@ -37,11 +37,12 @@
     :param should_close: returns whether the connection is closed after the response.
     """
 
-    __slots__ = ("_request", "_response", "_should_close")
+    __slots__ = ("_must_close", "_request", "_response", "_should_close")
 
     def __init__(self, request: web.BaseRequest, should_close: Callable[[], bool]) -> None:
         self._request = request
         self._should_close = should_close
+        self._must_close = False
         self._response: web.StreamResponse | None = None
 
     async def refuse(self, failure: Failure) -> None:
@@ -81,6 +82,18 @@
         if transport is not None:
             transport.abort()
 
+    async def fail(self, failure: Failure) -> None:
+        """Answer a request that failed unexpectedly, and close its connection.
+
+        A response that has begun is cut off: its framing may already be set, so that no other one
+        may follow on the connection.
+        """
+        if self._response is not None:
+            self.abort()
+            return
+        self._must_close = True
+        await self.refuse(failure)
+
     @property
     def response(self) -> web.StreamResponse:
         """The response that was written.
@@ -92,7 +105,7 @@
         return self._response
 
     async def _send_head(self, response: web.StreamResponse) -> None:
-        if self._should_close():
+        if self._must_close or self._should_close():
             response.force_close()
         self._response = response
         await response.prepare(self._request)
@@ -121,16 +134,10 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Respond to a request that could not be parsed or whose handler failed."""
-        log.warning(
-            event(
-                "caller_request_failed",
-                id=request.headers.get(headers.REQUEST_ID),
-                status=status,
-                sent_bytes=request.writer.output_size,
-                reason=repr(exc)[:MAX_ERROR_CHARACTERS],
-            )
-        )
+        """Respond to a request that could not be parsed."""
+        if isinstance(exc, ConnectionError):
+            raise exc
+        _log_failure(request, exc)
         if request.writer.output_size > 0:
             raise ConnectionError("part of the response has already been sent")
         metrics.count_refusal(ErrorKind.INTERNAL.value if status >= SERVER_ERROR else "bad_request")
@@ -233,10 +240,29 @@
         except ValueError as error:
             await writer.refuse(Failure(ErrorKind.BAD_REQUEST, str(error)))
             return writer.response
-        await self._serve(caller_request, writer)
+        try:
+            await self._serve(caller_request, writer)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            _log_failure(request, error)
+            metrics.count_refusal(ErrorKind.INTERNAL.value)
+            failure = Failure(ErrorKind.INTERNAL, "unexpected error", ExecutionState.UNKNOWN)
+            await writer.fail(failure)
         return writer.response
 
 
+def _log_failure(request: web.BaseRequest, error: BaseException | None) -> None:
+    log.warning(
+        event(
+            "caller_request_failed",
+            id=request.headers.get(headers.REQUEST_ID),
+            sent_bytes=request.writer.output_size,
+            reason=repr(error)[:MAX_ERROR_CHARACTERS],
+        )
+    )
+
+
 def decode_caller_request(
     request: web.BaseRequest, body: bytes, received_s: float
 ) -> CallerRequest:
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -44,6 +44,7 @@
 MAX_ERROR_TEXT_CHARACTERS = 120
 # float() would also accept signs, exponents and names such as "inf".
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
+CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 log = logbook.Logger(__name__)
 
@@ -259,6 +260,12 @@
         raise ExchangeError(
             ExchangeFailure.INVALID_RESPONSE, "a successful response without a signature"
         )
+    for name, value in response_headers.items():
+        # The parser accepts them, but a head with one cannot be sent on to the caller.
+        if CONTROL_CHARACTER.search(value):
+            raise ExchangeError(
+                ExchangeFailure.INVALID_RESPONSE, f"a control character in the header {name}"
+            )
     if "Content-Encoding" in response_headers:
         raise ExchangeError(
             ExchangeFailure.INVALID_RESPONSE,
