Refuse a head into which a second answer has been written

What callers would see: the status or body of another answer, or 503 "not run" for a request that ran and then ran a second time, when a target writes its second answer within the head of the first. The head lines join: a value is cut by the second status line, and the headers of both follow.

Cause: the first X-Request-Id of a head was checked, further ones were not. Headers that name one answer may now stand once in its head; otherwise it is an invalid response.

--- a/coltsfootfront/platform/headers.py
+++ b/coltsfootfront/platform/headers.py
@@ -36,6 +36,9 @@
 # On every response of the store; rises by one each time that it is restored from an older copy.
 STORE_ERA = "Store-Era"
 
+# Headers that a target sends once at most in the head of a response.
+SINGLE = (REQUEST_ID, SIGNATURE, NOT_EXECUTED, TARGET, WEIGHTS_VERSION, LOAD)
+
 # Set by the router alone; these headers are dropped from callers' requests.
 RESERVED = frozenset(
     name.lower()
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -252,6 +252,10 @@
         raise ExchangeError(
             ExchangeFailure.INVALID_RESPONSE, f"the response is for request ID {response_id}"
         )
+    for name in headers.SINGLE:
+        # The head of a second response within the first one repeats them.
+        if len(response_headers.getall(name, ())) > 1:
+            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, f"the header {name} is repeated")
     if response.status < OK:
         raise ExchangeError(
             ExchangeFailure.INVALID_RESPONSE, f"a final response with status {response.status}"
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -36,6 +36,24 @@
                         assert outcome.reply.answer is not None
                         self.assertEqual(502, outcome.reply.answer.status)
 
+    async def test_head_of_a_second_answer_within_the_first_is_no_answer(self) -> None:
+        """Guards against another answer's status, body or "not run" under a request's own id."""
+        other_heads = (
+            (b"X-Request-Id: ffffffffffffffff",),
+            (b"X-Request-Id: ffffffffffffffff", b"X-Not-Executed: 1"),
+            (b"X-Response-Signature: other",),
+        )
+        for path in Path:
+            for lines in other_heads:
+                with self.subTest(path=path, lines=lines):
+                    lines = (b"X-A: bHTTP/1.1 503 Service Unavailable", *lines)
+                    outcome = await self._exchange(path, Script(AnswerScript(lines=lines)))
+                    self.assertEqual([], outcome.findings)
+                    assert outcome.reply.answer is not None
+                    self.assertEqual(502, outcome.reply.answer.status)
+                    runs = self.harness.book.runs[outcome.request_id]
+                    self.assertLessEqual(runs, 1 if path.runs_once else 2)
+
     async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
         """Guards against an error that is not answered, or answered without the request's id."""
         error = LookupError("before the head")
