End a stream into which another response has been written

What callers would see: within a stream, behind its events, the framing of a second answer and the events of another request, as here:

when a target answers a stream without length or chunks and then answers again on the same connection, or breaks such a stream off and sends it anew.

Cause: only the ids of events were checked. Whatever stood before an id line, or beside it, went to the caller, and the next id may be that of another stream. A line that is neither a field nor a comment of an event now ends the stream, which is resumed where that is allowed; the lines of a head, and of chunks, end with CRLF, those of events do not.

--- a/coltsfootfront/direct/events.py
+++ b/coltsfootfront/direct/events.py
@@ -1,11 +1,15 @@
 """Checks the events of a stream so that only complete, consecutive events are relayed."""
 
+import re
 from dataclasses import dataclass
 
 EVENT_SEPARATOR = b"\n\n"
 # Limit on bytes without a numbered event; an event normally has a few hundred bytes.
 MAX_BYTES_WITHOUT_EVENT = 65_536
 ID_FIELD = b"id:"
+# A field or a comment. Lines of events end with a line feed alone; those of another response's head
+# or chunk framing, written into the stream, end with CRLF.
+EVENT_LINE = re.compile(rb"(?:[a-z][a-z-]*)?(?::[^\r]*)?")
 
 
 class StreamBrokenError(Exception):
@@ -66,6 +70,9 @@
         self._bytes_since_event = 0
 
     def _is_next(self, block: bytes) -> bool:
+        for line in block.split(b"\n"):
+            if EVENT_LINE.fullmatch(line) is None:
+                raise StreamBrokenError(f"a line that belongs to no event: {line[:40]!r}")
         number = _event_number(block)
         if number is None:
             return True
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -1,12 +1,22 @@
 """Tests of the bytes that callers get, against scripted targets over loopback."""
 
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
 from coltsfootfront.direct.responserelay import ResponseRelay
 from coltsfootfront_dev.rawseries import CallerRequestPlan, Outcome, Path, RawHarness
-from coltsfootfront_dev.scriptedtarget import AnswerScript, Framing, Script
+from coltsfootfront_dev.scriptedtarget import (
+    AnswerScript,
+    Ending,
+    Framing,
+    Owner,
+    Place,
+    Script,
+    SecondAnswer,
+    stream_event,
+)
 
 FRAMINGS = (Framing.LENGTH, Framing.CHUNKED)
 
@@ -54,6 +64,34 @@
                     runs = self.harness.book.runs[outcome.request_id]
                     self.assertLessEqual(runs, 1 if path.runs_once else 2)
 
+    async def test_second_answer_within_a_stream_without_framing_is_not_relayed(self) -> None:
+        """Guards against bytes of a second answer within a stream that ends with its connection."""
+        stream = AnswerScript(framing=Framing.CONNECTION, event_count=3)
+        for path in (Path.LONG, Path.ASK):
+            for owner in Owner:
+                for framing in Framing:
+                    # Within the head of the stream's last event, before it and after it.
+                    for offset in (-40, -33, 0):
+                        second = AnswerScript(framing=framing, event_count=6)
+                        with self.subTest(path=path, owner=owner, framing=framing, offset=offset):
+                            place = SecondAnswer(Place.AFTER, owner, second)
+                            await self._check_no_foreign_bytes(path, stream, place, offset)
+
+    async def _check_no_foreign_bytes(
+        self, path: Path, stream: AnswerScript, second: SecondAnswer, offset: int
+    ) -> None:
+        if offset:
+            second = replace(second, place=Place.WITHIN, offset=offset)
+        script = Script(stream, second=second, ending=Ending.FIN)
+        outcome = await self._exchange(path, script)
+        answer = outcome.reply.answer
+        assert answer is not None
+        self.assertEqual([], outcome.reply.findings)
+        if answer.status == 502:
+            return
+        events = b"".join(stream_event(outcome.request_id, number) for number in range(6))
+        self.assertEqual(events[: len(answer.body)], answer.body)
+
     async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
         """Guards against an error that is not answered, or answered without the request's id."""
         error = LookupError("before the head")
