End a stream with an event that has two ids

What callers would see: a stream without one of its events, when overwritten bytes join two events into one block; only the first id was checked, event 11 followed event 9.

--- a/coltsfootfront/direct/events.py
+++ b/coltsfootfront/direct/events.py
@@ -88,10 +88,12 @@
 
 
 def _event_number(block: bytes) -> int | None:
-    for line in block.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            try:
-                return int(line[len(ID_FIELD) :])
-            except ValueError as error:
-                raise StreamBrokenError("the id of an event is not an integer") from error
-    return None
+    lines = [line for line in block.split(b"\n") if line.startswith(ID_FIELD)]
+    if not lines:
+        return None
+    if len(lines) > 1:
+        raise StreamBrokenError(f"{len(lines)} ids in one event")
+    try:
+        return int(lines[0][len(ID_FIELD) :])
+    except ValueError as error:
+        raise StreamBrokenError("the id of an event is not an integer") from error
--- a/coltsfootfront/tests/test_corrupted_responses.py
+++ b/coltsfootfront/tests/test_corrupted_responses.py
@@ -77,6 +77,14 @@
             numbers = _numbers(relayed)
             self.assertTrue(all(after == before + 1 for before, after in pairwise(numbers)))
 
+    def test_overwritten_separator_joins_no_two_events(self) -> None:
+        """Guards against a lost event when overwritten bytes join two events into one block."""
+        for overwritten in (b"id: 1\ndata: \x00\x00id: 2\n", b"id: 1\ndata: x\nid: 2\n"):
+            validator = StreamValidator()
+            validator.feed(b"id: 0\ndata: x\n\n")
+            with self.subTest(overwritten), self.assertRaises(StreamBrokenError):
+                validator.feed(overwritten + b"data: x\n\nid: 3\ndata: x\n\n")
+
 
 class HeadProperties(unittest.TestCase):
     def _feed(self, chunks: list[bytes]) -> tuple[BoundedResponseHandler, bool]:
