End a body without framing where another response begins

What callers would see: a target's second answer, head and all, at the end of the first one, when the first has neither a length nor chunks and so ends with its connection. Such a body cannot be cut at the right place either: it may have been broken off before the second answer. It is an invalid response, which is retried where that is allowed, else 502.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 import aiohttp
 import logbook
@@ -45,6 +45,9 @@
 # float() would also accept signs, exponents and names such as "inf".
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+# The beginning of a response: a status line, and the name of a header.
+RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,64})?\r\n[\w-]{1,64}:")
+MAX_STATUS_LINE_BYTES = 160
 
 log = logbook.Logger(__name__)
 
@@ -64,6 +67,7 @@
     """Response of a target."""
 
     __slots__ = (
+        "_is_delimited",
         "_response",
         "headers",
         "is_draining",
@@ -88,6 +92,7 @@
             if name.lower() not in headers.NOT_RETURNED
         ]
         self.length_bytes = response.content_length
+        self._is_delimited = self.length_bytes is not None or _is_chunked(response_headers)
         self.is_not_executed = (
             headers.NOT_EXECUTED in response_headers or self.status == MISDIRECTED_REQUEST
         )
@@ -103,8 +108,11 @@
         )
 
     async def chunks(self) -> AsyncIterator[bytes]:
+        end = b""
         try:
             async for chunk in self._response.content.iter_any():
+                if not self._is_delimited:
+                    end = _check_for_head(end + chunk)
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise ExchangeError(
@@ -277,6 +285,23 @@
         )
 
 
+def _is_chunked(response_headers: Mapping[str, str]) -> bool:
+    return "chunked" in response_headers.get("Transfer-Encoding", "").lower()
+
+
+def _check_for_head(data: bytes) -> bytes:
+    """Look for the head of another response in a body that ends with its connection.
+
+    :returns: the end of the data, in which a head may begin.
+    :raises ExchangeError: if there is one; the end of the body is then unknown.
+    """
+    if RESPONSE_HEAD.search(data):
+        raise ExchangeError(
+            ExchangeFailure.INVALID_RESPONSE, "another response follows in the same body"
+        )
+    return data[-MAX_STATUS_LINE_BYTES:]
+
+
 def _parse_retry_after(target: Target, status: int, text: str | None) -> float | None:
     """Seconds for which an overloaded target asks for no requests, None when it does not ask."""
     if status != SERVICE_UNAVAILABLE or text is None:
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -92,6 +92,19 @@
         events = b"".join(stream_event(outcome.request_id, number) for number in range(6))
         self.assertEqual(events[: len(answer.body)], answer.body)
 
+    async def test_second_answer_within_a_body_without_framing_is_not_relayed(self) -> None:
+        """Guards against a second answer at the end of a body that ends with its connection."""
+        body = AnswerScript(framing=Framing.CONNECTION)
+        for path in (Path.FILE, Path.LOOK):
+            for place in (Place.AFTER, Place.LATE):
+                for framing in Framing:
+                    second = SecondAnswer(place, Owner.NONE, AnswerScript(framing=framing))
+                    splits = (-300, -200, -150, -100, -50, -10)
+                    script = Script(body, second=second, splits=splits, ending=Ending.FIN)
+                    with self.subTest(path=path, place=place, framing=framing):
+                        outcome = await self._exchange(path, script)
+                        self.assertEqual([], outcome.findings)
+
     async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
         """Guards against an error that is not answered, or answered without the request's id."""
         error = LookupError("before the head")
