Pass a request on during a stop only if it ends before the exit

What callers saw (raw loopback sockets, grace-s 6, route timeout 15 s, a target that does not answer): a POST that may run once, sent right after the stop signal or with a body that ended 4 s after it, was passed on (it ran once) and its connection was closed with no byte. Cause: a stopping router looked only at admission, by the time at which the head had arrived, whether min(route timeout, 5 s) was left. A longer request was passed on and cut, and a request that waited for its body, a target, a permit, the store or a retry was passed on later. Change: the decision is StopSchedule.may_pass_on(), asked at admission, while the request waits and before each send. A request that may run once needs the time to its deadline, others at most 5 s as before; a stream that the caller already receives may be resumed until the exit. Refused requests that have not run get 503 with Retry-After 0.05, waiting ones when the stop begins.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -37,6 +37,7 @@
 from coltsfootfront.direct.responserelay import ResponseRelay
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import RetryPolicy, RoutingConfig
+from coltsfootfront.direct.stopping import StopSchedule
 from coltsfootfront.direct.targetclient import (
     Directive,
     ExchangeError,
@@ -72,13 +73,11 @@
 # Share of the base time, which does not depend on the prompt, that passes before prefill ends; the
 # rest passes before the first event.
 PREFILL_BASE_TIME_SHARE = 0.5
-# Nearly all requests finish within this time. A stopping router refuses a request when it has less
-# time left than the smaller of this and the route's timeout.
-TYPICAL_MAX_REQUEST_S = 5.0
 # Short, since a caller that a stopping router refuses reaches another router.
 STOPPING_RETRY_AFTER_S = 0.05
 # Spreads the returns of callers whose requests were held back.
 QUARANTINE_JITTER_S = 1.0
+STOPPING_MESSAGE = "the router is stopping"
 QUARANTINE_MESSAGE = "targets have crashed on a part of the prompt"
 # Length of an unexpected error in the log.
 MAX_ERROR_CHARACTERS = 200
@@ -132,8 +131,7 @@
             clock, cache_index, gossip, budgets, prefill_rates, quarantine, generator
         )
         self.routing_config = RoutingConfig()
-        self.exit_at_s = math.inf
-        """Monotonic time at which this process exits."""
+        self.stop = StopSchedule()
         self.in_progress = 0
         self.max_in_progress = math.inf
         """Limit on concurrent requests, derived from the memory of the VM."""
@@ -194,14 +192,10 @@
             customer = config.customers_by_key.get(request.api_key)
             if customer is None:
                 raise RefusedError(Failure(ErrorKind.UNAUTHENTICATED, "unknown API key"))
-        remaining_s = self.exit_at_s - request.received_s
-        if remaining_s < min(route.timeout_s, TYPICAL_MAX_REQUEST_S):
-            message = "the router is stopping"
-            failure = Failure(ErrorKind.OVERLOADED, message, retry_after_s=STOPPING_RETRY_AFTER_S)
-            raise RefusedError(failure)
         service = route.choose_service(self._generator)
         deadline_s = min(request.deadline_s, request.received_s + route.timeout_s)
         state = RequestState(request, route, service, customer, deadline_s)
+        self._check_stop(state)
         state.stream_validator.last_event_id = request.resume_after
         return state
 
@@ -211,12 +205,30 @@
             state.placed_s = self._clock.monotonic_s() - state.request.received_s
             # Its parts may have been quarantined since it arrived or since it was last sent.
             self._check_quarantine(state)
+            self._check_stop(state)
             try:
                 await self._attempt(state, state.placement, writer)
                 return
             except RetryError:
                 continue
 
+    def _check_stop(self, state: RequestState) -> None:
+        """Refuse a request that may not be finished before this process exits.
+
+        :raises RefusedError: if it may not be sent any more.
+        """
+        if self.stop.may_pass_on(
+            state.route.retry_policy,
+            state.deadline_s,
+            self._clock.monotonic_s(),
+            state.has_response_begun,
+        ):
+            return
+        state.reason = STOPPING_MESSAGE
+        if state.execution_state is not ExecutionState.NOT_RUN or state.has_response_begun:
+            raise self._refusal(state, STOPPING_MESSAGE)
+        raise RefusedError(_stopping_failure())
+
     def _check_quarantine(self, state: RequestState) -> None:
         """Refuse a request whose prompt parts are quarantined, unless it is sent as a trial.
 
@@ -242,6 +254,7 @@
             state.deadline_s,
         )
         while True:
+            self._check_stop(state)
             now_s = self._clock.monotonic_s()
             untried = [
                 target
@@ -571,6 +584,10 @@
         return self._refusal(state, f"{message}, and the retry budget is used up")
 
 
+def _stopping_failure() -> Failure:
+    return Failure(ErrorKind.OVERLOADED, STOPPING_MESSAGE, retry_after_s=STOPPING_RETRY_AFTER_S)
+
+
 def _unavailable_targets(targets: list[Target], now_s: float) -> list[Target]:
     """Targets that will accept requests after a pause, or when their limit admits another one.
 
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -315,7 +315,9 @@
         callers.is_draining = True
         self._permits.resign()
         grace_s = self._settings.bounds.grace_s
-        self._forwarder.exit_at_s = began_s + grace_s - ABORT_MARGIN_S
+        self._forwarder.stop.exit_at_s = began_s + grace_s - ABORT_MARGIN_S
+        # Requests that wait for a target and may not be sent any more are refused at once.
+        self._directory.notify()
         await self._supervisor.stop("orders")
         await self._lease.release()
         close_times_s = list(CLOSE_IDLE_AT_S)
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -203,7 +203,7 @@
         fixture.forwarder.routing_config = make_config(
             make_route(timeout_s=15.0), make_route("/short/", timeout_s=1.0)
         )
-        fixture.forwarder.exit_at_s = clock.monotonic_s() + 3.0
+        fixture.forwarder.stop.exit_at_s = clock.monotonic_s() + 3.0
         for path, is_accepted in (("/plain/x", False), ("/short/x", True)):
             with self.subTest(path):
                 writer = FakeWriter()
