Answer requests in progress before a stopping router exits

What callers saw (raw loopback sockets, grace-s 6 and 8): requests in progress at the end of the grace period, and one that still waited for a target, got no byte; their connections were closed 0.23 s after the drain had ended (7.73 s after the stop signal with grace-s 8). Cause: drain() ended 0.5 s before the exit, and closing the server cancelled the handlers. Change: 0.2 s before the drain ends, each request whose response has not begun is ended in the forwarder: 503 with Retry-After if it has certainly not run, else 504 without one. A request that is cancelled while a target has it counts as "may have run". Responses that have begun go on until the exit as before and are then broken off without an end.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -133,6 +133,7 @@
         self.routing_config = RoutingConfig()
         self.stop = StopSchedule()
         self.in_progress = 0
+        self._unanswered: dict[asyncio.Timeout, RequestState] = {}
         self.max_in_progress = math.inf
         """Limit on concurrent requests, derived from the memory of the VM."""
 
@@ -142,10 +143,7 @@
         state: RequestState | None = None
         try:
             state = self._admit(request)
-            self._budgets.get(state.service).record_request()
-            state.is_trial = await self._quarantine.may_try(request.shared_keys)
-            self._check_quarantine(state)
-            await self._serve_with_retries(state, writer)
+            await self._serve_until_exit(state, writer)
             self._log_request_end(request, state, "answered", "")
         except RefusedError as refused:
             self._log_request_end(
@@ -166,6 +164,35 @@
         finally:
             self.in_progress -= 1
 
+    def end_unanswered(self) -> None:
+        """Respond with an error to each request whose response has not begun."""
+        now_s = asyncio.get_running_loop().time()
+        for timeout, state in self._unanswered.items():
+            if not state.has_response_begun and not timeout.expired():
+                timeout.reschedule(now_s)
+
+    async def _serve_until_exit(self, state: RequestState, writer: ResponseWriter) -> None:
+        """Serve an admitted request, unless :meth:`end_unanswered` ends it.
+
+        :raises RefusedError: if it is refused or ended.
+        """
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._unanswered[timeout] = state
+                self._budgets.get(state.service).record_request()
+                state.is_trial = await self._quarantine.may_try(state.request.shared_keys)
+                self._check_quarantine(state)
+                await self._serve_with_retries(state, writer)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            state.reason = STOPPING_MESSAGE
+            if state.execution_state is ExecutionState.NOT_RUN:
+                raise RefusedError(_stopping_failure()) from None
+            raise self._deadline_error(state, STOPPING_MESSAGE) from None
+        finally:
+            self._unanswered.pop(timeout, None)
+
     def _log_request_end(
         self, request: CallerRequest, state: RequestState | None, outcome: str, reason: str
     ) -> None:
@@ -390,6 +417,9 @@
                     state, placement, ExchangeFailure.NO_RESPONSE, "the target became unreachable"
                 ) from None
             raise self._deadline_error(state) from None
+        except asyncio.CancelledError:
+            state.execution_state = ExecutionState.UNKNOWN
+            raise
         finally:
             target.in_flight -= 1
             target.exchange_timeouts.discard(timeout)
@@ -424,11 +454,11 @@
         for part in request.shared_parts:
             self._cache_index.remove_expected(placement.salt, part.key, placement.target.name)
 
-    def _deadline_error(self, state: RequestState) -> RefusedError:
+    def _deadline_error(
+        self, state: RequestState, message: str = "no answer in time"
+    ) -> RefusedError:
         kind = ErrorKind.DEADLINE_EXCEEDED
-        return RefusedError(
-            Failure(kind, "no answer in time", state.execution_state, may_retry=False)
-        )
+        return RefusedError(Failure(kind, message, state.execution_state, may_retry=False))
 
     async def _exchange(
         self, state: RequestState, placement: Placement, writer: ResponseWriter
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -315,7 +315,8 @@
         callers.is_draining = True
         self._permits.resign()
         grace_s = self._settings.bounds.grace_s
-        self._forwarder.stop.exit_at_s = began_s + grace_s - ABORT_MARGIN_S
+        stop = self._forwarder.stop
+        stop.exit_at_s = began_s + grace_s - ABORT_MARGIN_S
         # Requests that wait for a target and may not be sent any more are refused at once.
         self._directory.notify()
         await self._supervisor.stop("orders")
@@ -324,7 +325,8 @@
         is_listening = True
         while True:
             await self._clock.sleep(DRAIN_POLL_INTERVAL_S)
-            passed_s = self._clock.monotonic_s() - began_s
+            now_s = self._clock.monotonic_s()
+            passed_s = now_s - began_s
             if close_times_s and passed_s >= close_times_s[0]:
                 del close_times_s[0]
                 callers.close_idle()
@@ -333,7 +335,9 @@
                 callers.stop_listening()
                 is_listening = False
                 continue
-            if passed_s >= grace_s - ABORT_MARGIN_S:
+            if now_s >= stop.respond_by_s:
+                self._forwarder.end_unanswered()
+            if now_s >= stop.exit_at_s:
                 return
             if not close_times_s and not self._forwarder.in_progress and not callers.count_active():
                 return
--- a/coltsfootfront/tests/test_direct_stopping.py
+++ b/coltsfootfront/tests/test_direct_stopping.py
@@ -159,6 +159,46 @@
         self._stop()
         self._assert_refused(await serving)
 
+    async def _serve_until_end(self, response: TargetResponse) -> FakeWriter:
+        """Serve a request that has no whole response when the router is about to exit."""
+        self.responses = [response]
+        serving = asyncio.create_task(self._serve())
+        await asyncio.sleep(0.05)
+        self.fixture.forwarder.end_unanswered()
+        return await serving
+
+    async def test_unanswered_request_gets_an_error_before_the_exit(self) -> None:
+        """Guards against a closed connection or a false "not run" for a request that runs."""
+        writer = await self._serve_until_end(FakeResponse(chunks=(LONG_S,)))
+        assert writer.failure is not None
+        self.assertEqual(ErrorKind.DEADLINE_EXCEEDED, writer.failure.kind)
+        self.assertEqual(ExecutionState.UNKNOWN, writer.failure.execution_state)
+        self.assertIsNone(writer.failure.effective_retry_after_s)
+        self.assertEqual(0, self.fixture.forwarder.in_progress)
+
+    async def test_waiting_request_is_refused_before_the_exit(self) -> None:
+        """Guards against a closed connection for a request that has certainly not run."""
+        self._use_policy(RetryPolicy.IDEMPOTENT)
+        for target in self.fixture.directory.of_service("plain"):
+            target.paused_until_s = self.clock.monotonic_s() + 5.0
+        self._assert_refused(await self._serve_until_end(FakeResponse()))
+
+    async def test_response_that_has_begun_goes_on_until_the_exit(self) -> None:
+        """Guards against a stream that is ended although it can still be completed."""
+        route = make_route(
+            "/ask/", "engines", RetryPolicy.RESUMABLE, is_stream=True, timeout_s=LONG_S
+        )
+        self.fixture.forwarder.routing_config = make_config(route)
+        self.fixture.add(make_entry("e1"))
+        self.responses = [FakeResponse(chunks=(EVENT, 0.1, NEXT_EVENT))]
+        writer = FakeWriter()
+        request = make_request("/ask/x", deadline_s=LONG_S, parts=(("p", 100), ("q", 10)))
+        serving = asyncio.create_task(self.fixture.forwarder.serve(request, writer))
+        await asyncio.sleep(0.05)
+        self.fixture.forwarder.end_unanswered()
+        await serving
+        self.assertEqual((EVENT + NEXT_EVENT, True), (writer.body, writer.is_complete))
+
     async def test_request_that_was_received_slowly_is_judged_by_the_time_that_is_left(
         self,
     ) -> None:
--- a/coltsfootfront/tests/test_platform_stop.py
+++ b/coltsfootfront/tests/test_platform_stop.py
@@ -22,6 +22,11 @@
 # Long enough that its end cannot be awaited in the grace period.
 LONG_TIMEOUT_MS = 15_000
 NEVER_S = 60.0
+PROMPT_HEADERS = {
+    "X-Model": "m",
+    "X-Token-Usage": "700,10",
+    "X-Prompt-Prefix": "aa:500,bb:100,cc:100",
+}
 
 
 def make_configuration() -> dict[str, Any]:
@@ -108,3 +113,58 @@
         writer.write(self._head("/file/a", "early", 4) + b"body")
         self._assert_refused(await self._read(reader), "early")
         writer.close()
+
+    async def test_request_in_progress_is_answered_before_the_router_exits(self) -> None:
+        """Guards against connections that are closed without an answer at the end of a stop."""
+        for target in self.fleet.plain_targets:
+            target.execution_time_s = NEVER_S
+        connections = []
+        for path, body in (("/file/a", b"body"), ("/look/a", b"")):
+            reader, writer = await self._connect()
+            writer.write(self._head(path, path[1:5], len(body)) + body)
+            connections.append((path, reader, writer))
+        await self._until(lambda: self.node._forwarder.in_progress == len(connections))
+        await asyncio.sleep(0.2)
+        self._begin_stop()
+        for path, reader, writer in connections:
+            with self.subTest(path):
+                response = await self._read(reader)
+                self.assertTrue(response.startswith(b"HTTP/1.1 504"), response)
+                self.assertNotIn(b"Retry-After", response)
+                self.assertEqual(1, self.fleet.execution_count(path[1:5]))
+            writer.close()
+
+    async def test_stream_that_outlasts_the_stop_is_relayed_until_the_exit_and_broken_off(
+        self,
+    ) -> None:
+        """Guards against a stream that looks complete or ends early at the end of a stop."""
+        for engine in self.fleet.engine_targets:
+            engine.event_interval_s = (GRACE_S - 1.0) / 2
+        reader, writer = await self._connect()
+        head = self._head("/long/a", "stream", 4)
+        fields = "".join(f"{name}: {value}\r\n" for name, value in PROMPT_HEADERS.items())
+        writer.write(head.removesuffix(b"\r\n") + fields.encode() + b"\r\nbody")
+        self.assertIn(b"200 OK", await reader.readline())
+        self._begin_stop()
+        response = await self._read(reader)
+        self.assertIn(b"id: 1\n", response)
+        self.assertFalse(response.endswith(b"0\r\n\r\n"), response)
+        writer.close()
+
+    async def test_request_that_waits_for_a_target_is_refused_before_the_router_exits(self) -> None:
+        """Guards against a request that is never passed on, and cut at the end of a stop."""
+        for target in self.fleet.plain_targets:
+            target.faults.rejects = True
+            target.faults.pause = "8"
+        connections = []
+        for path, body in (("/file/a", b"body"), ("/look/a", b"")):
+            reader, writer = await self._connect()
+            writer.write(self._head(path, path[1:5], len(body)) + body)
+            connections.append((path, reader, writer))
+        await self._until(lambda: self.node._forwarder.in_progress == len(connections))
+        await asyncio.sleep(0.2)
+        self._begin_stop()
+        for path, reader, writer in connections:
+            with self.subTest(path):
+                self._assert_refused(await self._read(reader), path[1:5])
+            writer.close()
