Count a pipelined request as active from its start to its end

What callers saw (raw loopback socket): of two requests sent together, the second was passed on and running when its connection was closed 1.5 s after the stop signal; the answer of the first was all that arrived. Cause: a connection is marked active when bytes arrive and unmarked when a request ends. The bytes of a pipelined request arrive before the end of the one before it, so that its connection counted as idle while it ran. Change: the connection is also marked when a request starts. After: both answers are whole.

--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -223,6 +223,8 @@
         return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=size)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        # A pipelined request has arrived before the end of the one before it.
+        self._active_connections.add(request.protocol)
         try:
             return await self._serve_request(request)
         finally:
--- a/coltsfootfront/tests/test_platform_stop.py
+++ b/coltsfootfront/tests/test_platform_stop.py
@@ -168,3 +168,16 @@
             with self.subTest(path):
                 self._assert_refused(await self._read(reader), path[1:5])
             writer.close()
+
+    async def test_pipelined_request_is_finished_during_a_stop(self) -> None:
+        """Guards against a request in progress whose connection is closed as idle."""
+        for target in self.fleet.plain_targets:
+            target.execution_time_s = 2.0
+        reader, writer = await self._connect()
+        head = self._head("/look/a", "first").replace(b"15000", b"4000")
+        writer.write(head + head.replace(b"first", b"second"))
+        await self._until(lambda: self.fleet.execution_count("second") == 1)
+        self._begin_stop()
+        response = await self._read(reader)
+        self.assertEqual(2, response.count(b"HTTP/1.1 200"), response)
+        writer.close()
