Send a lost request again during a stop while its objective fits

Cause: a target had sent no event for a second, the request was to go to another target, and StopSchedule wanted 5 s for it, as for a request that has not run. That one is refused with a promise; this one fails. Evidence: test_lost_request_is_sent_again_during_a_stop_if_its_objective_fits on the commit before fails for both policies. Change: a request that may have run and may run again needs its route's latency objective only.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -244,15 +244,14 @@
 
         :raises RefusedError: if it may not be sent any more.
         """
+        may_have_run = state.execution_state is not ExecutionState.NOT_RUN
+        now_s = self._clock.monotonic_s()
         if self.stop.may_pass_on(
-            state.route.retry_policy,
-            state.deadline_s,
-            self._clock.monotonic_s(),
-            state.has_response_begun,
+            state.route, state.deadline_s, now_s, may_have_run, state.has_response_begun
         ):
             return
         state.reason = STOPPING_MESSAGE
-        if state.execution_state is not ExecutionState.NOT_RUN or state.has_response_begun:
+        if may_have_run or state.has_response_begun:
             raise self._refusal(state, STOPPING_MESSAGE)
         raise RefusedError(_stopping_failure())
 
--- a/coltsfootfront/direct/stopping.py
+++ b/coltsfootfront/direct/stopping.py
@@ -2,7 +2,7 @@
 
 import math
 
-from coltsfootfront.direct.routingconfig import RetryPolicy
+from coltsfootfront.direct.routingconfig import RetryPolicy, Route
 
 # Nearly all requests finish within this time.
 TYPICAL_MAX_REQUEST_S = 5.0
@@ -29,9 +29,10 @@
 
     def may_pass_on(
         self,
-        retry_policy: RetryPolicy,
+        route: Route,
         deadline_s: float,
         now_s: float,
+        may_have_run: bool = False,
         has_response_begun: bool = False,
     ) -> bool:
         """Whether a request may be sent to a target now.
@@ -39,6 +40,8 @@
         Callers can repeat a request with another policy than ``ONCE`` if it is not finished.
 
         :param deadline_s: monotonic time by which the request ends, whatever the target does.
+        :param may_have_run: whether it was sent before, so that a refusal is a failure and not
+            "not run".
         :param has_response_begun: whether the caller has received a part of the response, which
             would break off if the request were not sent.
         """
@@ -46,6 +49,7 @@
         if has_response_begun:
             return remaining_s > 0
         needed_s = deadline_s - now_s
-        if retry_policy is not RetryPolicy.ONCE:
-            needed_s = min(needed_s, TYPICAL_MAX_REQUEST_S)
+        if route.retry_policy is not RetryPolicy.ONCE:
+            usual_s = route.latency_objective_s if may_have_run else TYPICAL_MAX_REQUEST_S
+            needed_s = min(needed_s, usual_s)
         return needed_s <= remaining_s
--- a/coltsfootfront/tests/test_direct_stopping.py
+++ b/coltsfootfront/tests/test_direct_stopping.py
@@ -24,6 +24,7 @@
 
 NOW_S = 1000.0
 LONG_S = 15.0
+OBJECTIVE_S = 0.5
 EVENT = b"id: 0\ndata: a\n\n"
 NEXT_EVENT = b"id: 1\ndata: b\n\n"
 
@@ -34,28 +35,35 @@
         once, idempotent = RetryPolicy.ONCE, RetryPolicy.IDEMPOTENT
         resumable = RetryPolicy.RESUMABLE
         cases = (
-            # Policy, time to the deadline, time in which a response can begin, begun, passed on.
-            (once, 3.0, 3.0, False, True),
-            (once, 3.1, 3.0, False, False),
-            (once, LONG_S, LONG_S - 0.1, False, False),
-            (idempotent, LONG_S, TYPICAL_MAX_REQUEST_S, False, True),
-            (idempotent, LONG_S, TYPICAL_MAX_REQUEST_S - 0.1, False, False),
-            (idempotent, 1.0, 1.0, False, True),
-            (idempotent, 1.0, 0.9, False, False),
-            (resumable, LONG_S, TYPICAL_MAX_REQUEST_S - 0.1, False, False),
-            (resumable, LONG_S, 0.1, True, True),
-            (resumable, LONG_S, 0.0, True, False),
+            # Policy, time to the deadline, time in which a response can begin, whether it may have
+            # run, whether its response has begun, whether it is passed on.
+            (once, 3.0, 3.0, False, False, True),
+            (once, 3.1, 3.0, False, False, False),
+            (once, LONG_S, LONG_S - 0.1, False, False, False),
+            (idempotent, LONG_S, TYPICAL_MAX_REQUEST_S, False, False, True),
+            (idempotent, LONG_S, TYPICAL_MAX_REQUEST_S - 0.1, False, False, False),
+            (idempotent, 1.0, 1.0, False, False, True),
+            (idempotent, 1.0, 0.9, False, False, False),
+            (idempotent, LONG_S, OBJECTIVE_S, True, False, True),
+            (idempotent, LONG_S, OBJECTIVE_S - 0.1, True, False, False),
+            (resumable, LONG_S, TYPICAL_MAX_REQUEST_S - 0.1, False, False, False),
+            (resumable, LONG_S, 0.1, True, True, True),
+            (resumable, LONG_S, 0.0, True, True, False),
         )
-        for policy, deadline_s, remaining_s, has_begun, is_passed_on in cases:
+        for policy, deadline_s, remaining_s, may_have_run, has_begun, is_passed_on in cases:
             with self.subTest(policy=policy, deadline_s=deadline_s, remaining_s=remaining_s):
                 schedule = StopSchedule(NOW_S + remaining_s + RESPONSE_MARGIN_S)
-                actual = schedule.may_pass_on(policy, NOW_S + deadline_s, NOW_S, has_begun)
+                route = make_route(retry_policy=policy, aim_s=OBJECTIVE_S)
+                actual = schedule.may_pass_on(
+                    route, NOW_S + deadline_s, NOW_S, may_have_run, has_begun
+                )
                 self.assertEqual(is_passed_on, actual)
 
     def test_running_router_passes_everything_on(self) -> None:
         """Guards against refusals by a router that is not stopped."""
         for policy in RetryPolicy:
-            self.assertTrue(StopSchedule().may_pass_on(policy, NOW_S + LONG_S, NOW_S))
+            route = make_route(retry_policy=policy)
+            self.assertTrue(StopSchedule().may_pass_on(route, NOW_S + LONG_S, NOW_S))
 
 
 class StoppingForwarderTest(unittest.IsolatedAsyncioTestCase):
@@ -66,8 +74,8 @@
         self.fixture.add(make_entry("t1", "plain"), make_entry("t2", "plain"))
         self._use_policy(RetryPolicy.ONCE)
 
-    def _use_policy(self, retry_policy: RetryPolicy) -> None:
-        route = make_route(retry_policy=retry_policy, aim_s=LONG_S, timeout_s=LONG_S)
+    def _use_policy(self, retry_policy: RetryPolicy, objective_s: float = LONG_S) -> None:
+        route = make_route(retry_policy=retry_policy, aim_s=objective_s, timeout_s=LONG_S)
         self.fixture.forwarder.routing_config = make_config(route)
 
     def _stop(self, remaining_s: float = 3.0) -> None:
@@ -114,6 +122,15 @@
         self.assertEqual(ErrorKind.TARGET_FAILED, writer.failure.kind)
         self.assertEqual(1, len(self.fixture.client.sent))
 
+    async def test_lost_request_is_sent_again_during_a_stop_if_its_objective_fits(self) -> None:
+        """Guards against a failure that a stop causes although another target can respond."""
+        for policy in (RetryPolicy.IDEMPOTENT, RetryPolicy.RESUMABLE):
+            with self.subTest(policy):
+                self.fixture.forwarder.stop = StopSchedule()
+                self._use_policy(policy, OBJECTIVE_S)
+                self.responses = [exchange_error(), FakeResponse()]
+                self.assertTrue((await self._serve()).is_complete)
+
     async def test_broken_stream_is_resumed_during_a_stop(self) -> None:
         """Guards against a stream that ends early although it could be resumed until the exit."""
         route = make_route(
