End a body at once when its framing cannot be parsed

What callers saw: a stream whose chunks are broken by a second answer stalled until the route's timeout (3 s in the test, up to 15 s on the deployments), or for the second after which a resumable one is taken up elsewhere.

Cause: aiohttp's parser, written in C, closes the connection on such bytes and records the error for the head only; the reader of the body waits on. The handler of the connection passes the error on to the body.

--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import _EXC_SENTINEL
+from aiohttp.http_exceptions import HttpProcessingError
 
 from coltsfootfront.common import metrics
 
@@ -55,6 +57,16 @@
         self._body = None
         super().set_response_params(**params)
 
+    def set_exception(self, exc: BaseException, exc_cause: BaseException = _EXC_SENTINEL) -> None:
+        """End the body as well, when its framing cannot be parsed.
+
+        aiohttp's parser closes the connection then, and leaves the reader of the body waiting.
+        """
+        super().set_exception(exc, exc_cause)
+        body = self._body
+        if isinstance(exc, HttpProcessingError) and body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError(str(exc)))
+
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Handle a parsed response head, and limit interim responses."""
         message, payload = data
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -105,6 +105,20 @@
                         outcome = await self._exchange(path, script)
                         self.assertEqual([], outcome.findings)
 
+    async def test_broken_framing_within_a_stream_ends_it_at_once(self) -> None:
+        """Guards against callers that wait until their deadline for a stream that has ended."""
+        second = SecondAnswer(Place.WITHIN, Owner.NONE, offset=-5)
+        stream = AnswerScript(framing=Framing.CHUNKED)
+        broken = Script(stream, second=second, ending=Ending.STALL)
+        for path, status, last in ((Path.LONG, 502, broken), (Path.ASK, 200, Script(stream))):
+            plan = CallerRequestPlan(path, [broken, last], deadline_ms=60_000)
+            with self.subTest(path):
+                outcome = await self.harness.exchange(plan)
+                self.assertEqual([], outcome.findings)
+                answer = outcome.reply.answer
+                assert answer is not None
+                self.assertEqual((status, True), (answer.status, answer.is_complete))
+
     async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
         """Guards against an error that is not answered, or answered without the request's id."""
         error = LookupError("before the head")
