Write the end of an answer once, without waiting for its caller

What callers saw: after a whole stream, the end of the chunks once more (0, CRLF, CRLF), which on a kept connection is where the next answer begins.

Cause: the end was written and then waited for the caller's buffer. When the target was found unreachable meanwhile, which ends all its exchanges at all routers at once, the wait was cut off, the stream was resumed at another target, had nothing to add, and was ended again. When the deadline came first, the connection of a whole answer was cut.

Evidence: test_end_of_an_answer_is_written_once with a buffer that does not drain: UNASKED_BYTES b'0\r\n\r\n' and two runs before, none and one after. The end is now written in one step, which no time limit can divide.

--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -7,6 +7,7 @@
 
 import logbook
 from aiohttp import web
+from aiohttp.http import StreamWriter
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
@@ -75,6 +76,11 @@
 
     async def end(self) -> None:
         assert self._response is not None
+        # Without waiting for the caller to read: a wait that is cut off would leave the response
+        # without its end, or with a second one.
+        body_writer = self._request.writer
+        assert isinstance(body_writer, StreamWriter)
+        body_writer.set_eof()
         await self._response.write_eof()
 
     def abort(self) -> None:
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -1,11 +1,16 @@
 """Tests of the bytes that callers get, against scripted targets over loopback."""
 
+import asyncio
 import unittest
 from dataclasses import replace
 from typing import Any
 from unittest import mock
 
+from aiohttp.http import StreamWriter
+
+from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.direct.responserelay import ResponseRelay
+from coltsfootfront.platform import callerserver
 from coltsfootfront_dev.rawseries import CallerRequestPlan, Outcome, Path, RawHarness
 from coltsfootfront_dev.scriptedtarget import (
     AnswerScript,
@@ -119,6 +124,25 @@
                 assert answer is not None
                 self.assertEqual((status, True), (answer.status, answer.is_complete))
 
+    async def test_end_of_an_answer_is_written_once(self) -> None:
+        """Guards against a second end when the target is lost while the caller reads slowly."""
+        plan = CallerRequestPlan(Path.ASK, [Script(AnswerScript(framing=Framing.CHUNKED))] * 2)
+        never = asyncio.Event()
+
+        async def drain(writer: StreamWriter) -> None:
+            if isinstance(writer.protocol, callerserver._CallerConnection):
+                await never.wait()
+
+        with mock.patch.object(StreamWriter, "drain", drain):
+            exchange = asyncio.create_task(self.harness.exchange(plan))
+            await self.harness.until(lambda: bool(self.harness.book.runs))
+            await self.harness.until(lambda: b"0\r\n\r\n" in self.harness.caller.received)
+            for target in self.harness.node._directory.all():
+                target.cancel_exchanges(SystemClock().monotonic_s())
+            outcome = await exchange
+        self.assertEqual([], outcome.findings)
+        self.assertEqual(1, self.harness.book.runs[outcome.request_id])
+
     async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
         """Guards against an error that is not answered, or answered without the request's id."""
         error = LookupError("before the head")
