Resume only answers that are streams

What callers would see: 404 with a body of 300,000 bytes, broken off in the middle by its target and filled up with the events of the next target's stream, so that it looks complete or ends with other bytes.

Cause: an answer on a resumable route was resumed whatever its status; a body that had begun, of an error too, counted as a stream. Evidence: the new test, BODY before and a cut answer after. Only what began with 200 is a stream that another target can go on with.

--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -600,7 +600,10 @@
         if target.name not in state.attempted:
             state.attempted.append(target.name)
         can_retry = state.may_retry and len(state.attempted) < state.route.max_attempts
-        if state.has_response_begun and state.route.retry_policy is not RetryPolicy.RESUMABLE:
+        is_resumable = (
+            state.route.retry_policy is RetryPolicy.RESUMABLE and state.status == HTTPStatus.OK
+        )
+        if state.has_response_begun and not is_resumable:
             can_retry = False
         if not can_retry:
             return self._refusal(state, "the target's answer was lost")
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -143,6 +143,18 @@
         self.assertEqual([], outcome.findings)
         self.assertEqual(1, self.harness.book.runs[outcome.request_id])
 
+    async def test_error_of_a_resumable_route_is_not_resumed(self) -> None:
+        """Guards against a second answer that follows an error's body that has begun."""
+        error = AnswerScript(status=404, body_bytes=300_000)
+        error_script = Script(error, splits=(280_000,), pause_s=0.1, ending=Ending.RST)
+        error_script = replace(error_script, break_offset=290_000)
+        plan = CallerRequestPlan(Path.ASK, [error_script, Script(AnswerScript())])
+        outcome = await self.harness.exchange(plan)
+        answer = outcome.reply.answer
+        assert answer is not None
+        self.assertEqual((404, False, []), (answer.status, answer.is_complete, outcome.findings))
+        self.assertEqual(1, self.harness.book.runs[outcome.request_id])
+
     async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
         """Guards against an error that is not answered, or answered without the request's id."""
         error = LookupError("before the head")
