Relay no status beyond 599

What callers would see: a status line with 600, 777 or 999 from a target that sends wrong bytes, which is no status of the protocol. It is now an invalid response like a status below 200, which is retried where that is allowed, else 502.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -36,6 +36,7 @@
 # that the caller does not accept.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 OK = 200
+FINAL_STATUSES = range(200, 600)
 SERVICE_UNAVAILABLE = 503
 FIRST_REDIRECTION = 300
 MISDIRECTED_REQUEST = 421
@@ -268,7 +269,7 @@
         # The head of a second response within the first one repeats them.
         if len(response_headers.getall(name, ())) > 1:
             raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, f"the header {name} is repeated")
-    if response.status < OK:
+    if response.status not in FINAL_STATUSES:
         raise ExchangeError(
             ExchangeFailure.INVALID_RESPONSE, f"a final response with status {response.status}"
         )
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -124,6 +124,16 @@
                 assert answer is not None
                 self.assertEqual((status, True), (answer.status, answer.is_complete))
 
+    async def test_status_that_the_protocol_does_not_have_is_not_relayed(self) -> None:
+        """Guards against a status line that callers cannot read."""
+        for path in Path:
+            for status in (600, 777, 999):
+                with self.subTest(path=path, status=status):
+                    outcome = await self._exchange(path, Script(AnswerScript(status=status)))
+                    self.assertEqual([], outcome.findings)
+                    assert outcome.reply.answer is not None
+                    self.assertEqual(502, outcome.reply.answer.status)
+
     async def test_end_of_an_answer_is_written_once(self) -> None:
         """Guards against a second end when the target is lost while the caller reads slowly."""
         plan = CallerRequestPlan(Path.ASK, [Script(AnswerScript(framing=Framing.CHUNKED))] * 2)
