--- a/coltsfootfront_dev/rawseries.py
+++ b/coltsfootfront_dev/rawseries.py
@@ -374,7 +374,8 @@
             is_sent = any(sent.is_complete and sent.body == answer.body for sent in candidates)
         else:
             is_sent = any(sent.body.startswith(answer.body) for sent in candidates)
-        return [] if is_sent else [self._find(Fault.BODY, answer.body)]
+        detail = f"{len(answer.body)} bytes, {answer.body[:600]!r}"
+        return [] if is_sent else [self._find(Fault.BODY, detail)]
 
     def _check_events(self, candidates: list[SentAnswer]) -> list[Finding]:
         body = self.answer.body
@@ -494,14 +495,12 @@
         }
         if answer["body_bytes"] > 5000:
             answer["chunk_bytes"] = 0
+        if generator.random() < 0.05:
+            answer["missing_event"] = generator.randrange(6)
         if framing is Framing.LENGTH and generator.random() < 0.08:
             answer["length_error_bytes"] = generator.choice((-30, -5, -1, 1, 5, 30))
-        if framing is Framing.CHUNKED and generator.random() < 0.1:
-            answer["chunk_extension"] = generator.choice((b";a=b", b' ;a="b"', b";" + b"a" * 50))
-        if framing is Framing.CHUNKED and generator.random() < 0.1:
-            answer["trailers"] = generator.choice(
-                ((b"X-A: b",), (b"X-Request-Id: other", b"Content-Length: 3"))
-            )
+        if framing is Framing.CHUNKED:
+            answer |= self._draw_chunk_fields()
         answer["has_signature"] = generator.random() >= 0.02
         if generator.random() < 0.15:
             answer["lines"] = generator.choice(PLAIN_LINES)
@@ -511,6 +510,17 @@
             answer["framing"] = Framing.BOTH
         return AnswerScript(**answer)
 
+    def _draw_chunk_fields(self) -> dict[str, Any]:
+        generator = self._generator
+        fields: dict[str, Any] = {}
+        if generator.random() < 0.1:
+            fields["chunk_extension"] = generator.choice((b";a=b", b' ;a="b"', b";" + b"a" * 50))
+        if generator.random() < 0.1:
+            fields["trailers"] = generator.choice(
+                ((b"X-A: b",), (b"X-Request-Id: other", b"Content-Length: 3"))
+            )
+        return fields
+
     def _draw_second(self, path: Path, answer: AnswerScript) -> SecondAnswer:
         generator = self._generator
         place = generator.choice(tuple(Place))
--- a/coltsfootfront_dev/scriptedtarget.py
+++ b/coltsfootfront_dev/scriptedtarget.py
@@ -69,6 +69,7 @@
 
     :param body_bytes: size of the body of an answer that is no stream.
     :param event_count: events of a stream, from the first on.
+    :param missing_event: number of an event that is left out of a stream; None for none.
     :param length_error_bytes: added to the true Content-Length.
     :param lines: further header lines, as bytes without their end.
     :param trailers: lines after the last chunk.
@@ -79,6 +80,7 @@
     framing: Framing = Framing.LENGTH
     body_bytes: int = 40
     event_count: int = 6
+    missing_event: int | None = None
     length_error_bytes: int = 0
     lines: tuple[bytes, ...] = ()
     trailers: tuple[bytes, ...] = ()
@@ -217,7 +219,11 @@
         script = self._script
         if self._is_stream:
             numbers = range(self._first_event, script.event_count)
-            events = [stream_event(self._request_id, number) for number in numbers]
+            events = [
+                stream_event(self._request_id, number)
+                for number in numbers
+                if number != script.missing_event
+            ]
             if not script.chunk_bytes:
                 return events
             body = b"".join(events)
