Relay the events before an error, and resume after the last one relayed

Cause: an error in one event discarded all events of the same read, after they had been counted as relayed, so that the stream was resumed behind them. The validator now returns the events before an error, and the relay asks for the error once it has written them. The two modules of tests that fed a validator ask for the error in the same way; what they check is unchanged.

--- a/coltsfootfront/direct/events.py
+++ b/coltsfootfront/direct/events.py
@@ -31,20 +31,28 @@
     """Number of events with an id that were relayed."""
     _partial_event: bytes = b""
     _bytes_since_event: int = 0
+    _error: StreamBrokenError | None = None
 
     def feed(self, data: bytes) -> bytes:
-        """Add a chunk of the stream.
+        """Add a chunk of the stream; :meth:`check` says whether the stream can go on.
 
-        :returns: the complete events that may be relayed now.
-        :raises StreamBrokenError: if an event is out of order, its id is not an integer, or too
-            many bytes arrive without a numbered event.
+        :returns: the complete events that may be relayed now, those before an error included.
         """
         self._bytes_since_event += len(data)
         events = self._split_events(data)
-        if self._bytes_since_event > MAX_BYTES_WITHOUT_EVENT:
-            raise StreamBrokenError(f"no numbered event in {self._bytes_since_event} bytes")
+        if self._error is None and self._bytes_since_event > MAX_BYTES_WITHOUT_EVENT:
+            self._error = StreamBrokenError(f"no numbered event in {self._bytes_since_event} bytes")
         return events
 
+    def check(self) -> None:
+        """Check what has been added.
+
+        :raises StreamBrokenError: if an event is out of order or malformed, or too many bytes have
+            arrived without a numbered event.
+        """
+        if self._error is not None:
+            raise self._error
+
     def _split_events(self, data: bytes) -> bytes:
         text = self._partial_event + data
         end = text.rfind(EVENT_SEPARATOR)
@@ -53,14 +61,22 @@
             return b""
         end += len(EVENT_SEPARATOR)
         complete, self._partial_event = text[:end], text[end:]
-        accepted = [block for block in complete.split(EVENT_SEPARATOR)[:-1] if self._is_next(block)]
-        return b"".join(block + EVENT_SEPARATOR for block in accepted)
+        accepted = b""
+        for block in complete.split(EVENT_SEPARATOR)[:-1]:
+            try:
+                if self._is_next(block):
+                    accepted += block + EVENT_SEPARATOR
+            except StreamBrokenError as error:
+                self._error = error
+                break
+        return accepted
 
     def finish(self) -> None:
         """Check the end of the stream.
 
         :raises StreamBrokenError: if the stream ends within an event.
         """
+        self.check()
         if self._partial_event.strip():
             raise StreamBrokenError("the stream ends within an event")
 
@@ -68,6 +84,7 @@
         """Continue with the stream of another target; a partial event is dropped."""
         self._partial_event = b""
         self._bytes_since_event = 0
+        self._error = None
 
     def _is_next(self, block: bytes) -> bool:
         for line in block.split(b"\n"):
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -135,6 +135,7 @@
             if state.stream_validator.event_count - events_before >= MIN_EVENTS_OF_ANSWER:
                 self._record_answer(state)
             if not events:
+                state.stream_validator.check()
                 continue
             if is_first_event:
                 is_first_event = False
@@ -144,6 +145,7 @@
             if not state.has_response_begun:
                 await self._begin_stream(state, response, writer)
             await writer.write(events)
+            state.stream_validator.check()
         state.stream_validator.finish()
         self._record_answer(state)
         if not state.has_response_begun:
--- a/coltsfootfront/tests/test_corrupted_responses.py
+++ b/coltsfootfront/tests/test_corrupted_responses.py
@@ -69,6 +69,7 @@
         try:
             for chunk in _chunks(data, offsets):
                 relayed += validator.feed(chunk)
+                validator.check()
             validator.finish()
         except StreamBrokenError:
             pass
@@ -84,6 +85,7 @@
             validator.feed(b"id: 0\ndata: x\n\n")
             with self.subTest(overwritten), self.assertRaises(StreamBrokenError):
                 validator.feed(overwritten + b"data: x\n\nid: 3\ndata: x\n\n")
+                validator.check()
 
 
 class HeadProperties(unittest.TestCase):
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -207,11 +207,14 @@
         self.assertEqual(b"id: 1\n\n", validator.feed(b"id: 0\ndata: a\n\nid: 1\n\n"))
         with self.assertRaises(StreamBrokenError):
             validator.feed(b"id: 3\n\n")
+            validator.check()
 
     def test_invalid_event_number_breaks_the_stream(self) -> None:
         """Guards against corrupted bytes that are relayed as events."""
         with self.assertRaises(StreamBrokenError):
-            StreamValidator().feed(b"id: x\n\n")
+            validator = StreamValidator()
+            validator.feed(b"id: x\n\n")
+            validator.check()
 
 
 class ScriptedStore:
