Read only plain numbers from the load and version headers of targets

What callers saw: 500 without X-Request-Id, and for a load of 400 digits 500 for the next request to the service (OverflowError), after a target's answer with X-Weight-Versions or X-Server-Load of superscript digits, which pass str.isdigit(), or of thousands of digits. Anything but 1 to 15 ASCII digits is now ignored with a log line, like a malformed limit.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -45,6 +45,8 @@
 MAX_ERROR_TEXT_CHARACTERS = 120
 # float() would also accept signs, exponents and names such as "inf".
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
+# Loads and versions; a longer number is no count of anything, and would overflow a float.
+COUNT = re.compile(r"[0-9]{1,15}")
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 # The beginning of a response: a status line, and the name of a header.
 RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,64})?\r\n[\w-]{1,64}:")
@@ -106,8 +108,8 @@
         responder = response_headers.get(headers.TARGET, target.name)
         self.is_other_target = self.status == MISDIRECTED_REQUEST and responder != target.name
         self.is_other_version = self.status == MISDIRECTED_REQUEST and responder == target.name
-        self.version = _parse_int(response_headers.get(headers.WEIGHTS_VERSION, ""))
-        self.load = _parse_load(response_headers.get(headers.LOAD, ""))
+        self.version = _parse_version(target, response_headers.get(headers.WEIGHTS_VERSION, ""))
+        self.load = _parse_load(target, response_headers.get(headers.LOAD, ""))
         self.is_draining = headers.DRAINING in response_headers
         self.limit_per_s = _parse_limit(target, response_headers.get(headers.LIMIT))
         self.retry_after_s = _parse_retry_after(
@@ -340,12 +342,24 @@
     return f"{type(error).__name__}: {str(error)[:MAX_ERROR_TEXT_CHARACTERS]}"
 
 
-def _parse_int(text: str) -> int | None:
-    return int(text) if text.isdigit() else None
+def _parse_version(target: Target, text: str) -> int | None:
+    if not text:
+        return None
+    if COUNT.fullmatch(text) is None:
+        _log_invalid(target, headers.WEIGHTS_VERSION, text)
+        return None
+    return int(text)
 
 
-def _parse_load(text: str) -> int | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+def _parse_load(target: Target, text: str) -> int | None:
+    if not text:
+        return None
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) != 3 or not all(COUNT.fullmatch(part) for part in parts):
+        _log_invalid(target, headers.LOAD, text)
         return None
     return int(parts[0]) + int(parts[1])
+
+
+def _log_invalid(target: Target, name: str, text: str) -> None:
+    log.warning(event("target_header_invalid", target=target.name, header=name, value=text[:40]))
