Refuse a transfer encoding that was not requested

What callers would see: chunk sizes within a body. A second Transfer-Encoding, gzip or identity, makes the client read until the connection's end and hand on the chunks as they are. Evidence: the new test, 4 of 4 parts fail before.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -285,6 +285,12 @@
             raise ExchangeError(
                 ExchangeFailure.INVALID_RESPONSE, f"a control character in the header {name}"
             )
+    codings = response_headers.getall("Transfer-Encoding", [])
+    if codings and [coding.lower() for coding in codings] != ["chunked"]:
+        raise ExchangeError(
+            ExchangeFailure.INVALID_RESPONSE,
+            "the response has a transfer encoding that was not requested",
+        )
     if "Content-Encoding" in response_headers:
         raise ExchangeError(
             ExchangeFailure.INVALID_RESPONSE,
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -134,6 +134,18 @@
                     assert outcome.reply.answer is not None
                     self.assertEqual(502, outcome.reply.answer.status)
 
+    async def test_transfer_encoding_that_was_not_requested_is_not_relayed(self) -> None:
+        """Guards against chunk sizes within a body that is read until its connection ends."""
+        for path in (Path.FILE, Path.LOOK):
+            for coding in (b"gzip", b"identity"):
+                with self.subTest(path=path, coding=coding):
+                    line = b"Transfer-Encoding: " + coding
+                    answer = AnswerScript(framing=Framing.CHUNKED, lines=(line,))
+                    outcome = await self._exchange(path, Script(answer, ending=Ending.FIN))
+                    self.assertEqual([], outcome.findings)
+                    assert outcome.reply.answer is not None
+                    self.assertEqual(502, outcome.reply.answer.status)
+
     async def test_end_of_an_answer_is_written_once(self) -> None:
         """Guards against a second end when the target is lost while the caller reads slowly."""
         plan = CallerRequestPlan(Path.ASK, [Script(AnswerScript(framing=Framing.CHUNKED))] * 2)
