Send each order to a target on a connection of its own

A target may answer twice, the second time late. On a kept connection the second response to GET /v1/report was read as the response to the next order: its status 200 says that the target has loaded the version already. The router would then use the old weights as the new ones, record parts cached under them as parts of the new version, and never send the order again. In the same way a second 202 confirmed an order that the target had refused.

Cause: aiohttp hands out a kept connection that has received bytes since its last response, and reads them as the next response. Nothing in a response to an order names the order, so a second response that arrives after the next order was sent cannot be told from the right one.

Orders now have a connection of their own, which is closed after the response. Reports keep theirs, with the handler that closes connections with unsolicited bytes; a report that is read late is an older report of the same target, which the issuer expects anyway.

Evidence: test_repeated_responses fails before. A report that was repeated 20 ms later, or just before the response to the order, gave "<OrderResult.ACCEPTED> is not <OrderResult.ALREADY_LOADED>" in 2 of 3 timings; two orders gave [ACCEPTED, ACCEPTED] instead of [ACCEPTED, BUSY]. After: 0 of 3, and [ACCEPTED, BUSY]. An order costs one more connection and the round trip that opens it.

--- a/coltsfootfront/platform/orders.py
+++ b/coltsfootfront/platform/orders.py
@@ -10,6 +10,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.orders import OrderClient, OrderResult, TargetState
+from coltsfootfront.direct.responselimits import use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.platform import headers
 
@@ -69,17 +70,19 @@
 
     def __init__(self, router_name: str) -> None:
         self._router_name = router_name
-        self._session: aiohttp.ClientSession | None = None
+        self._order_session: aiohttp.ClientSession | None = None
+        self._report_session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(socket_factory=create_socket),
-            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S),
-        )
+        # Each order has a connection of its own: nothing in a response names its order, and on a
+        # kept connection a late second response would be read as the response to the next order.
+        self._order_session = _create_session(is_kept_alive=False)
+        self._report_session = _create_session(is_kept_alive=True)
 
     async def close(self) -> None:
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._order_session, self._report_session):
+            if session is not None:
+                await session.close()
 
     async def load_version(
         self,
@@ -101,7 +104,7 @@
             # control: the target rejects the order when its own count differs.
             "expected": accepted_orders,
         }
-        assert self._session is not None
+        assert self._order_session is not None
         url = f"http://{target.entry.address}/v1/order"
         body = json.dumps(fields).encode()
         request_headers = {
@@ -111,7 +114,7 @@
         }
         guarded_body = _GuardedBody(body, may_send)
         try:
-            async with self._session.post(
+            async with self._order_session.post(
                 url, data=guarded_body.chunks(), headers=request_headers
             ) as response:
                 return RESULT_BY_STATUS.get(response.status, OrderResult.REFUSED)
@@ -123,11 +126,11 @@
             return OrderResult.UNKNOWN
 
     async def read_state(self, target: Target) -> TargetState | None:
-        assert self._session is not None
+        assert self._report_session is not None
         url = f"http://{target.entry.address}/v1/report"
         request_headers = {headers.EXPECTED_TARGET: target.name}
         try:
-            async with self._session.get(url, headers=request_headers) as response:
+            async with self._report_session.get(url, headers=request_headers) as response:
                 if response.status != 200:
                     return None
                 return _decode_state(await response.json())
@@ -136,6 +139,14 @@
             return None
 
 
+def _create_session(is_kept_alive: bool) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(socket_factory=create_socket, force_close=not is_kept_alive)
+    return aiohttp.ClientSession(
+        connector=use_bounded_handler(connector),
+        timeout=aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S),
+    )
+
+
 def _decode_state(body: dict[str, Any]) -> TargetState:
     return TargetState(
         versions={model["name"]: int(model["version"]) for model in body["models"]},
--- /dev/null
+++ b/coltsfootfront/tests/test_repeated_responses.py
@@ -0,0 +1,123 @@
+"""Tests of HTTP clients whose server sends a response twice on a kept connection."""
+
+import asyncio
+import json
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.direct.directory import Directory, Target, TargetEntry
+from coltsfootfront.direct.orders import OrderResult
+from coltsfootfront.platform.orders import PlatformOrderClient
+
+Respond = Callable[[str], bytes]
+
+REPORT = {"models": [], "sequence": 0, "busy": False, "running": 0, "queued": 0}
+
+
+class RepeatingServer:
+    """Raw HTTP server that sends every response a second time.
+
+    :param respond: returns the response to a request line.
+    :param repeat_after_s: delay of the second response; None sends it on the next request, before
+        the response to that one.
+    """
+
+    def __init__(self, respond: Respond, repeat_after_s: float | None) -> None:
+        self._respond = respond
+        self._repeat_after_s = repeat_after_s
+        self._writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+        self.address = ""
+        self.requests: list[str] = []
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        repeated = b""
+        try:
+            while True:
+                line = await self._read_request(reader)
+                self.requests.append(line)
+                response = self._respond(line)
+                writer.write(repeated + response)
+                await writer.drain()
+                if self._repeat_after_s is None:
+                    repeated = response
+                else:
+                    await asyncio.sleep(self._repeat_after_s)
+                    writer.write(response)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _read_request(self, reader: asyncio.StreamReader) -> str:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        headers = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:-2])
+        await reader.readexactly(int(headers.get("content-length", 0)))
+        return head.partition("\r\n")[0]
+
+
+def json_response(body: Any, status: str = "200 OK") -> bytes:
+    """Encode a response with a length."""
+    data = json.dumps(body).encode()
+    head = f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {len(data)}"
+    return head.encode() + b"\r\n\r\n" + data
+
+
+class RepeatedTargetResponseTest(unittest.IsolatedAsyncioTestCase):
+    def _respond(self, line: str) -> bytes:
+        if " /v1/order " in line:
+            return json_response({}, "202 Accepted")
+        return json_response(REPORT)
+
+    async def test_a_repeated_report_is_not_read_as_the_response_to_an_order(self) -> None:
+        """Guards against weights that count as loaded while the target still loads them."""
+        for repeat_after_s in (0.0, 0.02, None):
+            with self.subTest(repeat_after_s=repeat_after_s):
+                server = RepeatingServer(self._respond, repeat_after_s)
+                await server.start()
+                client = PlatformOrderClient("router-1")
+                await client.start()
+                try:
+                    target = _target(server.address)
+                    self.assertIsNotNone(await client.read_state(target))
+                    await asyncio.sleep(0.06)
+                    result = await client.load_version(target, "m", 2, 0, 1, lambda: True)
+                    self.assertIs(OrderResult.ACCEPTED, result)
+                finally:
+                    await client.close()
+                    await server.close()
+
+    async def test_a_repeated_response_to_an_order_is_not_read_as_that_of_another(self) -> None:
+        """Guards against an order that counts as accepted by the response to an earlier one."""
+        responses = iter((json_response({}, "202 Accepted"), json_response({}, "409 Conflict")))
+        server = RepeatingServer(lambda line: next(responses), None)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        client = PlatformOrderClient("router-1")
+        await client.start()
+        self.addAsyncCleanup(client.close)
+        target = _target(server.address)
+        results = [
+            await client.load_version(target, "m", version, version, 1, lambda: True)
+            for version in (2, 3)
+        ]
+        self.assertEqual([OrderResult.ACCEPTED, OrderResult.BUSY], results)
+
+
+def _target(address: str) -> Target:
+    directory = Directory(SystemClock(), {})
+    directory.put(TargetEntry("t1", "s", address, "a", 8, False))
+    target = directory.get("t1")
+    assert target is not None
+    return target
