Never read a repeated answer of the store as another key's value

A second answer of the store on a kept connection was read as the answer to the next call, and from then on every call on that connection got the answer of the call before it. A router could take another key's value for the holder of its lease, read an existing key as absent, or take a lease or a transaction as granted. An answer of another kind of call raised KeyError outside of the client's error handling and ended the task that follows the store, which its supervisor restarted; store_lost was not recorded.

Cause: aiohttp hands out a kept connection that has received bytes since its last response, and nothing compared the answer with the call. A body without a key was read as an absent key, as a 404 is.

The client now uses the handler that closes connections with unsolicited bytes, and checks that a read brought the key or prefix that was asked for; only a 404 means that a key is absent. Answers are decoded within the error handling, so that one of another call is a failure of this call.

Evidence: test_repeated_responses fails before, for instance with "('b', b'b') != ('a', b'a')", "<Success: None> == <Success: None>" for a key that exists, and KeyError.

Not covered: a second answer to a write, a renewal or a 404 that arrives between the sending of the next call of the same kind and its answer. Nothing in the store's answers names the call.

--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -3,8 +3,8 @@
 import asyncio
 import base64
 import json
-from collections.abc import AsyncIterator, Mapping
-from typing import Any
+from collections.abc import AsyncIterator, Callable, Mapping
+from typing import Any, TypeVar
 
 import aiohttp
 import logbook
@@ -14,6 +14,7 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct.responselimits import use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Item, Snapshot, WatchableStore
 from coltsfootfront.keyvalue.store import KeyValue, Transaction, TransactionResult, WatchEvent
@@ -22,6 +23,7 @@
 log = logbook.Logger(__name__)
 
 Json = dict[str, Any]
+T = TypeVar("T")
 
 # The store usually answers within milliseconds, and within about a second when it is slow.
 CALL_TIMEOUT_S = 1.5
@@ -53,7 +55,7 @@
 
     async def start(self) -> None:
         connector = aiohttp.TCPConnector(socket_factory=create_socket)
-        self._session = aiohttp.ClientSession(connector=connector)
+        self._session = aiohttp.ClientSession(connector=use_bounded_handler(connector))
 
     async def close(self) -> None:
         session, self._session = self._session, None
@@ -61,8 +63,13 @@
             await session.close()
 
     async def get(self, key: str) -> Result[KeyValue | None, Failure]:
-        result = await self._read("get", "/v1/kv-key", {"key": key}, allow_not_found=True)
-        return result.map(lambda body: _decode_key_value(body) if "key" in body else None)
+        return await self._read(
+            "get",
+            "/v1/kv-key",
+            {"key": key},
+            lambda body: _decode_requested_key(key, body),
+            allow_not_found=True,
+        )
 
     async def list_prefix(self, prefix: str) -> Result[list[KeyValue], Failure]:
         result = await self.snapshot(prefix)
@@ -74,26 +81,27 @@
         era: int | None = None
         query = {"prefix": prefix}
         while True:
-            page = await self._read("range", "/v1/kv-range", query)
-            if not isinstance(page, Success):
-                return Failed(page.failure())
-            body = page.unwrap()
-            if era is not None and body["era"] != era:
+            read = await self._read(
+                "range", "/v1/kv-range", query, lambda body: _decode_page(prefix, body)
+            )
+            if not isinstance(read, Success):
+                return Failed(read.failure())
+            page, has_more = read.unwrap()
+            if era is not None and page.era != era:
                 return Failed(_unavailable("the store was restored while its keys were read"))
-            era = body["era"]
-            items += [_decode_key_value(item) for item in body["items"]]
+            era = page.era
+            items += page.items
             # Each page has a revision of its own. The snapshot takes the first page's, so that no
             # change is missed when the changes after it are read.
-            revision = revision or int(body["store-revision"])
-            if not body.get("has-more") or not items:
+            revision = revision or page.revision
+            if not has_more or not items:
                 return Success(Snapshot(items, revision, era))
             query = {"prefix": prefix, "after": items[-1].key}
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
         query = {"prefix": prefix, "after": str(after), "wait-ms": str(int(wait_s * 1000))}
         timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
-        result = await self._read("watch", "/v1/kv-watch", query, timeout_s=timeout_s)
-        return result.map(_decode_changes)
+        return await self._read("watch", "/v1/kv-watch", query, _decode_changes, False, timeout_s)
 
     async def commit(self, transaction: Transaction) -> Result[TransactionResult, Failure]:
         body = {
@@ -107,24 +115,29 @@
             ],
             "deletes": transaction.deletes,
         }
-        result = await self._write("txn", "POST", "/v1/kv-txn", body)
-        return result.map(_decode_transaction_result)
+        return await self._write("txn", "POST", "/v1/kv-txn", body, _decode_transaction_result)
 
     async def grant_lease(self, ttl_s: float) -> Result[int, Failure]:
         body = {"ttl-ms": int(ttl_s * 1000)}
-        result = await self._write("lease", "POST", "/v1/kv-lease", body)
-        return result.map(lambda response: int(response["lease"]))
+        return await self._write(
+            "lease", "POST", "/v1/kv-lease", body, lambda response: int(response["lease"])
+        )
 
     async def keep_alive(self, lease: int) -> Result[float, Failure]:
-        result = await self._write(
-            "keep", "POST", f"/v1/kv-keep/{lease}", None, allow_not_found=True
+        return await self._write(
+            "keep",
+            "POST",
+            f"/v1/kv-keep/{lease}",
+            None,
+            lambda response: float(response.get("ttl-ms", 0)) / 1000,
+            allow_not_found=True,
         )
-        return result.map(lambda response: float(response.get("ttl-ms", 0)) / 1000)
 
     async def revoke_lease(self, lease: int) -> Result[None, Failure]:
         path = f"/v1/kv-lease-end/{lease}"
-        result = await self._write("lease_end", "DELETE", path, None, allow_not_found=True)
-        return result.map(lambda response: None)
+        return await self._write(
+            "lease_end", "DELETE", path, None, lambda response: None, allow_not_found=True
+        )
 
     async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
         start = await self.snapshot(prefix)
@@ -156,15 +169,26 @@
         name: str,
         path: str,
         query: Mapping[str, str],
+        decode: Callable[[Json], T],
         allow_not_found: bool = False,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[Json, Failure]:
-        return await self._call(name, "GET", path, query, None, False, allow_not_found, timeout_s)
+    ) -> Result[T, Failure]:
+        return await self._call(
+            name, "GET", path, query, None, decode, False, allow_not_found, timeout_s
+        )
 
     async def _write(
-        self, name: str, method: str, path: str, body: Json | None, allow_not_found: bool = False
-    ) -> Result[Json, Failure]:
-        return await self._call(name, method, path, {}, body, True, allow_not_found, CALL_TIMEOUT_S)
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: Json | None,
+        decode: Callable[[Json], T],
+        allow_not_found: bool = False,
+    ) -> Result[T, Failure]:
+        return await self._call(
+            name, method, path, {}, body, decode, True, allow_not_found, CALL_TIMEOUT_S
+        )
 
     async def _call(
         self,
@@ -173,13 +197,14 @@
         path: str,
         query: Mapping[str, str],
         body: Json | None,
+        decode: Callable[[Json], T],
         is_write: bool,
         allow_not_found: bool,
         timeout_s: float,
-    ) -> Result[Json, Failure]:
+    ) -> Result[T, Failure]:
         build_failure = _ambiguous if is_write else _unavailable
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        result: Result[Json, Failure]
+        result: Result[T, Failure]
         try:
             if self._session is None:
                 raise FailureError(_unavailable("the store's client is not started"))
@@ -191,7 +216,7 @@
                 era = self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
                 result = _decode_response(
                     name, response.status, data, build_failure, allow_not_found
-                ).map(lambda body: body | {"era": era})
+                ).map(lambda body: decode(body | {"era": era}))
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -223,7 +248,7 @@
             body["has-failed"] = True
         return Success(body)
     if status == NOT_FOUND and allow_not_found:
-        return Success({})
+        return Success({"is-missing": True})
     if status == GONE:
         return Failed(Failure(ErrorKind.STALE_REVISION, "the store dropped its history"))
     if status in (SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS) or status < 500:
@@ -245,6 +270,32 @@
     )
 
 
+def _decode_requested_key(key: str, body: Json) -> KeyValue | None:
+    """Decode the response to a read of one key.
+
+    :raises ValueError: when it is the response to another call.
+    """
+    if body.get("is-missing"):
+        return None
+    found = _decode_key_value(body)
+    if found.key != key:
+        raise ValueError(f"the key {found.key!r} was not asked for")
+    return found
+
+
+def _decode_page(prefix: str, body: Json) -> tuple[Snapshot, bool]:
+    """Decode one page of keys, and whether more follow.
+
+    :raises ValueError: when it is the response to another call.
+    """
+    items = [_decode_key_value(item) for item in body["items"]]
+    for found in items:
+        if not found.key.startswith(prefix):
+            raise ValueError(f"the key {found.key!r} was not asked for")
+    page = Snapshot(items, int(body["store-revision"]), body["era"])
+    return page, bool(body.get("has-more"))
+
+
 def _decode_changes(body: Json) -> Changes:
     items = []
     for change in body["events"]:
--- a/coltsfootfront/tests/test_repeated_responses.py
+++ b/coltsfootfront/tests/test_repeated_responses.py
@@ -1,15 +1,22 @@
 """Tests of HTTP clients whose server sends a response twice on a kept connection."""
 
 import asyncio
+import base64
 import json
 import unittest
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from returns.result import Result, Success
 
 from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.orders import OrderResult
+from coltsfootfront.keyvalue.store import Compare, KeyValue, Put, Transaction
 from coltsfootfront.platform.orders import PlatformOrderClient
+from coltsfootfront.platform.store import PlatformStore
 
 Respond = Callable[[str], bytes]
 
@@ -74,6 +81,86 @@
     return head.encode() + b"\r\n\r\n" + data
 
 
+def store_response(line: str) -> bytes:
+    """Response of a store in which each key holds its own name."""
+    url = urlsplit(line.split(" ")[1])
+    query = parse_qs(url.query)
+    if url.path == "/v1/kv-txn":
+        return json_response({"revision": 7})
+    key = query["key"][0] if "key" in query else query["prefix"][0] + "1"
+    value = base64.b64encode(key.encode()).decode()
+    item = {"key": key, "value": value, "revision": 5, "create-rev": 5}
+    if url.path == "/v1/kv-key":
+        return json_response(item)
+    field = "items" if url.path == "/v1/kv-range" else "events"
+    return json_response({field: [item], "store-revision": 5})
+
+
+class RepeatedStoreResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, repeat_after_s: float | None) -> PlatformStore:
+        server = RepeatingServer(store_response, repeat_after_s)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        store = PlatformStore(server.address)
+        await store.start()
+        self.addAsyncCleanup(store.close)
+        return store
+
+    async def test_a_repeated_response_is_not_read_as_the_value_of_another_key(self) -> None:
+        """Guards against a configuration, lease or entry that is the value of another key."""
+        for repeat_after_s in (0.0, 0.02):
+            with self.subTest(repeat_after_s=repeat_after_s):
+                store = await self.start(repeat_after_s)
+                for key in ("a", "b", "c"):
+                    found = (await store.get(key)).unwrap()
+                    assert found is not None
+                    self.assertEqual((key, key.encode()), (found.key, found.value))
+                    await asyncio.sleep(0.06)
+
+    async def test_a_late_repeated_response_is_not_read_as_the_value_of_another_key(self) -> None:
+        """Guards against another key's value that arrives once the next call has been sent."""
+        store = await self.start(None)
+        self.assertEqual("a", _key_of(await store.get("a")))
+        self.assertIsNone(_key_of(await store.get("b")))
+        self.assertEqual("b", _key_of(await store.get("b")))
+        listed = await store.list_prefix("c")
+        self.assertEqual(ErrorKind.STORE_UNAVAILABLE, listed.failure().kind)
+        self.assertEqual(["c1"], [found.key for found in (await store.list_prefix("c")).unwrap()])
+
+    async def test_a_repeated_response_to_a_write_is_not_read_as_an_absent_key(self) -> None:
+        """Guards against an existing key that counts as absent by the response to a write."""
+        for repeat_after_s in (0.02, None):
+            with self.subTest(repeat_after_s=repeat_after_s):
+                store = await self.start(repeat_after_s)
+                put = Transaction([Compare("b", 0)], [Put("b", b"b")])
+                self.assertEqual(7, (await store.commit(put)).unwrap().store_revision)
+                await asyncio.sleep(0.06)
+                read = await store.get("a")
+                self.assertNotEqual(Success(None), read)
+                if repeat_after_s is not None:
+                    self.assertEqual("a", _key_of(read))
+
+    async def test_a_response_of_another_call_is_a_failure_of_the_call(self) -> None:
+        """Guards against exceptions that end the task that follows the store."""
+        server = RepeatingServer(lambda line: json_response({"revision": 7}), 0.0)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        store = PlatformStore(server.address)
+        await store.start()
+        self.addAsyncCleanup(store.close)
+        unavailable, ambiguous = ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_AMBIGUOUS
+        self.assertEqual(unavailable, (await store.get("a")).failure().kind)
+        self.assertEqual(unavailable, (await store.snapshot("")).failure().kind)
+        self.assertEqual(unavailable, (await store.changes("", 1, 0.0)).failure().kind)
+        self.assertEqual(ambiguous, (await store.grant_lease(5.0)).failure().kind)
+
+
+def _key_of(read: Result[KeyValue | None, Failure]) -> str | None:
+    """Key of the item that was read, None if the call failed."""
+    found = read.value_or(None)
+    return found.key if found is not None else None
+
+
 class RepeatedTargetResponseTest(unittest.IsolatedAsyncioTestCase):
     def _respond(self, line: str) -> bytes:
         if " /v1/order " in line:
