Keep invalid headers of a service out of its response to the caller

A header of a plain service with a control character made the router answer 500 with bytes that are no answer in the protocol. The caller saw, on a connection that stayed open:

HTTP/1.1 500 Internal Server Error ... Content-Length: 120\r\n\r\n 78\r\n{"error": {"kind": "internal", ...}}\r\n0\r\n\r\n

The chunk's head took the place of the body's first bytes, and the rest stood where the next answer begins. Names that are no token ("X A", "") were written as they were, and callers refused the response.

Cause: aiohttp refuses control characters while it writes the head, when chunked framing has been enabled for the connection's writer; the error response is written with the same writer. Only CR, LF and NUL were removed before, silently.

Headers are now checked as those of requests are, by the same function, and an invalid one is left out with a line response_header_invalid. If a head cannot be written nevertheless, head_failed is logged and the connection is closed, so that nothing follows on it. The line is logged before the connection is closed: its end cancels the task that would log request_failed.

Evidence: the new tests fail before, with ClientResponseError "Invalid header token" and, for the raw bytes, "b'' != b'HTTP/1.1 500 Internal Server Error...".

--- a/coltsfootfront/serving/responsewriters.py
+++ b/coltsfootfront/serving/responsewriters.py
@@ -5,11 +5,13 @@
 import struct
 from collections.abc import Iterable
 
+import logbook
 from aiohttp import web
 from multidict import CIMultiDict
 
-from coltsfootfront.calls.headers import HOP_BY_HOP, REQUEST_ID_HEADER
+from coltsfootfront.calls.headers import HOP_BY_HOP, REQUEST_ID_HEADER, is_valid_header
 from coltsfootfront.common.errors import Failure
+from coltsfootfront.common.logs import event
 from coltsfootfront.peers.messages import Head
 from coltsfootfront.serving.responses import (
     CallerDisconnectedError,
@@ -19,6 +21,8 @@
     error_event,
 )
 
+log = logbook.Logger(__name__)
+
 # Hop-by-hop headers, and headers that each request or response sets anew.
 _REPLACED_HEADERS = HOP_BY_HOP | {"content-length", REQUEST_ID_HEADER.lower()}
 # Meant for the router only; a service must not see the caller's key.
@@ -72,6 +76,12 @@
             await response.prepare(self._request)
         except ConnectionError as error:
             raise CallerDisconnectedError("caller closed the connection") from error
+        except Exception as error:
+            # Logged here, since closing the connection may cancel the task. An error response
+            # would be written with the framing that is set for this response already.
+            log.error(event("head_failed", request_id=self._request_id, reason=repr(error)))
+            self.abort()
+            raise
         self.response = response
 
     async def write(self, data: bytes) -> None:
@@ -156,7 +166,11 @@
         name, value = str(pair[0]), str(pair[1])
         if name.lower() == "content-length" and value.isdecimal():
             self._content_length = int(value)
-        elif name.lower() not in _REPLACED_HEADERS and not {"\r", "\n", "\0"} & set(name + value):
+        elif not is_valid_header(name, value):
+            log.warning(
+                event("response_header_invalid", request_id=self._request_id, name=repr(name[:40]))
+            )
+        elif name.lower() not in _REPLACED_HEADERS:
             headers.add(name, value)
 
     async def write(self, data: bytes) -> None:
--- a/coltsfootfront/targets/httpservice.py
+++ b/coltsfootfront/targets/httpservice.py
@@ -3,7 +3,12 @@
 import re
 from collections.abc import AsyncIterator, Iterable
 
-from coltsfootfront.calls.headers import HOP_BY_HOP, REQUEST_ID_HEADER
+from coltsfootfront.calls.headers import (
+    HOP_BY_HOP,
+    REQUEST_ID_HEADER,
+    is_token,
+    is_valid_header,
+)
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
 from coltsfootfront.targets.httpclient import HttpClient
@@ -13,11 +18,7 @@
 _FIRST_ERROR_STATUS = 400
 # Hop-by-hop headers and those that the HTTP client sets itself.
 _NOT_FORWARDED = HOP_BY_HOP | {"content-length", "expect", "host"}
-_TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
 _PATH = re.compile(r"[!-~]*")
-# Line breaks and other control characters allow header injection; surrogates stand for bytes
-# that are not UTF-8.
-_INVALID_VALUE_CHARACTER = re.compile("[\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]")
 
 
 def strip_hop_by_hop(
@@ -39,12 +40,10 @@
 
 
 def _validate_request(request: ServiceCall) -> None:
-    names = (request.method, *(name for name, _ in request.headers))
-    values = (value for _, value in request.headers)
     valid = (
-        all(_TOKEN.fullmatch(name) for name in names)
+        is_token(request.method)
         and _PATH.fullmatch(request.path)
-        and not any(_INVALID_VALUE_CHARACTER.search(value) for value in values)
+        and all(is_valid_header(name, value) for name, value in request.headers)
     )
     if not valid:
         raise FailureError(Failure(ErrorKind.BAD_REQUEST, "request line or header is invalid"))
--- a/coltsfootfront/tests/test_frontend.py
+++ b/coltsfootfront/tests/test_frontend.py
@@ -4,8 +4,10 @@
 import json
 import unittest
 from typing import Any
+from unittest import mock
 
 import aiohttp
+import logbook
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import SystemClock
@@ -13,6 +15,7 @@
 from coltsfootfront.peers.channel import Channel
 from coltsfootfront.peers.connection import Connection
 from coltsfootfront.peers.messages import Accepted, Chunk, End, Explain, ExplainReply, Head, Run
+from coltsfootfront.serving import responsewriters
 from coltsfootfront.serving.pauseguard import PauseGuard
 from coltsfootfront.serving.router import Router
 from coltsfootfront.tests.support import ManualClock
@@ -272,6 +275,49 @@
         with self.assertRaises(aiohttp.ClientPayloadError):
             await self.post("/services/desk/file", {})
 
+    def send_response(self, status: int, headers: list[list[str]], body: bytes = b"part") -> None:
+        """Let the service's agent send one response."""
+
+        async def send(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await connection.send(Accepted(run.stream, run.attempt, ""))
+            await connection.send(Head(run.stream, run.attempt, status, headers))
+            if body:
+                await connection.send(Chunk(run.stream, run.attempt, 0, 0, body))
+            await connection.send(End(run.stream, run.attempt, int(bool(body)), len(body)))
+
+        self.agents[2].script = send
+
+    async def test_invalid_headers_of_a_service_leave_the_response_whole(self) -> None:
+        """Guards against a second response whose bytes continue after the end of its body."""
+        for pair in (
+            ["X-A", "a\x01b"],
+            ["X-A", "a\x7fb"],
+            ["X\x01A", "b"],
+            ["X A", "b"],
+            ["X:A", "b"],
+            ["", "b"],
+        ):
+            with self.subTest(pair):
+                self.send_response(200, [pair, ["X-Kept", "1"]])
+                async with self.session.post("/services/desk/file", json={}) as response:
+                    self.assertEqual((200, b"part"), (response.status, await response.read()))
+                    self.assertEqual("1", response.headers["X-Kept"])
+                    self.assertNotIn("b", response.headers.values())
+                received = await self.raw(self.request("/services/desk/file", {}), 0.2)
+                self.assertTrue(received.startswith(b"HTTP/1.1 200 OK\r\n"))
+                self.assertEqual(b"4\r\npart\r\n0\r\n\r\n", received.partition(b"\r\n\r\n")[2])
+
+    async def test_a_head_that_cannot_be_written_closes_the_connection(self) -> None:
+        """Guards against an error response with the framing of the response before it."""
+        self.send_response(200, [["X-A", "a\x01b"]])
+        with (
+            mock.patch.object(responsewriters, "is_valid_header", return_value=True),
+            logbook.TestHandler().applicationbound() as records,
+        ):
+            received = await self.raw(self.request("/services/desk/file", {}), 1.0)
+        self.assertEqual(b"", received)
+        self.assertTrue(any("head_failed" in line for line in records.formatted_records))
+
     async def test_requests_to_services(self) -> None:
         """Guards against changed paths, leaked keys, and calls wrongly treated as idempotent."""
         cases: list[tuple[str, str, dict[str, str], bool, bool]] = [
