Write no body behind a service's response that has none

Responses with status 204 or 304, and responses to HEAD, end with their head. If an agent passed on a body with one of them, the router wrote it without framing, and the caller read it as the beginning of the next response: "...204 No Content\r\n...\r\n\r\npartHTTP/1.1 204 ...". And if such a response named a length, as a 304 to a conditional request may, the router took the body as cut off and reset the connection, so that the caller lost the response.

Cause: aiohttp writes what it is given, and the writer did not tell which responses have a body.

Evidence: the new tests fail before, "b'' != b'part'" in 3 of 3 cases and "2 != 1" answers on a connection in 2 of 2. The agent's HTTP client drops such bodies, so that the first part takes another agent; the second part happens with a service that answers 304 with a length.

--- a/coltsfootfront/serving/responsewriters.py
+++ b/coltsfootfront/serving/responsewriters.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 
 from coltsfootfront.calls.headers import HOP_BY_HOP, REQUEST_ID_HEADER, is_valid_header
-from coltsfootfront.common.errors import Failure
+from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 from coltsfootfront.common.logs import event
 from coltsfootfront.peers.messages import Head
 from coltsfootfront.serving.responses import (
@@ -28,6 +28,8 @@
 # Meant for the router only; a service must not see the caller's key.
 _ROUTER_ONLY_HEADERS = frozenset({"authorization", "expect", "host"})
 
+# Statuses whose responses end with their head, as those to HEAD do (RFC 9110, section 6.4.1).
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # SO_LINGER value that discards unsent data and resets the connection on close.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -149,6 +151,7 @@
     def __init__(self, request: web.BaseRequest, request_id: str, write_timeout_s: float) -> None:
         super().__init__(request, request_id, write_timeout_s)
         self._content_length: int | None = None
+        self._has_body = request.method != "HEAD"
         self._written_bytes = 0
 
     async def start(self, head: Head) -> None:
@@ -156,6 +159,7 @@
         for pair in head.headers:
             self._add_header(headers, pair)
         status = head.status if 200 <= head.status <= 599 else 502
+        self._has_body = self._has_body and status not in _STATUSES_WITHOUT_BODY
         response = web.StreamResponse(status=status, headers=headers)
         response.content_length = self._content_length
         await self._prepare(response)
@@ -174,10 +178,15 @@
             headers.add(name, value)
 
     async def write(self, data: bytes) -> None:
-        if data:
+        if not data:
             # An empty HTTP chunk terminates a chunked body.
-            self._written_bytes += len(data)
-            await super().write(data)
+            return
+        if not self._has_body:
+            # The caller would read the data as the beginning of its next response.
+            message = "the service sent a body where none is allowed"
+            raise FailureError(Failure(ErrorKind.TARGET_FAILED, message, ExecutionState.UNKNOWN))
+        self._written_bytes += len(data)
+        await super().write(data)
 
     def abort(self) -> None:
         """Reset the connection; a normal close completes an HTTP/1.0 body without a length."""
@@ -192,5 +201,5 @@
     def finish(self) -> None:
         """Reset the connection if the body is shorter than its ``Content-Length``."""
         is_short = self._content_length is not None and self._written_bytes != self._content_length
-        if is_short and self._request.method != "HEAD":
+        if is_short and self._has_body:
             self.abort()
--- a/coltsfootfront/tests/test_frontend.py
+++ b/coltsfootfront/tests/test_frontend.py
@@ -318,6 +318,25 @@
         self.assertEqual(b"", received)
         self.assertTrue(any("head_failed" in line for line in records.formatted_records))
 
+    async def test_no_body_follows_a_response_that_has_none(self) -> None:
+        """Guards against bytes that a caller reads as the beginning of the next response."""
+        request = self.request("/services/desk/file", {})
+        for method, status in (("HEAD", 200), ("GET", 204), ("GET", 304)):
+            with self.subTest(method=method, status=status):
+                self.send_response(status, [])
+                received = await self.raw(request.replace(b"POST", method.encode()), 1.0)
+                head, _, body = received.partition(b"\r\n\r\n")
+                self.assertTrue(head.startswith(f"HTTP/1.1 {status} ".encode()))
+                self.assertEqual(b"", body)
+
+    async def test_a_length_without_a_body_does_not_reset_the_connection(self) -> None:
+        """Guards against a lost response to a conditional request, and a lost connection."""
+        for status in (204, 304):
+            with self.subTest(status):
+                self.send_response(status, [["Content-Length", "4"]], b"")
+                received = await self.raw(2 * self.request("/services/desk/file", {}), 0.5)
+                self.assertEqual(2, received.count(f"HTTP/1.1 {status} ".encode()))
+
     async def test_requests_to_services(self) -> None:
         """Guards against changed paths, leaked keys, and calls wrongly treated as idempotent."""
         cases: list[tuple[str, str, dict[str, str], bool, bool]] = [
