Fail a service's response without a length when its connection is reset

The body of a response without a length ends with its connection. When a reset cut such a body off, the agent took what had arrived as the whole body, and the caller got a truncated answer that looked complete; the claim of an idempotency key stored it.

Cause: aiohttp ends the body in the same way after a close and a reset, and keeps the error only on the connection, to which the response has no reference after its end.

The HTTP client of targets now keeps that reference and fails the exchange with run unknown. Bodies with a length or chunks are not affected: their end is known.

Evidence: the new test fails before, "(b'part', target_failed) != (b'part', None)" for the response that was cut off; the three others pass before and after.

--- a/coltsfootfront/targets/httpclient.py
+++ b/coltsfootfront/targets/httpclient.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from yarl import URL
 
 from coltsfootfront.common.clock import Clock
@@ -68,6 +70,28 @@
         self.abort()
 
 
+class _Response(aiohttp.ClientResponse):
+    """Response that keeps a reference to its connection after the end of the body."""
+
+    connection_handler: ResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> "_Response":
+        self.connection_handler = connection.protocol
+        await super().start(connection)
+        return self
+
+    @property
+    def is_reset(self) -> bool:
+        """Whether the body should have ended with its connection, but the connection failed."""
+        handler = self.connection_handler
+        return (
+            self.content_length is None
+            and "Transfer-Encoding" not in self.headers
+            and handler is not None
+            and isinstance(handler.exception(), aiohttp.ClientOSError)
+        )
+
+
 class Exchange:
     """One HTTP exchange whose response headers have arrived.
 
@@ -79,7 +103,7 @@
 
     def __init__(
         self,
-        response: aiohttp.ClientResponse,
+        response: _Response,
         idle_timeout: _IdleTimeout | None,
         failure_kind: ErrorKind,
     ) -> None:
@@ -102,7 +126,10 @@
         if self._idle_timeout is not None:
             self._idle_timeout.resume()
         try:
-            return await self.response.content.readany()
+            chunk = await self.response.content.readany()
+            if not chunk and self.response.is_reset:
+                raise aiohttp.ClientPayloadError("the connection was reset")
+            return chunk
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             timed_out = self._idle_timeout is not None and self._idle_timeout.expired
             message = "target stayed silent" if timed_out else "answer broke off"
@@ -171,6 +198,7 @@
             skip_auto_headers=_AUTO_HEADERS,
             max_line_size=_MAX_HEADER_BYTES,
             max_field_size=_MAX_HEADER_BYTES,
+            response_class=_Response,
         )
 
     async def close(self) -> None:
@@ -215,18 +243,20 @@
 
     async def _send_request(
         self, method: str, path: str, body: bytes | None, headers: Iterable[tuple[str, str]]
-    ) -> aiohttp.ClientResponse:
+    ) -> _Response:
         assert self._session is not None, "client is not started"
         url = URL(self._base_url + path, encoded=True)
-        return await self._session.request(
+        response = await self._session.request(
             method, url, data=body, headers=list(headers), allow_redirects=False
         )
+        assert isinstance(response, _Response)
+        return response
 
     async def _receive_head(
         self,
-        request_task: "asyncio.Future[aiohttp.ClientResponse]",
+        request_task: "asyncio.Future[_Response]",
         idle_timeout: _IdleTimeout | None,
-    ) -> aiohttp.ClientResponse:
+    ) -> _Response:
         try:
             return await request_task
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/coltsfootfront/tests/support.py
+++ b/coltsfootfront/tests/support.py
@@ -1,6 +1,8 @@
 """Fakes and helpers that several tests use."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from datetime import UTC, datetime, timedelta
@@ -32,6 +34,8 @@
 from coltsfootfront.targets.service import PlainService, ServiceCall, ServiceResponseHead
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
+# Time in which a client reads a reply before its connection is reset.
+RESET_DELAY_S = 0.05
 
 
 class ManualClock(Clock):
@@ -305,11 +309,12 @@
 
 @asynccontextmanager
 async def fixed_response_server(
-    reply: bytes, request_heads: list[bytes] | None = None
+    reply: bytes, request_heads: list[bytes] | None = None, resets: bool = False
 ) -> AsyncIterator[str]:
     """HTTP server that answers each request with the same bytes and closes the connection.
 
     :param request_heads: list to which the request line and headers of each request are appended.
+    :param resets: whether connections are reset shortly after the reply instead of closed.
     :returns: base URL of the server.
     """
 
@@ -321,7 +326,13 @@
         await reader.readexactly(int(rest.split(b"\r\n")[0] or 0))
         writer.write(reply)
         await writer.drain()
-        writer.close()
+        try:
+            if resets:
+                await asyncio.sleep(RESET_DELAY_S)
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
--- a/coltsfootfront/tests/test_httpservice.py
+++ b/coltsfootfront/tests/test_httpservice.py
@@ -15,6 +15,7 @@
 from coltsfootfront.tests.support import ManualClock, fixed_response_server
 from coltsfootfront_dev.service import Options, ServiceStandIn
 
+UNKNOWN = ExecutionState.UNKNOWN
 CALL = ServiceCall("request-1", "POST", "/results?panel=7", (("X-Request-Id", "r1"),), b"sleep")
 
 
@@ -182,6 +183,25 @@
                 outcome = await self.collect_from(reply)
                 self.assertEqual((ErrorKind.TARGET_FAILED, ExecutionState.UNKNOWN), outcome.failure)
 
+    async def test_a_reset_response_without_a_length_fails(self) -> None:
+        """Guards against a body that a reset cut off and that looks complete."""
+        start = b"HTTP/1.1 200 OK\r\n"
+        chunked = start + b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"
+        cases = (
+            ("cut off", start + b"\r\npart", True, (ErrorKind.TARGET_FAILED, UNKNOWN)),
+            ("ended", start + b"\r\npart", False, None),
+            ("with a length", start + b"Content-Length: 4\r\n\r\npart", True, None),
+            ("chunked", chunked, True, None),
+        )
+        for name, reply, resets, failure in cases:
+            with self.subTest(name):
+                async with fixed_response_server(reply, resets=resets) as url:
+                    service = HttpService(url, 0.5, SystemClock())
+                    await service.start()
+                    outcome = await collect(service, CALL)
+                    await service.close()
+                self.assertEqual((b"part", failure), (outcome.body, outcome.failure))
+
     async def test_hop_by_hop_headers_are_removed(self) -> None:
         """Guards against hop-by-hop headers of the target reaching the caller."""
         outcome = await self.collect_from(
