Answer a request whose service sends a header that is not UTF-8

A header of a plain service with bytes that are not UTF-8 left the request without an answer: the router waited for its idle timeout, resumed the stream five times in vain, and reported that the connection was lost, though the service had run the call. The agent logged no line.

Cause: such bytes become surrogates, which no message can carry. The error ended the task that sends the response, and nothing awaits this task.

The agent now leaves out headers that cannot be passed on, as it refuses them in requests, with a line response_header_invalid. And an unexpected error while a response is sent is logged as response_failed and sent to the router as a failure with run unknown; the error text of an engine, which may hold surrogates as well, takes this way.

--- a/coltsfootfront/targets/attempts.py
+++ b/coltsfootfront/targets/attempts.py
@@ -228,15 +228,17 @@
 
     async def _send_from(self, next_seq: int, send: Send) -> None:
         try:
-            await self._send_preamble(send)
-            while True:
-                self._changed.clear()
-                next_seq = await self._send_chunks(next_seq, send)
-                if self.ended_s is not None and next_seq >= len(self._chunk_ends):
-                    break
-                if not self._changed.is_set():
-                    await self._changed.wait()
-            await send(self._last_message())
+            try:
+                await self._send_response(next_seq, send)
+            except ConnectionLostError:
+                raise
+            except Exception as error:
+                # Without a message the router would wait for its idle timeout.
+                log.error(event("response_failed", request_id=self.key[0], reason=repr(error)))
+                failure = Failure(
+                    ErrorKind.INTERNAL, "the response cannot be sent", ExecutionState.UNKNOWN
+                )
+                await send(fail_message(self._stream, self.key[1], failure))
             self.delivered = True
         except ConnectionLostError as error:
             log.debug(event("stream_cut", request_id=self.key[0], reason=error))
@@ -244,6 +246,17 @@
             self._sender = None
             self.detach()
 
+    async def _send_response(self, next_seq: int, send: Send) -> None:
+        await self._send_preamble(send)
+        while True:
+            self._changed.clear()
+            next_seq = await self._send_chunks(next_seq, send)
+            if self.ended_s is not None and next_seq >= len(self._chunk_ends):
+                break
+            if not self._changed.is_set():
+                await self._changed.wait()
+        await send(self._last_message())
+
     async def _send_preamble(self, send: Send) -> None:
         while self._accepted_incarnation is None and self.ended_s is None:
             self._changed.clear()
--- a/coltsfootfront/targets/httpservice.py
+++ b/coltsfootfront/targets/httpservice.py
@@ -3,6 +3,8 @@
 import re
 from collections.abc import AsyncIterator, Iterable
 
+import logbook
+
 from coltsfootfront.calls.headers import (
     HOP_BY_HOP,
     REQUEST_ID_HEADER,
@@ -11,9 +13,12 @@
 )
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, Failure, FailureError
+from coltsfootfront.common.logs import event
 from coltsfootfront.targets.httpclient import HttpClient
 from coltsfootfront.targets.service import PlainService, ServiceCall, ServiceResponseHead
 
+log = logbook.Logger(__name__)
+
 _HEALTH_PATH = "/healthz"
 _FIRST_ERROR_STATUS = 400
 # Hop-by-hop headers and those that the HTTP client sets itself.
@@ -49,6 +54,20 @@
         raise FailureError(Failure(ErrorKind.BAD_REQUEST, "request line or header is invalid"))
 
 
+def _remove_invalid(
+    headers: Iterable[tuple[str, str]], request_id: str
+) -> tuple[tuple[str, str], ...]:
+    valid = []
+    for name, value in headers:
+        if is_valid_header(name, value):
+            valid.append((name, value))
+        else:
+            log.warning(
+                event("response_header_invalid", request_id=request_id, name=repr(name[:40]))
+            )
+    return tuple(valid)
+
+
 class HttpService(PlainService):
     """Plain service reached over HTTP.
 
@@ -70,7 +89,10 @@
         body = request.body or None
         async with self._client.exchange(request.method, path, body, headers) as exchange:
             response = exchange.response
-            yield ServiceResponseHead(response.status, strip_hop_by_hop(response.headers.items()))
+            response_headers = strip_hop_by_hop(response.headers.items())
+            yield ServiceResponseHead(
+                response.status, _remove_invalid(response_headers, request.request_id)
+            )
             async for chunk in exchange.chunks():
                 yield chunk
 
--- a/coltsfootfront/tests/test_attempts.py
+++ b/coltsfootfront/tests/test_attempts.py
@@ -4,9 +4,11 @@
 import unittest
 from unittest import mock
 
+import logbook
+
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 from coltsfootfront.peers.connection import ConnectionLostError
-from coltsfootfront.peers.messages import Accepted, Chunk, End, Fail, Head, Message
+from coltsfootfront.peers.messages import Accepted, Chunk, End, Fail, Head, Message, encode
 from coltsfootfront.targets.attempts import MAX_TOMBSTONES, AttemptRegistry
 from coltsfootfront.tests.support import ManualClock, run_ready_tasks
 
@@ -117,6 +119,30 @@
         self.assertEqual(("engine_failed", "unknown"), (last.kind, last.run))
         self.assertEqual(b"", receiver.text)
 
+    async def test_a_message_that_cannot_be_sent_fails_the_response(self) -> None:
+        """Guards against a router that waits for a response that no longer comes."""
+        failure = Failure(ErrorKind.TARGET_FAILED, "\ud800", ExecutionState.UNKNOWN)
+        for name, headers in (("head", [["X-A", "\udcff"]]), ("failure", [])):
+            with self.subTest(name):
+                attempt = self.attempts.open((name, 1), self.deadline_s)
+                receiver = ReceiverStub()
+
+                async def send(message: Message, receiver: ReceiverStub = receiver) -> None:
+                    encode(message, 1)
+                    await receiver.send(message)
+
+                attempt.attach(receiver, send, 7)
+                attempt.accept("e1")
+                attempt.start_response(200, headers)
+                attempt.fail(failure)
+                with logbook.TestHandler().applicationbound() as records:
+                    await run_ready_tasks()
+                last = receiver.messages[-1]
+                assert isinstance(last, Fail)
+                self.assertEqual(("internal", "unknown"), (last.kind, last.run))
+                lines = records.formatted_records
+                self.assertTrue(any("event=response_failed" in line for line in lines))
+
     async def test_response_size_is_limited(self) -> None:
         """Guards against a response that exhausts the agent's memory."""
         attempt = self.attempts.open(("r", 1), self.deadline_s)
--- a/coltsfootfront/tests/test_httpservice.py
+++ b/coltsfootfront/tests/test_httpservice.py
@@ -213,6 +213,15 @@
         self.assertEqual(ServiceResponseHead(201, headers), outcome.head)
         self.assertEqual(b"ab", outcome.body)
 
+    async def test_invalid_headers_leave_the_response_whole(self) -> None:
+        """Guards against a request without a response, as its head cannot be passed on."""
+        for value in (b"\xff", b"a\x01b", b"a\x7fb"):
+            with self.subTest(value):
+                reply = b"HTTP/1.1 200 OK\r\nX-A: " + value + b"\r\nX-B: 2\r\n"
+                outcome = await self.collect_from(reply + b"Content-Length: 4\r\n\r\nbody")
+                head = ServiceResponseHead(200, (("X-B", "2"), ("Content-Length", "4")))
+                self.assertEqual((head, b"body"), (outcome.head, outcome.body))
+
     async def test_requests_carry_the_callers_headers_and_the_request_id(self) -> None:
         """Guards against added headers, such as one that asks for an unwanted encoding."""
         heads: list[bytes] = []
