Treat malformed reports and cache events of targets as unanswered

A target whose report or cache events have a field of another type ended more than its own read. The task that reads the order counts of all targets ended at this target without a log line. The task that discovers cached parts failed, and its supervisor started it again and again, so that all holders were read each time; such reads are priced as probes.

Cause: a wrong type raises TypeError, which neither reader expected.

--- a/coltsfootfront/platform/cachedparts.py
+++ b/coltsfootfront/platform/cachedparts.py
@@ -16,6 +16,8 @@
 # where there are events, since every read starts at the first one.
 WAIT_MS = 200
 PART_STORED = "+"
+# A failed exchange, or a malformed body.
+_READ_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError)
 
 
 class PlatformPartReader(CachedPartReader):
@@ -45,7 +47,7 @@
                     log.info(event("parts_unread", address=address, status=response.status))
                     return None
                 return _replay_events(await response.json())
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
+        except _READ_ERRORS as error:
             log.info(event("parts_unread", address=address, reason=repr(error)[:120]))
             return None
 
--- a/coltsfootfront/platform/orders.py
+++ b/coltsfootfront/platform/orders.py
@@ -22,6 +22,9 @@
 # Instructs a target to keep its running requests while it loads new weights.
 SWITCH_MODE = "retain"
 
+# A failed exchange, or a malformed body.
+_READ_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError)
+
 RESULT_BY_STATUS = {
     # The target starts to load the version.
     202: OrderResult.ACCEPTED,
@@ -134,7 +137,7 @@
                 if response.status != 200:
                     return None
                 return _decode_state(await response.json())
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
+        except _READ_ERRORS as error:
             log.warning(event("report_unanswered", target=target.name, reason=repr(error)))
             return None
 
--- a/coltsfootfront/tests/test_repeated_responses.py
+++ b/coltsfootfront/tests/test_repeated_responses.py
@@ -176,7 +176,7 @@
                 client = PlatformOrderClient("router-1")
                 await client.start()
                 try:
-                    target = _target(server.address)
+                    target = make_target(server.address)
                     self.assertIsNotNone(await client.read_state(target))
                     await asyncio.sleep(0.06)
                     result = await client.load_version(target, "m", 2, 0, 1, lambda: True)
@@ -194,7 +194,7 @@
         client = PlatformOrderClient("router-1")
         await client.start()
         self.addAsyncCleanup(client.close)
-        target = _target(server.address)
+        target = make_target(server.address)
         results = [
             await client.load_version(target, "m", version, version, 1, lambda: True)
             for version in (2, 3)
@@ -202,7 +202,8 @@
         self.assertEqual([OrderResult.ACCEPTED, OrderResult.BUSY], results)
 
 
-def _target(address: str) -> Target:
+def make_target(address: str) -> Target:
+    """Build the directory's record of a target at an address."""
     directory = Directory(SystemClock(), {})
     directory.put(TargetEntry("t1", "s", address, "a", 8, False))
     target = directory.get("t1")
