Never read a repeated answer of etcd as another key's value

A second answer of the store on a kept connection was read as the answer to the next call, and each later call got the answer of the call before it, as with the client of the users' platform. An answer of another kind of call raised KeyError in the task that made the call.

The client now uses no connection again that has received data since its last answer, checks that a read brought the key or prefix that was asked for, and decodes answers within its error handling.

The connection's class is a short form of direct.responselimits, which keyvalue must not import.

--- a/coltsfootfront/keyvalue/etcd.py
+++ b/coltsfootfront/keyvalue/etcd.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import base64
+import functools
 import json
 import math
-from collections.abc import AsyncIterator
-from typing import Any
+from collections.abc import AsyncIterator, Callable
+from typing import Any, TypeVar
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
@@ -33,6 +35,7 @@
 HTTP_SERVER_ERROR = 500
 
 Json = dict[str, Any]
+T = TypeVar("T")
 
 
 def _to_base64(data: bytes) -> str:
@@ -89,6 +92,32 @@
     }
 
 
+def _decode_requested_key(key: str, reply: Json) -> KeyValue | None:
+    """Decode the response to a read of one key.
+
+    :raises ValueError: when it is the response to another call.
+    """
+    found = _decode_requested_keys(key, reply)
+    if any(item.key != key for item in found):
+        raise ValueError(f"the key {found[0].key!r} was not asked for")
+    return found[0] if found else None
+
+
+def _decode_requested_keys(prefix: str, reply: Json) -> list[KeyValue]:
+    """Decode the response to a read of all keys with a prefix.
+
+    :raises ValueError: when it is the response to another call.
+    """
+    # An empty result has no field for the keys, but every response has a header.
+    if "header" not in reply:
+        raise ValueError("the response has no header")
+    found = [_decode_key_value(kv) for kv in reply.get("kvs", [])]
+    for item in found:
+        if not item.key.startswith(prefix):
+            raise ValueError(f"the key {item.key!r} was not asked for")
+    return found
+
+
 def _transaction_result(reply: Json) -> TransactionResult:
     read = [
         _decode_key_value(kv)
@@ -107,6 +136,14 @@
     return Failure(ErrorKind.STORE_AMBIGUOUS, message, ExecutionState.UNKNOWN)
 
 
+class _StoreConnection(ResponseHandler):
+    """Connection that is not used again once it has received data that no call asked for."""
+
+    def is_connected(self) -> bool:
+        # aiohttp would read the data as the response to the next call.
+        return super().is_connected() and not self.should_close
+
+
 class EtcdStore(Store):
     """Client of the JSON gateway of the etcd v3 API.
 
@@ -122,7 +159,11 @@
     async def start(self) -> None:
         """Create the HTTP session without opening a connection."""
         timeout = aiohttp.ClientTimeout(total=self._timeout_s)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        connector = aiohttp.TCPConnector()
+        # aiohttp has no public way to set the protocol class of its connections.
+        make = functools.partial(_StoreConnection, loop=asyncio.get_running_loop())
+        connector._factory = make  # type: ignore[assignment]
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
 
     async def close(self) -> None:
         """Close all connections, which ends open watches."""
@@ -132,35 +173,43 @@
 
     async def get(self, key: str) -> Result[KeyValue | None, Failure]:
         body = {"key": _to_base64(key.encode())}
-        result = await self._call("get", "/v3/kv/range", body, writes=False)
-        return result.map(lambda reply: next(map(_decode_key_value, reply.get("kvs", [])), None))
+        return await self._call(
+            "get", "/v3/kv/range", body, lambda reply: _decode_requested_key(key, reply), False
+        )
 
     async def list_prefix(self, prefix: str) -> Result[list[KeyValue], Failure]:
         body = {"key": _to_base64(prefix.encode()), "range_end": _range_end(prefix)}
         body |= {"sort_order": "ASCEND", "sort_target": "KEY"}
-        result = await self._call("list", "/v3/kv/range", body, writes=False)
-        return result.map(lambda reply: [_decode_key_value(kv) for kv in reply.get("kvs", [])])
+        return await self._call(
+            "list", "/v3/kv/range", body, lambda reply: _decode_requested_keys(prefix, reply), False
+        )
 
     async def commit(self, transaction: Transaction) -> Result[TransactionResult, Failure]:
         writes = bool(transaction.puts or transaction.deletes)
         body = _encode_transaction(transaction)
-        result = await self._call("commit", "/v3/kv/txn", body, writes)
-        return result.map(_transaction_result)
+        return await self._call("commit", "/v3/kv/txn", body, _transaction_result, writes)
 
     async def grant_lease(self, ttl_s: float) -> Result[int, Failure]:
         body = {"TTL": str(math.ceil(ttl_s)), "ID": "0"}
-        result = await self._call("grant_lease", "/v3/lease/grant", body, writes=True)
-        return result.map(lambda reply: int(reply["ID"]))
+        return await self._call(
+            "grant_lease", "/v3/lease/grant", body, lambda reply: int(reply["ID"]), True
+        )
 
     async def keep_alive(self, lease: int) -> Result[float, Failure]:
         body = {"ID": str(lease)}
-        result = await self._call("keep_alive", "/v3/lease/keepalive", body, writes=True)
-        return result.map(lambda reply: float(reply.get("result", {}).get("TTL", 0)))
+        return await self._call(
+            "keep_alive",
+            "/v3/lease/keepalive",
+            body,
+            lambda reply: float(reply.get("result", {}).get("TTL", 0)),
+            True,
+        )
 
     async def revoke_lease(self, lease: int) -> Result[None, Failure]:
         body = {"ID": str(lease)}
-        result = await self._call("revoke_lease", "/v3/lease/revoke", body, True, absent_ok=True)
-        return result.map(lambda reply: None)
+        return await self._call(
+            "revoke_lease", "/v3/lease/revoke", body, lambda reply: None, True, absent_ok=True
+        )
 
     async def watch(self, prefix: str) -> AsyncIterator[WatchEvent]:
         try:
@@ -192,17 +241,23 @@
         return self._session
 
     async def _call(
-        self, name: str, path: str, body: Json, writes: bool, absent_ok: bool = False
-    ) -> Result[Json, Failure]:
+        self,
+        name: str,
+        path: str,
+        body: Json,
+        decode: Callable[[Json], T],
+        writes: bool,
+        absent_ok: bool = False,
+    ) -> Result[T, Failure]:
         make_failure = _ambiguous if writes else _unavailable
         try:
             session = self._require_session()
             async with session.post(self._address + path, json=body) as response:
                 data = await read_bounded(response, MAX_RESPONSE_BYTES)
-                if response.status == HTTP_NOT_FOUND and absent_ok:
-                    result: Result[Json, Failure] = Success({})
-                else:
-                    result = _parse_response(response.status, data, make_failure)
+                reply: Result[Json, Failure] = Success({})
+                if response.status != HTTP_NOT_FOUND or not absent_ok:
+                    reply = _parse_response(response.status, data, make_failure)
+                result: Result[T, Failure] = reply.map(decode)
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -212,6 +267,8 @@
             result = Failed(make_failure(f"no answer from the store in {self._timeout_s} s"))
         except (aiohttp.ClientError, OSError) as error:
             result = Failed(make_failure(f"answer of the store was lost: {error!r}"))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            result = Failed(make_failure(f"answer of the store cannot be read: {error!r}"))
         self._count(name, _outcome_label(result))
         return result
 
@@ -219,7 +276,7 @@
         metrics.STORE_CALLS.inc({"call": name, "outcome": outcome})
 
 
-def _outcome_label(result: Result[Json, Failure]) -> str:
+def _outcome_label(result: Result[Any, Failure]) -> str:
     if isinstance(result, Success):
         return "ok"
     return result.failure().kind.value
--- a/coltsfootfront/tests/test_repeated_responses.py
+++ b/coltsfootfront/tests/test_repeated_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import unittest
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.orders import OrderResult
+from coltsfootfront.keyvalue.etcd import EtcdStore
 from coltsfootfront.keyvalue.store import Compare, KeyValue, Put, Transaction
 from coltsfootfront.platform.orders import PlatformOrderClient
 from coltsfootfront.platform.store import PlatformStore
@@ -161,6 +163,52 @@
     return found.key if found is not None else None
 
 
+class RepeatedEtcdResponseTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, repeat_after_s: float | None) -> EtcdStore:
+        """Start a store whose n-th response has the key ``kn``."""
+        numbers = itertools.count(1)
+
+        def respond(line: str) -> bytes:
+            key = base64.b64encode(f"k{next(numbers)}".encode()).decode()
+            return json_response({"header": {"revision": "5"}, "kvs": [{"key": key}]})
+
+        server = RepeatingServer(respond, repeat_after_s)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        store = EtcdStore(f"http://{server.address}", 1.0)
+        await store.start()
+        self.addAsyncCleanup(store.close)
+        return store
+
+    async def test_a_repeated_response_is_not_read_as_the_value_of_another_key(self) -> None:
+        """Guards against a revision or claim that is the value of another key."""
+        for repeat_after_s in (0.0, 0.02, None):
+            with self.subTest(repeat_after_s=repeat_after_s):
+                store = await self.start(repeat_after_s)
+                for number in range(1, 5):
+                    key = _key_of(await store.get(f"k{number}"))
+                    # A late response can only be told from the right one by its key.
+                    allowed = {f"k{number}"} if repeat_after_s is not None else {f"k{number}", None}
+                    self.assertIn(key, allowed)
+                    await asyncio.sleep(0.06)
+
+    async def test_a_response_of_another_call_is_a_failure_of_the_call(self) -> None:
+        """Guards against exceptions that end the task that made the call."""
+        server = RepeatingServer(lambda line: json_response({"result": []}), 0.0)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        store = EtcdStore(f"http://{server.address}", 1.0)
+        await store.start()
+        self.addAsyncCleanup(store.close)
+        unavailable, ambiguous = ErrorKind.STORE_UNAVAILABLE, ErrorKind.STORE_AMBIGUOUS
+        put = Transaction([], [Put("a", b"")])
+        self.assertEqual(unavailable, (await store.get("a")).failure().kind)
+        self.assertEqual(unavailable, (await store.list_prefix("a")).failure().kind)
+        self.assertEqual(ambiguous, (await store.commit(put)).failure().kind)
+        self.assertEqual(ambiguous, (await store.grant_lease(5.0)).failure().kind)
+        self.assertEqual(ambiguous, (await store.keep_alive(5)).failure().kind)
+
+
 class RepeatedTargetResponseTest(unittest.IsolatedAsyncioTestCase):
     def _respond(self, line: str) -> bytes:
         if " /v1/order " in line:
