Send no error response within a response that has begun

An unexpected exception while a response was finished made the router send an error response on the same connection, within the chunked body of the first: "...data: ...\r\n\r\nHTTP/1.1 500 Internal Server Error...". Its body was chunked and had a Content-Length, its end looked like the end of the first response, and the connection stayed open.

Cause: only exceptions of the dispatcher closed the connection; finish() and fail() ran outside of that guard, and Frontend.handle() then returned an error response, which aiohttp writes with the connection's writer.

The guard now covers all that writes to the caller. The error response is still built, for its log lines, but cannot be written to the closed connection.

Evidence: the new test fails before, "1 != 4" heads on a connection with two requests, for final_events and for a service's finish; text_event passes before and after.

--- a/coltsfootfront/serving/frontend.py
+++ b/coltsfootfront/serving/frontend.py
@@ -264,18 +264,19 @@
         )
         try:
             outcome = await self._dispatcher.execute(caller_request, writer)
+            if isinstance(outcome, Failed):
+                if writer.response is None:
+                    return self._failure_response(outcome.failure(), context)
+                self._record_failure(outcome.failure(), context)
+                await writer.fail(outcome.failure())
+                return writer.response
+            assert writer.response is not None
+            await writer.finish(outcome.unwrap(), include_usage)
+            return writer.response
         except BaseException:
+            # An error response must not follow within the response that has begun.
             writer.abort_if_started()
             raise
-        if isinstance(outcome, Failed):
-            if writer.response is None:
-                return self._failure_response(outcome.failure(), context)
-            self._record_failure(outcome.failure(), context)
-            await writer.fail(outcome.failure())
-            return writer.response
-        assert writer.response is not None
-        await writer.finish(outcome.unwrap(), include_usage)
-        return writer.response
 
     async def _handle_service_request(
         self, request: web.BaseRequest, context: RequestContext
@@ -289,20 +290,20 @@
             )
             try:
                 outcome = await self._dispatcher.execute(caller_request, writer)
+                if not isinstance(outcome, Failed):
+                    assert writer.response is not None
+                    writer.finish()
+                    return writer.response
+                if writer.response is None:
+                    return self._failure_response(
+                        _without_unsafe_retry(caller_request, outcome.failure()), context
+                    )
+                self._record_failure(outcome.failure(), context)
+                writer.abort()
+                return writer.response
             except BaseException:
                 writer.abort_if_started()
                 raise
-            if not isinstance(outcome, Failed):
-                assert writer.response is not None
-                writer.finish()
-                return writer.response
-            if writer.response is None:
-                return self._failure_response(
-                    _without_unsafe_retry(caller_request, outcome.failure()), context
-                )
-            self._record_failure(outcome.failure(), context)
-            writer.abort()
-            return writer.response
         finally:
             self.in_progress -= 1
 
--- a/coltsfootfront/tests/test_frontend.py
+++ b/coltsfootfront/tests/test_frontend.py
@@ -17,6 +17,7 @@
 from coltsfootfront.peers.messages import Accepted, Chunk, End, Explain, ExplainReply, Head, Run
 from coltsfootfront.serving import responsewriters
 from coltsfootfront.serving.pauseguard import PauseGuard
+from coltsfootfront.serving.responses import ModelResponseFormat
 from coltsfootfront.serving.router import Router
 from coltsfootfront.tests.support import ManualClock
 from coltsfootfront_dev.fakeagent import (
@@ -318,6 +319,27 @@
         self.assertEqual(b"", received)
         self.assertTrue(any("head_failed" in line for line in records.formatted_records))
 
+    async def test_an_error_within_a_response_closes_the_connection(self) -> None:
+        """Guards against an error response within the response that has begun."""
+        streamed = self.request("/v1/completions", {**BODY, "stream": True})
+        service = self.request("/services/desk/file", {})
+        cases: tuple[tuple[type, str, bytes], ...] = (
+            (ModelResponseFormat, "text_event", streamed),
+            (ModelResponseFormat, "final_events", streamed),
+            (responsewriters.ServiceResponseWriter, "finish", service),
+        )
+        for owner, name, request in cases:
+            with (
+                self.subTest(name),
+                mock.patch.object(owner, name, side_effect=ValueError("failed")),
+                logbook.TestHandler().applicationbound() as records,
+            ):
+                received = await self.raw(2 * request, 1.0)
+                self.assertEqual(1, received.count(b"HTTP/1.1 "))
+                self.assertFalse(received.endswith(b"0\r\n\r\n"))
+                lines = records.formatted_records
+                self.assertTrue(any("event=request_failed" in line for line in lines))
+
     async def test_no_body_follows_a_response_that_has_none(self) -> None:
         """Guards against bytes that a caller reads as the beginning of the next response."""
         request = self.request("/services/desk/file", {})
