Send no interim response to an HTTP/1.0 caller

A caller that sends "Expect: 100-continue" with HTTP/1.0 got "HTTP/1.1 100 Continue" first, which it reads as the response to its request, and the response as its body.

Cause: the router wrote the interim response whatever the version was.

Evidence: the new test fails before ("False is not true": the bytes begin with the interim response) and passes after; HTTP/1.1 callers get it as before.

--- a/coltsfootfront/serving/frontend.py
+++ b/coltsfootfront/serving/frontend.py
@@ -8,7 +8,7 @@
 from typing import cast
 
 import logbook
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from returns.result import Failure as Failed
 
 from coltsfootfront.calls import modelbody, servicepath
@@ -384,7 +384,9 @@
         if request.content_length is not None and request.content_length > limit:
             raise _body_too_large(limit)
         expects = request.headers.get("Expect", "").lower()
-        if expects == "100-continue" and request.transport is not None:
+        # HTTP/1.0 has no interim responses (RFC 9110, section 10.1.1).
+        may_continue = expects == "100-continue" and request.version >= HttpVersion11
+        if may_continue and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
             async with asyncio.timeout(self._settings.body_timeout_s):
--- a/coltsfootfront/tests/test_frontend.py
+++ b/coltsfootfront/tests/test_frontend.py
@@ -340,6 +340,16 @@
                 lines = records.formatted_records
                 self.assertTrue(any("event=request_failed" in line for line in lines))
 
+    async def test_an_interim_response_needs_http_1_1(self) -> None:
+        """Guards against an interim response that an HTTP/1.0 caller reads as the response."""
+        request = self.request("/services/desk/file", {})
+        request = request.replace(b"Host: x", b"Host: x\r\nExpect: 100-continue")
+        self.send_response(200, [])
+        received = await self.raw(request, 0.3)
+        self.assertTrue(received.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"))
+        received = await self.raw(request.replace(b"HTTP/1.1", b"HTTP/1.0"), 0.3)
+        self.assertTrue(received.startswith(b"HTTP/1.0 200 OK\r\n"))
+
     async def test_no_body_follows_a_response_that_has_none(self) -> None:
         """Guards against bytes that a caller reads as the beginning of the next response."""
         request = self.request("/services/desk/file", {})
