Log an unexpected error that ends a connection to a peer

An unexpected exception in a callback ended the task that reads a connection to a peer. Its calls and streams failed as if the connection had been lost, and no line of ours said why.

Cause: only ConnectionLostError was handled, and nothing awaits the task before the connection is closed.

Evidence: the new test fails before, as no line channel_failed is logged. Another new test, which passes before and after, shows that a second reply to a call reaches no other call.

--- a/coltsfootfront/peers/channel.py
+++ b/coltsfootfront/peers/channel.py
@@ -200,6 +200,8 @@
                 self._deliver(message)
         except ConnectionLostError as error:
             log.debug(event("channel_lost", address=self.address, reason=error))
+        except Exception as error:
+            log.error(event("channel_failed", address=self.address, reason=repr(error)))
         finally:
             if self._connection is connection:
                 self._connection = None
--- a/coltsfootfront/tests/test_connection.py
+++ b/coltsfootfront/tests/test_connection.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import logbook
+
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.peers.channel import Channel
 from coltsfootfront.peers.connection import Connection, ConnectionLostError, Identity, Listener
@@ -47,6 +49,42 @@
         self.assertEqual("server", reply.name)
         self.assertEqual([7], seen)
 
+    async def test_repeated_replies_reach_no_other_call(self) -> None:
+        """Guards against a reply that is read as the reply to the next call."""
+
+        async def answer_twice(connection: Connection) -> None:
+            while True:
+                message, _ = await connection.receive()
+                assert isinstance(message, Heartbeat)
+                for _ in range(2):
+                    await connection.send(HeartbeatReply(message.call, str(message.call)))
+
+        listener = Listener("127.0.0.1:0", _identity("server"), answer_twice)
+        channel = Channel(await listener.start(), _identity("client"), SystemClock())
+        for _ in range(5):
+            number = channel.next_number()
+            heartbeat = Heartbeat(number, "client", "router", "dc-1")
+            reply = await channel.call(heartbeat, HeartbeatReply, 2.0)
+            self.assertEqual((number, str(number)), (reply.call, reply.name))
+        await channel.close()
+        await listener.close()
+
+    async def test_an_error_of_a_callback_is_logged(self) -> None:
+        """Guards against a connection that ends without a log line."""
+
+        def fail(channel: Channel, revision: int) -> None:
+            raise ValueError("failed")
+
+        channel = Channel(self.address, _identity("client"), SystemClock(), fail)
+        heartbeat = Heartbeat(channel.next_number(), "client", "router", "dc-1")
+        with (
+            logbook.TestHandler().applicationbound() as records,
+            self.assertRaises(ConnectionLostError),
+        ):
+            await channel.call(heartbeat, HeartbeatReply, 2.0)
+        self.assertTrue(any("event=channel_failed" in line for line in records.formatted_records))
+        await channel.close()
+
     async def test_a_wrong_secret_is_refused(self) -> None:
         """Guards against accepting a process that has another shared secret as a peer."""
         channel = Channel(self.address, _identity("client", "other"), SystemClock())
