Do not take a repeated refusal for the answer to the retry

A target that refused to list its cache events, and sent the refusal twice, refused the retry as well: the second copy was read as its answer. After three attempts its cached parts were not discovered.

Cause: as with orders, aiohttp reads what a kept connection has received since its last response as the next one. The reader now uses the handler that closes connections with unsolicited bytes. A copy that arrives once the retry was sent still costs one attempt of three.

Evidence: the new test fails before, "[CachedPart(salt='salt', key='key')] != None", and passes after.

--- a/coltsfootfront/platform/cachedparts.py
+++ b/coltsfootfront/platform/cachedparts.py
@@ -5,6 +5,7 @@
 
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.cachediscovery import CachedPart, CachedPartReader
+from coltsfootfront.direct.responselimits import use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 
 log = logbook.Logger(__name__)
@@ -27,8 +28,9 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
+        connector = aiohttp.TCPConnector(socket_factory=create_socket)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(socket_factory=create_socket),
+            connector=use_bounded_handler(connector),
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S),
         )
 
--- a/coltsfootfront/tests/test_repeated_responses.py
+++ b/coltsfootfront/tests/test_repeated_responses.py
@@ -13,10 +13,12 @@
 
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.errors import ErrorKind, Failure
+from coltsfootfront.direct.cachediscovery import CachedPart
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.orders import OrderResult
 from coltsfootfront.keyvalue.etcd import EtcdStore
 from coltsfootfront.keyvalue.store import Compare, KeyValue, Put, Transaction
+from coltsfootfront.platform.cachedparts import PlatformPartReader
 from coltsfootfront.platform.orders import PlatformOrderClient
 from coltsfootfront.platform.store import PlatformStore
 
@@ -250,6 +252,24 @@
         self.assertEqual([OrderResult.ACCEPTED, OrderResult.BUSY], results)
 
 
+class RepeatedCacheEventsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_repeated_refusal_does_not_refuse_the_retry(self) -> None:
+        """Guards against cached parts that are not discovered, as a refusal counts twice."""
+        refusal = json_response({}, "429 Too Many Requests")
+        events = json_response({"events": [[1, "+", "salt", "key"]]})
+        responses = iter((refusal, events))
+        server = RepeatingServer(lambda line: next(responses), 0.02)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        reader = PlatformPartReader()
+        await reader.start()
+        self.addAsyncCleanup(reader.close)
+        self.assertIsNone(await reader.read_parts(server.address))
+        await asyncio.sleep(0.06)
+        parts = await reader.read_parts(server.address)
+        self.assertEqual([CachedPart("salt", "key")], parts)
+
+
 def make_target(address: str) -> Target:
     """Build the directory's record of a target at an address."""
     directory = Directory(SystemClock(), {})
