Relay no header whose name is no token

What callers saw: "Content-Length : 3" from a target beside the router's own framing; the client's parser keeps the space in the name, so that it is not known as a length and not left out. Such a head is an invalid response.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -10,6 +10,7 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
+from coltsfootfront.calls.headers import is_token
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
@@ -281,10 +282,8 @@
         )
     for name, value in response_headers.items():
         # The parser accepts them, but a head with one cannot be sent on to the caller.
-        if CONTROL_CHARACTER.search(value):
-            raise ExchangeError(
-                ExchangeFailure.INVALID_RESPONSE, f"a control character in the header {name}"
-            )
+        if not is_token(name) or CONTROL_CHARACTER.search(value):
+            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, f"the header {name!r} is invalid")
     codings = response_headers.getall("Transfer-Encoding", [])
     if codings and [coding.lower() for coding in codings] != ["chunked"]:
         raise ExchangeError(
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -146,6 +146,19 @@
                     assert outcome.reply.answer is not None
                     self.assertEqual(502, outcome.reply.answer.status)
 
+    async def test_header_name_that_is_no_token_is_not_relayed(self) -> None:
+        """Guards against a second length, as in "Content-Length : 3", beside the router's own."""
+        for path in Path:
+            for status in (200, 204):
+                for framing in Framing:
+                    with self.subTest(path=path, status=status, framing=framing):
+                        lines = (b"Content-Length : 3",)
+                        answer = AnswerScript(status=status, framing=framing, lines=lines)
+                        outcome = await self._exchange(path, Script(answer))
+                        self.assertEqual([], outcome.findings)
+                        assert outcome.reply.answer is not None
+                        self.assertEqual(502, outcome.reply.answer.status)
+
     async def test_end_of_an_answer_is_written_once(self) -> None:
         """Guards against a second end when the target is lost while the caller reads slowly."""
         plan = CallerRequestPlan(Path.ASK, [Script(AnswerScript(framing=Framing.CHUNKED))] * 2)
