Refuse a head that continues one that was cut off

What callers would see: 404 with the body and signature that the target sent with 500, or 200 for a failure. A stray head is cut within its reason or a value, and the head of the answer goes on there:

HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error

Cause: such a head repeats no header, so that the rule for two heads in one does not find it; the status is that of the first. Evidence: the new test fails before for each cut within the reason and within the value on all four kinds of route. A status line within the reason or a value is now an invalid response.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -51,6 +51,8 @@
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 # The beginning of a response: a status line, and the name of a header.
 RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,64})?\r\n[\w-]{1,64}:")
+# A status line within another line of a head, which follows bytes that were cut off.
+JOINED_STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5][0-9]{2}")
 MAX_STATUS_LINE_BYTES = 160
 
 log = logbook.Logger(__name__)
@@ -280,10 +282,7 @@
         raise ExchangeError(
             ExchangeFailure.INVALID_RESPONSE, "a successful response without a signature"
         )
-    for name, value in response_headers.items():
-        # The parser accepts them, but a head with one cannot be sent on to the caller.
-        if not is_token(name) or CONTROL_CHARACTER.search(value):
-            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, f"the header {name!r} is invalid")
+    _check_texts(response)
     codings = response_headers.getall("Transfer-Encoding", [])
     if codings and [coding.lower() for coding in codings] != ["chunked"]:
         raise ExchangeError(
@@ -297,6 +296,23 @@
         )
 
 
+def _check_texts(response: aiohttp.ClientResponse) -> None:
+    """Check the reason and the headers of a response.
+
+    :raises ExchangeError: if one of them cannot be part of its head.
+    """
+    for name, value in response.headers.items():
+        # The parser accepts them, but a head with one cannot be sent on to the caller.
+        if not is_token(name) or CONTROL_CHARACTER.search(value):
+            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, f"the header {name!r} is invalid")
+    for text in (response.reason or "", *response.headers.values()):
+        # The head of this response follows another one that was cut off, whose status it bears.
+        if JOINED_STATUS_LINE.search(text):
+            raise ExchangeError(
+                ExchangeFailure.INVALID_RESPONSE, "the head continues one that was cut off"
+            )
+
+
 def _is_chunked(response_headers: Mapping[str, str]) -> bool:
     return "chunked" in response_headers.get("Transfer-Encoding", "").lower()
 
