End a body without framing where a head begins that is cut off

What callers would see: the body of a target that ends with its connection, and behind it the first bytes of a second answer, in a complete answer:

/200;/20HTTP/1.1 200 OK

Cause: looks for a status line and the name of a header. A second answer that breaks off sooner was not found. The end of such a body may no longer be the beginning of a head. A cut within the first five bytes is not told from a body.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -51,6 +51,11 @@
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 # The beginning of a response: a status line, and the name of a header.
 RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,64})?\r\n[\w-]{1,64}:")
+# The beginning of a head that is cut off by the end of the connection.
+CUT_HEAD = re.compile(
+    rb"HTTP/1(?:\.(?:[01](?: (?:[1-5](?:[0-9](?:[0-9](?: [^\r\n]{0,64})?"
+    rb"(?:\r(?:\n(?:[\w-]{0,64}|\r\n?))?)?)?)?)?)?)?)?\Z"
+)
 # A status line within another line of a head, which follows bytes that were cut off.
 JOINED_STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5][0-9]{2}")
 MAX_STATUS_LINE_BYTES = 160
@@ -131,6 +136,10 @@
                 ExchangeFailure.INVALID_RESPONSE,
                 f"the response was cut off: {_describe_error(error)}",
             ) from error
+        if CUT_HEAD.search(end):
+            raise ExchangeError(
+                ExchangeFailure.INVALID_RESPONSE, "the body ends where another response begins"
+            )
         connection_handler = self._response.connection_handler
         connection_error = (
             connection_handler.exception() if connection_handler is not None else None
