Close the connection of each refusal, also of a GET

What callers would see: 503 with Retry-After, not run, for a GET on a route whose requests run once at most, which ran (REFUSED).

Cause: the connection was kept for every GET. But the kind of the route says what may run once, not the method. The second copy of a target's refusal has the request's id and was read as the answer to the retry, which ran. Evidence: the new test fails before, (503, 1) where (200, 1) is expected, and passes after. A refused GET costs a new connection now, as a refused POST did.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -212,7 +212,7 @@
             response.close_connection()
             raise
         target_response = PlatformTargetResponse(response, target)
-        if target_response.is_not_executed and request.method != "GET":
+        if target_response.is_not_executed:
             # The same request may be retried at this target. A late duplicate of this response on
             # the same connection must not be read as the response to the retry.
             response.close_connection()
