Close a connection on which an upgrade was asked for

After a request with Connection: Upgrade and Upgrade: foo or h2c, the head of the next request was lost, if it came in the same read, and its body was taken for a request. A next request that was lost whole got no answer; the rest of one that was lost in part got 400.

Cause: aiohttp's parser stops behind each request that asks for an upgrade, and drops the rest of the read if it does not know the protocol. Such a request is answered as before, with Connection: close, and nothing is read after it.

--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -111,7 +111,7 @@
         return self._response
 
     async def _send_head(self, response: web.StreamResponse) -> None:
-        if self._must_close or self._should_close():
+        if self._must_close or self._should_close() or _asks_for_upgrade(self._request):
             response.force_close()
         self._response = response
         await response.prepare(self._request)
@@ -260,6 +260,14 @@
         return writer.response
 
 
+def _asks_for_upgrade(request: web.BaseRequest) -> bool:
+    """Whether aiohttp's parser may drop bytes that follow the request in the same read.
+
+    The bytes after them would be taken for the beginning of the next request.
+    """
+    return request.method == "CONNECT" or "Upgrade" in request.headers
+
+
 def _log_failure(request: web.BaseRequest, error: BaseException | None) -> None:
     log.warning(
         event(
