Answer a request whose chunked body breaks after its head

The request was not passed on.

The connection now ends the body with an error as well; the caller gets one 400 with its id and Connection: close.

--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -8,6 +8,7 @@
 import logbook
 from aiohttp import web
 from aiohttp.http import StreamWriter
+from aiohttp.web_protocol import _ErrInfo
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
@@ -32,6 +33,10 @@
 log = logbook.Logger(__name__)
 
 
+class BrokenBodyError(ValueError):
+    """The framing of a request's body cannot be parsed."""
+
+
 class PlatformResponseWriter(ResponseWriter):
     """Writes the response to one request.
 
@@ -126,6 +131,23 @@
         if isinstance(server, PlatformCallerServer):
             server.on_data_received(self)
         super().data_received(data)
+        self._end_broken_body()
+
+    def _end_broken_body(self) -> None:
+        """End the body that is being received, when its framing cannot be parsed.
+
+        aiohttp's parser records the error for the next request only, and leaves the reader of the
+        body waiting.
+        """
+        if not self._messages or not isinstance(self._messages[-1][0], _ErrInfo):
+            return
+        bodies = [body for _, body in self._messages]
+        if self._current_request is not None:
+            bodies.append(self._current_request.content)
+        for body in bodies:
+            if not body.is_eof():
+                body.set_exception(BrokenBodyError("the body cannot be parsed"))
+                body.feed_eof()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         server = self._manager
@@ -245,6 +267,9 @@
         except web.HTTPRequestEntityTooLarge:
             await writer.refuse(Failure(ErrorKind.BODY_TOO_LARGE, "the body is too large"))
             return writer.response
+        except BrokenBodyError as error:
+            await writer.fail(Failure(ErrorKind.BAD_REQUEST, str(error)))
+            return writer.response
         except ValueError as error:
             await writer.refuse(Failure(ErrorKind.BAD_REQUEST, str(error)))
             return writer.response
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -271,6 +271,24 @@
         self.assertTrue(self.harness.caller.is_closed)
         self.assertEqual({}, self.harness.book.arrivals)
 
+    async def test_broken_body_behind_a_request_under_way_is_answered(self) -> None:
+        """Guards against a caller that waits for ever if a pipelined request's body breaks."""
+        running = "000000000000000e"
+        self.harness.book.scripts[running] = [Script(splits=(0, 5), pause_s=0.2)]
+        head = _encode_get("/file/a", method="POST").removesuffix(b"\r\n")
+        chunks = b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+        await self.harness.caller.start()
+        self.harness.caller.send(_encode_get("/look/a", running) + head + chunks)
+        await self.harness.book.wait_for_arrival(running)
+        self.harness.caller.send(b"zz\r\n")
+        first = await self.harness.caller.read_answer(running, 2.0)
+        second = await self.harness.caller.read_answer(REQUEST_ID, 2.0)
+        assert first.answer is not None
+        assert second.answer is not None
+        self.assertEqual((200, 400), (first.answer.status, second.answer.status))
+        self.assertEqual([REQUEST_ID], second.answer.values("X-Request-Id"))
+        self.assertEqual([], await self.harness.caller.check_quiet(REQUEST_ID, 0.3))
+
     async def test_unexpected_error_before_an_answer_is_one_whole_answer(self) -> None:
         """Guards against an error that is not answered, or answered without the request's id."""
         error = LookupError("before the head")
