Take any name of a field in an event

What tells the lines of another response is their CR, a status line's slash, and a chunk size's first digit. The new test has both kinds.

--- a/coltsfootfront/direct/events.py
+++ b/coltsfootfront/direct/events.py
@@ -9,7 +9,7 @@
 ID_FIELD = b"id:"
 # A field or a comment. Lines of events end with a line feed alone; those of another response's head
 # or chunk framing, written into the stream, end with CRLF.
-EVENT_LINE = re.compile(rb"(?:[a-z][a-z-]*)?(?::[^\r]*)?")
+EVENT_LINE = re.compile(rb"(?:[A-Za-z][\w-]*)?(?::[^\r]*)?")
 
 
 class StreamBrokenError(Exception):
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -209,6 +209,19 @@
             validator.feed(b"id: 3\n\n")
             validator.check()
 
+    def test_lines_of_events_are_told_from_those_of_another_response(self) -> None:
+        """Guards against sound events that end a stream, and bytes of a response that do not."""
+        sound = (b"data", b"data: 1", b": comment", b"x-weight-versions: 7", b"Field_2: a")
+        foreign = (b"HTTP/1.1 200 OK", b"data: aHTTP/1.1 200 OK\r", b"20", b"a\r", b"X-A: b\r")
+        for line in (*sound, *foreign):
+            with self.subTest(line):
+                validator = StreamValidator()
+                block = b"id: 0\n" + line + b"\n\n"
+                self.assertEqual(block if line in sound else b"", validator.feed(block))
+                if line in foreign:
+                    with self.assertRaises(StreamBrokenError):
+                        validator.check()
+
     def test_invalid_event_number_breaks_the_stream(self) -> None:
         """Guards against corrupted bytes that are relayed as events."""
         with self.assertRaises(StreamBrokenError):
