Answer a request that cannot be parsed in HTTP/1.1

What callers saw: HTTP/1.0 400, a status line of another version than that of their connection. Cause: aiohttp gives the request that it makes up for a parse error the version 1.0. Evidence: the new test, 2 of 2 parts fail before.

--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 import logbook
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.http import StreamWriter
-from aiohttp.web_protocol import _ErrInfo
+from aiohttp.web_protocol import ERROR, _ErrInfo
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
@@ -247,6 +247,9 @@
         self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
     ) -> web.BaseRequest:
         loop = asyncio.get_running_loop()
+        if message is ERROR:
+            # aiohttp would answer a request that cannot be parsed in the version 1.0.
+            message = message._replace(version=HttpVersion11)
         size = self._limits.body_bytes
         return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=size)
 
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -12,7 +12,12 @@
 from coltsfootfront.direct.responserelay import ResponseRelay
 from coltsfootfront.platform import callerserver
 from coltsfootfront_dev.platformfleet import API_KEY, HOST
-from coltsfootfront_dev.rawseries import CallerRequestPlan, Outcome, Path, RawHarness
+from coltsfootfront_dev.rawseries import (
+    CallerRequestPlan,
+    Outcome,
+    Path,
+    RawHarness,
+)
 from coltsfootfront_dev.scriptedtarget import (
     AnswerScript,
     Ending,
@@ -163,6 +168,18 @@
                         assert outcome.reply.answer is not None
                         self.assertEqual(502, outcome.reply.answer.status)
 
+    async def test_request_that_cannot_be_parsed_is_answered_in_the_protocol(self) -> None:
+        """Guards against a status line of HTTP/1.0, which callers of HTTP/1.1 may not read."""
+        caller = self.harness.caller
+        for sent in (b"rubbish\r\n\r\n", b"GET / HTTP/1.1\r\nX A: b\r\n\r\n"):
+            with self.subTest(sent):
+                await caller.start()
+                caller.send(sent)
+                reply = await caller.read_answer("", ANSWER_TIMEOUT_S)
+                self.assertEqual([], reply.findings)
+                assert reply.answer is not None
+                self.assertEqual((400, True), (reply.answer.status, reply.answer.is_last))
+
     async def test_end_of_an_answer_is_written_once(self) -> None:
         """Guards against a second end when the target is lost while the caller reads slowly."""
         plan = CallerRequestPlan(Path.ASK, [Script(AnswerScript(framing=Framing.CHUNKED))] * 2)
