Split the checks of targets' responses from the client

The module of the client had grown with the checks of heads and of bodies without framing; they now stand in platform.responsechecks, with the state of such a body in a class.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -10,7 +10,6 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
-from coltsfootfront.calls.headers import is_token
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
@@ -24,6 +23,7 @@
     TargetResponse,
 )
 from coltsfootfront.platform import headers
+from coltsfootfront.platform.responsechecks import UndelimitedBody, check_head
 
 # Opening a connection to a target in the other region takes 50 ms.
 CONNECT_TIMEOUT_S = 0.3
@@ -36,10 +36,7 @@
 # Headers that aiohttp would add. With its Accept-Encoding, a target could choose a content encoding
 # that the caller does not accept.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
-OK = 200
-FINAL_STATUSES = range(200, 600)
 SERVICE_UNAVAILABLE = 503
-FIRST_REDIRECTION = 300
 MISDIRECTED_REQUEST = 421
 # A longer Retry-After is treated as an error of the target and cut to this.
 MAX_RETRY_AFTER_S = 60.0
@@ -48,17 +45,6 @@
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
 # Loads and versions; a longer number is no count of anything, and would overflow a float.
 COUNT = re.compile(r"[0-9]{1,15}")
-CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-# The beginning of a response: a status line, and the name of a header.
-RESPONSE_HEAD = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,64})?\r\n[\w-]{1,64}:")
-# The beginning of a head that is cut off by the end of the connection.
-CUT_HEAD = re.compile(
-    rb"HTTP/1(?:\.(?:[01](?: (?:[1-5](?:[0-9](?:[0-9](?: [^\r\n]{0,64})?"
-    rb"(?:\r(?:\n(?:[\w-]{0,64}|\r\n?))?)?)?)?)?)?)?)?\Z"
-)
-# A status line within another line of a head, which follows bytes that were cut off.
-JOINED_STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5][0-9]{2}")
-MAX_STATUS_LINE_BYTES = 160
 
 log = logbook.Logger(__name__)
 
@@ -125,21 +111,19 @@
         )
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        end = b""
+        body = None if self._is_delimited else UndelimitedBody()
         try:
             async for chunk in self._response.content.iter_any():
-                if not self._is_delimited:
-                    end = _check_for_head(end + chunk)
+                if body is not None:
+                    body.feed(chunk)
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise ExchangeError(
                 ExchangeFailure.INVALID_RESPONSE,
                 f"the response was cut off: {_describe_error(error)}",
             ) from error
-        if CUT_HEAD.search(end):
-            raise ExchangeError(
-                ExchangeFailure.INVALID_RESPONSE, "the body ends where another response begins"
-            )
+        if body is not None:
+            body.finish()
         connection_handler = self._response.connection_handler
         connection_error = (
             connection_handler.exception() if connection_handler is not None else None
@@ -205,7 +189,7 @@
             ) from error
         assert isinstance(response, _Response)
         try:
-            _check_response(response, request)
+            check_head(response, request.request_id)
         except ExchangeError:
             # A response that is complete has given its connection back already. The answer to this
             # request may still follow on it.
@@ -266,79 +250,10 @@
     return result
 
 
-def _check_response(response: aiohttp.ClientResponse, caller_request: CallerRequest) -> None:
-    """Check that a response belongs to the request and is well-formed.
-
-    A successful response must have a signature header; only its presence is checked.
-
-    :raises ExchangeError: when it does not.
-    """
-    response_headers = response.headers
-    response_id = response_headers.get(headers.REQUEST_ID)
-    if response_id != caller_request.request_id:
-        raise ExchangeError(
-            ExchangeFailure.INVALID_RESPONSE, f"the response is for request ID {response_id}"
-        )
-    for name in headers.SINGLE:
-        # The head of a second response within the first one repeats them.
-        if len(response_headers.getall(name, ())) > 1:
-            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, f"the header {name} is repeated")
-    if response.status not in FINAL_STATUSES:
-        raise ExchangeError(
-            ExchangeFailure.INVALID_RESPONSE, f"a final response with status {response.status}"
-        )
-    if OK <= response.status < FIRST_REDIRECTION and headers.SIGNATURE not in response_headers:
-        raise ExchangeError(
-            ExchangeFailure.INVALID_RESPONSE, "a successful response without a signature"
-        )
-    _check_texts(response)
-    codings = response_headers.getall("Transfer-Encoding", [])
-    if codings and [coding.lower() for coding in codings] != ["chunked"]:
-        raise ExchangeError(
-            ExchangeFailure.INVALID_RESPONSE,
-            "the response has a transfer encoding that was not requested",
-        )
-    if "Content-Encoding" in response_headers:
-        raise ExchangeError(
-            ExchangeFailure.INVALID_RESPONSE,
-            "the response has a content encoding that was not requested",
-        )
-
-
-def _check_texts(response: aiohttp.ClientResponse) -> None:
-    """Check the reason and the headers of a response.
-
-    :raises ExchangeError: if one of them cannot be part of its head.
-    """
-    for name, value in response.headers.items():
-        # The parser accepts them, but a head with one cannot be sent on to the caller.
-        if not is_token(name) or CONTROL_CHARACTER.search(value):
-            raise ExchangeError(ExchangeFailure.INVALID_RESPONSE, f"the header {name!r} is invalid")
-    for text in (response.reason or "", *response.headers.values()):
-        # The head of this response follows another one that was cut off, whose status it bears.
-        if JOINED_STATUS_LINE.search(text):
-            raise ExchangeError(
-                ExchangeFailure.INVALID_RESPONSE, "the head continues one that was cut off"
-            )
-
-
 def _is_chunked(response_headers: Mapping[str, str]) -> bool:
     return "chunked" in response_headers.get("Transfer-Encoding", "").lower()
 
 
-def _check_for_head(data: bytes) -> bytes:
-    """Look for the head of another response in a body that ends with its connection.
-
-    :returns: the end of the data, in which a head may begin.
-    :raises ExchangeError: if there is one; the end of the body is then unknown.
-    """
-    if RESPONSE_HEAD.search(data):
-        raise ExchangeError(
-            ExchangeFailure.INVALID_RESPONSE, "another response follows in the same body"
-        )
-    return data[-MAX_STATUS_LINE_BYTES:]
-
-
 def _parse_retry_after(target: Target, status: int, text: str | None) -> float | None:
     """Seconds for which an overloaded target asks for no requests, None when it does not ask."""
     if status != SERVICE_UNAVAILABLE or text is None:
