--- /dev/null
+++ b/coltsfootfront/tests/test_direct_begun_answers.py
@@ -0,0 +1,222 @@
+"""Tests that answers which a caller has begun to read end only on evidence about their exchange."""
+
+import asyncio
+import socket
+import threading
+import time
+import unittest
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import ErrorKind
+from coltsfootfront.direct.callerrequest import CallerRequest
+from coltsfootfront.direct.directory import Target, TargetEntry
+from coltsfootfront.direct.liveness import CONNECT_TIMEOUT_S, SILENCE_LIMIT_S, LivenessWatch
+from coltsfootfront.direct.responserelay import MIN_EVENT_TIMEOUT_S
+from coltsfootfront.direct.routingconfig import RetryPolicy
+from coltsfootfront.direct.targetclient import Directive, ExchangeFailure, TargetResponse
+from coltsfootfront.tests.direct_support import (
+    FakeResponse,
+    FakeWriter,
+    ForwarderFixture,
+    exchange_error,
+    make_config,
+    make_entry,
+    make_request,
+    make_route,
+)
+
+EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
+NEXT_EVENT = b"id: 2\ndata: c\n\n"
+# The first tests' pauses exceed every time limit that applies to a silent stream.
+LONG_PAUSE_S = MIN_EVENT_TIMEOUT_S + 0.7
+STREAM_ROUTE = make_route(
+    "/ask/", retry_policy=RetryPolicy.RESUMABLE, is_stream=True, max_attempts=3, timeout_s=6.0
+)
+
+
+class _SocketResponse(FakeResponse):
+    """A stream whose events a thread sends over a socket, whatever the event loop does.
+
+    :param events: number of events.
+    :param interval_s: time between them.
+    """
+
+    def __init__(self, events: int, interval_s: float) -> None:
+        super().__init__()
+        self._receiver, self._sender = socket.socketpair()
+        self._thread = threading.Thread(target=self._send, args=(events, interval_s))
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        reader, writer = await asyncio.open_connection(sock=self._receiver)
+        self._thread.start()
+        try:
+            while chunk := await reader.read(65536):
+                yield chunk
+        finally:
+            writer.close()
+            await asyncio.to_thread(self._thread.join)
+
+    def _send(self, events: int, interval_s: float) -> None:
+        with self._sender:
+            for number in range(events):
+                self._sender.sendall(b"id: %d\ndata: x\n\n" % number)
+                time.sleep(interval_s)
+
+
+class BegunAnswersTest(unittest.IsolatedAsyncioTestCase):
+    def _fixture(
+        self, *responses: TargetResponse | Exception, retries: float = 100.0, targets: int = 2
+    ) -> ForwarderFixture:
+        remaining = list(responses)
+
+        def respond(target: Target, sent: CallerRequest, directive: Directive) -> TargetResponse:
+            response = remaining.pop(0)
+            if isinstance(response, Exception):
+                raise response
+            return response
+
+        fixture = ForwarderFixture(SystemClock(), respond, retries)
+        fixture.add(*(make_entry(f"t{number}", "plain") for number in range(targets)))
+        fixture.forwarder.routing_config = make_config(STREAM_ROUTE)
+        return fixture
+
+    async def _serve(self, fixture: ForwarderFixture, deadline_s: float = 6.0) -> FakeWriter:
+        writer = FakeWriter()
+        await fixture.forwarder.serve(make_request("/ask/x", deadline_s=deadline_s), writer)
+        return writer
+
+    def _assert_whole(self, writer: FakeWriter, body: bytes) -> None:
+        self.assertEqual((None, False), (writer.failure, writer.is_aborted))
+        self.assertEqual((body, True), (writer.body, writer.is_complete))
+
+    async def test_stalled_loop_does_not_end_a_stream_whose_events_have_arrived(self) -> None:
+        """Guards against timers that fire after a stall before what has arrived is read."""
+        response = _SocketResponse(events=30, interval_s=0.1)
+        fixture = self._fixture(response)
+        serving = asyncio.create_task(self._serve(fixture))
+        await asyncio.sleep(0.35)
+        time.sleep(LONG_PAUSE_S)  # noqa: ASYNC251 - stalls the event loop
+        writer = await serving
+        self._assert_whole(writer, b"".join(b"id: %d\ndata: x\n\n" % n for n in range(30)))
+        self.assertEqual(1, len(fixture.client.sent))
+
+    async def test_begun_stream_is_kept_while_the_budget_allows_no_replacement(self) -> None:
+        """Guards against a stream that is given up and cannot be resumed elsewhere."""
+        fixture = self._fixture(FakeResponse(chunks=(EVENTS, LONG_PAUSE_S, NEXT_EVENT)), retries=0)
+        self._assert_whole(await self._serve(fixture), EVENTS + NEXT_EVENT)
+        self.assertEqual(1, len(fixture.client.sent))
+
+    async def test_begun_stream_is_kept_while_no_other_target_is_free(self) -> None:
+        """Guards against a stream that is given up although nothing could go on with it."""
+        response = FakeResponse(chunks=(EVENTS, LONG_PAUSE_S, NEXT_EVENT))
+        fixture = self._fixture(response, targets=1)
+        self._assert_whole(await self._serve(fixture), EVENTS + NEXT_EVENT)
+
+    async def test_silent_stream_is_resumed_once_a_replacement_is_certain(self) -> None:
+        """Guards against a caller that waits for a dark target although another one is free."""
+        first = FakeResponse(chunks=(EVENTS, 5.0, NEXT_EVENT))
+        fixture = self._fixture(first, FakeResponse(chunks=(NEXT_EVENT,)))
+        began_s = time.monotonic()
+        self._assert_whole(await self._serve(fixture), EVENTS + NEXT_EVENT)
+        self.assertLess(time.monotonic() - began_s, MIN_EVENT_TIMEOUT_S + 1.0)
+        self.assertEqual([None, 1], [sent.resume_after for _, sent in fixture.client.sent])
+        self.assertTrue(first.is_closed)
+
+    async def test_request_is_kept_when_its_head_is_late_and_the_budget_is_used_up(self) -> None:
+        """Guards against an error in place of an answer that is under way."""
+        route = replace(STREAM_ROUTE, latency_objective_s=0.1)
+
+        class LateClientResponse(FakeResponse):
+            pass
+
+        fixture = self._fixture(retries=0)
+        fixture.forwarder.routing_config = make_config(route)
+
+        async def send(
+            target: Target, request: CallerRequest, directive: Directive
+        ) -> TargetResponse:
+            await asyncio.sleep(1.0)
+            return LateClientResponse(chunks=(EVENTS,))
+
+        fixture.client.send = send  # type: ignore[method-assign]
+        self._assert_whole(await self._serve(fixture), EVENTS)
+
+    async def test_stream_that_breaks_off_late_waits_for_a_target_to_resume_at(self) -> None:
+        """Guards against a resumption whose time to find a target passed before it began."""
+        broken = FakeResponse(chunks=(EVENTS, 0.5, exchange_error()))
+        fixture = self._fixture(broken, FakeResponse(chunks=(NEXT_EVENT,)))
+        other = fixture.directory.all()[1]
+        other.pause(1.0, fixture.clock.monotonic_s())
+        self._assert_whole(await self._serve(fixture), EVENTS + NEXT_EVENT)
+
+    async def test_probe_without_a_connection_does_not_end_a_begun_stream(self) -> None:
+        """Guards against a silent target taken as evidence about another exchange."""
+        for retries in (0.0, 100.0):
+            with self.subTest(retries=retries):
+                pause_s = MIN_EVENT_TIMEOUT_S - 0.1
+                chunks = (EVENTS, pause_s, NEXT_EVENT)
+                fixture = self._fixture(FakeResponse(chunks=chunks), retries=retries)
+                watch, failed = self._watch(fixture)
+                probing = asyncio.create_task(watch.run())
+                try:
+                    self._assert_whole(await self._serve(fixture), EVENTS + NEXT_EVENT)
+                finally:
+                    probing.cancel()
+                self.assertTrue(failed)
+                self.assertEqual(1, len(fixture.client.sent))
+
+    async def test_probe_without_a_connection_moves_a_request_that_has_no_answer_yet(self) -> None:
+        """Guards against requests that wait for a dark target until their deadline."""
+        fixture = self._fixture(FakeResponse(chunks=(5.0, EVENTS)), FakeResponse(chunks=(EVENTS,)))
+        watch, _ = self._watch(fixture)
+        probing = asyncio.create_task(watch.run())
+        began_s = time.monotonic()
+        try:
+            self._assert_whole(await self._serve(fixture), EVENTS)
+        finally:
+            probing.cancel()
+        self.assertEqual(2, len(fixture.client.sent))
+        self.assertLess(time.monotonic() - began_s, SILENCE_LIMIT_S + CONNECT_TIMEOUT_S + 0.5)
+
+    async def test_stalled_loop_does_not_make_a_probed_target_unreachable(self) -> None:
+        """Guards against a probe that reports the stall of its own process."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        fixture = self._fixture()
+        entry = make_entry("live", "plain")
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        fixture.add(_at(entry, address))
+        target = fixture.directory.get("live")
+        assert target is not None
+        dark: list[Target] = []
+        watch = LivenessWatch(fixture.clock, fixture.directory, dark.append, dark.append)
+        watch.confirm(target)
+        await asyncio.sleep(0)
+        time.sleep(CONNECT_TIMEOUT_S + 0.2)  # noqa: ASYNC251 - stalls the event loop
+        await asyncio.sleep(0.3)
+        self.assertEqual(([], False), (dark, target.is_unreachable))
+
+    async def test_real_failure_of_a_begun_answer_ends_it_when_nothing_may_resume_it(self) -> None:
+        """Guards against a caller who waits for the rest of an answer that cannot come."""
+        broken = FakeResponse(chunks=(EVENTS, exchange_error(ExchangeFailure.INVALID_RESPONSE)))
+        writer = await self._serve(self._fixture(broken, retries=0))
+        self.assertTrue(writer.is_aborted)
+        self.assertFalse(writer.is_complete)
+        refused = await self._serve(self._fixture(exchange_error(), retries=0))
+        assert refused.failure is not None
+        self.assertEqual(ErrorKind.TARGET_FAILED, refused.failure.kind)
+
+    def _watch(self, fixture: ForwarderFixture) -> tuple[LivenessWatch, list[Target]]:
+        """Watch targets at addresses that accept no connection."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+        for target in fixture.directory.all():
+            target.entry = _at(target.entry, address)
+        failed: list[Target] = []
+        return LivenessWatch(fixture.clock, fixture.directory, failed.append, failed.append), failed
+
+
+def _at(entry: TargetEntry, address: str) -> TargetEntry:
+    return replace(entry, address=address)
