Decode what others write within one boundary, item by item

Other operators saw their machines end again and again, or stop following the list of servers, by one odd entry of another writer: very deeply nested, with a number too large, or with a port out of range.

Called with such values, the decoders here raised what nothing named: RecursionError for nesting (entries, configurations, versions, router entries, quarantine records, reports, cache events), OverflowError for numbers, TypeError and AttributeError for other types (updates of peers, copies, permits), LookupError for the charset of a report. The error left the listener of the store's follower, which ends its loop with the rest of the batch; the loop read the same batch again. Other values passed and did harm later: NaN and infinities in times and in the wait that a peer asks for, integers of hundreds of digits, addresses with line breaks or digits that are not ASCII. An address with a NUL in a router's entry or in a request for a permit closed the datagram transport for good, so that the router had no gossip until its restart. One odd item lost its whole page of the store, list of changes, list of cache events, or datagram.

common.decoding has the boundary, which turns every error of decoding into one, readers that check each field and its bounds, and a reader of batches that leaves out what cannot be read with one log line. Every decoder of the platform's store, of targets and of peers uses them. The follower passes items to its listener one by one and logs the key, revision and reason where it fails. A key of the store whose value cannot be read counts as existing. Routers are named by IP, as datagrams are sent to them. Values in log lines are cut and their control characters escaped.

--- a/coltsfootfront/common/logs.py
+++ b/coltsfootfront/common/logs.py
@@ -24,16 +24,26 @@
 BURST_LINES = 400.0
 # Shortest time between two lines that report the number of dropped lines.
 REPORT_INTERVAL_S = 5.0
+# Longer values are cut: others may write names and texts of any length.
+MAX_VALUE_LENGTH = 1000
 
 
 def _quote(value: Any) -> str:
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    if len(text) > MAX_VALUE_LENGTH:
+        text = f"{text[:MAX_VALUE_LENGTH]}..."
     if text and all(character in _UNQUOTED_CHARACTERS for character in text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    if not escaped.isprintable():
+        escaped = "".join(map(_escape, escaped))
     return f'"{escaped}"'
 
 
+def _escape(character: str) -> str:
+    return character if character.isprintable() else ascii(character)[1:-1]
+
+
 def event(name: str, /, **fields: Any) -> str:
     """Format one log line.
 
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -18,6 +18,13 @@
 import msgpack
 
 from coltsfootfront.common import metrics
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decoding,
+    describe,
+    load_msgpack,
+    read_list,
+)
 from coltsfootfront.common.logs import event
 
 log = logbook.Logger(__name__)
@@ -206,15 +213,30 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         try:
-            version, must_forward, message = msgpack.unpackb(data)
-            if version == PROTOCOL_VERSION:
+            with decoding("datagram"):
+                version, must_forward, message = load_msgpack(data)
+                updates = read_list(message)
+                if version != PROTOCOL_VERSION:
+                    return
                 if must_forward:
-                    self._send(message, self._peers.get(self._region, []))
-                for kind, fields in message:
-                    self._on_message(kind, fields)
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
-            metrics.CONNECTION_EVENTS.inc({"event": "gossip_unreadable"})
-            log.warning(event("gossip_unreadable", peer=addr[0], reason=repr(error)))
+                    self._send(updates, self._peers.get(self._region, []))
+        except DecodingError as error:
+            self._log_unreadable(addr, error)
+            return
+        for update in updates:
+            self._receive(update, addr)
+
+    def _receive(self, update: Any, addr: tuple[str | Any, int]) -> None:
+        """Pass one update on; one that cannot be used does not keep the others back."""
+        try:
+            kind, fields = read_list(update)
+            self._on_message(kind, fields)
+        except Exception as error:
+            self._log_unreadable(addr, error)
+
+    def _log_unreadable(self, addr: tuple[str | Any, int], error: Exception) -> None:
+        metrics.CONNECTION_EVENTS.inc({"event": "gossip_unreadable"})
+        log.warning(event("gossip_unreadable", peer=addr[0], reason=describe(error)))
 
     def error_received(self, exc: Exception) -> None:
         metrics.CONNECTION_EVENTS.inc({"event": "gossip_error"})
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -11,6 +11,7 @@
 from coltsfootfront import __version__
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.decoding import decode_each, read_list
 from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.pause import PauseDetector
@@ -25,6 +26,17 @@
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.gossipfields import (
+    decode_expected,
+    decode_limit,
+    decode_load,
+    decode_loading,
+    decode_location,
+    decode_position,
+    decode_prefill_work,
+    decode_start,
+    decode_suspicion,
+)
 from coltsfootfront.direct.limitrecorder import LimitRecorder
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.orders import OrderClient, OrderIssuer
@@ -479,12 +491,14 @@
             gossip.EXPECTED: self._handle_expected,
             gossip.PREFILL_WORK: self._handle_prefill_work,
             gossip.LOAD: self._handle_loads,
-            gossip.DRAINING: lambda found: self._handle_draining(*found),
-            gossip.UNREACHABLE: lambda found: self._directory.suspect(*found),
-            gossip.WEIGHTS_LOADING: lambda found: self._handle_loading(kind, *found),
-            gossip.WEIGHTS_LOADED: lambda found: self._handle_loading(kind, *found),
+            gossip.DRAINING: lambda found: self._handle_draining(*decode_start(found)),
+            gossip.UNREACHABLE: lambda found: self._directory.suspect(*decode_start(found)),
+            gossip.WEIGHTS_LOADING: lambda found: self._handle_loading(
+                kind, *decode_loading(found)
+            ),
+            gossip.WEIGHTS_LOADED: lambda found: self._handle_loading(kind, *decode_loading(found)),
             gossip.REVISION: self._handle_revision,
-            gossip.LIMIT: lambda found: self._handle_limit(*found),
+            gossip.LIMIT: lambda found: self._limits.record_peer(*decode_limit(found)),
             gossip.PERMIT_REQUEST: lambda found: self._permits.handle_request(
                 PermitRequest.from_fields(found)
             ),
@@ -495,48 +509,46 @@
             gossip.ANSWERED: self._quarantine.handle_answered,
             gossip.QUARANTINED: self._quarantine.handle_quarantined,
             gossip.RELEASED: self._quarantine.handle_released,
-            gossip.ISSUER_SUSPECTED: lambda found: self._permits.handle_suspicion(*found),
+            gossip.ISSUER_SUSPECTED: lambda found: self._permits.handle_suspicion(
+                *decode_suspicion(found)
+            ),
         }
         if kind in handlers:
             handlers[kind](fields)
 
     def _handle_cached(self, fields: list[Any]) -> None:
-        for salt, key, name in fields:
+        for salt, key, name in decode_each(gossip.CACHED, read_list(fields), decode_location):
             self._cache_index.record_use(salt, key, name)
 
     def _handle_learned(self, fields: list[Any]) -> None:
-        for salt, key, name in fields:
+        for salt, key, name in decode_each(gossip.LEARNED, read_list(fields), decode_location):
             self._cache_index.record_held(salt, key, name)
 
     def _handle_expected(self, fields: list[Any]) -> None:
-        for salt, key, name, in_s in fields:
+        for salt, key, name, in_s in decode_each(
+            gossip.EXPECTED, read_list(fields), decode_expected
+        ):
             self._cache_index.record_expected(salt, key, name, in_s)
 
     def _handle_draining(self, name: str, started_ms: int) -> None:
         self._directory.mark_draining(name, started_ms, reported_by="a peer")
 
-    def _handle_limit(self, name: str, started_ms: int, rate_per_s: float | None) -> None:
-        self._limits.record_peer(
-            name, started_ms, None if rate_per_s is None else float(rate_per_s)
-        )
-
     def _handle_revision(self, fields: list[Any]) -> None:
-        revision, *rest = fields
-        # A peer of an earlier version tells no era, or no address.
-        era = rest[0] if rest else 0
-        position = Position(era, revision)
+        position, address = decode_position(fields)
         if position > self._follower.peer_position:
             self._follower.peer_position = position
-            self._peers.announcer = rest[1] if len(rest) > 1 else None
+            self._peers.announcer = address
 
     def _handle_prefill_work(self, fields: list[Any]) -> None:
-        for name, priority, work_s in fields:
+        for name, priority, work_s in decode_each(
+            gossip.PREFILL_WORK, read_list(fields), decode_prefill_work
+        ):
             target = self._directory.get(name)
             if target is not None:
                 target.backlog.add(priority, work_s, self._clock.monotonic_s())
 
     def _handle_loads(self, fields: list[Any]) -> None:
-        for name, load in fields:
+        for name, load in decode_each(gossip.LOAD, read_list(fields), decode_load):
             target = self._directory.get(name)
             if target is not None:
                 target.record_load(load, self._clock.monotonic_s())
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -2,16 +2,29 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 import aiohttp
 import logbook
 import msgpack
 from aiohttp import web
 
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decode_each,
+    decoding,
+    describe,
+    load_msgpack,
+    read_digits,
+    read_integer,
+    read_list,
+    read_number,
+)
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
+from coltsfootfront.direct.gossipfields import decode_location
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
@@ -30,6 +43,8 @@
 WATCHERS_PER_DATA_CENTRE = 2
 # A relay in the same data centre answers within this time after the end of the wait.
 RELAY_TIMEOUT_MARGIN_S = 0.4
+# Longest wait for changes that a peer may ask for.
+MAX_WAIT_S = 10.0
 # Peers whose copy is requested in parallel.
 PEERS_QUERIED = 2
 PEERS_QUERIED_AT_START = 5
@@ -151,12 +166,9 @@
         if body is None:
             return None
         try:
-            revision, rows, is_full_copy, *rest = msgpack.unpackb(body)
-            # A peer of an earlier version tells no era.
-            era = int(rest[0]) if rest else 0
-            return Changes([Item(*row) for row in rows], revision, is_full_copy, era)
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
-            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
+            return _decode_changes(body)
+        except DecodingError as error:
+            log.warning(event("peer_unreadable", peer=address, reason=str(error)))
             return None
 
     async def _get(
@@ -174,12 +186,13 @@
 
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
         if request.path == COPY_PATH and self.follower is not None:
-            after = Position(
-                int(request.query.get("era", "0")), int(request.query.get("after", "0"))
-            )
+            try:
+                after, wait_s = _decode_query(request.query)
+            except DecodingError as error:
+                return web.Response(status=400, text=str(error))
             changes: Changes | None
-            if "wait" in request.query:
-                changes = await self.follower.wait_for_changes(after, float(request.query["wait"]))
+            if wait_s is not None:
+                changes = await self.follower.wait_for_changes(after, wait_s)
             else:
                 changes = self.follower.changes_after(after)
             if changes is None:
@@ -196,7 +209,39 @@
 
 def _decode_parts(body: bytes) -> list[CachedPartLocation]:
     try:
-        return [(str(salt), str(key), str(holder)) for salt, key, holder in msgpack.unpackb(body)]
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        log.warning(event("peer_unreadable", reason=repr(error)))
+        with decoding("parts"):
+            return decode_each("parts", read_list(load_msgpack(body)), decode_location)
+    except DecodingError as error:
+        log.warning(event("peer_unreadable", reason=str(error)))
         return []
+
+
+@decoding("copy")
+def _decode_changes(body: bytes) -> Changes:
+    """Decode the changes at a peer; a copy that lacks a key that it has would remove it.
+
+    :raises DecodingError: if any part is malformed.
+    """
+    revision, rows, is_full_copy, *rest = read_list(load_msgpack(body))
+    # A peer of an earlier version tells no era.
+    era = read_integer(rest[0]) if rest else 0
+    items = [_decode_row(row) for row in read_list(rows)]
+    return Changes(items, read_integer(revision), bool(is_full_copy), era)
+
+
+def _decode_row(row: Any) -> Item:
+    key, value, revision = read_list(row)
+    if not isinstance(key, str) or not (value is None or isinstance(value, bytes)):
+        raise DecodingError(f"{describe(key)} is not a key with a value")
+    return Item(key, value, read_integer(revision))
+
+
+@decoding("query")
+def _decode_query(query: Mapping[str, str]) -> tuple[Position, float | None]:
+    """Decode the position after which a peer asks for changes, and how long it waits for them.
+
+    :raises DecodingError: if a number is malformed.
+    """
+    after = Position(read_digits(query.get("era", "0")), read_digits(query.get("after", "0")))
+    wait = query.get("wait")
+    return after, None if wait is None else read_number(float(wait), high=MAX_WAIT_S)
--- a/coltsfootfront/direct/permitmessages.py
+++ b/coltsfootfront/direct/permitmessages.py
@@ -5,6 +5,16 @@
 from enum import Enum
 from typing import Any
 
+from coltsfootfront.common.decoding import (
+    decoding,
+    read_integer,
+    read_ip_address,
+    read_list,
+    read_number,
+    read_object,
+    read_seconds,
+    read_text,
+)
 from coltsfootfront.direct.directory import Target
 
 
@@ -75,22 +85,25 @@
     def from_fields(cls, fields: list[Any]) -> "PermitRequest":
         """Decode a message.
 
-        :raises ValueError: if it is malformed.
-        :raises TypeError: likewise.
+        :raises DecodingError: if it is malformed.
         """
-        number, router, (name, started_ms, data_centre), rate_per_s, max_wait_s, *rest = fields
-        demand, skipped, suspected = rest
-        target = TargetKey(str(name), int(started_ms), str(data_centre))
-        return cls(
-            int(number),
-            str(router),
-            target,
-            float(rate_per_s),
-            float(max_wait_s),
-            max(1, int(demand)),
-            [str(item) for item in skipped],
-            {str(item): float(for_s) for item, for_s in dict(suspected).items()},
-        )
+        with decoding("request for a permit"):
+            number, router, (name, started_ms, data_centre), rate_per_s, max_wait_s, *rest = fields
+            demand, skipped, suspected = rest
+            target = TargetKey(read_text(name), read_integer(started_ms), read_text(data_centre))
+            return cls(
+                read_integer(number),
+                read_ip_address(router),
+                target,
+                read_number(rate_per_s),
+                read_seconds(max_wait_s),
+                max(1, read_integer(demand)),
+                [read_ip_address(item) for item in read_list(skipped)],
+                {
+                    read_ip_address(item): read_seconds(for_s)
+                    for item, for_s in read_object(suspected).items()
+                },
+            )
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,11 +130,17 @@
     def from_fields(cls, fields: list[Any]) -> "PermitResponse":
         """Decode a message.
 
-        :raises ValueError: if it is malformed.
-        :raises TypeError: likewise.
+        :raises DecodingError: if it is malformed.
         """
-        number, verdict, wait_s, share, issuer = fields
-        return cls(int(number), Verdict(verdict), float(wait_s), float(share), str(issuer))
+        with decoding("response to a request for a permit"):
+            number, verdict, wait_s, share, issuer = fields
+            return cls(
+                read_integer(number),
+                Verdict(verdict),
+                read_seconds(wait_s),
+                min(1.0, read_number(share)),
+                read_ip_address(issuer) if issuer else "",
+            )
 
 
 class PermitChannel(ABC):
--- a/coltsfootfront/direct/quarantinekeeper.py
+++ b/coltsfootfront/direct/quarantinekeeper.py
@@ -15,6 +15,17 @@
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decode_each,
+    decoding,
+    load_json,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct import gossip
 from coltsfootfront.direct.crashevidence import CrashEvidence, Parts, Suspect
@@ -146,23 +157,26 @@
 
     def handle_crash(self, fields: list[Any]) -> None:
         """Record the requests that a peer has lost at a target that crashed."""
-        name, started_ms, rows = fields
-        suspects = [Suspect(tuple(parts), bool(is_answering)) for is_answering, parts in rows]
-        self._record_crash(name, started_ms, suspects, by="a peer")
+        with decoding("crash"):
+            name, started_ms, rows = fields
+            target, start = read_text(name), read_integer(started_ms)
+            suspects = decode_each("suspects", read_list(rows), _decode_suspect, target=target)
+        self._record_crash(target, start, suspects, by="a peer")
 
     def handle_answered(self, fields: list[Any]) -> None:
         """Clear parts that a target has answered at a peer."""
-        self._evidence.record_answer(tuple(fields))
+        self._evidence.record_answer(tuple(decode_each("answered", read_list(fields), read_text)))
 
     def handle_quarantined(self, fields: list[Any]) -> None:
         """Adopt the records of a peer."""
-        for value in fields:
+        for value in read_list(fields):
             self._adopt(value, by="a peer")
 
     def handle_released(self, fields: list[Any]) -> None:
         """Release a record that a peer has released."""
-        record_id, reason = fields
-        self._drop(str(record_id), str(reason), by="a peer")
+        with decoding("release"):
+            record_id, reason = map(read_text, fields)
+        self._drop(record_id, reason, by="a peer")
 
     def handle_stored(self, record_id: str, value: bytes | None) -> None:
         """Adopt a record from the store; a missing one does not end the quarantine."""
@@ -241,21 +255,15 @@
         :returns: whether the parts are quarantined by it.
         """
         try:
-            body = json.loads(value)
-            record_id = str(body["id"])
-            if body["is_released"]:
-                self._drop(record_id, "released", by)
-                return False
-            record = QuarantineRecord(
-                parts=frozenset(str(part) for part in body["parts"]),
-                targets=int(body["targets"]),
-                hold_s=float(body["hold_s"]),
-                trials=int(body["trials"]),
-                since_ms=int(body["since_ms"]),
-                reported_by=str(body["reported_by"]),
-            )
-        except (ValueError, KeyError, TypeError) as error:
-            log.warning(event("quarantine_unreadable", by=by, reason=repr(error)))
+            with decoding("record"):
+                body = read_object(load_json(value))
+                record_id = read_text(body["id"])
+                record = None if body["is_released"] else _decode_record(body)
+        except DecodingError as error:
+            log.warning(event("quarantine_unreadable", by=by, reason=str(error)))
+            return False
+        if record is None:
+            self._drop(record_id, "released", by)
             return False
         is_known = self._quarantine.get(record.id) is not None
         if record.parts and self._quarantine.put(record) and not is_known:
@@ -329,6 +337,22 @@
     ).encode()
 
 
+def _decode_record(body: dict[str, Any]) -> QuarantineRecord:
+    return QuarantineRecord(
+        parts=frozenset(read_text(part) for part in read_list(body["parts"])),
+        targets=read_integer(body["targets"]),
+        hold_s=read_number(body["hold_s"]),
+        trials=read_integer(body["trials"]),
+        since_ms=read_integer(body["since_ms"]),
+        reported_by=read_text(body["reported_by"]),
+    )
+
+
+def _decode_suspect(row: Any) -> Suspect:
+    is_answering, parts = read_list(row)
+    return Suspect(tuple(read_text(part) for part in read_list(parts)), bool(is_answering))
+
+
 def _fields(record: QuarantineRecord) -> dict[str, Any]:
     """Log fields of a record."""
     return {
--- a/coltsfootfront/direct/registration.py
+++ b/coltsfootfront/direct/registration.py
@@ -9,6 +9,13 @@
 from returns.result import Success
 
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decoding,
+    load_json,
+    read_ip_address,
+    read_text,
+)
 from coltsfootfront.common.logs import event
 from coltsfootfront.keyvalue.store import Put, Store, Transaction
 
@@ -113,7 +120,13 @@
 def decode_router_entry(value: bytes) -> RouterEntry | None:
     """Decode a router's entry, None if it is invalid."""
     try:
-        body = json.loads(value)
-        return RouterEntry(str(body["address"]), str(body["data_centre"]), str(body["region"]))
-    except (ValueError, KeyError, TypeError):
+        with decoding("router entry"):
+            body = load_json(value)
+            return RouterEntry(
+                read_ip_address(body["address"]),
+                read_text(body["data_centre"]),
+                read_text(body["region"]),
+            )
+    except DecodingError as error:
+        log.warning(event("router_entry_ignored", reason=str(error)))
         return None
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -17,6 +17,7 @@
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.decoding import describe
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.common.logs import event
 from coltsfootfront.keyvalue.store import KeyValue, Store
@@ -403,11 +404,11 @@
         try:
             for key in before:
                 if key not in self._items:
-                    self._listener(Item(key, None, revision))
+                    self._tell_listener(Item(key, None, revision))
             for item in items:
                 known = before.get(item.key)
                 if known is None or known.value != item.value:
-                    self._listener(item)
+                    self._tell_listener(item)
         finally:
             self.is_restoring = False
         if before:
@@ -553,4 +554,14 @@
         if len(self._change_log) == self._change_log.maxlen:
             self._change_log_after = self._change_log[0].revision
         self._change_log.append(item)
-        self._listener(item)
+        self._tell_listener(item)
+
+    def _tell_listener(self, item: Item) -> None:
+        """Pass an item on; one that the listener fails at does not keep it from the others."""
+        try:
+            self._listener(item)
+        except Exception as error:
+            metrics.CONFIGURATION_EVENTS.inc({"event": "item_failed"})
+            log.error(
+                event("item_failed", key=item.key, revision=item.revision, reason=describe(error))
+            )
--- a/coltsfootfront/platform/cachedparts.py
+++ b/coltsfootfront/platform/cachedparts.py
@@ -1,8 +1,19 @@
 """Reads from targets and kept caches which prompt parts they have cached."""
 
+from typing import Any
+
 import aiohttp
 import logbook
 
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decode_each,
+    decoding,
+    describe,
+    load_json,
+    read_list,
+    read_text,
+)
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.cachediscovery import CachedPart, CachedPartReader
 from coltsfootfront.direct.responselimits import use_bounded_handler
@@ -18,7 +29,7 @@
 WAIT_MS = 200
 PART_STORED = "+"
 # A failed exchange, or a malformed body.
-_READ_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError)
+_READ_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
 class PlatformPartReader(CachedPartReader):
@@ -48,22 +59,32 @@
                 if response.status != 200:
                     log.info(event("parts_unread", address=address, status=response.status))
                     return None
-                return _replay_events(await response.json())
+                return _replay_events(await response.read(), address)
         except _READ_ERRORS as error:
-            log.info(event("parts_unread", address=address, reason=repr(error)[:120]))
+            log.info(event("parts_unread", address=address, reason=describe(error)))
             return None
 
 
-def _replay_events(body: dict[str, list[list[object]]]) -> list[CachedPart]:
+@decoding("cache events")
+def _replay_events(data: bytes, address: str) -> list[CachedPart]:
     """Return the parts whose latest event stored them, least recently used first.
 
-    :raises ValueError: when an event is malformed.
+    :param address: where the events come from, for the log.
+    :raises DecodingError: when no event can be read.
     """
+    events = read_list(load_json(data)["events"])
+    readable = decode_each("cache events", events, _decode_event, source=address)
+    if events and not readable:
+        raise DecodingError("none of the events can be read")
     cached_parts: dict[CachedPart, None] = {}
-    for _, operation, salt, key, *_ in body["events"]:
-        part = CachedPart(str(salt), str(key))
+    for operation, part in readable:
         # Moves the part to the end: the cache evicts the least recently used part first.
         cached_parts.pop(part, None)
         if operation == PART_STORED:
             cached_parts[part] = None
     return list(cached_parts)
+
+
+def _decode_event(row: Any) -> tuple[str, CachedPart]:
+    _, operation, salt, key, *_ = read_list(row)
+    return read_text(operation), CachedPart(read_text(salt, is_optional=True), read_text(key))
--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -4,13 +4,24 @@
 an entry is ignored, and the reason is returned for the log.
 """
 
-import json
 from typing import Any
 
 import logbook
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decoding,
+    describe,
+    load_json,
+    read_address,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import TargetEntry
 from coltsfootfront.direct.node import ItemDecoder, StoreUpdateHandler
@@ -30,6 +41,10 @@
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
 TARGET_PREFIX = "servers/"
+# Priorities that targets know, 0 is the most urgent.
+MAX_PRIORITY = 9
+# A target with more slots than any machine has attracts every request.
+MAX_SLOTS = 1_000_000
 
 Json = dict[str, Any]
 
@@ -74,29 +89,36 @@
 def decode_config(value: bytes) -> Result[RoutingConfig, str]:
     """Decode a routing configuration."""
     try:
-        body = json.loads(value)
-        config = RoutingConfig(
-            number=int(body["version"]),
-            services={item["name"]: _decode_service(item) for item in body["services"]},
-            requires_keys="tenants" in body,
-            limits=_decode_limits(body.get("limits", {})),
-        )
-        for item in body["routes"]:
-            config.add_route(_decode_route(item))
-        for tenant in body.get("tenants", []):
-            customer = _decode_customer(tenant)
-            config.customers_by_key.update(dict.fromkeys(tenant["api-keys"], customer))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Failed(f"configuration cannot be read: {error!r}")
-    return Success(config)
+        with decoding("configuration"):
+            return Success(_decode_config(read_object(load_json(value))))
+    except DecodingError as error:
+        return Failed(str(error))
+
+
+def _decode_config(body: Json) -> RoutingConfig:
+    config = RoutingConfig(
+        number=read_integer(body["version"]),
+        services={
+            read_text(item["name"]): _decode_service(item) for item in read_list(body["services"])
+        },
+        requires_keys="tenants" in body,
+        limits=_decode_limits(read_object(body.get("limits", {}))),
+    )
+    for item in read_list(body["routes"]):
+        config.add_route(_decode_route(item))
+    for tenant in read_list(body.get("tenants", [])):
+        customer = _decode_customer(tenant)
+        keys = [read_text(key) for key in read_list(tenant["api-keys"])]
+        config.customers_by_key.update(dict.fromkeys(keys, customer))
+    return config
 
 
 def _decode_limits(item: Json) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        header_bytes=int(item.get("max-header-bytes", defaults.header_bytes)),
-        body_bytes=int(item.get("max-body-bytes", defaults.body_bytes)),
-        idle_s=float(item.get("idle-timeout-ms", defaults.idle_s * 1000)) / 1000,
+        header_bytes=read_integer(item.get("max-header-bytes", defaults.header_bytes)),
+        body_bytes=read_integer(item.get("max-body-bytes", defaults.body_bytes)),
+        idle_s=read_number(item.get("idle-timeout-ms", defaults.idle_s * 1000)) / 1000,
     )
 
 
@@ -109,30 +131,36 @@
         retry_policy = RetryPolicy.RESUMABLE
     else:
         retry_policy = RetryPolicy.ONCE
-    split = item.get("traffic-split")
-    if split:
-        weighted_services = tuple(
-            WeightedService(part["service"], float(part["weight"])) for part in split
-        )
-    else:
-        weighted_services = (WeightedService(item["service"], 1.0),)
     return Route(
-        name=item["name"],
-        host=item["host"],
-        prefix=item["prefix"],
-        weighted_services=weighted_services,
+        name=read_text(item["name"]),
+        host=read_text(item["host"]),
+        prefix=read_text(item["prefix"]),
+        weighted_services=_decode_weighted_services(item),
         retry_policy=retry_policy,
         is_stream=is_stream,
         # Despite its name, "sticky" has nothing to do with session affinity: it marks routes whose
         # requests list the parts of their prompt.
         has_prompt=bool(item.get("sticky")),
-        timeout_s=float(item["timeout-ms"]) / 1000,
-        latency_objective_s=float(item.get("target-latency-ms") or item["timeout-ms"]) / 1000,
-        priority=int(item.get("priority", 0)),
-        max_attempts=int(item.get("max-attempts", 1)),
+        timeout_s=read_number(item["timeout-ms"]) / 1000,
+        latency_objective_s=read_number(item.get("target-latency-ms") or item["timeout-ms"]) / 1000,
+        priority=read_integer(item.get("priority", 0), high=MAX_PRIORITY),
+        max_attempts=read_integer(item.get("max-attempts", 1)),
         allows_anonymous=bool(item.get("anonymous")),
-        event_gap_objective_s=float(item.get("gap-aim-ms") or 0) / 1000,
+        event_gap_objective_s=read_number(item.get("gap-aim-ms") or 0) / 1000,
+    )
+
+
+def _decode_weighted_services(item: Json) -> tuple[WeightedService, ...]:
+    split = item.get("traffic-split")
+    if not split:
+        return (WeightedService(read_text(item["service"]), 1.0),)
+    services = tuple(
+        WeightedService(read_text(part["service"]), read_number(part["weight"]))
+        for part in read_list(split)
     )
+    if not any(service.weight for service in services):
+        raise DecodingError("the weights of a split are all 0")
+    return services
 
 
 def _decode_service(item: Json) -> Service:
@@ -140,31 +168,31 @@
     engine_properties = None
     if engine:
         engine_properties = EngineProperties(
-            token_bytes=int(engine["kv-token-bytes"]),
+            token_bytes=read_integer(engine["kv-token-bytes"]),
             link_bytes_per_s=_link_bytes_per_s(engine),
-            models=tuple(model["name"] for model in engine.get("models", [])),
+            models=tuple(read_text(model["name"]) for model in read_list(engine.get("models", []))),
         )
     kept_cache = None
     if item.get("kv-store-addr"):
         kept_cache = KeptCache(
-            name=item["name"],
-            address=item["kv-store-addr"],
-            data_centre=item.get("zone", ""),
+            name=read_text(item["name"]),
+            address=read_address(item["kv-store-addr"]),
+            data_centre=read_text(item.get("zone", ""), is_optional=True),
             link_bytes_per_s=_link_bytes_per_s(item),
-            capacity_tokens=int(item.get("kv-capacity") or 0),
+            capacity_tokens=read_integer(item.get("kv-capacity") or 0),
         )
-    return Service(name=item["name"], engine=engine_properties, kept_cache=kept_cache)
+    return Service(name=read_text(item["name"]), engine=engine_properties, kept_cache=kept_cache)
 
 
 def _link_bytes_per_s(item: Json) -> float:
-    return float(item.get("link-mbps", 0)) * 1e6 / 8
+    return read_number(item.get("link-mbps", 0)) * 1e6 / 8
 
 
 def _decode_customer(tenant: Json) -> Customer:
     priority = tenant.get("priority")
     return Customer(
-        name=tenant["name"],
-        priority=int(priority) if priority is not None else None,
+        name=read_text(tenant["name"]),
+        priority=read_integer(priority, high=MAX_PRIORITY) if priority is not None else None,
         is_isolated=bool(tenant.get("isolated")),
     )
 
@@ -172,10 +200,11 @@
 def decode_version(value: bytes) -> Result[tuple[str, int], str]:
     """Decode the version of a model's weights that operators ask for."""
     try:
-        body = json.loads(value)
-        return Success((str(body["model"]), int(body["version"])))
-    except (ValueError, KeyError, TypeError) as error:
-        return Failed(f"version cannot be read: {error!r}")
+        with decoding("version"):
+            body = read_object(load_json(value))
+            return Success((read_text(body["model"]), read_integer(body["version"])))
+    except DecodingError as error:
+        return Failed(str(error))
 
 
 def decode_target_entry(key: str, value: bytes) -> Result[TargetEntry, str]:
@@ -184,43 +213,26 @@
     :param key: key of the entry, which ends with the target's name.
     """
     try:
-        body = json.loads(value)
-        state = body["state"]
-        if state not in ("ready", "draining"):
-            return Failed(f"unknown state {state!r}")
-        return Success(
-            TargetEntry(
-                name=key.removeprefix(TARGET_PREFIX),
-                service=_non_empty_string(body["service"]),
-                address=_host_and_port(body["address"]),
-                data_centre=_non_empty_string(body["zone"]),
-                slots=_non_negative_int(body["slots"]),
-                is_draining=state == "draining",
-                versions={
-                    _non_empty_string(model["name"]): _non_negative_int(model["version"])
-                    for model in body.get("models", [])
-                },
-                started_ms=_non_negative_int(body.get("born", 0)),
-            )
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Failed(f"entry cannot be read: {error!r}")
-
-
-def _non_empty_string(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a non-empty string")
-    return value
-
-
-def _non_negative_int(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise ValueError(f"{value!r} is not an integer of 0 or more")
-    return value
-
-
-def _host_and_port(value: Any) -> str:
-    host, _, port = _non_empty_string(value).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{value!r} is not an address of the form HOST:PORT")
-    return str(value)
+        with decoding("entry"):
+            return Success(_decode_target_entry(key, read_object(load_json(value))))
+    except DecodingError as error:
+        return Failed(str(error))
+
+
+def _decode_target_entry(key: str, body: Json) -> TargetEntry:
+    state = body["state"]
+    if state not in ("ready", "draining"):
+        raise DecodingError(f"{describe(state)} is not a known state")
+    return TargetEntry(
+        name=read_text(key.removeprefix(TARGET_PREFIX)),
+        service=read_text(body["service"]),
+        address=read_address(body["address"]),
+        data_centre=read_text(body["zone"]),
+        slots=read_integer(body["slots"], high=MAX_SLOTS),
+        is_draining=state == "draining",
+        versions={
+            read_text(model["name"]): read_integer(model["version"])
+            for model in read_list(body.get("models", []))
+        },
+        started_ms=read_integer(body.get("born", 0)),
+    )
--- a/coltsfootfront/platform/orders.py
+++ b/coltsfootfront/platform/orders.py
@@ -2,11 +2,18 @@
 
 import json
 from collections.abc import AsyncIterator, Callable
-from typing import Any
 
 import aiohttp
 import logbook
 
+from coltsfootfront.common.decoding import (
+    decoding,
+    describe,
+    load_json,
+    read_integer,
+    read_list,
+    read_text,
+)
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.orders import OrderClient, OrderResult, TargetState
@@ -23,7 +30,7 @@
 SWITCH_MODE = "retain"
 
 # A failed exchange, or a malformed body.
-_READ_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError)
+_READ_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 RESULT_BY_STATUS = {
     # The target starts to load the version.
@@ -136,9 +143,9 @@
             async with self._report_session.get(url, headers=request_headers) as response:
                 if response.status != 200:
                     return None
-                return _decode_state(await response.json())
+                return _decode_state(await response.read())
         except _READ_ERRORS as error:
-            log.warning(event("report_unanswered", target=target.name, reason=repr(error)))
+            log.warning(event("report_unanswered", target=target.name, reason=describe(error)))
             return None
 
 
@@ -150,11 +157,20 @@
     )
 
 
-def _decode_state(body: dict[str, Any]) -> TargetState:
+@decoding("report")
+def _decode_state(data: bytes) -> TargetState:
+    """Decode a target's report.
+
+    :raises DecodingError: if it is malformed.
+    """
+    body = load_json(data)
     return TargetState(
-        versions={model["name"]: int(model["version"]) for model in body["models"]},
-        accepted_orders=int(body["sequence"]),
+        versions={
+            read_text(model["name"]): read_integer(model["version"])
+            for model in read_list(body["models"])
+        },
+        accepted_orders=read_integer(body["sequence"]),
         is_busy=bool(body["busy"]),
-        running=int(body["running"]),
-        waiting=int(body["queued"]),
+        running=read_integer(body["running"]),
+        waiting=read_integer(body["queued"]),
     )
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import base64
-import json
+import re
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, TypeVar
 
@@ -12,6 +12,19 @@
 from returns.result import Result, Success
 
 from coltsfootfront.common import metrics
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decode_each,
+    decoding,
+    describe,
+    load_json,
+    read_digits,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.responselimits import use_bounded_handler
@@ -36,6 +49,8 @@
 PRECONDITION_FAILED = 412
 TOO_MANY_REQUESTS = 429
 SERVICE_UNAVAILABLE = 503
+# Code points that no text in a URL can have.
+_SURROGATES = re.compile("[\ud800-\udfff]")
 
 
 class PlatformStore(WatchableStore):
@@ -86,7 +101,7 @@
             )
             if not isinstance(read, Success):
                 return Failed(read.failure())
-            page, has_more = read.unwrap()
+            page, next_after = read.unwrap()
             if era is not None and page.era != era:
                 return Failed(_unavailable("the store was restored while its keys were read"))
             era = page.era
@@ -94,9 +109,9 @@
             # Each page has a revision of its own. The snapshot takes the first page's, so that no
             # change is missed when the changes after it are read.
             revision = revision or page.revision
-            if not has_more or not items:
+            if next_after is None:
                 return Success(Snapshot(items, revision, era))
-            query = {"prefix": prefix, "after": items[-1].key}
+            query = {"prefix": prefix, "after": next_after}
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
         query = {"prefix": prefix, "after": str(after), "wait-ms": str(int(wait_s * 1000))}
@@ -120,7 +135,11 @@
     async def grant_lease(self, ttl_s: float) -> Result[int, Failure]:
         body = {"ttl-ms": int(ttl_s * 1000)}
         return await self._write(
-            "lease", "POST", "/v1/kv-lease", body, lambda response: int(response["lease"])
+            "lease",
+            "POST",
+            "/v1/kv-lease",
+            body,
+            lambda response: _read_number_of(response, "lease"),
         )
 
     async def keep_alive(self, lease: int) -> Result[float, Failure]:
@@ -129,7 +148,7 @@
             "POST",
             f"/v1/kv-keep/{lease}",
             None,
-            lambda response: float(response.get("ttl-ms", 0)) / 1000,
+            lambda response: read_number(response.get("ttl-ms", 0)) / 1000,
             allow_not_found=True,
         )
 
@@ -157,7 +176,7 @@
 
     def _record_era(self, text: str, call: str) -> int:
         """Record the era of one response, and return it."""
-        era = int(text) if text.isdigit() else 0
+        era = read_digits(text) if text else 0
         if era > self._era:
             log.info(event("store_era", era=era, before=self._era, call=call))
             metrics.STORE_ERA.set({}, era)
@@ -213,10 +232,11 @@
                 method, url, params=query, json=body, timeout=timeout
             ) as response:
                 data = await response.read()
-                era = self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
-                result = _decode_response(
-                    name, response.status, data, build_failure, allow_not_found
-                ).map(lambda body: decode(body | {"era": era}))
+                with decoding("the store's answer"):
+                    era = self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
+                    result = _decode_response(
+                        name, response.status, data, build_failure, allow_not_found
+                    ).map(lambda body: decode(body | {"era": era}))
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -224,8 +244,8 @@
             result = Failed(_unavailable(f"{name}: the store cannot be reached: {error!r}"))
         except (aiohttp.ClientError, OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             result = Failed(build_failure(f"{name}: the store's answer was lost: {error!r}"))
-        except (ValueError, KeyError, TypeError) as error:
-            result = Failed(build_failure(f"{name}: the store's answer cannot be read: {error!r}"))
+        except DecodingError as error:
+            result = Failed(build_failure(f"{name}: {error}"))
         outcome = "ok" if isinstance(result, Success) else result.failure().kind.value
         metrics.STORE_CALLS.inc({"call": name, "outcome": outcome})
         return result
@@ -243,7 +263,7 @@
     name: str, status: int, data: bytes, build_failure: Any, allow_not_found: bool
 ) -> Result[Json, Failure]:
     if status == OK or (name == "txn" and status == PRECONDITION_FAILED):
-        body = json.loads(data) if data else {}
+        body = read_object(load_json(data)) if data else {}
         if status == PRECONDITION_FAILED:
             body["has-failed"] = True
         return Success(body)
@@ -260,13 +280,28 @@
     return base64.b64encode(value).decode()
 
 
+def _read_number_of(item: Json, name: str) -> int:
+    return read_integer(int(item[name]))
+
+
+def _decode_value(key: str, value: Any) -> bytes:
+    """Decode a value; an unreadable one is empty, so that its key is not taken for removed."""
+    try:
+        with decoding("value"):
+            return base64.b64decode(value)
+    except DecodingError as error:
+        log.warning(event("value_unreadable", key=key, reason=str(error)))
+        return b""
+
+
 def _decode_key_value(item: Json) -> KeyValue:
+    key = read_text(item["key"])
     return KeyValue(
-        key=item["key"],
-        value=base64.b64decode(item["value"]),
-        create_revision=int(item["create-rev"]),
-        mod_revision=int(item["revision"]),
-        lease=int(item.get("lease", 0)),
+        key=key,
+        value=_decode_value(key, item["value"]),
+        create_revision=_read_number_of(item, "create-rev"),
+        mod_revision=_read_number_of(item, "revision"),
+        lease=_read_number_of(item, "lease") if "lease" in item else 0,
     )
 
 
@@ -279,34 +314,49 @@
         return None
     found = _decode_key_value(body)
     if found.key != key:
-        raise ValueError(f"the key {found.key!r} was not asked for")
+        raise DecodingError(f"the key {describe(found.key)} was not asked for")
     return found
 
 
-def _decode_page(prefix: str, body: Json) -> tuple[Snapshot, bool]:
-    """Decode one page of keys, and whether more follow.
+def _decode_page(prefix: str, body: Json) -> tuple[Snapshot, str | None]:
+    """Decode one page of keys, and the key after which the next page begins, None for the last.
 
-    :raises ValueError: when it is the response to another call.
+    :raises DecodingError: when it is the response to another call, or has no key to go on from.
     """
-    items = [_decode_key_value(item) for item in body["items"]]
+    rows = read_list(body["items"])
+    items = decode_each("keys", rows, _decode_key_value)
     for found in items:
         if not found.key.startswith(prefix):
-            raise ValueError(f"the key {found.key!r} was not asked for")
-    page = Snapshot(items, int(body["store-revision"]), body["era"])
-    return page, bool(body.get("has-more"))
+            raise DecodingError(f"the key {describe(found.key)} was not asked for")
+    page = Snapshot(items, _read_number_of(body, "store-revision"), body["era"])
+    return page, _find_last_key(rows) if body.get("has-more") else None
+
+
+def _find_last_key(rows: list[Any]) -> str:
+    """Last key of a page that a call can name.
+
+    :raises DecodingError: when there is none.
+    """
+    for row in reversed(rows):
+        key = row.get("key") if isinstance(row, dict) else None
+        if isinstance(key, str) and not _SURROGATES.search(key):
+            return key
+    raise DecodingError("none of the keys of a page can be read")
 
 
 def _decode_changes(body: Json) -> Changes:
-    items = []
-    for change in body["events"]:
-        is_removed = bool(change.get("tombstone"))
-        value = None if is_removed else base64.b64decode(change["value"])
-        items.append(Item(change["key"], value, int(change["revision"])))
-    return Changes(items, int(body["store-revision"]), era=body["era"])
+    items = decode_each("changes", read_list(body["events"]), _decode_change)
+    return Changes(items, _read_number_of(body, "store-revision"), era=body["era"])
+
+
+def _decode_change(change: Json) -> Item:
+    key = read_text(change["key"])
+    value = None if change.get("tombstone") else _decode_value(key, change["value"])
+    return Item(key, value, _read_number_of(change, "revision"))
 
 
 def _decode_transaction_result(body: Json) -> TransactionResult:
     if body.get("has-failed"):
         items = [_decode_key_value(item) for item in body.get("items", []) if item.get("value")]
         return TransactionResult(False, 0, items, body["era"])
-    return TransactionResult(True, int(body["revision"]), era=body["era"])
+    return TransactionResult(True, _read_number_of(body, "revision"), era=body["era"])
