Name what odd values raise on the way of routers with agents

Nesting that is too deep, or a number beyond any float, raised an error that nothing named in the head's record (the watch of the configuration ended without a reason and was begun anew each second), in answers and watch messages of etcd, in the list of VMs (the membership's loop), in the entries of a delta, and in the cache events and answers of engines. A record with a revision of hundreds of digits passed, and could not be sent in any message. One odd event lost the others of its watch message.

All decode within common.decoding now, and what follows them gets the error that it names.

--- a/coltsfootfront/configuration/document.py
+++ b/coltsfootfront/configuration/document.py
@@ -1,10 +1,11 @@
 """Typed form of the configuration document."""
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
 from typing import Any, TypeVar
 
+from coltsfootfront.common.decoding import decoding, load_json
+
 SECTIONS = (
     "owners",
     "regions",
@@ -263,7 +264,8 @@
         for key, value in put.items():
             section, _, name = key.partition("/")
             if section in sections:
-                sections[section][name] = build_entry(section, json.loads(value))
+                with decoding("entry"):
+                    sections[section][name] = build_entry(section, load_json(value))
         return Document(sections)
 
     @property
--- a/coltsfootfront/configuration/records.py
+++ b/coltsfootfront/configuration/records.py
@@ -9,6 +9,15 @@
 from dataclasses import asdict, dataclass, field, fields
 from typing import Any
 
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decoding,
+    load_json,
+    read_integer,
+    read_list,
+    read_object,
+    read_text,
+)
 from coltsfootfront.common.errors import Failure
 from coltsfootfront.configuration.entries import Entries, diff_entries, digest
 from coltsfootfront.keyvalue.store import KeyValue
@@ -59,17 +68,18 @@
 
         :raises ValueError: the data is not a record.
         """
-        body = json.loads(data)
-        if not isinstance(body, dict):
-            raise ValueError("record is not an object")
-        known = {item.name for item in fields(cls)}
-        try:
+        with decoding("record"):
+            body = read_object(load_json(data))
+            known = {item.name for item in fields(cls)}
             record = cls(**{name: value for name, value in body.items() if name in known})
-        except TypeError as error:
-            raise ValueError(f"record is incomplete: {error}") from error
-        if not isinstance(record.revision, int) or not isinstance(record.chunks, list):
-            raise ValueError("record has a field of a wrong type")
-        return record
+            read_integer(record.revision)
+            read_integer(record.restored)
+            texts = (record.parent, record.digest, record.operation_id, record.operator)
+            if not all(isinstance(text, str) for text in (*texts, record.time)):
+                raise DecodingError("a field that is text has another type")
+            for name in read_list(record.chunks):
+                read_text(name)
+            return record
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/configuration/watcher.py
+++ b/coltsfootfront/configuration/watcher.py
@@ -188,5 +188,8 @@
             result = await self._publisher.read_entries(head.record, self._configuration.entries)
             if not isinstance(result, Success):
                 return str(result.failure().message)
-            self._configuration.install(head.revision, result.unwrap(), head.record.digest)
+            try:
+                self._configuration.install(head.revision, result.unwrap(), head.record.digest)
+            except ValueError as error:
+                return f"entries of the head cannot be used: {error}"
             return ""
--- a/coltsfootfront/keyvalue/etcd.py
+++ b/coltsfootfront/keyvalue/etcd.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import functools
-import json
 import math
 from collections.abc import AsyncIterator, Callable
 from typing import Any, TypeVar
@@ -14,6 +13,15 @@
 from returns.result import Result, Success
 
 from coltsfootfront.common import metrics
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decode_each,
+    decoding,
+    describe,
+    load_json,
+    read_list,
+    read_object,
+)
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 from coltsfootfront.keyvalue.store import (
     Compare,
@@ -220,7 +228,7 @@
                 async for line in response.content:
                     for found in _watch_events(line):
                         yield found
-        except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             raise FailureError(_unavailable(f"watch ended: {error!r}")) from error
         raise FailureError(_unavailable("watch was closed by the store"))
 
@@ -257,7 +265,8 @@
                 reply: Result[Json, Failure] = Success({})
                 if response.status != HTTP_NOT_FOUND or not absent_ok:
                     reply = _parse_response(response.status, data, make_failure)
-                result: Result[T, Failure] = reply.map(decode)
+                with decoding("answer of the store"):
+                    result: Result[T, Failure] = reply.map(decode)
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -267,8 +276,8 @@
             result = Failed(make_failure(f"no answer from the store in {self._timeout_s} s"))
         except (aiohttp.ClientError, OSError) as error:
             result = Failed(make_failure(f"answer of the store was lost: {error!r}"))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            result = Failed(make_failure(f"answer of the store cannot be read: {error!r}"))
+        except DecodingError as error:
+            result = Failed(make_failure(str(error)))
         self._count(name, _outcome_label(result))
         return result
 
@@ -297,8 +306,9 @@
 
 def _parse_response(status: int, data: bytes, make_failure: Any) -> Result[Json, Failure]:
     try:
-        reply = json.loads(data)
-    except ValueError:
+        with decoding("answer of the store"):
+            reply = load_json(data)
+    except DecodingError:
         reply = None
     if status == HTTP_TOO_MANY_REQUESTS:
         return Failed(_unavailable("store refused the call: rate limit"))
@@ -312,14 +322,17 @@
 def _watch_events(line: bytes) -> list[WatchEvent]:
     if not line.strip():
         return []
-    message = json.loads(line)
+    with decoding("message of the watch"):
+        message = read_object(load_json(line))
+        result = read_object(message.get("result", {}))
+        items = read_list(result.get("events", []))
     if "error" in message:
-        raise FailureError(_unavailable(f"watch ended: {message['error']}"))
-    result = message.get("result", {})
+        raise FailureError(_unavailable(f"watch ended: {describe(message['error'])}"))
     if result.get("canceled"):
         raise FailureError(_unavailable("watch was cancelled by the store"))
-    events = []
-    for item in result.get("events", []):
-        value = _decode_key_value(item["kv"])
-        events.append(WatchEvent(value.key, None if item.get("type") == "DELETE" else value))
-    return events
+    return decode_each("events of the watch", items, _decode_watch_event)
+
+
+def _decode_watch_event(item: Json) -> WatchEvent:
+    value = _decode_key_value(item["kv"])
+    return WatchEvent(value.key, None if item.get("type") == "DELETE" else value)
--- a/coltsfootfront/peers/peerqueries.py
+++ b/coltsfootfront/peers/peerqueries.py
@@ -1,11 +1,11 @@
 """Status and placement queries that the administration API sends to routers and agents."""
 
 import asyncio
-import json
 from typing import Any
 
 import logbook
 
+from coltsfootfront.common.decoding import decoding, load_json
 from coltsfootfront.common.logs import event
 from coltsfootfront.peers.channel import ChannelPool
 from coltsfootfront.peers.connection import ConnectionLostError
@@ -55,7 +55,8 @@
             try:
                 message = Explain(channel.next_number(), body)
                 reply = await channel.call(message, ExplainReply, EXPLAIN_TIMEOUT_S)
-                explanation = json.loads(reply.body)
+                with decoding("explanation"):
+                    explanation = load_json(reply.body)
             except (ConnectionLostError, ValueError) as error:
                 log.info(event("explain_failed", peer=address, reason=error))
                 continue
@@ -69,7 +70,8 @@
             try:
                 status = Status(channel.next_number())
                 reply = await channel.call(status, StatusReply, STATUS_TIMEOUT_S)
-                state = json.loads(reply.state)
+                with decoding("state"):
+                    state = load_json(reply.state)
             except (ConnectionLostError, ValueError) as error:
                 return {**row, "name": "", "revision": None, "ready": False, "error": str(error)}
         if not isinstance(state, dict):
--- a/coltsfootfront/peers/vmlist.py
+++ b/coltsfootfront/peers/vmlist.py
@@ -3,7 +3,6 @@
 The list lags behind the actual state by some seconds.
 """
 
-import json
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, fields
 from http import HTTPStatus
@@ -13,6 +12,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
+from coltsfootfront.common.decoding import decoding, load_json
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.keyvalue.etcd import read_bounded
 
@@ -86,7 +86,9 @@
                     return Success(self._vms)
                 if response.status != HTTPStatus.OK:
                     return Failed(_unreachable(f"HTTP {response.status}"))
-                body = json.loads(await read_bounded(response, MAX_LIST_BYTES))
+                data = await read_bounded(response, MAX_LIST_BYTES)
+                with decoding("VM list"):
+                    body = load_json(data)
                 tag = response.headers.get("ETag", "")
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             return Failed(_unreachable(repr(error)))
--- a/coltsfootfront/targets/httpclient.py
+++ b/coltsfootfront/targets/httpclient.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -16,6 +15,7 @@
 from yarl import URL
 
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.decoding import DecodingError, decoding, load_json
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 
 _CONNECT_TIMEOUT_S = 2.0
@@ -278,8 +278,9 @@
 
 def _error_object(body: bytes) -> dict[str, Any]:
     try:
-        parsed = json.loads(body)
-    except ValueError:
+        with decoding("error"):
+            parsed = load_json(body)
+    except DecodingError:
         return {}
     error = parsed.get("error") if isinstance(parsed, dict) else None
     return error if isinstance(error, dict) else {}
--- a/coltsfootfront/targets/openaiengine.py
+++ b/coltsfootfront/targets/openaiengine.py
@@ -8,6 +8,7 @@
 from returns.result import Result, Success
 
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.decoding import DecodingError, decoding, load_json, read_integer
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 from coltsfootfront.targets.engine import (
     CacheEvent,
@@ -209,8 +210,9 @@
 
 def _parse_object(data: bytes) -> dict[str, Any]:
     try:
-        value = json.loads(data)
-    except ValueError as error:
+        with decoding("JSON"):
+            value = load_json(data)
+    except DecodingError as error:
         raise _engine_failed("engine sent no valid JSON") from error
     if not isinstance(value, dict):
         raise _engine_failed("engine sent no JSON object")
@@ -249,13 +251,14 @@
 
 def _parse_cache_event(body: dict[str, Any]) -> CacheEvent:
     try:
-        return CacheEvent(
-            str(body["incarnation"]),
-            int(body["seq"]),
-            str(body["kind"]),
-            tuple(bytes.fromhex(key) for key in body.get("keys", ())),
-        )
-    except (KeyError, TypeError, ValueError) as error:
+        with decoding("cache event"):
+            return CacheEvent(
+                str(body["incarnation"]),
+                read_integer(body["seq"]),
+                str(body["kind"]),
+                tuple(bytes.fromhex(key) for key in body.get("keys", ())),
+            )
+    except DecodingError as error:
         raise _engine_failed("engine sent an invalid cache event") from error
 
 
