Refuse callers' headers whose numbers or names cannot be used

A prompt part whose ID is not text ended the loop that sends gossip, with a UnicodeEncodeError, and the updates that it was about to send were lost; the caller, as those with 400 digits of tokens, got 500. A deadline of NaN or infinity was taken over into timers. Such headers are malformed like others now and get 400; negative numbers of tokens, too.

Seen by calling the decoder and the loop on, and with a raw connection to a router: 500 for the first two, 400 now.

--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -12,6 +12,7 @@
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.decoding import read_integer, read_seconds, read_text
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
@@ -317,7 +318,7 @@
     request_headers = request.headers
     deadline_s = DEFAULT_DEADLINE_S
     if headers.DEADLINE_MS in request_headers:
-        deadline_s = float(request_headers[headers.DEADLINE_MS]) / 1000
+        deadline_s = read_seconds(float(request_headers[headers.DEADLINE_MS]) / 1000)
     prompt_tokens, output_tokens = _parse_token_usage(request_headers.get(headers.TOKEN_USAGE, ""))
     resume_after = request_headers.get(headers.RESUME_AFTER)
     authorization = request_headers.get(headers.AUTHORIZATION, "")
@@ -342,7 +343,7 @@
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         parts=_parse_prompt_parts(request_headers.get(headers.PROMPT_PARTS, "")),
-        resume_after=int(resume_after) if resume_after else None,
+        resume_after=read_integer(int(resume_after)) if resume_after else None,
     )
 
 
@@ -350,12 +351,12 @@
     if not text:
         return 0, 0
     prompt, _, output = text.partition(",")
-    return int(prompt), int(output or 0)
+    return read_integer(int(prompt)), read_integer(int(output or 0))
 
 
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for part in text.split(",") if text else ():
         key, _, tokens = part.strip().partition(":")
-        parts.append(PromptPart(key, int(tokens)))
+        parts.append(PromptPart(read_text(key), read_integer(int(tokens))))
     return tuple(parts)
--- a/coltsfootfront/tests/test_odd_entries.py
+++ b/coltsfootfront/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 import aiohttp
 import msgpack
 from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from returns.result import Failure as Failed
@@ -29,6 +30,7 @@
 from coltsfootfront.direct.routingconfig import RoutingConfig
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, Position, Snapshot
 from coltsfootfront.keyvalue.store import KeyValue
+from coltsfootfront.platform import callerserver
 from coltsfootfront.platform.cachedparts import PlatformPartReader
 from coltsfootfront.platform.decoder import decode_config, decode_target_entry, decode_version
 from coltsfootfront.platform.orders import PlatformOrderClient
@@ -585,6 +587,34 @@
         self.assertEqual([gossip.LOAD], received)
 
 
+class OddCallerHeadersTest(OddValuesCase):
+    def test_odd_header_of_a_caller_is_malformed(self) -> None:
+        """Guards against a caller whose prompt ends the gossip, or whose deadline is no time."""
+        names = ("X-Deadline-Ms", "X-Token-Usage", "X-Prompt-Prefix", "Last-Event-Id")
+        for text in ("nan", "inf", "1e999", "9" * 400, "9" * 5000, "x", "1,nan", "-" + "9" * 400):
+            for name in names:
+                with self.subTest(name=name, text=text[:20]):
+                    self._check_malformed(name, text)
+        for text in (
+            "a\u2028:100",
+            ":100",
+            "aa:-1",
+            "aa:" + "9" * 400,
+            "a\x85:1",
+            "x" * 5000 + ":1",
+        ):
+            with self.subTest(text=text[:20]):
+                self._check_malformed("X-Prompt-Prefix", text)
+        # aiohttp decodes bytes that are no UTF-8 as surrogates.
+        with self.assertRaises(ValueError):
+            callerserver._parse_prompt_parts("\udcff:100")
+
+    def _check_malformed(self, name: str, text: str) -> None:
+        request = make_mocked_request("POST", "/ask/x", headers={name: text})
+        with self.assertRaises(ValueError):
+            callerserver.decode_caller_request(request, b"", 0.0)
+
+
 class LogLinesTest(unittest.TestCase):
     def test_line_of_an_odd_value_is_one_bounded_line(self) -> None:
         """Guards against a log that others fill, or in which they forge lines."""
