Read the escaped control characters of log lines back

test_logged_fields_are_parsed_back failed since values in log lines have their control characters escaped: `coltsfootfront losses` read `\x1f` as `x1f`.

--- a/coltsfootfront/operation/losses.py
+++ b/coltsfootfront/operation/losses.py
@@ -17,7 +17,8 @@
 from coltsfootfront.common.errors import ErrorKind
 
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
-_ESCAPED = re.compile(r"\\(.)")
+_ESCAPED = re.compile(r"\\(?:x([0-9a-f]{2})|u([0-9a-f]{4})|U([0-9a-f]{8})|(.))")
+_ESCAPED_CHARACTERS = {"n": "\n", "r": "\r", "t": "\t"}
 # Waiting for placement counts as the cause of a late response when it exceeds this share of the
 # latency objective.
 PLACEMENT_WAIT_SHARE = 0.5
@@ -294,4 +295,9 @@
 def _unquote(value: str) -> str:
     if not value.startswith('"'):
         return value
-    return _ESCAPED.sub(lambda found: {"n": "\n"}.get(found[1], found[1]), value[1:-1])
+    return _ESCAPED.sub(_unescape, value[1:-1])
+
+
+def _unescape(found: re.Match[str]) -> str:
+    code = found[1] or found[2] or found[3]
+    return chr(int(code, 16)) if code else _ESCAPED_CHARACTERS.get(found[4], found[4])
