--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -1,6 +1,7 @@
 """The part of the configuration that a router needs to send requests directly to targets."""
 
 import random
+from bisect import insort
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -131,6 +132,32 @@
     idle_s: float = 15.0
 
 
+class HostRoutes:
+    """Routes of one host by prefix, with a lookup that does not depend on their number."""
+
+    __slots__ = ("_by_prefix", "_prefix_lengths")
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, Route] = {}
+        self._prefix_lengths: list[int] = []
+        """Distinct lengths of the prefixes, in ascending order."""
+
+    def add(self, route: Route) -> None:
+        """Add a route; the first one of a prefix holds."""
+        length = len(route.prefix)
+        if length not in self._prefix_lengths:
+            insort(self._prefix_lengths, length)
+        self._by_prefix.setdefault(route.prefix, route)
+
+    def find(self, path: str) -> Route | None:
+        """Find the route whose prefix is the longest that begins the path."""
+        for length in reversed(self._prefix_lengths):
+            route = self._by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 @dataclass(slots=True)
 class RoutingConfig:
     """Routes, services, customers and limits of one version of the configuration.
@@ -140,7 +167,7 @@
     """
 
     number: int = 0
-    routes: dict[str, list[Route]] = field(default_factory=dict)
+    routes: dict[str, HostRoutes] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict)
     requires_keys: bool = False
@@ -148,16 +175,15 @@
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route of a host whose prefix is the longest that begins the path."""
-        for route in self.routes.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        routes = self.routes.get(host)
+        return routes.find(path) if routes is not None else None
 
     def add_route(self, route: Route) -> None:
-        """Add a route; the longest prefix of a host stands first."""
-        routes = self.routes.setdefault(route.host, [])
-        routes.append(route)
-        routes.sort(key=lambda item: len(item.prefix), reverse=True)
+        """Add a route; of two with the same host and prefix the first one holds."""
+        routes = self.routes.get(route.host)
+        if routes is None:
+            routes = self.routes[route.host] = HostRoutes()
+        routes.add(route)
 
     def kept_caches(self) -> tuple[KeptCache, ...]:
         """The kept caches."""
