--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -15,6 +15,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct import admission, gossip
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
@@ -501,7 +502,7 @@
         if response_timeout_s is None:
             return await self._client.send(placement.target, state.request, directive)
         try:
-            async with asyncio.timeout(response_timeout_s) as timeout:
+            async with ReadTimeout(response_timeout_s) as timeout:
                 return await self._client.send(placement.target, state.request, directive)
         except TimeoutError:
             if not timeout.expired():
--- a/coltsfootfront/direct/liveness.py
+++ b/coltsfootfront/direct/liveness.py
@@ -15,6 +15,7 @@
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.sockets import create_socket
 
@@ -93,7 +94,7 @@
         address_info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", address)
         connection = create_socket(address_info)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with ReadTimeout(CONNECT_TIMEOUT_S):
                 await loop.sock_connect(connection, address)
             target.last_activity_s = self._clock.monotonic_s()
             if target.is_unreachable:
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -1,11 +1,11 @@
 """Relays the responses of targets to callers."""
 
-import asyncio
 import random
 from collections.abc import AsyncIterator
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.cacheindex import CacheIndex, kept_cache_name
 from coltsfootfront.direct.callerrequest import ResponseWriter
 from coltsfootfront.direct.gossip import Gossip
@@ -184,7 +184,7 @@
             return await next_chunk
         remaining_s = progress.remaining_s(self._clock.monotonic_s())
         try:
-            async with asyncio.timeout(remaining_s) as timeout:
+            async with ReadTimeout(remaining_s) as timeout:
                 return await next_chunk
         except TimeoutError:
             if not timeout.expired():
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -3,6 +3,7 @@
 import math
 import re
 from collections.abc import AsyncIterator, Mapping
+from typing import Any
 
 import aiohttp
 import logbook
@@ -11,6 +12,7 @@
 from yarl import URL
 
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.responselimits import use_bounded_handler
@@ -66,6 +68,19 @@
             self.connection_handler.close()
 
 
+class _TargetConnector(aiohttp.TCPConnector):
+    """Connector whose time limit allows for connections that opened while the loop was stalled."""
+
+    async def connect(self, req: Any, traces: Any, timeout: Any) -> Connection:
+        try:
+            async with ReadTimeout(CONNECT_TIMEOUT_S):
+                return await super().connect(req, traces, timeout)
+        except TimeoutError as error:
+            raise aiohttp.ConnectionTimeoutError(
+                f"no connection to {req.url.host}:{req.url.port} in {CONNECT_TIMEOUT_S} s"
+            ) from error
+
+
 class PlatformTargetResponse(TargetResponse):
     """Response of a target."""
 
@@ -205,7 +220,7 @@
 
 def _create_session(keepalive_s: float) -> aiohttp.ClientSession:
     connector = use_bounded_handler(
-        aiohttp.TCPConnector(
+        _TargetConnector(
             limit=0,
             keepalive_timeout=keepalive_s,
             socket_factory=create_socket,
@@ -215,7 +230,7 @@
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
         response_class=_Response,
         max_line_size=MAX_HEADER_BYTES,
