--- a/coltsfootfront/direct/crashobserver.py
+++ b/coltsfootfront/direct/crashobserver.py
@@ -4,11 +4,11 @@
 has not announced that it is draining.
 """
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.crashevidence import Parts, Suspect
 from coltsfootfront.direct.directory import Target
 
@@ -20,17 +20,19 @@
 class Exchange:
     """A request that was sent to a target.
 
-    :param timeout: ends the exchange when it is rescheduled.
+    :param timeout: ends the exchange.
     :param is_trial: it was sent to find out whether its parts still crash targets.
     :param is_answering: the head of the answer has arrived.
+    :param is_relayed: the caller has begun to read the answer.
     :param is_answered: the target has gone on answering.
     :param is_withdrawn: ended because its parts have been quarantined.
     """
 
     parts: Parts
-    timeout: asyncio.Timeout
+    timeout: ReadTimeout
     is_trial: bool = False
     is_answering: bool = False
+    is_relayed: bool = False
     is_answered: bool = False
     is_withdrawn: bool = False
 
@@ -69,7 +71,7 @@
         self._open: set[Exchange] = set()
         self._losses: dict[tuple[str, int], _Losses] = {}
 
-    def begin(self, parts: Parts, timeout: asyncio.Timeout, is_trial: bool) -> Exchange:
+    def begin(self, parts: Parts, timeout: ReadTimeout, is_trial: bool) -> Exchange:
         """Track an exchange until :meth:`end`."""
         exchange = Exchange(parts, timeout, is_trial)
         self._open.add(exchange)
@@ -103,18 +105,20 @@
     def withdraw(self, parts: frozenset[str]) -> int:
         """End the unanswered exchanges whose prompts have all of some parts.
 
-        Most targets drop a queued request when its connection closes.
+        An answer that its caller has begun to read goes on. Most targets drop a queued request when
+        its connection closes.
 
         :returns: their number.
         """
         withdrawn = [
             exchange
             for exchange in self._open
-            if parts.issubset(exchange.parts) and not (exchange.is_answered or exchange.is_trial)
+            if parts.issubset(exchange.parts)
+            and not (exchange.is_answered or exchange.is_relayed or exchange.is_trial)
         ]
         for exchange in withdrawn:
             exchange.is_withdrawn = True
-            exchange.timeout.reschedule(asyncio.get_running_loop().time())
+            exchange.timeout.expire()
         return len(withdrawn)
 
     def _of(self, target: Target, now_s: float) -> _Losses:
--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import logbook
@@ -10,6 +11,7 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.backlog import Backlog
 from coltsfootfront.direct.limits import TargetLimit
 
@@ -66,6 +68,18 @@
     started_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class MovableExchange:
+    """An exchange with a target that may move to another one.
+
+    :param timeout: ends the exchange.
+    :param may_move: makes sure of a replacement, and tells whether there is one.
+    """
+
+    timeout: ReadTimeout
+    may_move: Callable[[], bool]
+
+
 @dataclass(slots=True, eq=False)
 class Target:
     """A target, with this router's view of its load and health.
@@ -96,8 +110,8 @@
     last_report_s: float = -math.inf
     last_activity_s: float = 0.0
     """When it last sent data, was probed, or got its first request after being idle."""
-    exchange_timeouts: set[asyncio.Timeout] = field(default_factory=set)
-    """Timeouts of the exchanges that may be cancelled when the target is unreachable."""
+    exchanges: set[MovableExchange] = field(default_factory=set)
+    """Open exchanges whose requests may run more than once."""
     is_replaced: bool = False
     """Another target now answers at this address."""
     has_announced_drain: bool = False
@@ -182,9 +196,9 @@
         self.last_result_s = now_s
 
     def eject(self, now_s: float) -> None:
-        """Suspend an unreachable target and cancel its exchanges that may be retried elsewhere."""
+        """Suspend an unreachable target, and move its unanswered exchanges to other targets."""
         self.mark_unreachable(now_s)
-        self.cancel_exchanges(now_s)
+        self.move_exchanges(now_s)
 
     def mark_unreachable(self, now_s: float) -> None:
         """Mark the target as accepting no connections, and suspend it."""
@@ -192,12 +206,13 @@
             self.unanswered_failures = UNANSWERED_LIMIT - 1
         self.record_failure(now_s, is_unanswered=True)
 
-    def cancel_exchanges(self, now_s: float) -> None:
-        """Cancel the exchanges that may be retried at another target."""
+    def move_exchanges(self, now_s: float) -> None:
+        """End the exchanges for which another target is certain to take over."""
         self.last_activity_s = now_s
-        for timeout in self.exchange_timeouts:
-            timeout.reschedule(asyncio.get_running_loop().time())
-        self.exchange_timeouts.clear()
+        for exchange in list(self.exchanges):
+            if exchange.may_move():
+                self.exchanges.discard(exchange)
+                exchange.timeout.expire()
 
     def record_failure(self, now_s: float, is_unanswered: bool) -> None:
         """Record a request that failed at the target.
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -20,7 +20,7 @@
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
 from coltsfootfront.direct.crashobserver import CrashObserver
-from coltsfootfront.direct.directory import Directory, Target
+from coltsfootfront.direct.directory import Directory, MovableExchange, Target
 from coltsfootfront.direct.events import StreamBrokenError
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.limitrecorder import LimitRecorder
@@ -62,6 +62,8 @@
 MAX_PLACEMENT_WAIT_SHARE = 0.6
 # Delay before a request goes back to the targets that have rejected it.
 REJECTION_RETRY_DELAY_S = 0.05
+# Interval at which a stream that broke off looks for a target to resume it.
+RESUMPTION_CHECK_INTERVAL_S = 0.1
 # A request is refused after this many rejections; each retry counts against the retry budget.
 MAX_REJECTIONS = 4
 # A retryable request goes to another target if it has no response after this multiple of the
@@ -129,7 +131,14 @@
             clock, directory, cache_index, versions, gossip, limits
         )
         self._relay = ResponseRelay(
-            clock, cache_index, gossip, budgets, prefill_rates, quarantine, generator
+            clock,
+            cache_index,
+            gossip,
+            budgets,
+            prefill_rates,
+            quarantine,
+            self._reserve_replacement,
+            generator,
         )
         self.routing_config = RoutingConfig()
         self.stop = StopSchedule()
@@ -229,7 +238,7 @@
 
     async def _serve_with_retries(self, state: RequestState, writer: ResponseWriter) -> None:
         while True:
-            state.placement = await self._wait_for_target(state)
+            state.placement = state.take_replacement() or await self._wait_for_target(state)
             state.placed_s = self._clock.monotonic_s() - state.request.received_s
             # Its parts may have been quarantined since it arrived or since it was last sent.
             self._check_quarantine(state)
@@ -275,11 +284,7 @@
         )
 
     async def _wait_for_target(self, state: RequestState) -> Placement:
-        request, route = state.request, state.route
-        wait_until_s = min(
-            request.received_s + MAX_PLACEMENT_WAIT_SHARE * route.latency_objective_s,
-            state.deadline_s,
-        )
+        wait_until_s = _placement_deadline_s(state)
         while True:
             self._check_stop(state)
             now_s = self._clock.monotonic_s()
@@ -309,12 +314,15 @@
                 await self._directory.wait_for_change(max(wait_s, 0.005))
                 continue
             unavailable = _unavailable_targets(untried, now_s)
-            if state.rejected and now_s < wait_until_s:
+            if state.has_response_begun and untried and now_s < wait_until_s:
+                state.rejected.clear()
+                await self._directory.wait_for_change(RESUMPTION_CHECK_INTERVAL_S)
+            elif state.rejected and now_s < wait_until_s:
                 state.rejected.clear()
                 if not any(target.is_paused(now_s) for target in unavailable):
                     await self._clock.sleep(REJECTION_RETRY_DELAY_S)
-                continue
-            raise self._unavailable_error(state, unavailable, now_s)
+            else:
+                raise self._unavailable_error(state, unavailable, now_s)
 
     async def _choose_unavailable(
         self, state: RequestState, untried: list[Target], wait_until_s: float
@@ -398,12 +406,14 @@
         if not target.in_flight:
             target.last_activity_s = self._clock.monotonic_s()
         target.in_flight += 1
-        timeout = asyncio.timeout(remaining_s)
+        timeout = ReadTimeout(remaining_s)
         keys = state.request.shared_keys
         if keys:
             state.exchange = self._crash_observer.begin(keys, timeout, state.is_trial)
+            state.exchange.is_relayed = state.has_response_begun
+        movable = MovableExchange(timeout, lambda: self._may_move(state))
         if state.may_retry:
-            target.exchange_timeouts.add(timeout)
+            target.exchanges.add(movable)
         try:
             async with timeout:
                 await self._exchange(state, placement, writer)
@@ -422,10 +432,56 @@
             raise
         finally:
             target.in_flight -= 1
-            target.exchange_timeouts.discard(timeout)
+            target.exchanges.discard(movable)
             if state.exchange is not None:
                 self._crash_observer.end(state.exchange)
 
+    def _may_move(self, state: RequestState) -> bool:
+        """Whether a request is certain to be taken over from a target that cannot be reached.
+
+        That a target is silent says nothing about an answer that it has begun; a stream has a time
+        limit of its own for its next event.
+        """
+        return not state.has_response_begun and self._reserve_replacement(state)
+
+    def _reserve_replacement(self, state: RequestState) -> bool:
+        """Reserve what an attempt at another target needs, before the present one is given up.
+
+        :returns: whether the request may run at another target, one is free, and the budget has
+            allowed the retry.
+        """
+        if state.replacement is not None:
+            return True
+        if state.placement is None or not state.may_retry:
+            return False
+        tried = {*state.attempted, state.placement.target.name}
+        now_s = self._clock.monotonic_s()
+        if len(tried) >= state.route.max_attempts or not self._may_send_again(state, now_s):
+            return False
+        free = [
+            target
+            for target in self._directory.of_service(state.service)
+            if target.name not in tried
+            and target.name not in state.rejected
+            and target.is_healthy(now_s)
+            and target.limit is None
+            and not target.is_paused(now_s)
+        ]
+        choice = self._choose_target(state, free, now_s)
+        if not isinstance(choice, Placement) or not self._budgets.get(state.service).try_spend(
+            "moved"
+        ):
+            return False
+        state.replacement = choice
+        return True
+
+    def _may_send_again(self, state: RequestState, now_s: float) -> bool:
+        """Whether neither a planned stop nor a quarantine keeps a request from being sent again."""
+        is_in_time = self.stop.may_pass_on(
+            state.route, state.deadline_s, now_s, True, state.has_response_begun
+        )
+        return is_in_time and self._quarantine.held_for_s(state.request.shared_keys) is None
+
     def _record_prefill_work(self, placement: Placement) -> None:
         if not placement.prefill_tokens:
             return
@@ -501,8 +557,9 @@
         response_timeout_s = self._response_timeout_s(state, placement)
         if response_timeout_s is None:
             return await self._client.send(placement.target, state.request, directive)
+        timeout = ReadTimeout(response_timeout_s, lambda: self._reserve_replacement(state))
         try:
-            async with ReadTimeout(response_timeout_s) as timeout:
+            async with timeout:
                 return await self._client.send(placement.target, state.request, directive)
         except TimeoutError:
             if not timeout.expired():
@@ -612,11 +669,25 @@
         return self._retry_or_refuse(state, "lost", "the target's answer was lost")
 
     def _retry_or_refuse(self, state: RequestState, reason: str, message: str) -> Exception:
+        if state.replacement is not None:
+            return RetryError()
         if self._budgets.get(state.service).try_spend(reason):
             return RetryError()
         return self._refusal(state, f"{message}, and the retry budget is used up")
 
 
+def _placement_deadline_s(state: RequestState) -> float:
+    """Monotonic time until which a request may wait for a target.
+
+    Without a target, an answer that its caller has begun to read would break off, so its time is
+    limited by the deadline alone.
+    """
+    if state.has_response_begun:
+        return state.deadline_s
+    wait_s = MAX_PLACEMENT_WAIT_SHARE * state.route.latency_objective_s
+    return min(state.request.received_s + wait_s, state.deadline_s)
+
+
 def _stopping_failure() -> Failure:
     return Failure(ErrorKind.OVERLOADED, STOPPING_MESSAGE, retry_after_s=STOPPING_RETRY_AFTER_S)
 
--- a/coltsfootfront/direct/liveness.py
+++ b/coltsfootfront/direct/liveness.py
@@ -104,7 +104,7 @@
         except (OSError, TimeoutError) as error:
             self._on_probe_failed(target)
             if target.is_unreachable:
-                target.cancel_exchanges(self._clock.monotonic_s())
+                target.move_exchanges(self._clock.monotonic_s())
                 return
             log.warning(
                 event(
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -38,6 +38,8 @@
     :param exchange: the current attempt, None before the first and for requests without a prompt.
     :param is_trial: it is sent although its prompt parts are quarantined.
     :param waited_for: why it last waited for a target.
+    :param replacement: reserved for the next attempt, with a retry of the budget, None if nothing
+        is reserved.
     """
 
     request: CallerRequest
@@ -62,6 +64,12 @@
     exchange: Exchange | None = None
     is_trial: bool = False
     waited_for: WaitReason | None = None
+    replacement: Placement | None = None
+
+    def take_replacement(self) -> Placement | None:
+        """Take the reserved placement, if there is one."""
+        replacement, self.replacement = self.replacement, None
+        return replacement
 
     @property
     def may_retry(self) -> bool:
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -1,7 +1,7 @@
 """Relays the responses of targets to callers."""
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
@@ -42,6 +42,7 @@
     :param budgets: retry budget of each service.
     :param prefill_rates: prefill rate of each service's engines, updated from times to first
         event.
+    :param reserve_replacement: reserves another target for a request, if that is possible.
     """
 
     def __init__(
@@ -52,9 +53,11 @@
         budgets: ServiceRetryBudgets,
         prefill_rates: PrefillRates,
         quarantine: QuarantineKeeper,
+        reserve_replacement: Callable[[RequestState], bool],
         generator: random.Random,
     ) -> None:
         self._quarantine = quarantine
+        self._reserve_replacement = reserve_replacement
         self._clock = clock
         self._prefill_rates = prefill_rates
         self._cache_index = cache_index
@@ -162,6 +165,8 @@
         self, state: RequestState, response: TargetResponse, writer: ResponseWriter
     ) -> None:
         state.has_response_begun = True
+        if state.exchange is not None:
+            state.exchange.is_relayed = True
         state.status = response.status
         state.first_s = self._clock.monotonic_s() - state.request.received_s
         metrics.TIME_TO_FIRST_EVENT_S.observe({}, state.first_s)
@@ -172,8 +177,8 @@
     ) -> bytes | None:
         """Read the next chunk of a stream, None at its end.
 
-        :raises ExchangeError: if no complete event has arrived in time and the stream can be
-            resumed at another target.
+        :raises ExchangeError: if no complete event has arrived in time and another target is
+            certain to resume the stream.
         """
         next_chunk = anext(chunks, None)
         can_retry = (
@@ -183,8 +188,9 @@
         if not can_retry:
             return await next_chunk
         remaining_s = progress.remaining_s(self._clock.monotonic_s())
+        timeout = ReadTimeout(remaining_s, lambda: self._reserve_replacement(state))
         try:
-            async with ReadTimeout(remaining_s) as timeout:
+            async with timeout:
                 return await next_chunk
         except TimeoutError:
             if not timeout.expired():
--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -8,7 +8,6 @@
 
 from aiohttp.http import StreamWriter
 
-from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.direct.responserelay import ResponseRelay
 from coltsfootfront.platform import callerserver
 from coltsfootfront_dev.platformfleet import API_KEY, HOST
@@ -194,7 +193,8 @@
             await self.harness.until(lambda: bool(self.harness.book.runs))
             await self.harness.until(lambda: b"0\r\n\r\n" in self.harness.caller.received)
             for target in self.harness.node._directory.all():
-                target.cancel_exchanges(SystemClock().monotonic_s())
+                for movable in target.exchanges:
+                    movable.timeout.expire()
             outcome = await exchange
         self.assertEqual([], outcome.findings)
         self.assertEqual(1, self.harness.book.runs[outcome.request_id])
--- a/coltsfootfront/tests/test_direct_quarantine.py
+++ b/coltsfootfront/tests/test_direct_quarantine.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct import gossip
 from coltsfootfront.direct.crashevidence import (
     EPISODE_S,
@@ -206,7 +207,7 @@
         return target
 
     def _lose(self, target: Target, is_answered: bool = False) -> None:
-        exchange = self.observer.begin(DEADLY, asyncio.timeout(1.0), False)
+        exchange = self.observer.begin(DEADLY, ReadTimeout(1.0), False)
         exchange.is_answered = is_answered
         self.observer.record_loss(target, exchange)
         self.observer.end(exchange)
@@ -240,13 +241,22 @@
     async def test_unanswered_exchanges_are_withdrawn(self) -> None:
         """Guards against queued requests that crash targets after the conviction."""
         with self.assertRaises(TimeoutError):
-            async with asyncio.timeout(5.0) as timeout:
+            async with ReadTimeout(5.0) as timeout:
                 exchange = self.observer.begin(DEADLY, timeout, False)
                 self.assertEqual(0, self.observer.withdraw(frozenset(("other",))))
                 self.assertEqual(1, self.observer.withdraw(frozenset(("deadly",))))
                 await asyncio.sleep(1.0)
         self.assertTrue(exchange.is_withdrawn)
 
+    async def test_exchange_whose_answer_the_caller_reads_is_not_withdrawn(self) -> None:
+        """Guards against an answer that ends because of crashes on which others were lost."""
+        async with ReadTimeout(5.0) as timeout:
+            exchange = self.observer.begin(DEADLY, timeout, False)
+            exchange.is_relayed = True
+            self.assertEqual(0, self.observer.withdraw(frozenset(("deadly",))))
+            await asyncio.sleep(0)
+        self.assertFalse(exchange.is_withdrawn)
+
 
 class QuarantineKeeperTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
