--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -33,6 +33,9 @@
 UNANSWERED_LIMIT = 2
 FIRST_SUSPENSION_S = 0.5
 MAX_SUSPENSION_S = 4.0
+# A target that was heard from this recently is not taken for unreachable because a connection did
+# not open in time, or because a peer says so: the fault may be this router's or its link's.
+HEARD_FRESH_S = 0.5
 # A target that rejects a request is full, or is loading weights of which this router has no record.
 # It is avoided for about as long as loading weights takes.
 REJECTION_COOLDOWN_S = 0.3
@@ -110,6 +113,8 @@
     last_report_s: float = -math.inf
     last_activity_s: float = 0.0
     """When it last sent data, was probed, or got its first request after being idle."""
+    last_heard_s: float = -math.inf
+    """When it last sent data or accepted a connection."""
     exchanges: set[MovableExchange] = field(default_factory=set)
     """Open exchanges whose requests may run more than once."""
     is_replaced: bool = False
@@ -195,6 +200,14 @@
         self.suspension_s = FIRST_SUSPENSION_S
         self.last_result_s = now_s
 
+    def record_heard(self, now_s: float) -> None:
+        """Record that the target has sent data or accepted a connection."""
+        self.last_heard_s = self.last_activity_s = now_s
+
+    def is_heard(self, now_s: float) -> bool:
+        """Whether it has shown just now that it runs and can be reached."""
+        return now_s - self.last_heard_s < HEARD_FRESH_S
+
     def eject(self, now_s: float) -> None:
         """Suspend an unreachable target, and move its unanswered exchanges to other targets."""
         self.mark_unreachable(now_s)
@@ -337,6 +350,8 @@
         target = self._targets.get(name)
         if target is None or target.entry.started_ms != started_ms or target.is_unreachable:
             return
+        if target.is_heard(self._clock.monotonic_s()):
+            return
         target.is_unreachable = True
         target.last_activity_s = -math.inf
         log.info(event("target_suspected", target=name))
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -623,13 +623,14 @@
         now_s = self._clock.monotonic_s()
         target = placement.target
         self._remove_expected_parts(state.request, placement)
-        if failure is ExchangeFailure.NOT_SENT and not target.is_unreachable:
+        is_refused = failure is ExchangeFailure.NOT_SENT
+        is_dark = failure is ExchangeFailure.NO_CONNECTION and not target.is_heard(now_s)
+        if (is_refused or is_dark) and not target.is_unreachable:
             target.mark_unreachable(now_s)
             self._gossip.broadcast(gossip.UNREACHABLE, [target.name, target.entry.started_ms])
         else:
-            target.record_failure(
-                now_s, is_unanswered=failure is not ExchangeFailure.INVALID_RESPONSE
-            )
+            is_unanswered = is_refused or is_dark or failure is ExchangeFailure.NO_RESPONSE
+            target.record_failure(now_s, is_unanswered)
         state.reason = reason
         log.info(
             event(
@@ -645,8 +646,9 @@
                 parts=",".join(state.request.shared_keys) or None,
             )
         )
-        if failure is ExchangeFailure.NOT_SENT:
-            self._crash_observer.record_down(target)
+        if failure in (ExchangeFailure.NOT_SENT, ExchangeFailure.NO_CONNECTION):
+            if is_refused or is_dark:
+                self._crash_observer.record_down(target)
             state.rejected.add(target.name)
             state.rejections += 1
             if state.rejections >= MAX_REJECTIONS:
--- a/coltsfootfront/direct/liveness.py
+++ b/coltsfootfront/direct/liveness.py
@@ -90,18 +90,21 @@
         host, _, port = target.entry.address.rpartition(":")
         loop = asyncio.get_running_loop()
         address = (host, int(port))
-        silent_s = self._clock.monotonic_s() - target.last_activity_s
+        began_s = self._clock.monotonic_s()
+        silent_s = began_s - target.last_activity_s
         address_info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", address)
         connection = create_socket(address_info)
         try:
             async with ReadTimeout(CONNECT_TIMEOUT_S):
                 await loop.sock_connect(connection, address)
-            target.last_activity_s = self._clock.monotonic_s()
+            target.record_heard(self._clock.monotonic_s())
             if target.is_unreachable:
                 target.is_unreachable = False
                 log.info(event("target_back", target=target.name, silent_s=silent_s))
                 self._directory.notify()
         except (OSError, TimeoutError) as error:
+            if isinstance(error, TimeoutError) and target.last_heard_s >= began_s:
+                return
             self._on_probe_failed(target)
             if target.is_unreachable:
                 target.move_exchanges(self._clock.monotonic_s())
--- a/coltsfootfront/direct/responseheads.py
+++ b/coltsfootfront/direct/responseheads.py
@@ -51,7 +51,7 @@
         :param sent_s: monotonic time at which the request was sent.
         """
         now_s = self._clock.monotonic_s()
-        target.last_activity_s = now_s
+        target.record_heard(now_s)
         if response.is_other_target:
             target.is_replaced = True
             log.warning(event("target_replaced", target=target.name, id=request.request_id))
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -129,7 +129,7 @@
         while True:
             chunk = await self._next_chunk(state, chunks, progress)
             now_s = self._clock.monotonic_s()
-            placement.target.last_activity_s = now_s
+            placement.target.record_heard(now_s)
             if chunk is None:
                 break
             events = state.stream_validator.feed(chunk)
--- a/coltsfootfront/direct/targetclient.py
+++ b/coltsfootfront/direct/targetclient.py
@@ -13,7 +13,9 @@
     """How an exchange with a target failed without a valid response."""
 
     NOT_SENT = "not_sent"
-    """The request was not sent, for example for want of a connection, so it has not run."""
+    """The request was not sent, for example as its connection was refused, so it has not run."""
+    NO_CONNECTION = "no_connection"
+    """The request was not sent since no connection opened in time, so it has not run."""
     NO_RESPONSE = "no_answer"
     """No response arrived; the request may have run."""
     INVALID_RESPONSE = "wrong_answer"
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -194,7 +194,11 @@
                 skip_auto_headers=AUTO_HEADERS,
                 allow_redirects=False,
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except aiohttp.ConnectionTimeoutError as error:
+            raise ExchangeError(
+                ExchangeFailure.NO_CONNECTION, f"no connection: {_describe_error(error)}"
+            ) from error
+        except aiohttp.ClientConnectorError as error:
             raise ExchangeError(
                 ExchangeFailure.NOT_SENT, f"no connection: {_describe_error(error)}"
             ) from error
--- a/coltsfootfront/tests/test_direct_begun_answers.py
+++ b/coltsfootfront/tests/test_direct_begun_answers.py
@@ -7,11 +7,14 @@
 import unittest
 from collections.abc import AsyncIterator
 from dataclasses import replace
+from unittest import mock
 
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.errors import ErrorKind
 from coltsfootfront.direct.callerrequest import CallerRequest
-from coltsfootfront.direct.directory import Target, TargetEntry
+from coltsfootfront.direct.crashobserver import CrashObserver
+from coltsfootfront.direct.directory import HEARD_FRESH_S, Target, TargetEntry
+from coltsfootfront.direct.gossip import UNREACHABLE, Gossip
 from coltsfootfront.direct.liveness import CONNECT_TIMEOUT_S, SILENCE_LIMIT_S, LivenessWatch
 from coltsfootfront.direct.responserelay import MIN_EVENT_TIMEOUT_S
 from coltsfootfront.direct.routingconfig import RetryPolicy
@@ -208,6 +211,62 @@
         assert refused.failure is not None
         self.assertEqual(ErrorKind.TARGET_FAILED, refused.failure.kind)
 
+    async def test_connection_not_opened_in_time_says_nothing_about_a_target_that_sends(
+        self,
+    ) -> None:
+        """Guards against routers with a full link that take live targets for crashed."""
+        cases = (
+            (ExchangeFailure.NO_CONNECTION, 0.0, False),
+            (ExchangeFailure.NO_CONNECTION, HEARD_FRESH_S, True),
+            (ExchangeFailure.NOT_SENT, 0.0, True),
+            (ExchangeFailure.NOT_SENT, HEARD_FRESH_S, True),
+        )
+        for failure, silent_s, is_down in cases:
+            with (
+                self.subTest(failure=failure, silent_s=silent_s),
+                mock.patch.object(Gossip, "broadcast") as broadcast,
+                mock.patch.object(CrashObserver, "record_down") as record_down,
+            ):
+                fixture = self._fixture(exchange_error(failure), FakeResponse(chunks=(EVENTS,)))
+                for target in fixture.directory.all():
+                    target.record_heard(fixture.clock.monotonic_s() - silent_s)
+                self._assert_whole(await self._serve(fixture), EVENTS)
+                self.assertEqual(2, len(fixture.client.sent))
+                told = [call.args[0] for call in broadcast.call_args_list]
+                self.assertEqual(is_down, UNREACHABLE in told)
+                self.assertEqual(is_down, record_down.called)
+
+    async def test_suspicion_of_a_peer_says_nothing_about_a_target_that_sends(self) -> None:
+        """Guards against one router's full link that makes targets unreachable for all routers."""
+        fixture = self._fixture()
+        now_s = fixture.clock.monotonic_s()
+        live, silent = fixture.directory.all()
+        live.record_heard(now_s)
+        silent.record_heard(now_s - HEARD_FRESH_S)
+        for target in (live, silent):
+            fixture.directory.suspect(target.name, target.entry.started_ms)
+        self.assertEqual((False, True), (live.is_unreachable, silent.is_unreachable))
+
+    async def test_probe_without_a_connection_says_nothing_about_a_target_that_sends(self) -> None:
+        """Guards against a probe that waits behind the answers of the same target."""
+
+        async def connect(*arguments: object) -> None:
+            await asyncio.sleep(3 * CONNECT_TIMEOUT_S)
+
+        for sends in (True, False):
+            with self.subTest(sends=sends):
+                fixture = self._fixture()
+                target = fixture.directory.all()[0]
+                watch, failed = self._watch(fixture)
+                loop = asyncio.get_running_loop()
+                with mock.patch.object(type(loop), "sock_connect", connect):
+                    watch.confirm(target)
+                    await asyncio.sleep(CONNECT_TIMEOUT_S / 2)
+                    if sends:
+                        target.record_heard(fixture.clock.monotonic_s())
+                    await asyncio.sleep(CONNECT_TIMEOUT_S)
+                self.assertEqual(not sends, bool(failed))
+
     def _watch(self, fixture: ForwarderFixture) -> tuple[LivenessWatch, list[Target]]:
         """Watch targets at addresses that accept no connection."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
