--- a/coltsfootfront_dev/tcpproxy.py
+++ b/coltsfootfront_dev/tcpproxy.py
@@ -1,19 +1,56 @@
-"""TCP forwarder on loopback that refuses, aborts or stalls connections between two processes."""
+"""TCP forwarder on loopback that refuses, aborts, stalls or slows connections."""
 
 import asyncio
 import contextlib
 import socket
 import struct
 
+READ_BYTES = 65_536
+# Bytes of a limited direction are forwarded in pieces of about this duration.
+PIECE_S = 0.01
+
+
+class LinkRate:
+    """Rate of one direction of a link, shared by all connections that use it.
+
+    :param bytes_per_s: bytes that pass in a second.
+    """
+
+    __slots__ = ("_busy_until_s", "bytes_per_s")
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self._busy_until_s = 0.0
+
+    @property
+    def piece_bytes(self) -> int:
+        """Bytes to forward at once."""
+        return max(1, min(READ_BYTES, int(self.bytes_per_s * PIECE_S)))
+
+    async def transmit(self, size_bytes: int) -> None:
+        """Wait until the link has transmitted a piece, after all pieces before it."""
+        now_s = asyncio.get_running_loop().time()
+        self._busy_until_s = max(now_s, self._busy_until_s) + size_bytes / self.bytes_per_s
+        await asyncio.sleep(self._busy_until_s - now_s)
+
 
 class TcpProxy:
     """Forwards connections to one address.
 
-    :param listen: ``host:port`` to listen on.
+    :param listen: ``host:port`` to listen on; port 0 takes a free one.
     :param forward_to: ``host:port`` to which connections are forwarded.
+    :param to_client: rate towards clients; None for no limit.
+    :param to_server: rate towards the server; None for no limit.
     """
 
-    def __init__(self, listen: str, forward_to: str) -> None:
+    def __init__(
+        self,
+        listen: str,
+        forward_to: str,
+        to_client: LinkRate | None = None,
+        to_server: LinkRate | None = None,
+    ) -> None:
+        self._rates = {True: to_client, False: to_server}
         self.address = listen
         self._forward_to = forward_to
         self._server: asyncio.Server | None = None
@@ -30,6 +67,7 @@
         """Start listening."""
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._accept, host, int(port))
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     async def close(self) -> None:
         """Stop listening and abort every connection."""
@@ -82,8 +120,11 @@
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, towards_client: bool
     ) -> None:
-        while data := await reader.read(65536):
+        rate = self._rates[towards_client]
+        while data := await reader.read(rate.piece_bytes if rate else READ_BYTES):
             await self._forwarding.wait()
+            if rate is not None:
+                await rate.transmit(len(data))
             if towards_client and self._reaches_cut(data):
                 self.abort_connections()
                 return
