--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -59,6 +59,42 @@
     "coltsfootfront_store_era", "Era of the key-value service, which rises when it is restored."
 )
 REVISION = Gauge("coltsfootfront_revision", "Configuration revision in force.")
+RECEIVED_BYTES = Counter(
+    "coltsfootfront_received_bytes_total", "Bytes of bodies and datagrams received, by purpose."
+)
+SENT_BYTES = Counter(
+    "coltsfootfront_sent_bytes_total", "Bytes of bodies and datagrams sent, by purpose."
+)
+
+# Values of the label `purpose` of received and sent bytes.
+STORE = "store"
+PEER_COPY = "peer_copy"
+PEER_PARTS = "peer_parts"
+GOSSIP = "gossip"
+_PURPOSES = (STORE, PEER_COPY, PEER_PARTS, GOSSIP)
+# A counter of the registry takes several microseconds, too many for each datagram.
+_received_bytes = dict.fromkeys(_PURPOSES, 0)
+_sent_bytes = dict.fromkeys(_PURPOSES, 0)
+
+
+def count_received(purpose: str, size_bytes: int) -> None:
+    """Count bytes that this process has received."""
+    _received_bytes[purpose] += size_bytes
+
+
+def count_sent(purpose: str, size_bytes: int) -> None:
+    """Count bytes that this process has sent."""
+    _sent_bytes[purpose] += size_bytes
+
+
+def received_bytes(purpose: str) -> int:
+    """Bytes that this process has received."""
+    return _received_bytes[purpose]
+
+
+def sent_bytes(purpose: str) -> int:
+    """Bytes that this process has sent."""
+    return _sent_bytes[purpose]
 
 
 def count_refusal(reason: str) -> None:
@@ -79,5 +115,8 @@
 
 async def handle_metrics(request: web.Request) -> web.Response:
     """Answer ``GET /metrics`` in the Prometheus text format."""
+    for purpose in _PURPOSES:
+        RECEIVED_BYTES.set({"purpose": purpose}, _received_bytes[purpose])
+        SENT_BYTES.set({"purpose": purpose}, _sent_bytes[purpose])
     content, headers = render(REGISTRY, request.headers.getall("Accept", []))
     return web.Response(body=content, headers=headers)
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -201,10 +201,12 @@
         if self._transport is None or not peers:
             return
         data = msgpack.packb([PROTOCOL_VERSION, must_forward, message])
+        metrics.count_sent(metrics.GOSSIP, len(data) * len(peers))
         for peer in peers:
             self._transport.sendto(data, peer)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        metrics.count_received(metrics.GOSSIP, len(data))
         try:
             version, must_forward, message = msgpack.unpackb(data)
             if version == PROTOCOL_VERSION:
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -9,6 +9,7 @@
 import msgpack
 from aiohttp import web
 
+from coltsfootfront.common import metrics
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
@@ -20,6 +21,9 @@
 
 COPY_PATH = "/peer/copy"
 PARTS_PATH = "/peer/parts"
+PURPOSES = {COPY_PATH: metrics.PEER_COPY, PARTS_PATH: metrics.PEER_PARTS}
+# Responses without changes are below this size.
+MIN_LOGGED_COPY_BYTES = 1024
 # A peer answers from memory, one in the other region within 50 ms.
 CONNECT_TIMEOUT_S = 0.3
 REQUEST_TIMEOUT_S = 1.0
@@ -163,15 +167,32 @@
         self, address: str, path: str, limit_s: float = REQUEST_TIMEOUT_S, **params: str
     ) -> bytes | None:
         assert self._session is not None
-        url = f"http://{address}{path}"
         limits = aiohttp.ClientTimeout(total=limit_s, sock_connect=CONNECT_TIMEOUT_S)
+        loop = asyncio.get_running_loop()
         try:
-            async with self._session.get(url, params=params, timeout=limits) as response:
-                return await response.read() if response.status == HTTP_OK else None
+            async with self._session.get(
+                self._url(address, path), params=params, timeout=limits
+            ) as response:
+                head_s = loop.time()
+                body = await response.read()
+                metrics.count_received(PURPOSES[path], len(body))
+                if path == COPY_PATH and len(body) >= MIN_LOGGED_COPY_BYTES:
+                    log.info(
+                        event(
+                            "peer_copy_received",
+                            peer=address,
+                            wire_bytes=len(body),
+                            transfer_s=loop.time() - head_s,
+                        )
+                    )
+                return body if response.status == HTTP_OK else None
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(event("peer_silent", peer=address, reason=repr(error)))
             return None
 
+    def _url(self, address: str, path: str) -> str:
+        return f"http://{address}{path}"
+
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
         if request.path == COPY_PATH and self.follower is not None:
             after = Position(
@@ -188,12 +209,18 @@
             fields = [changes.revision, rows, changes.is_full_copy]
             if "era" in request.query:
                 fields.append(changes.era)
-            return web.Response(body=msgpack.packb(fields))
+            return _make_response(metrics.PEER_COPY, msgpack.packb(fields))
         if request.path == PARTS_PATH and self.list_parts_to_share is not None:
-            return web.Response(body=msgpack.packb(self.list_parts_to_share()[-MAX_PARTS_SENT:]))
+            parts = self.list_parts_to_share()[-MAX_PARTS_SENT:]
+            return _make_response(metrics.PEER_PARTS, msgpack.packb(parts))
         return web.Response(status=404)
 
 
+def _make_response(purpose: str, body: bytes) -> web.Response:
+    metrics.count_sent(purpose, len(body))
+    return web.Response(body=body)
+
+
 def _decode_parts(body: bytes) -> list[CachedPartLocation]:
     try:
         return [(str(salt), str(key), str(holder)) for salt, key, holder in msgpack.unpackb(body)]
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -23,6 +23,7 @@
 log = logbook.Logger(__name__)
 
 Json = dict[str, Any]
+JSON_TYPE = {"Content-Type": "application/json"}
 T = TypeVar("T")
 
 # The store usually answers within milliseconds, and within about a second when it is slow.
@@ -30,6 +31,8 @@
 CONNECT_TIMEOUT_S = 0.6
 # Time that a watch call may take beyond the wait that it asks for.
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# Reads of at least this size are logged.
+LARGE_READ_BYTES = 65_536
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -205,14 +208,24 @@
         build_failure = _ambiguous if is_write else _unavailable
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         result: Result[T, Failure]
+        encoded = json.dumps(body).encode() if body is not None else b""
+        loop = asyncio.get_running_loop()
         try:
             if self._session is None:
                 raise FailureError(_unavailable("the store's client is not started"))
             url = self._base_url + path
+            metrics.count_sent(metrics.STORE, len(encoded))
             async with self._session.request(
-                method, url, params=query, json=body, timeout=timeout
+                method,
+                url,
+                params=query,
+                data=encoded or None,
+                headers=JSON_TYPE if encoded else None,
+                timeout=timeout,
             ) as response:
+                head_s = loop.time()
                 data = await response.read()
+                _record_read(name, data, loop.time() - head_s)
                 era = self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
                 result = _decode_response(
                     name, response.status, data, build_failure, allow_not_found
@@ -231,6 +244,12 @@
         return result
 
 
+def _record_read(name: str, data: bytes, transfer_s: float) -> None:
+    metrics.count_received(metrics.STORE, len(data))
+    if len(data) >= LARGE_READ_BYTES:
+        log.info(event("store_transfer", call=name, wire_bytes=len(data), transfer_s=transfer_s))
+
+
 def _unavailable(message: str) -> Failure:
     return Failure(ErrorKind.STORE_UNAVAILABLE, message)
 
