--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -7,12 +7,13 @@
 import aiohttp
 import logbook
 import msgpack
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
+from coltsfootfront.direct.copyencoding import DEFLATE, MAX_COPY_BYTES, CopyEncoder, inflate
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
@@ -56,6 +57,7 @@
         self._routers: dict[str, RouterEntry] = {}
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
+        self._encoder = CopyEncoder()
         self.announcer: str | None = None
         """Peer address of the router that announced the latest position, if it told it."""
         self.follower: Follower | None = None
@@ -65,7 +67,12 @@
     async def start(self) -> None:
         """Start the HTTP client, and the server for other routers."""
         connector = aiohttp.TCPConnector(socket_factory=create_socket)
-        self._session = aiohttp.ClientSession(connector=connector)
+        # Responses are decompressed here, as a peer's must not exhaust the memory.
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            headers={hdrs.ACCEPT_ENCODING: DEFLATE},
+            auto_decompress=False,
+        )
         self._runner = web.ServerRunner(web.Server(self._handle_request, access_log=None))
         await self._runner.setup()
         host, _, port = self._own_address.rpartition(":")
@@ -174,7 +181,7 @@
                 self._url(address, path), params=params, timeout=limits
             ) as response:
                 head_s = loop.time()
-                body = await response.read()
+                body = await _read_body(response.content)
                 metrics.count_received(PURPOSES[path], len(body))
                 if path == COPY_PATH and len(body) >= MIN_LOGGED_COPY_BYTES:
                     log.info(
@@ -185,7 +192,12 @@
                             transfer_s=loop.time() - head_s,
                         )
                     )
+                if response.headers.get(hdrs.CONTENT_ENCODING) == DEFLATE:
+                    body = inflate(body)
                 return body if response.status == HTTP_OK else None
+        except ValueError as error:
+            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
+            return None
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(event("peer_silent", peer=address, reason=repr(error)))
             return None
@@ -205,20 +217,35 @@
                 changes = self.follower.changes_after(after)
             if changes is None:
                 return web.Response(status=503)
-            rows = [[item.key, item.value, item.revision] for item in changes.items]
-            fields = [changes.revision, rows, changes.is_full_copy]
-            if "era" in request.query:
-                fields.append(changes.era)
-            return _make_response(metrics.PEER_COPY, msgpack.packb(fields))
+            accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "").replace(" ", "").split(",")
+            body, is_deflated = self._encoder.encode(
+                after, changes, "era" in request.query, DEFLATE in accepted
+            )
+            return _make_response(metrics.PEER_COPY, body, is_deflated)
         if request.path == PARTS_PATH and self.list_parts_to_share is not None:
             parts = self.list_parts_to_share()[-MAX_PARTS_SENT:]
             return _make_response(metrics.PEER_PARTS, msgpack.packb(parts))
         return web.Response(status=404)
 
 
-def _make_response(purpose: str, body: bytes) -> web.Response:
+async def _read_body(content: aiohttp.StreamReader) -> bytes:
+    """Read a response's body.
+
+    :raises ValueError: if it is too large.
+    """
+    body = bytearray()
+    async for chunk in content.iter_any():
+        body += chunk
+        if len(body) > MAX_COPY_BYTES:
+            raise ValueError(f"more than {MAX_COPY_BYTES} bytes")
+    return bytes(body)
+
+
+def _make_response(purpose: str, body: bytes, is_deflated: bool = False) -> web.Response:
     metrics.count_sent(purpose, len(body))
-    return web.Response(body=body)
+    return web.Response(
+        body=body, headers={hdrs.CONTENT_ENCODING: DEFLATE} if is_deflated else None
+    )
 
 
 def _decode_parts(body: bytes) -> list[CachedPartLocation]:
--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -1,19 +1,24 @@
 """Tests of how the store's keys reach routers over links of different width."""
 
 import asyncio
+import json
 import random
 import unittest
+import zlib
+from unittest import mock
 
 import aiohttp
 import logbook
+import msgpack
 from aiohttp import web
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.direct import gossip
-from coltsfootfront.direct.peers import Peers
+from coltsfootfront.direct.copyencoding import MAX_COPY_BYTES, MAX_KEPT_BYTES, CopyEncoder
+from coltsfootfront.direct.peers import COPY_PATH, Peers
 from coltsfootfront.direct.registration import RouterEntry
-from coltsfootfront.direct.storefollower import Follower, Item
+from coltsfootfront.direct.storefollower import Changes, Follower, Item, Position
 from coltsfootfront.platform.store import PlatformStore
 from coltsfootfront_dev.platformfleet import HOST, free_ports
 from coltsfootfront_dev.platformstore import PlatformStoreStandIn
@@ -27,7 +32,7 @@
 WIDE_LINK_BYTES_PER_S = 25_000_000
 
 
-def make_large_configuration(routes: int, version: int = 1) -> dict[str, object]:
+def make_configuration(routes: int, version: int = 1) -> bytes:
     """Create a configuration whose names are as hard to compress as those of a deployment."""
     generator = random.Random(version)
 
@@ -39,7 +44,7 @@
         return "".join(letters) + str(generator.randrange(1000))
 
     services = [name(3) for _ in range(12)]
-    return {
+    configuration = {
         "version": version,
         "routes": [
             {
@@ -59,6 +64,7 @@
             for _ in range(routes)
         ],
     }
+    return json.dumps(configuration, separators=(",", ":")).encode()
 
 
 class TransferredBytesTest(unittest.IsolatedAsyncioTestCase):
@@ -67,7 +73,7 @@
         store = PlatformStoreStandIn()
         await store.start()
         self.addAsyncCleanup(store.close)
-        store.put_json(CONFIG_KEY, make_large_configuration(1000))
+        store.put(CONFIG_KEY, make_configuration(1000))
         purposes = (metrics.STORE, metrics.PEER_COPY)
         received_bytes = [metrics.received_bytes(purpose) for purpose in purposes]
         sent_bytes = metrics.sent_bytes(metrics.PEER_COPY)
@@ -153,6 +159,96 @@
         self.assertLess(passed_s, 0.35)
 
 
+class CompressedCopyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stand_in = PlatformStoreStandIn()
+        await self.stand_in.start()
+        self.addAsyncCleanup(self.stand_in.close)
+        self.stand_in.put(CONFIG_KEY, make_configuration(4200))
+        self.fleet = CopyFleet(self.stand_in.address)
+        self.addAsyncCleanup(self.fleet.close)
+        self.relay = await self.fleet.add()
+        await self.relay.load()
+
+    async def test_copy_of_a_large_configuration_leaves_a_small_link_free_soon(self) -> None:
+        """Guards against events that wait for seconds behind a copy on a small link."""
+        follower = await self.fleet.add(SMALL_LINK_BYTES_PER_S)
+        after = Position(self.relay.follower.era, self.relay.follower.revision - 1)
+        before_bytes = metrics.received_bytes(metrics.PEER_COPY)
+        began_s = asyncio.get_running_loop().time()
+        changes = await follower.peers.read_peer_changes(after)
+        passed_s = asyncio.get_running_loop().time() - began_s
+        assert changes is not None
+        self.assertEqual(self.relay.follower.get(CONFIG_KEY), changes.items[0].value)
+        self.assertLess(metrics.received_bytes(metrics.PEER_COPY) - before_bytes, 180_000)
+        self.assertLess(passed_s, 0.35)
+
+    async def test_copy_is_compressed_once_for_all_that_follow(self) -> None:
+        """Guards against a relay whose event loop stalls once for each router behind it."""
+        followers = [await self.fleet.add() for _ in range(4)]
+        with mock.patch.object(zlib, "compress", wraps=zlib.compress) as compress:
+            for follower in followers:
+                position = follower.follower.position
+                self.assertIsNotNone(await follower.peers.read_peer_changes(position))
+        self.assertEqual(1, compress.call_count)
+
+    async def test_routers_of_an_earlier_version_read_and_send_copies(self) -> None:
+        """Guards against routers that cannot read each other's copies during an update."""
+        url = f"http://{self.relay.entry.address}{COPY_PATH}?after=0"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as response:
+                by_default = await response.read()
+            async with session.get(url, headers={"Accept-Encoding": "identity"}) as response:
+                self.assertNotIn("Content-Encoding", response.headers)
+                plain = await response.read()
+        self.assertEqual(plain, by_default)
+        self.assertGreater(len(plain), 700_000)
+        changes = await self._read_from(web.Response(body=plain))
+        assert changes is not None
+        self.assertEqual(self.relay.follower.get(CONFIG_KEY), changes.items[0].value)
+
+    async def test_odd_bodies_of_peers_are_refused(self) -> None:
+        """Guards against a peer's response that exhausts the memory or ends the loop."""
+        bomb = zlib.compress(msgpack.packb([1, [["k", bytes(64 * 1024 * 1024), 1]], False, 1]), 9)
+        cases = {
+            "bomb": (bomb, "deflate"),
+            "cut": (zlib.compress(bytes(9000))[:-9], "deflate"),
+            "not compressed": (b"abc", "deflate"),
+            "unknown encoding": (b"abc", "odd"),
+            "too large": (bytes(MAX_COPY_BYTES + 1), "identity"),
+        }
+        for name, (body, encoding) in cases.items():
+            with self.subTest(name):
+                response = web.Response(body=body, headers={"Content-Encoding": encoding})
+                self.assertIsNone(await self._read_from(response))
+
+    async def _read_from(self, response: web.Response) -> Changes | None:
+        async def respond(request: web.BaseRequest) -> web.StreamResponse:
+            return response
+
+        server = web.ServerRunner(web.Server(respond, access_log=None))
+        await server.setup()
+        await web.TCPSite(server, "127.0.0.1", 0).start()
+        host, port, *_ = server.addresses[0]
+        address = f"{host}:{port}"
+        follower = await self.fleet.add()
+        await follower.link.connect(address)
+        try:
+            return await follower.peers.wait_for_peer_changes(address, Position(0, 0), 1.0)
+        finally:
+            await server.cleanup()
+
+    def test_kept_bodies_are_bounded(self) -> None:
+        """Guards against memory that grows with the positions that peers ask after."""
+        encoder = CopyEncoder()
+        item = Item("k", random.Random(1).randbytes(600_000), 1)
+        for revision in range(20):
+            encoder.encode(Position(1, revision), Changes([item], 30, era=1), True, True)
+        self.assertLessEqual(sum(map(len, encoder._kept.values())), MAX_KEPT_BYTES)
+        self.assertEqual(encoder._kept_bytes, sum(map(len, encoder._kept.values())))
+        self.assertTrue(encoder._kept)
+
+
 class LinkedPeers(Peers):
     """Peers whose responses arrive through the link of this router."""
 
