--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -17,6 +17,7 @@
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
+from coltsfootfront.direct.transfers import OnProgress, Transfer, TransferLimits, receive
 
 log = logbook.Logger(__name__)
 
@@ -28,12 +29,17 @@
 # A peer answers from memory, one in the other region within 50 ms.
 CONNECT_TIMEOUT_S = 0.3
 REQUEST_TIMEOUT_S = 1.0
+TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+# A peer that sends nothing for this long in the middle of a response is given up.
+SILENCE_S = 0.6
+# Longest transfer. A change that arrives later is too late for its users anyway.
+MAX_TRANSFER_S = 6.0
 HTTP_OK = 200
 # Prompt parts in one response, about 60 bytes each. A small link carries them in 200 ms.
 MAX_PARTS_SENT = 8000
 # Routers of a data centre that watch the store directly. The others use one of them as relay.
 WATCHERS_PER_DATA_CENTRE = 2
-# A relay in the same data centre answers within this time after the end of the wait.
+# A relay in the same data centre begins to answer within this time after the end of the wait.
 RELAY_TIMEOUT_MARGIN_S = 0.4
 # Peers whose copy is requested in parallel.
 PEERS_QUERIED = 2
@@ -117,9 +123,9 @@
         return rank(own.address.encode(), watchers, 1)[0]
 
     async def wait_for_peer_changes(
-        self, address: str, after: Position, wait_s: float
+        self, address: str, after: Position, wait_s: float, on_progress: OnProgress
     ) -> Changes | None:
-        return await self._request_changes(address, after, wait_s)
+        return await self._request_changes(address, after, wait_s, on_progress)
 
     async def read_peer_changes(self, after: Position) -> Changes | None:
         peers = self.addresses()
@@ -153,12 +159,16 @@
         return max(copies, key=len, default=[])
 
     async def _request_changes(
-        self, address: str, after: Position, wait_s: float = 0.0
+        self,
+        address: str,
+        after: Position,
+        wait_s: float = 0.0,
+        on_progress: OnProgress | None = None,
     ) -> Changes | None:
         query = {"after": str(after.revision), "era": str(after.era)}
         query |= {"wait": str(wait_s)} if wait_s else {}
-        limit_s = wait_s + RELAY_TIMEOUT_MARGIN_S if wait_s else REQUEST_TIMEOUT_S
-        body = await self._get(address, COPY_PATH, limit_s, **query)
+        head_s = wait_s + RELAY_TIMEOUT_MARGIN_S if wait_s else REQUEST_TIMEOUT_S
+        body = await self._get(address, COPY_PATH, head_s, on_progress, **query)
         if body is None:
             return None
         try:
@@ -171,30 +181,25 @@
             return None
 
     async def _get(
-        self, address: str, path: str, limit_s: float = REQUEST_TIMEOUT_S, **params: str
+        self,
+        address: str,
+        path: str,
+        head_s: float = REQUEST_TIMEOUT_S,
+        on_progress: OnProgress | None = None,
+        **params: str,
     ) -> bytes | None:
         assert self._session is not None
-        limits = aiohttp.ClientTimeout(total=limit_s, sock_connect=CONNECT_TIMEOUT_S)
-        loop = asyncio.get_running_loop()
+        session, url = self._session, self._url(address, path)
+        limits = TransferLimits(head_s, SILENCE_S, MAX_TRANSFER_S, MAX_COPY_BYTES)
         try:
-            async with self._session.get(
-                self._url(address, path), params=params, timeout=limits
-            ) as response:
-                head_s = loop.time()
-                body = await _read_body(response.content)
-                metrics.count_received(PURPOSES[path], len(body))
-                if path == COPY_PATH and len(body) >= MIN_LOGGED_COPY_BYTES:
-                    log.info(
-                        event(
-                            "peer_copy_received",
-                            peer=address,
-                            wire_bytes=len(body),
-                            transfer_s=loop.time() - head_s,
-                        )
-                    )
-                if response.headers.get(hdrs.CONTENT_ENCODING) == DEFLATE:
-                    body = inflate(body)
-                return body if response.status == HTTP_OK else None
+            received = await receive(
+                lambda: session.get(url, params=params, timeout=TIMEOUTS), limits, on_progress
+            )
+            _record_transfer(address, path, received)
+            if received.status != HTTP_OK:
+                return None
+            is_deflated = received.headers.get(hdrs.CONTENT_ENCODING) == DEFLATE
+            return inflate(received.body) if is_deflated else received.body
         except ValueError as error:
             log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
             return None
@@ -228,17 +233,17 @@
         return web.Response(status=404)
 
 
-async def _read_body(content: aiohttp.StreamReader) -> bytes:
-    """Read a response's body.
-
-    :raises ValueError: if it is too large.
-    """
-    body = bytearray()
-    async for chunk in content.iter_any():
-        body += chunk
-        if len(body) > MAX_COPY_BYTES:
-            raise ValueError(f"more than {MAX_COPY_BYTES} bytes")
-    return bytes(body)
+def _record_transfer(address: str, path: str, received: Transfer) -> None:
+    metrics.count_received(PURPOSES[path], received.wire_bytes)
+    if path == COPY_PATH and received.wire_bytes >= MIN_LOGGED_COPY_BYTES:
+        log.info(
+            event(
+                "peer_copy_received",
+                peer=address,
+                wire_bytes=received.wire_bytes,
+                transfer_s=received.duration_s,
+            )
+        )
 
 
 def _make_response(purpose: str, body: bytes, is_deflated: bool = False) -> web.Response:
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -19,6 +19,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct.transfers import OnProgress
 from coltsfootfront.keyvalue.store import KeyValue, Store
 
 log = logbook.Logger(__name__)
@@ -51,6 +52,8 @@
 LAG_MARGIN_S = 0.25
 # A watch that is not answered this long after it should have ended is taken to be broken.
 WATCH_TIMEOUT_MARGIN_S = 0.5
+# Changes whose transfer has made progress within this time prove contact with the store.
+PROGRESS_VALID_S = 1.0
 # Time limit for checking after a process pause that the copy is current. The store answers in
 # milliseconds; callers wait meanwhile.
 REVALIDATION_TIMEOUT_S = 1.0
@@ -122,11 +125,14 @@
         """Read all keys under a prefix."""
 
     @abstractmethod
-    async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
+    async def changes(
+        self, prefix: str, after: int, wait_s: float, on_progress: OnProgress | None = None
+    ) -> Result[Changes, Failure]:
         """Wait for changes under a prefix.
 
         :param after: store revision after which changes are wanted.
         :param wait_s: longest wait in seconds.
+        :param on_progress: called repeatedly while the changes are being received.
         :returns: a ``stale_revision`` failure if the store has compacted this history.
         """
 
@@ -143,10 +149,11 @@
 
     @abstractmethod
     async def wait_for_peer_changes(
-        self, address: str, after: Position, wait_s: float
+        self, address: str, after: Position, wait_s: float, on_progress: OnProgress
     ) -> Changes | None:
         """Wait for changes at the router that serves as this one's relay.
 
+        :param on_progress: called repeatedly while the changes are being received.
         :returns: None if that router does not answer or has no contact with the store.
         """
 
@@ -202,6 +209,8 @@
         self._changed = asyncio.Event()
         self._current = asyncio.Event()
         self._current.set()
+        self._is_receiving = False
+        """Whether changes are being received from the store or the relay."""
         self._revalidation: asyncio.Task[None] | None = None
         self.on_restored: Callable[[], None] = lambda: None
         """Called when a copy of a later era has replaced the one before."""
@@ -282,7 +291,11 @@
         """
         while True:
             await self._clock.sleep(PEER_POLL_INTERVAL_S)
-            if self.revision and not self._is_store_failing and not self._is_lagging():
+            is_lagging = self._is_lagging()
+            if self.revision and not self._is_store_failing and not is_lagging:
+                continue
+            if self._is_receiving:
+                # The transfer under way brings the changes, and shares the link with any other.
                 continue
             await self._read_peer()
 
@@ -436,7 +449,12 @@
         if address is None:
             return False
         asked = self.position
-        changes = await self._peers.wait_for_peer_changes(address, asked, RELAY_WAIT_S)
+        try:
+            changes = await self._peers.wait_for_peer_changes(
+                address, asked, RELAY_WAIT_S, self._record_progress
+            )
+        finally:
+            self._is_receiving = False
         if changes is None or changes.era < self.era:
             direct_s = self._generator.uniform(DIRECT_WATCH_S / 2, DIRECT_WATCH_S)
             self._direct_until_s = self._clock.monotonic_s() + direct_s
@@ -477,7 +495,12 @@
             return None
         self._watch_deadline_s = self._clock.monotonic_s() + WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
         era = self.era
-        changed = await self._store.changes(self._prefix, self.revision, WATCH_WAIT_S)
+        try:
+            changed = await self._store.changes(
+                self._prefix, self.revision, WATCH_WAIT_S, self._record_watch_progress
+            )
+        finally:
+            self._is_receiving = False
         if not isinstance(changed, Success):
             return changed.failure()
         self._record_contact()
@@ -531,6 +554,15 @@
             log.info(event("store_regained", outage_s=outage_s, revision=self.revision))
         self._last_contact_s = now_s
 
+    def _record_progress(self) -> None:
+        self._is_receiving = True
+
+    def _record_watch_progress(self) -> None:
+        self._is_receiving = True
+        self._watch_deadline_s = max(
+            self._watch_deadline_s, self._clock.monotonic_s() + PROGRESS_VALID_S
+        )
+
     def _record_failure(self, failure: Failure) -> None:
         if not self._is_store_failing:
             self._is_store_failing = True
--- /dev/null
+++ b/coltsfootfront/direct/transfers.py
@@ -0,0 +1,140 @@
+"""HTTP responses whose time limits count progress, so that a slow link does not end a transfer."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+
+import aiohttp
+from multidict import CIMultiDictProxy
+
+Request = Callable[[], AbstractAsyncContextManager[aiohttp.ClientResponse]]
+OnProgress = Callable[[], None]
+
+# After a stall of the event loop a timer fires before what has arrived meanwhile is read.
+STALL_GRACE_S = 0.05
+# Checks in a row without a new byte after which a sender is silent. A stall of the event loop
+# delays one check, and what has arrived meanwhile is read before the next.
+SILENT_CHECKS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class TransferLimits:
+    """Limits of one response.
+
+    :param head_s: longest time from the request to the head of the response.
+    :param silence_s: time without a byte of the body after which the sender is taken to be silent.
+    :param body_s: longest time from the head to the end of the body.
+    :param body_bytes: largest body.
+    """
+
+    head_s: float
+    silence_s: float
+    body_s: float
+    body_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Transfer:
+    """A response that has been received in full.
+
+    :param body: body, as decoded by the client session.
+    :param wire_bytes: size of the body on the wire.
+    :param duration_s: time from the head of the response to the end of the body.
+    """
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    body: bytes
+    wire_bytes: int
+    duration_s: float
+
+
+async def receive(
+    request: Request, limits: TransferLimits, on_progress: OnProgress | None = None
+) -> Transfer:
+    """Send a request and receive the whole response.
+
+    :param on_progress: called when the head has arrived, and repeatedly while the body arrives.
+    :raises TimeoutError: when a limit in time is exceeded.
+    :raises aiohttp.ClientError: when the exchange fails, or the body is too large.
+    """
+    exchange = _Exchange(request, limits)
+    task = asyncio.create_task(exchange.run())
+    try:
+        await exchange.wait_for_head()
+        await exchange.watch_body(task, on_progress)
+        return await task
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+class _Exchange:
+    __slots__ = ("_content", "_head", "_limits", "_request")
+
+    def __init__(self, request: Request, limits: TransferLimits) -> None:
+        self._request = request
+        self._limits = limits
+        self._head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._content: aiohttp.StreamReader | None = None
+
+    async def run(self) -> Transfer:
+        loop = asyncio.get_running_loop()
+        try:
+            async with self._request() as response:
+                head_s = loop.time()
+                self._content = response.content
+                self._head.set_result(None)
+                body = await self._read_body(response.content)
+                return Transfer(
+                    response.status,
+                    response.headers,
+                    body,
+                    response.content_length or len(body),
+                    loop.time() - head_s,
+                )
+        finally:
+            if not self._head.done():
+                self._head.set_result(None)
+
+    async def wait_for_head(self) -> None:
+        """Wait for the head of the response, or the failure of the exchange."""
+        for timeout_s in (self._limits.head_s, STALL_GRACE_S):
+            done, _ = await asyncio.wait({self._head}, timeout=timeout_s)
+            if done:
+                return
+        raise TimeoutError(f"no response within {self._limits.head_s:.3f} s")
+
+    async def watch_body(
+        self, task: asyncio.Task[Transfer], on_progress: OnProgress | None
+    ) -> None:
+        """Wait for the end of the body while it makes progress."""
+        limits = self._limits
+        loop = asyncio.get_running_loop()
+        head_s = loop.time()
+        received_bytes = -1
+        silent_checks = 0
+        while not task.done():
+            seen_bytes = self._content.total_bytes if self._content is not None else 0
+            if seen_bytes > received_bytes:
+                received_bytes, silent_checks = seen_bytes, 0
+                if on_progress is not None:
+                    on_progress()
+            else:
+                silent_checks += 1
+            if silent_checks >= SILENT_CHECKS:
+                raise TimeoutError(
+                    f"silent for {limits.silence_s:.3f} s after {received_bytes} bytes"
+                )
+            if loop.time() - head_s >= limits.body_s:
+                raise TimeoutError(f"{received_bytes} bytes, not all, within {limits.body_s:.3f} s")
+            await asyncio.wait({task}, timeout=limits.silence_s / SILENT_CHECKS)
+
+    async def _read_body(self, content: aiohttp.StreamReader) -> bytes:
+        body = bytearray()
+        async for chunk in content.iter_any():
+            body += chunk
+            if len(body) > self._limits.body_bytes:
+                raise aiohttp.ClientPayloadError(f"more than {self._limits.body_bytes} bytes")
+        return bytes(body)
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -17,6 +17,7 @@
 from coltsfootfront.direct.responselimits import use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Item, Snapshot, WatchableStore
+from coltsfootfront.direct.transfers import OnProgress, Transfer, TransferLimits, receive
 from coltsfootfront.keyvalue.store import KeyValue, Transaction, TransactionResult, WatchEvent
 from coltsfootfront.platform import headers
 
@@ -26,11 +27,18 @@
 JSON_TYPE = {"Content-Type": "application/json"}
 T = TypeVar("T")
 
-# The store usually answers within milliseconds, and within about a second when it is slow.
+# The store usually begins to answer within milliseconds, and within about a second when it is slow.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.6
-# Time that a watch call may take beyond the wait that it asks for.
+TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+# Time until a watch begins to be answered, beyond the wait that it asks for.
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# A store that sends nothing for this long in the middle of a response is given up.
+SILENCE_S = 1.0
+# Longest transfer of one response. A page of 1 MB takes two seconds on half of a link of 10 Mbit/s.
+MAX_TRANSFER_S = 8.0
+# Bound on what a response may occupy: several values of the largest size, as base64.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Reads of at least this size are logged.
 LARGE_READ_BYTES = 65_536
 OK = 200
@@ -101,10 +109,14 @@
                 return Success(Snapshot(items, revision, era))
             query = {"prefix": prefix, "after": items[-1].key}
 
-    async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
+    async def changes(
+        self, prefix: str, after: int, wait_s: float, on_progress: OnProgress | None = None
+    ) -> Result[Changes, Failure]:
         query = {"prefix": prefix, "after": str(after), "wait-ms": str(int(wait_s * 1000))}
         timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
-        return await self._read("watch", "/v1/kv-watch", query, _decode_changes, False, timeout_s)
+        return await self._read(
+            "watch", "/v1/kv-watch", query, _decode_changes, False, timeout_s, on_progress
+        )
 
     async def commit(self, transaction: Transaction) -> Result[TransactionResult, Failure]:
         body = {
@@ -175,9 +187,10 @@
         decode: Callable[[Json], T],
         allow_not_found: bool = False,
         timeout_s: float = CALL_TIMEOUT_S,
+        on_progress: OnProgress | None = None,
     ) -> Result[T, Failure]:
         return await self._call(
-            name, "GET", path, query, None, decode, False, allow_not_found, timeout_s
+            name, "GET", path, query, None, decode, False, allow_not_found, timeout_s, on_progress
         )
 
     async def _write(
@@ -204,32 +217,35 @@
         is_write: bool,
         allow_not_found: bool,
         timeout_s: float,
+        on_progress: OnProgress | None = None,
     ) -> Result[T, Failure]:
         build_failure = _ambiguous if is_write else _unavailable
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        limits = TransferLimits(timeout_s, SILENCE_S, MAX_TRANSFER_S, MAX_RESPONSE_BYTES)
         result: Result[T, Failure]
         encoded = json.dumps(body).encode() if body is not None else b""
-        loop = asyncio.get_running_loop()
         try:
-            if self._session is None:
+            session = self._session
+            if session is None:
                 raise FailureError(_unavailable("the store's client is not started"))
             url = self._base_url + path
             metrics.count_sent(metrics.STORE, len(encoded))
-            async with self._session.request(
-                method,
-                url,
-                params=query,
-                data=encoded or None,
-                headers=JSON_TYPE if encoded else None,
-                timeout=timeout,
-            ) as response:
-                head_s = loop.time()
-                data = await response.read()
-                _record_read(name, data, loop.time() - head_s)
-                era = self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
-                result = _decode_response(
-                    name, response.status, data, build_failure, allow_not_found
-                ).map(lambda body: decode(body | {"era": era}))
+            received = await receive(
+                lambda: session.request(
+                    method,
+                    url,
+                    params=query,
+                    data=encoded or None,
+                    headers=JSON_TYPE if encoded else None,
+                    timeout=TIMEOUTS,
+                ),
+                limits,
+                on_progress,
+            )
+            _record_transfer(name, received)
+            era = self._record_era(received.headers.get(headers.STORE_ERA, ""), name)
+            result = _decode_response(
+                name, received.status, received.body, build_failure, allow_not_found
+            ).map(lambda body: decode(body | {"era": era}))
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -244,10 +260,17 @@
         return result
 
 
-def _record_read(name: str, data: bytes, transfer_s: float) -> None:
-    metrics.count_received(metrics.STORE, len(data))
-    if len(data) >= LARGE_READ_BYTES:
-        log.info(event("store_transfer", call=name, wire_bytes=len(data), transfer_s=transfer_s))
+def _record_transfer(name: str, received: Transfer) -> None:
+    metrics.count_received(metrics.STORE, received.wire_bytes)
+    if received.wire_bytes >= LARGE_READ_BYTES:
+        log.info(
+            event(
+                "store_transfer",
+                call=name,
+                wire_bytes=received.wire_bytes,
+                transfer_s=received.duration_s,
+            )
+        )
 
 
 def _unavailable(message: str) -> Failure:
