--- a/coltsfootfront/direct/transfers.py
+++ b/coltsfootfront/direct/transfers.py
@@ -18,6 +18,10 @@
 SILENT_CHECKS = 2
 
 
+class BodyTooLargeError(aiohttp.ClientPayloadError):
+    """The body of a response exceeds its limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class TransferLimits:
     """Limits of one response.
@@ -57,7 +61,8 @@
 
     :param on_progress: called when the head has arrived, and repeatedly while the body arrives.
     :raises TimeoutError: when a limit in time is exceeded.
-    :raises aiohttp.ClientError: when the exchange fails, or the body is too large.
+    :raises BodyTooLargeError: when the body is too large.
+    :raises aiohttp.ClientError: when the exchange fails.
     """
     exchange = _Exchange(request, limits)
     task = asyncio.create_task(exchange.run())
@@ -136,5 +141,5 @@
         async for chunk in content.iter_any():
             body += chunk
             if len(body) > self._limits.body_bytes:
-                raise aiohttp.ClientPayloadError(f"more than {self._limits.body_bytes} bytes")
+                raise BodyTooLargeError(f"more than {self._limits.body_bytes} bytes")
         return bytes(body)
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -17,7 +17,13 @@
 from coltsfootfront.direct.responselimits import use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Item, Snapshot, WatchableStore
-from coltsfootfront.direct.transfers import OnProgress, Transfer, TransferLimits, receive
+from coltsfootfront.direct.transfers import (
+    BodyTooLargeError,
+    OnProgress,
+    Transfer,
+    TransferLimits,
+    receive,
+)
 from coltsfootfront.keyvalue.store import KeyValue, Transaction, TransactionResult, WatchEvent
 from coltsfootfront.platform import headers
 
@@ -38,7 +44,7 @@
 # Longest transfer of one response. A page of 1 MB takes two seconds on half of a link of 10 Mbit/s.
 MAX_TRANSFER_S = 8.0
 # Bound on what a response may occupy: several values of the largest size, as base64.
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Reads of at least this size are logged.
 LARGE_READ_BYTES = 65_536
 OK = 200
@@ -251,6 +257,8 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # No connection was made, so the request was not sent and a write had no effect.
             result = Failed(_unavailable(f"{name}: the store cannot be reached: {error!r}"))
+        except BodyTooLargeError as error:
+            result = Failed(_too_large(name, error, build_failure))
         except (aiohttp.ClientError, OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             result = Failed(build_failure(f"{name}: the store's answer was lost: {error!r}"))
         except (ValueError, KeyError, TypeError) as error:
@@ -277,6 +285,14 @@
     return Failure(ErrorKind.STORE_UNAVAILABLE, message)
 
 
+def _too_large(
+    name: str, error: BodyTooLargeError, build_failure: Callable[[str], Failure]
+) -> Failure:
+    message = f"{name}: the store's answer is too large: {error}"
+    # The pages of a snapshot are small, whatever the history holds.
+    return Failure(ErrorKind.STALE_REVISION, message) if name == "watch" else build_failure(message)
+
+
 def _ambiguous(message: str) -> Failure:
     return Failure(ErrorKind.STORE_AMBIGUOUS, message, ExecutionState.UNKNOWN)
 
--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -18,6 +18,7 @@
 from coltsfootfront.direct.peers import COPY_PATH
 from coltsfootfront.direct.storefollower import Changes, Item, Position
 from coltsfootfront.direct.transfers import TransferLimits, receive
+from coltsfootfront.platform import store
 from coltsfootfront.tests.copy_fleet import (
     CONFIG_KEY,
     SMALL_LINK_BYTES_PER_S,
@@ -36,14 +37,14 @@
 class TransferredBytesTest(unittest.IsolatedAsyncioTestCase):
     async def test_bytes_are_counted_by_purpose_and_large_transfers_are_logged(self) -> None:
         """Guards against a full link whose traffic no metric and no log line explains."""
-        store = PlatformStoreStandIn()
-        await store.start()
-        self.addAsyncCleanup(store.close)
-        store.put(CONFIG_KEY, make_configuration(1000))
+        stand_in = PlatformStoreStandIn()
+        await stand_in.start()
+        self.addAsyncCleanup(stand_in.close)
+        stand_in.put(CONFIG_KEY, make_configuration(1000))
         purposes = (metrics.STORE, metrics.PEER_COPY)
         received_bytes = [metrics.received_bytes(purpose) for purpose in purposes]
         sent_bytes = metrics.sent_bytes(metrics.PEER_COPY)
-        fleet = CopyFleet(store.address)
+        fleet = CopyFleet(stand_in.address)
         self.addAsyncCleanup(fleet.close)
         with logbook.TestHandler().applicationbound() as records:
             relay = await fleet.add()
@@ -286,6 +287,18 @@
         await router.load()
         self.assertEqual(self.configuration, router.follower.get(CONFIG_KEY))
 
+    async def test_changes_that_are_too_large_are_replaced_by_a_snapshot(self) -> None:
+        """Guards against a history of large values that exhausts the memory, or is never read."""
+        router = await self.fleet.add()
+        await router.load()
+        with mock.patch.object(store, "MAX_RESPONSE_BYTES", 2_000_000):
+            for number in range(3):
+                self.configuration = make_configuration(4200, number)
+                self.stand_in.put(CONFIG_KEY, self.configuration)
+            router.follow()
+            async with asyncio.timeout(WAIT_S):
+                await router.wait_for(self.configuration)
+
     async def test_router_that_receives_changes_has_contact_and_asks_no_other(self) -> None:
         """Guards against a change that is fetched twice, and a relay left in mid-transfer."""
         ahead = await self.fleet.add()
