--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -263,8 +263,10 @@
         """Return the changes after a peer's position, or all keys if it is too far behind."""
         if position.era != self.era or position.revision < self._change_log_after:
             return Changes(list(self._items.values()), self.revision, True, self.era)
-        changed = [item for item in self._change_log if item.revision > position.revision]
-        return Changes(changed, self.revision, era=self.era)
+        changed = {item.key: item for item in self._change_log if item.revision > position.revision}
+        items = [self._items.get(key, removed) for key, removed in changed.items()]
+        items.sort(key=lambda item: item.revision)
+        return Changes(items, self.revision, era=self.era)
 
     async def follow_store(self) -> None:
         """Run the loop that follows the store, directly or through the relay."""
@@ -584,5 +586,6 @@
             self._items[item.key] = item
         if len(self._change_log) == self._change_log.maxlen:
             self._change_log_after = self._change_log[0].revision
-        self._change_log.append(item)
+        # Without its value, as the log would keep superseded values in memory.
+        self._change_log.append(Item(item.key, None, item.revision))
         self._listener(item)
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -327,6 +327,23 @@
         self.assertIsNone(follower.get("b"))
         self.assertEqual(Item("b", None, 12), self.received_items[-1])
 
+    async def test_superseded_values_are_neither_kept_nor_sent_to_peers(self) -> None:
+        """Guards against memory and copies that grow with each change of a large value."""
+        store = ScriptedStore(
+            Success(Snapshot([_value("a", b"1", 5), _value("b", b"1", 6)], 6)),
+            Success(Changes([Item("a", b"2", 7), Item("b", None, 8), Item("a", b"3", 9)], 9)),
+            Success(Changes([Item("c", b"1", 10), Item("a", b"4", 11)], 11)),
+        )
+        follower = self._follower(store)
+        await self._follow(follower, store)
+        changes = follower.changes_after(Position(0, 6))
+        self.assertEqual(
+            [Item("b", None, 8), Item("c", b"1", 10), Item("a", b"4", 11)], changes.items
+        )
+        self.assertFalse(changes.is_full_copy)
+        self.assertEqual([Item("a", b"4", 11)], follower.changes_after(Position(0, 10)).items)
+        self.assertEqual({None}, {item.value for item in follower._change_log})
+
     async def test_batch_delay_grows_with_the_number_of_routers(self) -> None:
         """Guards against a store load that grows with the number of routers.
 
