--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -22,8 +22,15 @@
 log = logbook.Logger(__name__)
 
 COPY_PATH = "/peer/copy"
+POSITION_PATH = "/peer/position"
 PARTS_PATH = "/peer/parts"
-PURPOSES = {COPY_PATH: metrics.PEER_COPY, PARTS_PATH: metrics.PEER_PARTS}
+PURPOSES = {
+    COPY_PATH: metrics.PEER_COPY,
+    POSITION_PATH: metrics.PEER_COPY,
+    PARTS_PATH: metrics.PEER_PARTS,
+}
+# Stands for the position of a peer of an earlier version, which does not tell it.
+UNTOLD_POSITION = Position(-1, -1)
 # Responses without changes are below this size.
 MIN_LOGGED_COPY_BYTES = 1024
 # A peer answers from memory, one in the other region within 50 ms.
@@ -35,13 +42,14 @@
 # Longest transfer. A change that arrives later is too late for its users anyway.
 MAX_TRANSFER_S = 6.0
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 # Prompt parts in one response, about 60 bytes each. A small link carries them in 200 ms.
 MAX_PARTS_SENT = 8000
 # Routers of a data centre that watch the store directly. The others use one of them as relay.
 WATCHERS_PER_DATA_CENTRE = 2
 # A relay in the same data centre begins to answer within this time after the end of the wait.
 RELAY_TIMEOUT_MARGIN_S = 0.4
-# Peers whose copy is requested in parallel.
+# Peers that are queried in parallel.
 PEERS_QUERIED = 2
 PEERS_QUERIED_AT_START = 5
 
@@ -137,12 +145,52 @@
         if self.announcer is not None and self.announcer != self._own_address:
             # Its entry may stand in the store alone, when it has started during an outage.
             asked.add(self.announcer)
-        responses = await asyncio.gather(
-            *(self._request_changes(address, after) for address in sorted(asked))
-        )
-        found = [response for response in responses if response is not None]
+        return await self._read_newest(sorted(asked), after)
+
+    async def _read_newest(self, addresses: list[str], after: Position) -> Changes | None:
+        """Read the changes of the peer that is furthest ahead.
+
+        Copies of several peers would share the link, and all but one would be dropped.
+        """
+        responses = await asyncio.gather(*(self._request_position(peer) for peer in addresses))
+        positions = {
+            peer: position
+            for peer, position in zip(addresses, responses, strict=True)
+            if position is not None
+        }
+        ahead = [peer for peer, position in positions.items() if position > after]
+        for peer in sorted(ahead, key=lambda peer: (positions[peer], self._is_near(peer)))[::-1]:
+            changes = await self._request_changes(peer, after)
+            if changes is not None:
+                return changes
+        earlier = [peer for peer in positions if positions[peer] == UNTOLD_POSITION]
+        copies = await asyncio.gather(*(self._request_changes(peer, after) for peer in earlier))
+        newest = max(positions.values(), default=UNTOLD_POSITION)
+        found = [copy for copy in copies if copy is not None]
+        if newest != UNTOLD_POSITION:
+            found.append(Changes([], newest.revision, era=newest.era))
         return max(found, key=lambda changes: changes.position, default=None)
 
+    def _is_near(self, address: str) -> bool:
+        """Whether a router is in the same data centre."""
+        return any(
+            router.address == address and router.data_centre == self._own.data_centre
+            for router in self._routers.values()
+        )
+
+    async def _request_position(self, address: str) -> Position | None:
+        received = await self._receive(address, POSITION_PATH, REQUEST_TIMEOUT_S)
+        if received is None or received.status not in (HTTP_OK, HTTP_NOT_FOUND):
+            return None
+        if received.status == HTTP_NOT_FOUND:
+            return UNTOLD_POSITION
+        try:
+            era, revision = msgpack.unpackb(received.body)
+            return Position(int(era), int(revision))
+        except (ValueError, TypeError, OverflowError, msgpack.UnpackException) as error:
+            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
+            return None
+
     def names(self) -> list[str]:
         return sorted({router.address for router in self._routers.values()} | {self._own_address})
 
@@ -188,6 +236,25 @@
         on_progress: OnProgress | None = None,
         **params: str,
     ) -> bytes | None:
+        received = await self._receive(address, path, head_s, on_progress, **params)
+        if received is None or received.status != HTTP_OK:
+            return None
+        if received.headers.get(hdrs.CONTENT_ENCODING) != DEFLATE:
+            return received.body
+        try:
+            return inflate(received.body)
+        except ValueError as error:
+            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
+            return None
+
+    async def _receive(
+        self,
+        address: str,
+        path: str,
+        head_s: float,
+        on_progress: OnProgress | None = None,
+        **params: str,
+    ) -> Transfer | None:
         assert self._session is not None
         session, url = self._session, self._url(address, path)
         limits = TransferLimits(head_s, SILENCE_S, MAX_TRANSFER_S, MAX_COPY_BYTES)
@@ -195,17 +262,11 @@
             received = await receive(
                 lambda: session.get(url, params=params, timeout=TIMEOUTS), limits, on_progress
             )
-            _record_transfer(address, path, received)
-            if received.status != HTTP_OK:
-                return None
-            is_deflated = received.headers.get(hdrs.CONTENT_ENCODING) == DEFLATE
-            return inflate(received.body) if is_deflated else received.body
-        except ValueError as error:
-            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
-            return None
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(event("peer_silent", peer=address, reason=repr(error)))
             return None
+        _record_transfer(address, path, received)
+        return received
 
     def _url(self, address: str, path: str) -> str:
         return f"http://{address}{path}"
@@ -227,6 +288,8 @@
                 after, changes, "era" in request.query, DEFLATE in accepted
             )
             return _make_response(metrics.PEER_COPY, body, is_deflated)
+        if request.path == POSITION_PATH and self.follower is not None:
+            return _make_response(metrics.PEER_COPY, msgpack.packb([*self.follower.position]))
         if request.path == PARTS_PATH and self.list_parts_to_share is not None:
             parts = self.list_parts_to_share()[-MAX_PARTS_SENT:]
             return _make_response(metrics.PEER_PARTS, msgpack.packb(parts))
--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 import zlib
+from collections.abc import Awaitable, Callable
 from unittest import mock
 
 import aiohttp
@@ -16,6 +17,7 @@
 from coltsfootfront.direct import gossip, peers, storefollower
 from coltsfootfront.direct.copyencoding import MAX_COPY_BYTES, MAX_KEPT_BYTES, CopyEncoder
 from coltsfootfront.direct.peers import COPY_PATH
+from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.storefollower import Changes, Item, Position
 from coltsfootfront.direct.transfers import TransferLimits, receive
 from coltsfootfront.platform import store
@@ -159,6 +161,43 @@
                 self.assertIsNotNone(await follower.peers.read_peer_changes(position))
         self.assertEqual(1, compress.call_count)
 
+    async def test_copy_is_read_from_one_peer(self) -> None:
+        """Guards against copies of several peers that share a small link at a start."""
+        for _ in range(3):
+            await (await self.fleet.add()).load()
+        behind = self.fleet.routers[min(self.fleet.routers)]
+        self.stand_in.put("later", b"")
+        for router in self.fleet.routers.values():
+            if router is not behind:
+                await router.load()
+        started = await self.fleet.add(SMALL_LINK_BYTES_PER_S)
+        sent_bytes = metrics.sent_bytes(metrics.PEER_COPY)
+        changes = await started.peers.read_peer_changes(Position(0, 0))
+        assert changes is not None
+        self.assertIn("later", [item.key for item in changes.items])
+        self.assertLess(metrics.sent_bytes(metrics.PEER_COPY) - sent_bytes, 180_000)
+        unchanged = await started.peers.read_peer_changes(changes.position)
+        assert unchanged is not None
+        self.assertEqual((changes.position, []), (unchanged.position, unchanged.items))
+
+    async def test_peer_of_an_earlier_version_that_is_ahead_is_read(self) -> None:
+        """Guards against an old configuration while only peers of an earlier version have it."""
+        body = msgpack.packb([99, [["k", b"new", 99]], False, self.relay.follower.era])
+
+        async def respond(request: web.BaseRequest) -> web.StreamResponse:
+            return (
+                web.Response(body=body) if request.path == COPY_PATH else web.Response(status=404)
+            )
+
+        address = await self._serve(respond)
+        reader = await self.fleet.add()
+        await reader.link.connect(address)
+        reader.peers.add("earlier", RouterEntry(address, "a", "east"))
+        await reader.load()
+        changes = await reader.peers.read_peer_changes(reader.follower.position)
+        assert changes is not None
+        self.assertEqual([Item("k", b"new", 99)], changes.items)
+
     async def test_routers_of_an_earlier_version_read_and_send_copies(self) -> None:
         """Guards against routers that cannot read each other's copies during an update."""
         url = f"http://{self.relay.entry.address}{COPY_PATH}?after=0"
@@ -193,19 +232,22 @@
         async def respond(request: web.BaseRequest) -> web.StreamResponse:
             return response
 
+        address = await self._serve(respond)
+        follower = await self.fleet.add()
+        await follower.link.connect(address)
+        return await follower.peers.wait_for_peer_changes(
+            address, Position(0, 0), 1.0, lambda: None
+        )
+
+    async def _serve(
+        self, respond: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    ) -> str:
         server = web.ServerRunner(web.Server(respond, access_log=None))
         await server.setup()
+        self.addAsyncCleanup(server.cleanup)
         await web.TCPSite(server, "127.0.0.1", 0).start()
         host, port, *_ = server.addresses[0]
-        address = f"{host}:{port}"
-        follower = await self.fleet.add()
-        await follower.link.connect(address)
-        try:
-            return await follower.peers.wait_for_peer_changes(
-                address, Position(0, 0), 1.0, lambda: None
-            )
-        finally:
-            await server.cleanup()
+        return f"{host}:{port}"
 
     def test_kept_bodies_are_bounded(self) -> None:
         """Guards against memory that grows with the positions that peers ask after."""
