--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -177,7 +177,12 @@
         self._runners: list[web.ServerRunner] = []
         self._supervisor = Supervisor("router", clock)
         bounds = settings.bounds
-        router = RouterEntry(settings.peer_address, settings.data_centre, settings.region)
+        router = RouterEntry(
+            settings.peer_address,
+            settings.data_centre,
+            settings.region,
+            settings.link_mbit_per_s,
+        )
         self._peers = Peers(router, settings.seed_addresses, generator)
         self._gossip = Gossip(self._handle_message, settings.region, generator)
         self._directory = Directory(clock, settings.regions)
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -45,8 +45,11 @@
 HTTP_NOT_FOUND = 404
 # Prompt parts in one response, about 60 bytes each. A small link carries them in 200 ms.
 MAX_PARTS_SENT = 8000
-# Routers of a data centre that watch the store directly. The others use one of them as relay.
+# Routers of a data centre that watch the store directly, those with the widest links. The others
+# use one of them as relay.
 WATCHERS_PER_DATA_CENTRE = 2
+# A link of unknown capacity is taken for narrower than all others, so that no small one relays.
+UNKNOWN_LINK_MBIT_PER_S = 0.0
 # A relay in the same data centre begins to answer within this time after the end of the wait.
 RELAY_TIMEOUT_MARGIN_S = 0.4
 # Peers that are queried in parallel.
@@ -120,11 +123,14 @@
 
     def relay_address(self) -> str | None:
         own = self._own
-        local = [
-            router for router in self._routers.values() if router.data_centre == own.data_centre
-        ]
-        addresses = sorted({router.address for router in local} | {own.address})
-        watchers = rank(own.data_centre.encode(), addresses, WATCHERS_PER_DATA_CENTRE)
+        links = {
+            router.address: router.link_mbit_per_s or UNKNOWN_LINK_MBIT_PER_S
+            for router in (*self._routers.values(), own)
+            if router.data_centre == own.data_centre
+        }
+        # A watcher reads changes uncompressed, and sends them to all routers behind it.
+        ranked = rank(own.data_centre.encode(), sorted(links))
+        watchers = sorted(ranked, key=lambda address: -links[address])[:WATCHERS_PER_DATA_CENTRE]
         if own.address in watchers:
             return None
         # The other routers of a data centre are distributed over its watchers.
--- a/coltsfootfront/direct/registration.py
+++ b/coltsfootfront/direct/registration.py
@@ -20,6 +20,7 @@
 # Renewals within the lease's TTL, of which two may be lost.
 RENEWALS_PER_TTL = 3
 MAX_RETRY_DELAY_S = 1.0
+MAX_LINK_MBIT_PER_S = 1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,11 +28,14 @@
     """Entry with which a router registers in the store.
 
     :param address: host and port at which it serves other routers.
+    :param link_mbit_per_s: capacity of its VM's link; None if it is not known, as in an entry of an
+        earlier version.
     """
 
     address: str
     data_centre: str
     region: str
+    link_mbit_per_s: float | None = None
 
     @property
     def ip(self) -> str:
@@ -114,6 +118,19 @@
     """Decode a router's entry, None if it is invalid."""
     try:
         body = json.loads(value)
-        return RouterEntry(str(body["address"]), str(body["data_centre"]), str(body["region"]))
+        return RouterEntry(
+            str(body["address"]),
+            str(body["data_centre"]),
+            str(body["region"]),
+            _decode_link(body.get("link_mbit_per_s")),
+        )
     except (ValueError, KeyError, TypeError):
         return None
+
+
+def _decode_link(value: object) -> float | None:
+    """Decode a link's capacity, None if it is missing or no positive number."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    # Above all real links; integers may exceed the range of floats.
+    return float(value) if 0 < value < MAX_LINK_MBIT_PER_S else None
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -50,6 +50,7 @@
     :param peer_address: host and port that accept other routers' connections.
     :param gossip_port: UDP port for gossip between routers.
     :param metrics_port: port that serves the metrics.
+    :param link_mbit_per_s: capacity of the VM's link; None if the settings do not tell it.
     :param memory_bytes: memory of the VM; the platform kills a process that exceeds it.
     :param seed_addresses: peer addresses of a few routers, which may be stale.
     """
@@ -64,6 +65,7 @@
     peer_address: str
     gossip_port: int
     metrics_port: int
+    link_mbit_per_s: float | None
     memory_bytes: int
     seed_addresses: list[str]
     store: StoreSettings
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -44,6 +44,7 @@
         peer_address=reader.address("listen.control"),
         gossip_port=first_port,
         metrics_port=last_port,
+        link_mbit_per_s=reader.optional_number("limits.link-mbps"),
         memory_bytes=int(reader.number("limits.memory-mb") * 1024 * 1024),
         seed_addresses=[str(item) for item in fields.get("seed-addrs", [])],
         store=StoreSettings(
@@ -70,10 +71,14 @@
         self._fields = fields
         self._path = path
 
-    def _find(self, name: str) -> Any:
+    def _find_optional(self, name: str) -> Any:
         found: Any = self._fields
         for key in name.split("."):
             found = found.get(key) if isinstance(found, dict) else None
+        return found
+
+    def _find(self, name: str) -> Any:
+        found = self._find_optional(name)
         if found is None:
             raise SettingsError(f"{self._path}: {name}: missing")
         return found
@@ -102,6 +107,10 @@
             raise self._invalid(name, value, "a number of 0 or more")
         return float(value)
 
+    def optional_number(self, name: str) -> float | None:
+        """A number of 0 or more, None if the field is missing."""
+        return None if self._find_optional(name) is None else self.number(name)
+
     def boolean(self, name: str) -> bool:
         """A Boolean value."""
         value = self._find(name)
--- a/coltsfootfront/tests/copy_fleet.py
+++ b/coltsfootfront/tests/copy_fleet.py
@@ -160,7 +160,9 @@
 
         :param address: peer address of the router that it replaces.
         """
-        entry = RouterEntry(address or f"127.0.0.1:{free_ports(1)[0]}", "a", "east")
+        entry = RouterEntry(
+            address or f"127.0.0.1:{free_ports(1)[0]}", "a", "east", bytes_per_s * 8 / 1e6
+        )
         link = Link(bytes_per_s)
         added = LinkedRouter(entry, link, await link.connect(self._store), seed=len(self.routers))
         await added.start()
--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -1,6 +1,7 @@
 """Tests of how the store's keys reach routers over links of different width."""
 
 import asyncio
+import json
 import random
 import time
 import unittest
@@ -16,8 +17,8 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.direct import gossip, peers, storefollower
 from coltsfootfront.direct.copyencoding import MAX_COPY_BYTES, MAX_KEPT_BYTES, CopyEncoder
-from coltsfootfront.direct.peers import COPY_PATH
-from coltsfootfront.direct.registration import RouterEntry
+from coltsfootfront.direct.peers import COPY_PATH, WATCHERS_PER_DATA_CENTRE, Peers
+from coltsfootfront.direct.registration import RouterEntry, decode_router_entry
 from coltsfootfront.direct.storefollower import Changes, Item, Position
 from coltsfootfront.direct.transfers import TransferLimits, receive
 from coltsfootfront.platform import store
@@ -260,6 +261,60 @@
         self.assertTrue(encoder._kept)
 
 
+class RelayTest(unittest.TestCase):
+    def relays(self, entries: list[RouterEntry]) -> dict[str, str | None]:
+        """Relay that each router of the data centre ``a`` chooses by itself."""
+        found: dict[str, str | None] = {}
+        for own in entries:
+            chooser = Peers(own, [], random.Random(1))
+            for entry in entries:
+                chooser.add(entry.address, entry)
+            if own.data_centre == "a":
+                found[own.address] = chooser.relay_address()
+        return found
+
+    def test_routers_with_the_widest_links_watch_the_store(self) -> None:
+        """Guards against copies that fill the small link of a relay once for each router."""
+        links = (10.0, 200.0, None, 10.0, 200.0, 5.0, None)
+        for seed in range(20):
+            addresses = [f"10.0.{seed}.{number}:1" for number in range(len(links))]
+            entries = [
+                RouterEntry(address, "a", "east", link)
+                for address, link in zip(addresses, links, strict=True)
+            ]
+            entries.append(RouterEntry("10.1.0.1:1", "b", "east", 1000.0))
+            found = self.relays(entries)
+            watchers = {address for address, relay in found.items() if relay is None}
+            self.assertEqual({addresses[1], addresses[4]}, watchers)
+            self.assertLessEqual(set(found.values()), {None, *watchers})
+
+    def test_routers_of_equal_or_unknown_links_agree_on_their_watchers(self) -> None:
+        """Guards against routers that all watch the store, or relays that do not."""
+        for link in (None, 200.0):
+            entries = [RouterEntry(f"10.0.0.{i}:1", "a", "east", link) for i in range(9)]
+            found = self.relays(entries)
+            watchers = {address for address, relay in found.items() if relay is None}
+            self.assertEqual(WATCHERS_PER_DATA_CENTRE, len(watchers))
+            self.assertEqual({None, *watchers}, set(found.values()))
+
+    def test_link_of_an_entry(self) -> None:
+        """Guards against entries of other versions, or odd ones, that name no router any more."""
+        fields = {"address": "10.0.0.1:1", "data_centre": "a", "region": "east"}
+        cases: list[tuple[object, float | None]] = [(10, 10.0), (0.5, 0.5)]
+        odd: tuple[object, ...] = (0, -1, True, "10", [], None, float("nan"), float("inf"), 10**400)
+        cases += [(value, None) for value in odd]
+        for value, expected in cases:
+            with self.subTest(value=str(value)[:20]):
+                encoded = json.dumps(fields | {"link_mbit_per_s": value}).encode()
+                self.assertEqual(
+                    RouterEntry("10.0.0.1:1", "a", "east", expected), decode_router_entry(encoded)
+                )
+        self.assertEqual(
+            RouterEntry("10.0.0.1:1", "a", "east"),
+            decode_router_entry(json.dumps(fields).encode()),
+        )
+
+
 class ProgressTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.stand_in = PlatformStoreStandIn()
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -104,6 +104,12 @@
         paths = {run.path for target in self.fleet.plain_targets for run in target.executions}
         self.assertEqual({"/look/a", "/file/a"}, paths)
 
+    async def test_other_routers_learn_the_capacity_of_the_link(self) -> None:
+        """Guards against relays that are chosen without regard to their links."""
+        await self._until(lambda: bool(self.node._peers._routers))
+        (entry,) = self.node._peers._routers.values()
+        self.assertEqual(1000.0, entry.link_mbit_per_s)
+
     async def test_reserved_headers_of_callers_are_dropped(self) -> None:
         """Guards against callers that set another customer or cache salt by themselves."""
         await self._send("/long/a", "POST", **PROMPT_HEADERS, **FORGED_HEADERS)
--- a/coltsfootfront/tests/test_platform_program.py
+++ b/coltsfootfront/tests/test_platform_program.py
@@ -47,6 +47,13 @@
         """Guards against a program that exits when the platform adds a field."""
         self._decode(anything={"new": 1})
 
+    def test_capacity_of_the_link_may_be_missing(self) -> None:
+        """Guards against a program that exits where the platform does not tell the capacity."""
+        fields = settings_fields("n", "127.0.0.1:1", [])
+        self.assertEqual(1000.0, settings.decode(fields, "boot.toml").link_mbit_per_s)
+        fields["limits"] = {"memory-mb": 300}
+        self.assertIsNone(settings.decode(fields, "boot.toml").link_mbit_per_s)
+
     def test_invalid_field_is_named(self) -> None:
         """Guards against invalid settings that are only noticed after the start."""
         cases: tuple[tuple[str, dict[str, Any]], ...] = (
@@ -56,6 +63,7 @@
             ("provider.address", {"provider": {}}),
             ("bounds.grace-s", {"bounds": {"grace-s": -1}}),
             ("zones", {"zones": {"a": 1}}),
+            ("limits.link-mbps", {"limits": {"memory-mb": 300, "link-mbps": "wide"}}),
         )
         for name, changes in cases:
             with self.subTest(name), self.assertRaisesRegex(SettingsError, f"boot.toml: {name}"):
--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -56,7 +56,7 @@
             "ready": f"{ip}:{ready}",
             "control": f"{ip}:{control}",
         },
-        "limits": {"memory-mb": 300, "max-fds": 1024},
+        "limits": {"memory-mb": 300, "max-fds": 1024, "link-mbps": 1000.0},
         "bounds": {
             "grace-s": 3,
             "drain-ms": 2500,
