--- a/coltsfootfront/tests/copy_fleet.py
+++ b/coltsfootfront/tests/copy_fleet.py
@@ -178,5 +178,6 @@
 
     async def close(self) -> None:
         """Stop all routers."""
-        for router in self.routers.values():
+        while self.routers:
+            _, router = self.routers.popitem()
             await router.close()
--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -25,6 +25,7 @@
 from coltsfootfront.tests.copy_fleet import (
     CONFIG_KEY,
     SMALL_LINK_BYTES_PER_S,
+    WIDE_LINK_BYTES_PER_S,
     CopyFleet,
     Link,
     LinkedRouter,
@@ -35,6 +36,8 @@
 
 WAIT_S = 8.0
 POLL_S = 0.01
+# Time within which the users expect a change to be in force.
+APPLY_LIMIT_S = 2.5
 
 
 class TransferredBytesTest(unittest.IsolatedAsyncioTestCase):
@@ -435,3 +438,67 @@
         async with aiohttp.ClientSession() as session:
             received = await receive(lambda: session.get(f"http://{host}:{port}/"), limits)
         self.assertEqual(b"ab", received.body)
+
+
+class LargeConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.stand_in = PlatformStoreStandIn()
+        await self.stand_in.start()
+        self.addAsyncCleanup(self.stand_in.close)
+        self.fleet = CopyFleet(self.stand_in.address)
+        self.addAsyncCleanup(self.fleet.close)
+
+    async def _start(self, link_bytes_per_s: float) -> list[LinkedRouter]:
+        """Start two routers with wide links, and four with a given one."""
+        self.stand_in.put(CONFIG_KEY, b"")
+        links = [link_bytes_per_s] * 4 + [WIDE_LINK_BYTES_PER_S] * 2
+        routers = [await self.fleet.add(link) for link in links]
+        for router in routers:
+            router.follow()
+        await asyncio.gather(*(router.wait_for(b"") for router in routers))
+        # The first calls to the relay are under way.
+        await asyncio.sleep(0.3)
+        return routers
+
+    async def _change(self, routers: list[LinkedRouter], version: int) -> tuple[float, list[float]]:
+        """Write a large configuration.
+
+        :returns: time until all routers have it, and the durations of the copies between them.
+        """
+        configuration = make_configuration(4200, version)
+        arrivals = [asyncio.create_task(router.wait_for(configuration)) for router in routers]
+        await asyncio.sleep(0)
+        with logbook.TestHandler().applicationbound() as records:
+            self.stand_in.put(CONFIG_KEY, configuration)
+            async with asyncio.timeout(WAIT_S):
+                passed_s = max(await asyncio.gather(*arrivals))
+            # The log lines of the last transfers.
+            await asyncio.sleep(0.1)
+        lines = [line for line in records.formatted_records if "peer_copy_received" in line]
+        return passed_s, [float(line.rpartition("transfer_s=")[2]) for line in lines]
+
+    async def test_change_is_in_force_everywhere_in_time(self) -> None:
+        """Guards against a large configuration that is late, or fills small links for seconds."""
+        for link_bytes_per_s in (SMALL_LINK_BYTES_PER_S, WIDE_LINK_BYTES_PER_S):
+            with self.subTest(link_bytes_per_s=link_bytes_per_s):
+                routers = await self._start(link_bytes_per_s)
+                for version in (2, 3):
+                    passed_s, transfers_s = await self._change(routers, version)
+                    self.assertLess(passed_s, APPLY_LIMIT_S)
+                    # One copy for each router that does not watch the store.
+                    self.assertEqual(4, len(transfers_s))
+                    self.assertLess(max(transfers_s), 0.35)
+                await self.fleet.close()
+
+    async def test_restarted_router_with_a_small_link_has_the_configuration_in_time(self) -> None:
+        """Guards against a restart after which a router has no configuration for seconds."""
+        routers = await self._start(SMALL_LINK_BYTES_PER_S)
+        await self._change(routers, 2)
+        await routers[0].close()
+        restarted = await self.fleet.add(SMALL_LINK_BYTES_PER_S, routers[0].entry.address)
+        restarted.follow()
+        async with asyncio.timeout(WAIT_S):
+            passed_s = await restarted.wait_for(make_configuration(4200, 2))
+        self.assertLess(passed_s, APPLY_LIMIT_S)
+        passed_s, _ = await self._change([restarted, *routers[1:]], 3)
+        self.assertLess(passed_s, APPLY_LIMIT_S)
