--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -7,30 +7,52 @@
 import aiohttp
 import logbook
 import msgpack
-from aiohttp import web
+from aiohttp import hdrs, web
 
+from coltsfootfront.common import metrics
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
+from coltsfootfront.direct.copyencoding import DEFLATE, MAX_COPY_BYTES, CopyEncoder, inflate
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
+from coltsfootfront.direct.transfers import OnProgress, Transfer, TransferLimits, receive
 
 log = logbook.Logger(__name__)
 
 COPY_PATH = "/peer/copy"
+POSITION_PATH = "/peer/position"
 PARTS_PATH = "/peer/parts"
+PURPOSES = {
+    COPY_PATH: metrics.PEER_COPY,
+    POSITION_PATH: metrics.PEER_COPY,
+    PARTS_PATH: metrics.PEER_PARTS,
+}
+# Stands for the position of a peer of an earlier version, which does not tell it.
+UNTOLD_POSITION = Position(-1, -1)
+# Responses without changes are below this size.
+MIN_LOGGED_COPY_BYTES = 1024
 # A peer answers from memory, one in the other region within 50 ms.
 CONNECT_TIMEOUT_S = 0.3
 REQUEST_TIMEOUT_S = 1.0
+TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+# A peer that sends nothing for this long in the middle of a response is given up.
+SILENCE_S = 0.6
+# Longest transfer. A change that arrives later is too late for its users anyway.
+MAX_TRANSFER_S = 6.0
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 # Prompt parts in one response, about 60 bytes each. A small link carries them in 200 ms.
 MAX_PARTS_SENT = 8000
-# Routers of a data centre that watch the store directly. The others use one of them as relay.
+# Routers of a data centre that watch the store directly, those with the widest links. The others
+# use one of them as relay.
 WATCHERS_PER_DATA_CENTRE = 2
-# A relay in the same data centre answers within this time after the end of the wait.
+# A link of unknown capacity is taken for narrower than all others, so that no small one relays.
+UNKNOWN_LINK_MBIT_PER_S = 0.0
+# A relay in the same data centre begins to answer within this time after the end of the wait.
 RELAY_TIMEOUT_MARGIN_S = 0.4
-# Peers whose copy is requested in parallel.
+# Peers that are queried in parallel.
 PEERS_QUERIED = 2
 PEERS_QUERIED_AT_START = 5
 
@@ -52,6 +74,7 @@
         self._routers: dict[str, RouterEntry] = {}
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
+        self._encoder = CopyEncoder()
         self.announcer: str | None = None
         """Peer address of the router that announced the latest position, if it told it."""
         self.follower: Follower | None = None
@@ -61,7 +84,12 @@
     async def start(self) -> None:
         """Start the HTTP client, and the server for other routers."""
         connector = aiohttp.TCPConnector(socket_factory=create_socket)
-        self._session = aiohttp.ClientSession(connector=connector)
+        # Responses are decompressed here, as a peer's must not exhaust the memory.
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            headers={hdrs.ACCEPT_ENCODING: DEFLATE},
+            auto_decompress=False,
+        )
         self._runner = web.ServerRunner(web.Server(self._handle_request, access_log=None))
         await self._runner.setup()
         host, _, port = self._own_address.rpartition(":")
@@ -95,20 +123,23 @@
 
     def relay_address(self) -> str | None:
         own = self._own
-        local = [
-            router for router in self._routers.values() if router.data_centre == own.data_centre
-        ]
-        addresses = sorted({router.address for router in local} | {own.address})
-        watchers = rank(own.data_centre.encode(), addresses, WATCHERS_PER_DATA_CENTRE)
+        links = {
+            router.address: router.link_mbit_per_s or UNKNOWN_LINK_MBIT_PER_S
+            for router in (*self._routers.values(), own)
+            if router.data_centre == own.data_centre
+        }
+        # A watcher reads changes uncompressed, and sends them to all routers behind it.
+        ranked = rank(own.data_centre.encode(), sorted(links))
+        watchers = sorted(ranked, key=lambda address: -links[address])[:WATCHERS_PER_DATA_CENTRE]
         if own.address in watchers:
             return None
         # The other routers of a data centre are distributed over its watchers.
         return rank(own.address.encode(), watchers, 1)[0]
 
     async def wait_for_peer_changes(
-        self, address: str, after: Position, wait_s: float
+        self, address: str, after: Position, wait_s: float, on_progress: OnProgress
     ) -> Changes | None:
-        return await self._request_changes(address, after, wait_s)
+        return await self._request_changes(address, after, wait_s, on_progress)
 
     async def read_peer_changes(self, after: Position) -> Changes | None:
         peers = self.addresses()
@@ -120,12 +151,52 @@
         if self.announcer is not None and self.announcer != self._own_address:
             # Its entry may stand in the store alone, when it has started during an outage.
             asked.add(self.announcer)
-        responses = await asyncio.gather(
-            *(self._request_changes(address, after) for address in sorted(asked))
-        )
-        found = [response for response in responses if response is not None]
+        return await self._read_newest(sorted(asked), after)
+
+    async def _read_newest(self, addresses: list[str], after: Position) -> Changes | None:
+        """Read the changes of the peer that is furthest ahead.
+
+        Copies of several peers would share the link, and all but one would be dropped.
+        """
+        responses = await asyncio.gather(*(self._request_position(peer) for peer in addresses))
+        positions = {
+            peer: position
+            for peer, position in zip(addresses, responses, strict=True)
+            if position is not None
+        }
+        ahead = [peer for peer, position in positions.items() if position > after]
+        for peer in sorted(ahead, key=lambda peer: (positions[peer], self._is_near(peer)))[::-1]:
+            changes = await self._request_changes(peer, after)
+            if changes is not None:
+                return changes
+        earlier = [peer for peer in positions if positions[peer] == UNTOLD_POSITION]
+        copies = await asyncio.gather(*(self._request_changes(peer, after) for peer in earlier))
+        newest = max(positions.values(), default=UNTOLD_POSITION)
+        found = [copy for copy in copies if copy is not None]
+        if newest != UNTOLD_POSITION:
+            found.append(Changes([], newest.revision, era=newest.era))
         return max(found, key=lambda changes: changes.position, default=None)
 
+    def _is_near(self, address: str) -> bool:
+        """Whether a router is in the same data centre."""
+        return any(
+            router.address == address and router.data_centre == self._own.data_centre
+            for router in self._routers.values()
+        )
+
+    async def _request_position(self, address: str) -> Position | None:
+        received = await self._receive(address, POSITION_PATH, REQUEST_TIMEOUT_S)
+        if received is None or received.status not in (HTTP_OK, HTTP_NOT_FOUND):
+            return None
+        if received.status == HTTP_NOT_FOUND:
+            return UNTOLD_POSITION
+        try:
+            era, revision = msgpack.unpackb(received.body)
+            return Position(int(era), int(revision))
+        except (ValueError, TypeError, OverflowError, msgpack.UnpackException) as error:
+            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
+            return None
+
     def names(self) -> list[str]:
         return sorted({router.address for router in self._routers.values()} | {self._own_address})
 
@@ -142,12 +213,16 @@
         return max(copies, key=len, default=[])
 
     async def _request_changes(
-        self, address: str, after: Position, wait_s: float = 0.0
+        self,
+        address: str,
+        after: Position,
+        wait_s: float = 0.0,
+        on_progress: OnProgress | None = None,
     ) -> Changes | None:
         query = {"after": str(after.revision), "era": str(after.era)}
         query |= {"wait": str(wait_s)} if wait_s else {}
-        limit_s = wait_s + RELAY_TIMEOUT_MARGIN_S if wait_s else REQUEST_TIMEOUT_S
-        body = await self._get(address, COPY_PATH, limit_s, **query)
+        head_s = wait_s + RELAY_TIMEOUT_MARGIN_S if wait_s else REQUEST_TIMEOUT_S
+        body = await self._get(address, COPY_PATH, head_s, on_progress, **query)
         if body is None:
             return None
         try:
@@ -160,17 +235,47 @@
             return None
 
     async def _get(
-        self, address: str, path: str, limit_s: float = REQUEST_TIMEOUT_S, **params: str
+        self,
+        address: str,
+        path: str,
+        head_s: float = REQUEST_TIMEOUT_S,
+        on_progress: OnProgress | None = None,
+        **params: str,
     ) -> bytes | None:
+        received = await self._receive(address, path, head_s, on_progress, **params)
+        if received is None or received.status != HTTP_OK:
+            return None
+        if received.headers.get(hdrs.CONTENT_ENCODING) != DEFLATE:
+            return received.body
+        try:
+            return inflate(received.body)
+        except ValueError as error:
+            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
+            return None
+
+    async def _receive(
+        self,
+        address: str,
+        path: str,
+        head_s: float,
+        on_progress: OnProgress | None = None,
+        **params: str,
+    ) -> Transfer | None:
         assert self._session is not None
-        url = f"http://{address}{path}"
-        limits = aiohttp.ClientTimeout(total=limit_s, sock_connect=CONNECT_TIMEOUT_S)
+        session, url = self._session, self._url(address, path)
+        limits = TransferLimits(head_s, SILENCE_S, MAX_TRANSFER_S, MAX_COPY_BYTES)
         try:
-            async with self._session.get(url, params=params, timeout=limits) as response:
-                return await response.read() if response.status == HTTP_OK else None
+            received = await receive(
+                lambda: session.get(url, params=params, timeout=TIMEOUTS), limits, on_progress
+            )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(event("peer_silent", peer=address, reason=repr(error)))
             return None
+        _record_transfer(address, path, received)
+        return received
+
+    def _url(self, address: str, path: str) -> str:
+        return f"http://{address}{path}"
 
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
         if request.path == COPY_PATH and self.follower is not None:
@@ -184,16 +289,39 @@
                 changes = self.follower.changes_after(after)
             if changes is None:
                 return web.Response(status=503)
-            rows = [[item.key, item.value, item.revision] for item in changes.items]
-            fields = [changes.revision, rows, changes.is_full_copy]
-            if "era" in request.query:
-                fields.append(changes.era)
-            return web.Response(body=msgpack.packb(fields))
+            accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "").replace(" ", "").split(",")
+            body, is_deflated = self._encoder.encode(
+                after, changes, "era" in request.query, DEFLATE in accepted
+            )
+            return _make_response(metrics.PEER_COPY, body, is_deflated)
+        if request.path == POSITION_PATH and self.follower is not None:
+            return _make_response(metrics.PEER_COPY, msgpack.packb([*self.follower.position]))
         if request.path == PARTS_PATH and self.list_parts_to_share is not None:
-            return web.Response(body=msgpack.packb(self.list_parts_to_share()[-MAX_PARTS_SENT:]))
+            parts = self.list_parts_to_share()[-MAX_PARTS_SENT:]
+            return _make_response(metrics.PEER_PARTS, msgpack.packb(parts))
         return web.Response(status=404)
 
 
+def _record_transfer(address: str, path: str, received: Transfer) -> None:
+    metrics.count_received(PURPOSES[path], received.wire_bytes)
+    if path == COPY_PATH and received.wire_bytes >= MIN_LOGGED_COPY_BYTES:
+        log.info(
+            event(
+                "peer_copy_received",
+                peer=address,
+                wire_bytes=received.wire_bytes,
+                transfer_s=received.duration_s,
+            )
+        )
+
+
+def _make_response(purpose: str, body: bytes, is_deflated: bool = False) -> web.Response:
+    metrics.count_sent(purpose, len(body))
+    return web.Response(
+        body=body, headers={hdrs.CONTENT_ENCODING: DEFLATE} if is_deflated else None
+    )
+
+
 def _decode_parts(body: bytes) -> list[CachedPartLocation]:
     try:
         return [(str(salt), str(key), str(holder)) for salt, key, holder in msgpack.unpackb(body)]
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -19,6 +19,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct.transfers import OnProgress
 from coltsfootfront.keyvalue.store import KeyValue, Store
 
 log = logbook.Logger(__name__)
@@ -51,6 +52,8 @@
 LAG_MARGIN_S = 0.25
 # A watch that is not answered this long after it should have ended is taken to be broken.
 WATCH_TIMEOUT_MARGIN_S = 0.5
+# Changes whose transfer has made progress within this time prove contact with the store.
+PROGRESS_VALID_S = 1.0
 # Time limit for checking after a process pause that the copy is current. The store answers in
 # milliseconds; callers wait meanwhile.
 REVALIDATION_TIMEOUT_S = 1.0
@@ -122,11 +125,14 @@
         """Read all keys under a prefix."""
 
     @abstractmethod
-    async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
+    async def changes(
+        self, prefix: str, after: int, wait_s: float, on_progress: OnProgress | None = None
+    ) -> Result[Changes, Failure]:
         """Wait for changes under a prefix.
 
         :param after: store revision after which changes are wanted.
         :param wait_s: longest wait in seconds.
+        :param on_progress: called repeatedly while the changes are being received.
         :returns: a ``stale_revision`` failure if the store has compacted this history.
         """
 
@@ -143,10 +149,11 @@
 
     @abstractmethod
     async def wait_for_peer_changes(
-        self, address: str, after: Position, wait_s: float
+        self, address: str, after: Position, wait_s: float, on_progress: OnProgress
     ) -> Changes | None:
         """Wait for changes at the router that serves as this one's relay.
 
+        :param on_progress: called repeatedly while the changes are being received.
         :returns: None if that router does not answer or has no contact with the store.
         """
 
@@ -202,6 +209,8 @@
         self._changed = asyncio.Event()
         self._current = asyncio.Event()
         self._current.set()
+        self._is_receiving = False
+        """Whether changes are being received from the store or the relay."""
         self._revalidation: asyncio.Task[None] | None = None
         self.on_restored: Callable[[], None] = lambda: None
         """Called when a copy of a later era has replaced the one before."""
@@ -218,8 +227,10 @@
         self.is_complete = False
         """Whether no snapshot is needed any more, as reading changes keeps the copy current.
 
-        False until a snapshot was read, and again once the store has dropped its history.
+        False until a snapshot or a peer's full copy was read, and again once the store has dropped
+        its history.
         """
+        self._completed = asyncio.Event()
 
     def store_age_s(self) -> float:
         """Seconds since calls to the store began to fail, 0 while they succeed."""
@@ -254,8 +265,10 @@
         """Return the changes after a peer's position, or all keys if it is too far behind."""
         if position.era != self.era or position.revision < self._change_log_after:
             return Changes(list(self._items.values()), self.revision, True, self.era)
-        changed = [item for item in self._change_log if item.revision > position.revision]
-        return Changes(changed, self.revision, era=self.era)
+        changed = {item.key: item for item in self._change_log if item.revision > position.revision}
+        items = [self._items.get(key, removed) for key, removed in changed.items()]
+        items.sort(key=lambda item: item.revision)
+        return Changes(items, self.revision, era=self.era)
 
     async def follow_store(self) -> None:
         """Run the loop that follows the store, directly or through the relay."""
@@ -282,7 +295,11 @@
         """
         while True:
             await self._clock.sleep(PEER_POLL_INTERVAL_S)
-            if self.revision and not self._is_store_failing and not self._is_lagging():
+            is_lagging = self._is_lagging()
+            if self.revision and not self._is_store_failing and not is_lagging:
+                continue
+            if self._is_receiving:
+                # The transfer under way brings the changes, and shares the link with any other.
                 continue
             await self._read_peer()
 
@@ -311,7 +328,11 @@
                 is_whole=changes.is_full_copy,
             )
         )
-        self._apply_changes(changes, "a peer", asked.era)
+        is_applied = self._apply_changes(changes, "a peer", asked.era)
+        if is_applied and changes.is_full_copy and not asked.revision and not self.is_complete:
+            self._change_log_after = self._change_log_after or changes.revision
+            self.is_complete = True
+            self._completed.set()
         return True
 
     def mark_stale(self) -> None:
@@ -436,7 +457,12 @@
         if address is None:
             return False
         asked = self.position
-        changes = await self._peers.wait_for_peer_changes(address, asked, RELAY_WAIT_S)
+        try:
+            changes = await self._peers.wait_for_peer_changes(
+                address, asked, RELAY_WAIT_S, self._record_progress
+            )
+        finally:
+            self._is_receiving = False
         if changes is None or changes.era < self.era:
             direct_s = self._generator.uniform(DIRECT_WATCH_S / 2, DIRECT_WATCH_S)
             self._direct_until_s = self._clock.monotonic_s() + direct_s
@@ -469,15 +495,15 @@
 
     async def _read_store(self) -> Failure | None:
         if not self.is_complete:
-            read = await self._store.snapshot(self._prefix)
-            if not isinstance(read, Success):
-                return read.failure()
-            self._record_contact()
-            self._load_snapshot(read.unwrap())
-            return None
+            return await self._read_snapshot()
         self._watch_deadline_s = self._clock.monotonic_s() + WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
         era = self.era
-        changed = await self._store.changes(self._prefix, self.revision, WATCH_WAIT_S)
+        try:
+            changed = await self._store.changes(
+                self._prefix, self.revision, WATCH_WAIT_S, self._record_watch_progress
+            )
+        finally:
+            self._is_receiving = False
         if not isinstance(changed, Success):
             return changed.failure()
         self._record_contact()
@@ -490,6 +516,26 @@
             await self._clock.sleep(self.batch_delay_s)
         return None
 
+    async def _read_snapshot(self) -> Failure | None:
+        """Read all keys from the store, until a peer's copy makes that unnecessary."""
+        self._completed.clear()
+        reading = asyncio.ensure_future(self._store.snapshot(self._prefix))
+        completed = asyncio.ensure_future(self._completed.wait())
+        try:
+            await asyncio.wait((reading, completed), return_when=asyncio.FIRST_COMPLETED)
+            if not reading.done():
+                log.info(event("snapshot_given_up", reason="a peer's copy", revision=self.revision))
+                return None
+            read = await reading
+        finally:
+            reading.cancel()
+            completed.cancel()
+        if not isinstance(read, Success):
+            return read.failure()
+        self._record_contact()
+        self._load_snapshot(read.unwrap())
+        return None
+
     def set_router_count(self, routers: int) -> None:
         """Adapt the batch delay to the number of routers that follow the store."""
         self.batch_delay_s = min(
@@ -531,6 +577,15 @@
             log.info(event("store_regained", outage_s=outage_s, revision=self.revision))
         self._last_contact_s = now_s
 
+    def _record_progress(self) -> None:
+        self._is_receiving = True
+
+    def _record_watch_progress(self) -> None:
+        self._is_receiving = True
+        self._watch_deadline_s = max(
+            self._watch_deadline_s, self._clock.monotonic_s() + PROGRESS_VALID_S
+        )
+
     def _record_failure(self, failure: Failure) -> None:
         if not self._is_store_failing:
             self._is_store_failing = True
@@ -552,5 +607,6 @@
             self._items[item.key] = item
         if len(self._change_log) == self._change_log.maxlen:
             self._change_log_after = self._change_log[0].revision
-        self._change_log.append(item)
+        # Without its value, as the log would keep superseded values in memory.
+        self._change_log.append(Item(item.key, None, item.revision))
         self._listener(item)
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -26,6 +26,7 @@
     Position,
     Snapshot,
 )
+from coltsfootfront.direct.transfers import OnProgress
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.store import KeyValue
 from coltsfootfront.tests.direct_support import REGIONS, make_entry
@@ -241,7 +242,11 @@
         return await self._next()  # type: ignore[return-value]
 
     async def changes(
-        self, prefix: str, after: Position, wait_s: float
+        self,
+        prefix: str,
+        after: Position,
+        wait_s: float,
+        on_progress: OnProgress | None = None,
     ) -> Result[Changes, Failure]:
         return await self._next()  # type: ignore[return-value]
 
@@ -266,7 +271,7 @@
         return None if self.relay_responses is None else "relay"
 
     async def wait_for_peer_changes(
-        self, address: str, after: Position, wait_s: float
+        self, address: str, after: Position, wait_s: float, on_progress: OnProgress
     ) -> Changes | None:
         if self.relay_responses:
             return self.relay_responses.pop(0)
@@ -322,6 +327,44 @@
         self.assertIsNone(follower.get("b"))
         self.assertEqual(Item("b", None, 12), self.received_items[-1])
 
+    async def test_full_copy_of_a_peer_takes_the_place_of_the_first_snapshot(self) -> None:
+        """Guards against a snapshot that fills a small link after a peer's copy is there."""
+        for era in (0, 3):
+            with self.subTest(era=era):
+                store = ScriptedStore()
+                copy = Changes([Item("a", b"1", 5)], 8, is_full_copy=True, era=era)
+                follower = self._follower(store, copy)
+                task = asyncio.create_task(follower.follow_store())
+                async with asyncio.timeout(5.0):
+                    await store.is_exhausted.wait()
+                    store.is_exhausted.clear()
+                    store.responses.append(Success(Changes([Item("a", b"2", 9)], 9, era=era)))
+                    await follower._read_peer()
+                    self.assertTrue(follower.is_complete)
+                    await store.is_exhausted.wait()
+                task.cancel()
+                self.assertEqual((b"2", 9), (follower.get("a"), follower.revision))
+                # A peer that is further behind may have keys that were removed since.
+                self.assertTrue(follower.changes_after(Position(era, 7)).is_full_copy)
+                self.assertFalse(follower.changes_after(Position(era, 8)).is_full_copy)
+
+    async def test_superseded_values_are_neither_kept_nor_sent_to_peers(self) -> None:
+        """Guards against memory and copies that grow with each change of a large value."""
+        store = ScriptedStore(
+            Success(Snapshot([_value("a", b"1", 5), _value("b", b"1", 6)], 6)),
+            Success(Changes([Item("a", b"2", 7), Item("b", None, 8), Item("a", b"3", 9)], 9)),
+            Success(Changes([Item("c", b"1", 10), Item("a", b"4", 11)], 11)),
+        )
+        follower = self._follower(store)
+        await self._follow(follower, store)
+        changes = follower.changes_after(Position(0, 6))
+        self.assertEqual(
+            [Item("b", None, 8), Item("c", b"1", 10), Item("a", b"4", 11)], changes.items
+        )
+        self.assertFalse(changes.is_full_copy)
+        self.assertEqual([Item("a", b"4", 11)], follower.changes_after(Position(0, 10)).items)
+        self.assertEqual({None}, {item.value for item in follower._change_log})
+
     async def test_batch_delay_grows_with_the_number_of_routers(self) -> None:
         """Guards against a store load that grows with the number of routers.
 
