--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -72,8 +72,14 @@
     }
 
 
-def configuration(version: int, keys: tuple[str, ...] = (API_KEY,)) -> dict[str, Any]:
-    """Return a configuration with one route for each kind of request."""
+def configuration(
+    version: int, keys: tuple[str, ...] = (API_KEY,), added_routes: int = 0, timeout_ms: int = 3000
+) -> dict[str, Any]:
+    """Return a configuration with one route for each kind of request.
+
+    :param added_routes: number of further routes, each with the prefix of :func:`added_prefix`.
+    :param timeout_ms: timeout of every route.
+    """
 
     def route(prefix: str, kind: str, service: str, **overrides: Any) -> dict[str, Any]:
         return {
@@ -82,7 +88,7 @@
             "prefix": prefix,
             "kind": kind,
             "service": service,
-            "timeout-ms": 3000,
+            "timeout-ms": timeout_ms,
             "target-latency-ms": 400,
             "max-attempts": 2,
             "sticky": service == ENGINE_SERVICE,
@@ -95,6 +101,10 @@
             route("/look/", "idempotent", PLAIN_SERVICE),
             route("/ask/", "stream", ENGINE_SERVICE, resumable=True),
             route("/long/", "stream", ENGINE_SERVICE, **{"max-attempts": 1}),
+            *(
+                route(added_prefix(number), "idempotent", PLAIN_SERVICE)
+                for number in range(added_routes)
+            ),
         ],
         "services": [
             {"name": PLAIN_SERVICE, "max-conns": 50},
@@ -109,6 +119,11 @@
     }
 
 
+def added_prefix(number: int) -> str:
+    """Prefix of one of the further routes of a configuration, by its number from 0."""
+    return f"/added/{number}/"
+
+
 class PlatformFleet:
     """A key-value store, plain targets and model engines.
 
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -101,6 +101,11 @@
         self.born = 1
         self.is_down = False
         self.event_interval_s = 0.002
+        self.event_count = STREAM_EVENT_COUNT
+        self.event_data_format = "{number}"
+        """Data of an event; may also hold the ``request_id``."""
+        self.events_held_until_s = 0.0
+        """Monotonic time until which streams send no event."""
         self.execution_time_s = 0.0
         self.cancelled_requests = 0
         self.open_requests = 0
@@ -334,9 +339,13 @@
             self.on_crash(self)
             await asyncio.Event().wait()
         begin = int(request.headers.get("Last-Event-Id", "-1")) + 1
-        for number in range(begin, STREAM_EVENT_COUNT):
-            await asyncio.sleep(self.event_interval_s)
-            await response.write(f"id: {number}\ndata: {number}\n\n".encode())
+        for number in range(begin, self.event_count):
+            held_s = self.events_held_until_s - time.monotonic()
+            await asyncio.sleep(max(self.event_interval_s, held_s))
+            data = self.event_data_format.format(
+                number=number, request_id=request.headers["X-Request-Id"]
+            )
+            await response.write(f"id: {number}\ndata: {data}\n\n".encode())
             if self.faults.cuts and number == begin + 1 and request.transport is not None:
                 await response.write(b"id: 99\nda")
                 request.transport.abort()
