--- a/coltsfootfront/tests/test_system_large_configurations.py
+++ b/coltsfootfront/tests/test_system_large_configurations.py
@@ -75,14 +75,10 @@
         processes = RouterProcesses(Path(self.folder.name), store)
         self.addAsyncCleanup(processes.close)
         self._write()
-        added = [await processes.add() for _ in range(routers)]
-        for router in added:
-            if not allows_retries:
-                router.settings["bounds"] |= {"retry-budget-ratio": 0.0, "retry-budget-slack": 0}
-            router.start()
-        await asyncio.gather(*(router.wait_ready() for router in added))
+        await processes.start(routers, allows_retries)
+        # Routers get to know each other.
         await asyncio.sleep(0.5)
-        return added
+        return processes.routers
 
     def _write(self, added_routes: int = 0, timeout_ms: int = 0) -> None:
         """Confirm a further version.
--- a/coltsfootfront_dev/platformrouters.py
+++ b/coltsfootfront_dev/platformrouters.py
@@ -132,13 +132,16 @@
             router.settings["seed-addrs"] = seeds[:3]
         return added
 
-    async def start(self, count: int) -> None:
+    async def start(self, count: int, allows_retries: bool = True) -> None:
         """Start a number of routers and wait until they are ready.
 
+        :param allows_retries: whether the retry budget is more than nothing.
         :raises TimeoutError: if one is not ready after PROCESS_TIMEOUT_S.
         """
         added = [await self.add() for _ in range(count)]
         for router in added:
+            if not allows_retries:
+                router.settings["bounds"] |= {"retry-budget-ratio": 0.0, "retry-budget-slack": 0}
             router.start()
         await asyncio.gather(*(router.wait_ready() for router in added))
 
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -41,14 +41,19 @@
 
 CLIENTS = 8
 CLIENT_PAUSE_S = 0.03
-# Time without faults at the end; in its second half every request must succeed.
-FAULT_FREE_S = 4.0
+# Time without faults at the end; in its second half every request must succeed. A configuration
+# that is written then is in force before it ends.
+FAULT_FREE_S = 5.0
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Limits that targets name, in requests per second; far below what a target gets otherwise.
 LIMITS_PER_S = (1.0, 1.5, 4.0)
 # Share of the gossip that is lost on a bad link.
 GOSSIP_LOSS_RATE = 0.1
 MAX_ADDED_ROUTERS = 2
+MAX_ADDED_ROUTES = 4200
+STEADY_EVENT_INTERVAL_S = 0.1
+# Time after a fault within which its effects may end an answer.
+FAULT_EFFECT_S = 2.0
 CONFIGURATION_PATTERN = re.compile(r"event=configuration_in_force version=(\d+)")
 PATHS = (("/file/a", "POST"), ("/look/a", "GET"), ("/ask/a", "POST"), ("/long/a", "POST"))
 PROMPT_HEADERS = {
@@ -60,15 +65,46 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class CutAnswer:
+    """An answer that broke off after its head; times are monotonic."""
+
+    request_id: str
+    path: str
+    router: str
+    sent_s: float
+    cut_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Interruption:
+    """A time in which answers may break off.
+
+    :param router: router whose answers may; empty for all.
+    """
+
+    router: str
+    begin_s: float
+    end_s: float
+
+    def explains(self, cut: CutAnswer) -> bool:
+        """Whether an answer may have broken off for this reason."""
+        return self.router in ("", cut.router) and (
+            self.begin_s <= cut.cut_s and cut.sent_s <= self.end_s + FAULT_EFFECT_S
+        )
+
+
 @dataclass(slots=True)
 class SoakReport:
     """Outcome of one run.
 
+    :param allows_retries: whether the routers' retry budget was more than nothing.
     :param statuses: requests by HTTP status, or by exception type without an answer.
     :param broken: violations of a guarantee, one sentence each.
     """
 
     seed: int
+    allows_retries: bool = True
     requests: int = 0
     statuses: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
@@ -79,6 +115,7 @@
         return json.dumps(
             {
                 "seed": self.seed,
+                "allows_retries": self.allows_retries,
                 "requests": self.requests,
                 "statuses": dict(self.statuses),
                 "faults": self.faults,
@@ -106,8 +143,11 @@
         self._routers: list[RouterProcess] = []
         self._proxies: list[TcpProxy] = []
         self._refused_as_not_run: set[str] = set()
+        self._cut_answers: list[CutAnswer] = []
+        self._interruptions: list[Interruption] = []
         self._monitor = LimitMonitor()
         self._customer_version = 1
+        self._added_routes = 0
         self._weights_version = 1
         self._faults_are_over = False
         self._is_stopping = False
@@ -125,11 +165,14 @@
                 self._monitor.end_limit(target)
             await asyncio.sleep(FAULT_FREE_S / 2)
             self._faults_are_over = True
+            # A change of a large configuration is no fault.
+            self._write_configuration(MAX_ADDED_ROUTES // 2)
             await asyncio.sleep(FAULT_FREE_S / 2)
             self._is_stopping = True
             await asyncio.gather(*clients)
             self._check_executions()
             self._check_configurations()
+            self._check_cut_answers()
             self.report.broken += self._monitor.violations()
         finally:
             await self._close()
@@ -143,10 +186,12 @@
             self._proxies.append(proxy)
             target.address = proxy.address
             target.execution_time_s = 0.01
+            target.event_interval_s = STEADY_EVENT_INTERVAL_S
             self._fleet.register(target)
         self._processes = RouterProcesses(self._folder, self._fleet.store.address)
         self._routers = self._processes.routers
-        await self._processes.start(self._router_count)
+        self.report.allows_retries = self._random.random() < 0.5
+        await self._processes.start(self._router_count, self.report.allows_retries)
 
     async def _wait_all_ready(self) -> None:
         for router in self._routers:
@@ -180,6 +225,7 @@
             self._hold_target,
             self._target_fails,
             self._change_configuration,
+            self._change_large_configurations,
             self._name_weights,
             self._name_limit,
             self._name_limit,
@@ -202,6 +248,10 @@
     def _random_router(self) -> RouterProcess:
         return self._random.choice(self._routers)
 
+    def _interrupt(self, begin_s: float, router: str = "") -> None:
+        """Record that answers may have broken off from a time until now."""
+        self._interruptions.append(Interruption(router, begin_s, time.monotonic()))
+
     async def _wait_random_time(self) -> None:
         await asyncio.sleep(self._random.uniform(0.3, 1.8))
 
@@ -210,6 +260,7 @@
         begin_s = time.monotonic()
         router.signal(signal.SIGKILL)
         await router.wait(PROCESS_TIMEOUT_S)
+        self._interrupt(begin_s, router.name)
         if not router.is_running():
             router.start()
         self._monitor.excuse(router.name, begin_s)
@@ -264,23 +315,42 @@
 
     async def _cut_target(self) -> None:
         self._random.choice(self._proxies).abort_connections()
+        self._interrupt(time.monotonic())
 
     async def _hold_target(self) -> None:
+        begin_s = time.monotonic()
         proxy = self._random.choice(self._proxies)
         proxy.pause()
         await self._wait_random_time()
         proxy.resume()
+        self._interrupt(begin_s)
 
     async def _target_fails(self) -> None:
+        begin_s = time.monotonic()
         faults = self._random.choice(self._fleet.targets).faults
         name = self._random.choice(("rejects", "cuts", "unframed", "crosses", "hangs"))
         setattr(faults, name, True)
         await self._wait_random_time()
         setattr(faults, name, False)
+        self._interrupt(begin_s)
 
     async def _change_configuration(self) -> None:
+        self._write_configuration(self._added_routes)
+
+    async def _change_large_configurations(self) -> None:
+        """Write versions in series, each with more or fewer routes or with the same ones."""
+        for _ in range(self._random.randint(2, 5)):
+            self._write_configuration(
+                self._random.choice((self._added_routes, self._random.randint(0, MAX_ADDED_ROUTES)))
+            )
+            await asyncio.sleep(self._random.uniform(0.1, 0.9))
+
+    def _write_configuration(self, added_routes: int) -> None:
+        self._added_routes = added_routes
         self._customer_version += self._random.randint(1, 3)
-        self._fleet.store.put_json("op/config", configuration(self._customer_version))
+        self._fleet.store.put_json(
+            "op/config", configuration(self._customer_version, added_routes=added_routes)
+        )
 
     async def _name_weights(self) -> None:
         self._weights_version += 1
@@ -355,6 +425,8 @@
         url = f"http://{router.settings['listen']['front']}{path}"
         timeout = aiohttp.ClientTimeout(total=5.0, sock_connect=1.0)
         data = b"body" if method == "POST" else None
+        sent_s = time.monotonic()
+        response: aiohttp.ClientResponse | None = None
         try:
             async with session.request(
                 method, url, data=data, headers=headers, timeout=timeout
@@ -362,6 +434,10 @@
                 self._monitor.record_response(router.name, response.headers)
                 body = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            if response is not None:
+                self._cut_answers.append(
+                    CutAnswer(request_id, path, router.name, sent_s, time.monotonic())
+                )
             return type(error).__name__
         if response.status in NOT_RUN_STATUSES:
             self._refused_as_not_run.add(request_id)
@@ -391,6 +467,13 @@
                     f"{router.name} has configuration {versions[-1:]}, not {self._customer_version}"
                 )
 
+    def _check_cut_answers(self) -> None:
+        for cut in self._cut_answers:
+            if not any(item.explains(cut) for item in self._interruptions):
+                self.report.broken.append(
+                    f"{cut.request_id} on {cut.path} at {cut.router} broke off without a cause"
+                )
+
     def _check_executions(self) -> None:
         runs = [run for target in self._fleet.targets for run in target.executions]
         count = Counter(run.request_id for run in runs)
