--- a/coltsfootfront/tests/test_soak.py
+++ b/coltsfootfront/tests/test_soak.py
@@ -17,6 +17,13 @@
         """Guards against guarantees that fail when kills, cut connections and changes overlap."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                report = await soak(seed, FAULTS_S)
-                self.assertEqual([], report.broken, report.to_json())
-                self.assertGreater(report.statuses["200"], 100)
+                await self._check(seed)
+
+    async def test_begun_streams_are_kept_while_routers_are_stopped_without_retries(self) -> None:
+        """Guards against a router that takes its own pause for the silence of its targets."""
+        await self._check(9)
+
+    async def _check(self, seed: int) -> None:
+        report = await soak(seed, FAULTS_S)
+        self.assertEqual([], report.broken, report.to_json())
+        self.assertGreater(report.statuses["200"], 100)
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -36,10 +36,9 @@
     RouterProcess,
     RouterProcesses,
 )
-from coltsfootfront_dev.platformtarget import STREAM_EVENT_COUNT
 from coltsfootfront_dev.tcpproxy import TcpProxy
 
-CLIENTS = 8
+CLIENTS = 10
 CLIENT_PAUSE_S = 0.03
 # Time without faults at the end; in its second half every request must succeed. A configuration
 # that is written then is in force before it ends.
@@ -52,6 +51,9 @@
 MAX_ADDED_ROUTERS = 2
 MAX_ADDED_ROUTES = 4200
 STEADY_EVENT_INTERVAL_S = 0.1
+STEADY_EVENT_COUNT = 10
+# Longer than a stream takes whose router is stopped twice meanwhile.
+REQUEST_TIMEOUT_MS = 6000
 # Time after a fault within which its effects may end an answer.
 FAULT_EFFECT_S = 2.0
 CONFIGURATION_PATTERN = re.compile(r"event=configuration_in_force version=(\d+)")
@@ -187,9 +189,11 @@
             target.address = proxy.address
             target.execution_time_s = 0.01
             target.event_interval_s = STEADY_EVENT_INTERVAL_S
+            target.event_count = STEADY_EVENT_COUNT
             self._fleet.register(target)
         self._processes = RouterProcesses(self._folder, self._fleet.store.address)
         self._routers = self._processes.routers
+        self._write_configuration(0)
         self.report.allows_retries = self._random.random() < 0.5
         await self._processes.start(self._router_count, self.report.allows_retries)
 
@@ -348,9 +352,10 @@
     def _write_configuration(self, added_routes: int) -> None:
         self._added_routes = added_routes
         self._customer_version += self._random.randint(1, 3)
-        self._fleet.store.put_json(
-            "op/config", configuration(self._customer_version, added_routes=added_routes)
+        fields = configuration(
+            self._customer_version, added_routes=added_routes, timeout_ms=REQUEST_TIMEOUT_MS
         )
+        self._fleet.store.put_json("op/config", fields)
 
     async def _name_weights(self) -> None:
         self._weights_version += 1
@@ -417,13 +422,13 @@
         headers = {
             "Host": HOST,
             "X-Request-Id": request_id,
-            "X-Deadline-Ms": "3000",
+            "X-Deadline-Ms": str(REQUEST_TIMEOUT_MS),
             "Authorization": f"Token {API_KEY}",
         }
         if path.startswith(("/ask", "/long")):
             headers |= PROMPT_HEADERS
         url = f"http://{router.settings['listen']['front']}{path}"
-        timeout = aiohttp.ClientTimeout(total=5.0, sock_connect=1.0)
+        timeout = aiohttp.ClientTimeout(total=8.0, sock_connect=1.0)
         data = b"body" if method == "POST" else None
         sent_s = time.monotonic()
         response: aiohttp.ClientResponse | None = None
@@ -450,7 +455,7 @@
             self.report.broken.append(f"{request_id} got the answer of another request")
         if path.startswith(("/ask", "/long")):
             expected = "".join(
-                f"id: {number}\ndata: {number}\n\n" for number in range(STREAM_EVENT_COUNT)
+                f"id: {number}\ndata: {number}\n\n" for number in range(STEADY_EVENT_COUNT)
             )
             is_whole = body == expected.encode()
         else:
