--- a/coltsfootfront/direct/copyencoding.py
+++ b/coltsfootfront/direct/copyencoding.py
@@ -1,4 +1,4 @@
-"""Encoding of copies of the store's keys that routers send to each other."""
+"""Encoding of the copies that routers send to each other."""
 
 import zlib
 
@@ -48,11 +48,10 @@
         if has_era:
             fields.append(changes.era)
         body: bytes = msgpack.packb(fields)
-        if not accepts_deflate or len(body) < MIN_COMPRESSED_BYTES:
-            return body, False
-        compressed = zlib.compress(body, COMPRESSION_LEVEL)
-        self._keep(key, compressed)
-        return compressed, True
+        encoded, is_compressed = deflate(body) if accepts_deflate else (body, False)
+        if is_compressed:
+            self._keep(key, encoded)
+        return encoded, is_compressed
 
     def _keep(self, key: _BodyKey, body: bytes) -> None:
         self._kept[key] = body
@@ -61,6 +60,16 @@
             self._kept_bytes -= len(self._kept.pop(next(iter(self._kept))))
 
 
+def deflate(body: bytes) -> tuple[bytes, bool]:
+    """Compress a body if it is large.
+
+    :returns: the body to send, and whether it is compressed.
+    """
+    if len(body) < MIN_COMPRESSED_BYTES:
+        return body, False
+    return zlib.compress(body, COMPRESSION_LEVEL), True
+
+
 def inflate(body: bytes) -> bytes:
     """Decompress a peer's response.
 
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -13,7 +13,13 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
-from coltsfootfront.direct.copyencoding import DEFLATE, MAX_COPY_BYTES, CopyEncoder, inflate
+from coltsfootfront.direct.copyencoding import (
+    DEFLATE,
+    MAX_COPY_BYTES,
+    CopyEncoder,
+    deflate,
+    inflate,
+)
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
@@ -43,7 +49,8 @@
 MAX_TRANSFER_S = 6.0
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
-# Prompt parts in one response, about 60 bytes each. A small link carries them in 200 ms.
+# Prompt parts in one response, about 60 bytes each before it is compressed. A small link carries
+# them in 200 ms.
 MAX_PARTS_SENT = 8000
 # Routers of a data centre that watch the store directly, those with the widest links. The others
 # use one of them as relay.
@@ -289,16 +296,18 @@
                 changes = self.follower.changes_after(after)
             if changes is None:
                 return web.Response(status=503)
-            accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "").replace(" ", "").split(",")
             body, is_deflated = self._encoder.encode(
-                after, changes, "era" in request.query, DEFLATE in accepted
+                after, changes, "era" in request.query, _accepts_deflate(request)
             )
             return _make_response(metrics.PEER_COPY, body, is_deflated)
         if request.path == POSITION_PATH and self.follower is not None:
             return _make_response(metrics.PEER_COPY, msgpack.packb([*self.follower.position]))
         if request.path == PARTS_PATH and self.list_parts_to_share is not None:
             parts = self.list_parts_to_share()[-MAX_PARTS_SENT:]
-            return _make_response(metrics.PEER_PARTS, msgpack.packb(parts))
+            body, is_deflated = msgpack.packb(parts), False
+            if _accepts_deflate(request):
+                body, is_deflated = deflate(body)
+            return _make_response(metrics.PEER_PARTS, body, is_deflated)
         return web.Response(status=404)
 
 
@@ -315,6 +324,11 @@
         )
 
 
+def _accepts_deflate(request: web.BaseRequest) -> bool:
+    accepted = request.headers.get(hdrs.ACCEPT_ENCODING, "")
+    return DEFLATE in accepted.replace(" ", "").split(",")
+
+
 def _make_response(purpose: str, body: bytes, is_deflated: bool = False) -> web.Response:
     metrics.count_sent(purpose, len(body))
     return web.Response(
--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -165,6 +165,20 @@
                 self.assertIsNotNone(await follower.peers.read_peer_changes(position))
         self.assertEqual(1, compress.call_count)
 
+    async def test_list_of_parts_leaves_a_small_link_free_soon(self) -> None:
+        """Guards against a restart that fills a small link with the parts that targets hold."""
+        generator = random.Random(1)
+        holders = [f"i-{generator.randbytes(4).hex()}" for _ in range(60)]
+        parts = [
+            ("m:1:", generator.randbytes(4).hex(), generator.choice(holders))
+            for _ in range(peers.MAX_PARTS_SENT)
+        ]
+        self.relay.peers.list_parts_to_share = lambda: parts
+        started = await self.fleet.add(SMALL_LINK_BYTES_PER_S)
+        received_bytes = metrics.received_bytes(metrics.PEER_PARTS)
+        self.assertEqual(parts, await started.peers.read_parts())
+        self.assertLess(metrics.received_bytes(metrics.PEER_PARTS) - received_bytes, 120_000)
+
     async def test_copy_is_read_from_one_peer(self) -> None:
         """Guards against copies of several peers that share a small link at a start."""
         for _ in range(3):
