--- a/coltsfootfront/tests/test_system_large_configurations.py
+++ b/coltsfootfront/tests/test_system_large_configurations.py
@@ -103,10 +103,11 @@
         :param since_s: monotonic time from which the time counts; None for that of the change.
         """
         deadline_s = (self.written_s if since_s is None else since_s) + APPLY_S
-        missing = list(routers)
-        while missing and time.monotonic() < deadline_s:
+        while True:
+            missing = [router for router in routers if self._version(router) != self.version]
+            if not missing or time.monotonic() >= deadline_s:
+                break
             await asyncio.sleep(POLL_INTERVAL_S)
-            missing = [router for router in missing if self._version(router) != self.version]
         for router in missing:
             self.problems.append(
                 f"{router.name} has version {self._version(router)}, not {self.version}"
