--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -178,10 +178,9 @@
                 return changes
         earlier = [peer for peer in positions if positions[peer] == UNTOLD_POSITION]
         copies = await asyncio.gather(*(self._request_changes(peer, after) for peer in earlier))
-        newest = max(positions.values(), default=UNTOLD_POSITION)
         found = [copy for copy in copies if copy is not None]
-        if newest != UNTOLD_POSITION:
-            found.append(Changes([], newest.revision, era=newest.era))
+        if any(UNTOLD_POSITION < position <= after for position in positions.values()):
+            found.append(Changes([], after.revision, era=after.era))
         return max(found, key=lambda changes: changes.position, default=None)
 
     def _is_near(self, address: str) -> bool:
--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -17,7 +17,7 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.direct import gossip, peers, storefollower
 from coltsfootfront.direct.copyencoding import MAX_COPY_BYTES, MAX_KEPT_BYTES, CopyEncoder
-from coltsfootfront.direct.peers import COPY_PATH, WATCHERS_PER_DATA_CENTRE, Peers
+from coltsfootfront.direct.peers import COPY_PATH, POSITION_PATH, WATCHERS_PER_DATA_CENTRE, Peers
 from coltsfootfront.direct.registration import RouterEntry, decode_router_entry
 from coltsfootfront.direct.storefollower import Changes, Item, Position
 from coltsfootfront.direct.transfers import TransferLimits, receive
@@ -198,6 +198,27 @@
         assert unchanged is not None
         self.assertEqual((changes.position, []), (unchanged.position, unchanged.items))
 
+    async def test_peer_that_is_ahead_and_gives_no_copy_is_not_taken_for_unchanged(self) -> None:
+        """Guards against changes that are skipped as the peer fell silent before its copy."""
+
+        async def respond(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path == POSITION_PATH:
+                return web.Response(body=msgpack.packb([9, 999]))
+            return web.Response(status=503)
+
+        address = await self._serve(respond)
+        reader = await self.fleet.add()
+        await reader.link.connect(address)
+        await reader.load()
+        reader.peers.remove(self.relay.entry.address)
+        reader.peers.add("ahead", RouterEntry(address, "a", "east"))
+        before = reader.follower.position
+        self.assertIsNone(await reader.peers.read_peer_changes(before))
+        reader.peers.add(self.relay.entry.address, self.relay.entry)
+        changes = await reader.peers.read_peer_changes(before)
+        assert changes is not None
+        self.assertEqual((before, []), (changes.position, changes.items))
+
     async def test_peer_of_an_earlier_version_that_is_ahead_is_read(self) -> None:
         """Guards against an old configuration while only peers of an earlier version have it."""
         body = msgpack.packb([99, [["k", b"new", 99]], False, self.relay.follower.era])
