--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -238,7 +238,7 @@
         """Guards against accepting removed API keys, and returning to an older configuration."""
         self.fleet.store.put_json("op/config", configuration(5, ("other",)))
         async with asyncio.timeout(CONFIG_APPLY_S):
-            while (await self._send("/look/a"))[0] != 401:
+            while (await self._send("/look/a"))[0] != 401:  # noqa: ASYNC110 - no event tells of it
                 await asyncio.sleep(POLL_S)
         self.fleet.store.put_json("op/config", configuration(4))
         for _ in range(20):
