--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import logbook
@@ -10,6 +11,7 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.backlog import Backlog
 from coltsfootfront.direct.limits import TargetLimit
 
@@ -31,6 +33,9 @@
 UNANSWERED_LIMIT = 2
 FIRST_SUSPENSION_S = 0.5
 MAX_SUSPENSION_S = 4.0
+# A target that was heard from this recently is not taken for unreachable because a connection did
+# not open in time, or because a peer says so: the fault may be this router's or its link's.
+HEARD_FRESH_S = 0.5
 # A target that rejects a request is full, or is loading weights of which this router has no record.
 # It is avoided for about as long as loading weights takes.
 REJECTION_COOLDOWN_S = 0.3
@@ -66,6 +71,18 @@
     started_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class MovableExchange:
+    """An exchange with a target that may move to another one.
+
+    :param timeout: ends the exchange.
+    :param may_move: makes sure of a replacement, and tells whether there is one.
+    """
+
+    timeout: ReadTimeout
+    may_move: Callable[[], bool]
+
+
 @dataclass(slots=True, eq=False)
 class Target:
     """A target, with this router's view of its load and health.
@@ -96,8 +113,10 @@
     last_report_s: float = -math.inf
     last_activity_s: float = 0.0
     """When it last sent data, was probed, or got its first request after being idle."""
-    exchange_timeouts: set[asyncio.Timeout] = field(default_factory=set)
-    """Timeouts of the exchanges that may be cancelled when the target is unreachable."""
+    last_heard_s: float = -math.inf
+    """When it last sent data or accepted a connection."""
+    exchanges: set[MovableExchange] = field(default_factory=set)
+    """Open exchanges whose requests may run more than once."""
     is_replaced: bool = False
     """Another target now answers at this address."""
     has_announced_drain: bool = False
@@ -181,10 +200,18 @@
         self.suspension_s = FIRST_SUSPENSION_S
         self.last_result_s = now_s
 
+    def record_heard(self, now_s: float) -> None:
+        """Record that the target has sent data or accepted a connection."""
+        self.last_heard_s = self.last_activity_s = now_s
+
+    def is_heard(self, now_s: float) -> bool:
+        """Whether it has shown just now that it runs and can be reached."""
+        return now_s - self.last_heard_s < HEARD_FRESH_S
+
     def eject(self, now_s: float) -> None:
-        """Suspend an unreachable target and cancel its exchanges that may be retried elsewhere."""
+        """Suspend an unreachable target, and move its unanswered exchanges to other targets."""
         self.mark_unreachable(now_s)
-        self.cancel_exchanges(now_s)
+        self.move_exchanges(now_s)
 
     def mark_unreachable(self, now_s: float) -> None:
         """Mark the target as accepting no connections, and suspend it."""
@@ -192,12 +219,13 @@
             self.unanswered_failures = UNANSWERED_LIMIT - 1
         self.record_failure(now_s, is_unanswered=True)
 
-    def cancel_exchanges(self, now_s: float) -> None:
-        """Cancel the exchanges that may be retried at another target."""
+    def move_exchanges(self, now_s: float) -> None:
+        """End the exchanges for which another target is certain to take over."""
         self.last_activity_s = now_s
-        for timeout in self.exchange_timeouts:
-            timeout.reschedule(asyncio.get_running_loop().time())
-        self.exchange_timeouts.clear()
+        for exchange in list(self.exchanges):
+            if exchange.may_move():
+                self.exchanges.discard(exchange)
+                exchange.timeout.expire()
 
     def record_failure(self, now_s: float, is_unanswered: bool) -> None:
         """Record a request that failed at the target.
@@ -322,6 +350,8 @@
         target = self._targets.get(name)
         if target is None or target.entry.started_ms != started_ms or target.is_unreachable:
             return
+        if target.is_heard(self._clock.monotonic_s()):
+            return
         target.is_unreachable = True
         target.last_activity_s = -math.inf
         log.info(event("target_suspected", target=name))
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import json
 import re
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, TypeVar
@@ -30,19 +31,36 @@
 from coltsfootfront.direct.responselimits import use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Item, Snapshot, WatchableStore
+from coltsfootfront.direct.transfers import (
+    BodyTooLargeError,
+    OnProgress,
+    Transfer,
+    TransferLimits,
+    receive,
+)
 from coltsfootfront.keyvalue.store import KeyValue, Transaction, TransactionResult, WatchEvent
 from coltsfootfront.platform import headers
 
 log = logbook.Logger(__name__)
 
 Json = dict[str, Any]
+JSON_TYPE = {"Content-Type": "application/json"}
 T = TypeVar("T")
 
-# The store usually answers within milliseconds, and within about a second when it is slow.
+# The store usually begins to answer within milliseconds, and within about a second when it is slow.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.6
-# Time that a watch call may take beyond the wait that it asks for.
+TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+# Time until a watch begins to be answered, beyond the wait that it asks for.
 WATCH_TIMEOUT_MARGIN_S = 2.0
+# A store that sends nothing for this long in the middle of a response is given up.
+SILENCE_S = 1.0
+# Longest transfer of one response. A page of 1 MB takes two seconds on half of a link of 10 Mbit/s.
+MAX_TRANSFER_S = 8.0
+# Bound on what a response may occupy: several values of the largest size, as base64.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Reads of at least this size are logged.
+LARGE_READ_BYTES = 65_536
 OK = 200
 NOT_FOUND = 404
 GONE = 410
@@ -113,10 +131,14 @@
                 return Success(Snapshot(items, revision, era))
             query = {"prefix": prefix, "after": next_after}
 
-    async def changes(self, prefix: str, after: int, wait_s: float) -> Result[Changes, Failure]:
+    async def changes(
+        self, prefix: str, after: int, wait_s: float, on_progress: OnProgress | None = None
+    ) -> Result[Changes, Failure]:
         query = {"prefix": prefix, "after": str(after), "wait-ms": str(int(wait_s * 1000))}
         timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
-        return await self._read("watch", "/v1/kv-watch", query, _decode_changes, False, timeout_s)
+        return await self._read(
+            "watch", "/v1/kv-watch", query, _decode_changes, False, timeout_s, on_progress
+        )
 
     async def commit(self, transaction: Transaction) -> Result[TransactionResult, Failure]:
         body = {
@@ -191,9 +213,10 @@
         decode: Callable[[Json], T],
         allow_not_found: bool = False,
         timeout_s: float = CALL_TIMEOUT_S,
+        on_progress: OnProgress | None = None,
     ) -> Result[T, Failure]:
         return await self._call(
-            name, "GET", path, query, None, decode, False, allow_not_found, timeout_s
+            name, "GET", path, query, None, decode, False, allow_not_found, timeout_s, on_progress
         )
 
     async def _write(
@@ -220,28 +243,43 @@
         is_write: bool,
         allow_not_found: bool,
         timeout_s: float,
+        on_progress: OnProgress | None = None,
     ) -> Result[T, Failure]:
         build_failure = _ambiguous if is_write else _unavailable
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        limits = TransferLimits(timeout_s, SILENCE_S, MAX_TRANSFER_S, MAX_RESPONSE_BYTES)
         result: Result[T, Failure]
+        encoded = json.dumps(body).encode() if body is not None else b""
         try:
-            if self._session is None:
+            session = self._session
+            if session is None:
                 raise FailureError(_unavailable("the store's client is not started"))
             url = self._base_url + path
-            async with self._session.request(
-                method, url, params=query, json=body, timeout=timeout
-            ) as response:
-                data = await response.read()
-                with decoding("the store's answer"):
-                    era = self._record_era(response.headers.get(headers.STORE_ERA, ""), name)
-                    result = _decode_response(
-                        name, response.status, data, build_failure, allow_not_found
-                    ).map(lambda body: decode(body | {"era": era}))
+            metrics.count_sent(metrics.STORE, len(encoded))
+            received = await receive(
+                lambda: session.request(
+                    method,
+                    url,
+                    params=query,
+                    data=encoded or None,
+                    headers=JSON_TYPE if encoded else None,
+                    timeout=TIMEOUTS,
+                ),
+                limits,
+                on_progress,
+            )
+            _record_transfer(name, received)
+            with decoding("the store's answer"):
+                era = self._record_era(received.headers.get(headers.STORE_ERA, ""), name)
+                result = _decode_response(
+                    name, received.status, received.body, build_failure, allow_not_found
+                ).map(lambda body: decode(body | {"era": era}))
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # No connection was made, so the request was not sent and a write had no effect.
             result = Failed(_unavailable(f"{name}: the store cannot be reached: {error!r}"))
+        except BodyTooLargeError as error:
+            result = Failed(_too_large(name, error, build_failure))
         except (aiohttp.ClientError, OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             result = Failed(build_failure(f"{name}: the store's answer was lost: {error!r}"))
         except DecodingError as error:
@@ -251,10 +289,31 @@
         return result
 
 
+def _record_transfer(name: str, received: Transfer) -> None:
+    metrics.count_received(metrics.STORE, received.wire_bytes)
+    if received.wire_bytes >= LARGE_READ_BYTES:
+        log.info(
+            event(
+                "store_transfer",
+                call=name,
+                wire_bytes=received.wire_bytes,
+                transfer_s=received.duration_s,
+            )
+        )
+
+
 def _unavailable(message: str) -> Failure:
     return Failure(ErrorKind.STORE_UNAVAILABLE, message)
 
 
+def _too_large(
+    name: str, error: BodyTooLargeError, build_failure: Callable[[str], Failure]
+) -> Failure:
+    message = f"{name}: the store's answer is too large: {error}"
+    # The pages of a snapshot are small, whatever the history holds.
+    return Failure(ErrorKind.STALE_REVISION, message) if name == "watch" else build_failure(message)
+
+
 def _ambiguous(message: str) -> Failure:
     return Failure(ErrorKind.STORE_AMBIGUOUS, message, ExecutionState.UNKNOWN)
 
--- a/coltsfootfront/tests/test_odd_entries.py
+++ b/coltsfootfront/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 from aiohttp.test_utils import make_mocked_request
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from multidict import CIMultiDict, CIMultiDictProxy
 from returns.result import Failure as Failed
 from returns.result import Success
 
@@ -24,11 +25,12 @@
 from coltsfootfront.direct.directory import TargetEntry
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.node import Node
-from coltsfootfront.direct.peers import COPY_PATH, PARTS_PATH
+from coltsfootfront.direct.peers import COPY_PATH, PARTS_PATH, POSITION_PATH
 from coltsfootfront.direct.permitmessages import PermitRequest, PermitResponse
 from coltsfootfront.direct.registration import RouterEntry, decode_router_entry
 from coltsfootfront.direct.routingconfig import RoutingConfig
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, Position, Snapshot
+from coltsfootfront.direct.transfers import Transfer
 from coltsfootfront.keyvalue.store import KeyValue
 from coltsfootfront.platform import callerserver
 from coltsfootfront.platform.cachedparts import PlatformPartReader
@@ -544,6 +546,15 @@
                 self.assertIsInstance(item.value, bytes | None)
                 self.check_sane(item.revision)
 
+    @repeatable_slow
+    @given(msgpack_like([1, 7]))
+    @example(DEEP_MSGPACK)
+    def test_odd_position_of_a_peer_counts_as_no_answer(self, data: bytes) -> None:
+        """Guards against a position that ends the following of the peers."""
+        changes = asyncio.run(self._read(data, POSITION_PATH))
+        if changes is not None:
+            self.check_sane([changes.revision, changes.era])
+
     @repeatable_slow
     @given(msgpack_like([["salt", "key", "t1"], ["salt", "key2", "t1"]]))
     @example(DEEP_MSGPACK)
@@ -554,12 +565,14 @@
     async def _read(self, data: bytes, path: str) -> Any:
         node = make_node(self.fields)
 
-        async def get(address: str, path: str, limit_s: float = 1.0, **params: str) -> bytes:
-            return data
+        async def receive(address: str, asked: str, *limits: Any, **params: str) -> Transfer:
+            is_position_known = asked == POSITION_PATH != path
+            body = msgpack.packb([1, 7]) if is_position_known else data
+            return Transfer(200, CIMultiDictProxy(CIMultiDict()), body, len(body), 0.0)
 
-        node._peers._get = get  # type: ignore[method-assign]
+        node._peers._receive = receive  # type: ignore[assignment, method-assign]
         node._peers.seed_addresses = ["127.0.0.2:80"]
-        if path == COPY_PATH:
+        if path in (COPY_PATH, POSITION_PATH):
             return await node._peers.read_peer_changes(Position(0, 0))
         return await node._peers.read_parts()
 
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -28,6 +28,8 @@
 WAIT_S = 8.0
 CALLER_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
 POLL_S = 0.02
+# A configuration is in force this long after it was acknowledged.
+CONFIG_APPLY_S = 2.5
 # Time after a disruption from which the users expect the store to be usable again.
 STABLE_S = 4.0
 PROMPT_HEADERS = {
@@ -104,6 +106,12 @@
         paths = {run.path for target in self.fleet.plain_targets for run in target.executions}
         self.assertEqual({"/look/a", "/file/a"}, paths)
 
+    async def test_other_routers_learn_the_capacity_of_the_link(self) -> None:
+        """Guards against relays that are chosen without regard to their links."""
+        await self._until(lambda: bool(self.node._peers._routers))
+        (entry,) = self.node._peers._routers.values()
+        self.assertEqual(1000.0, entry.link_mbit_per_s)
+
     async def test_reserved_headers_of_callers_are_dropped(self) -> None:
         """Guards against callers that set another customer or cache salt by themselves."""
         await self._send("/long/a", "POST", **PROMPT_HEADERS, **FORGED_HEADERS)
@@ -229,11 +237,13 @@
     async def test_revoked_key_and_older_configuration(self) -> None:
         """Guards against accepting removed API keys, and returning to an older configuration."""
         self.fleet.store.put_json("op/config", configuration(5, ("other",)))
-        await asyncio.sleep(0.3)
-        self.assertEqual(401, (await self._send("/look/a"))[0])
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            while (await self._send("/look/a"))[0] != 401:  # noqa: ASYNC110 - no event tells of it
+                await asyncio.sleep(POLL_S)
         self.fleet.store.put_json("op/config", configuration(4))
-        await asyncio.sleep(0.3)
-        self.assertEqual(401, (await self._send("/look/a"))[0])
+        for _ in range(20):
+            await asyncio.sleep(0.05)
+            self.assertEqual(401, (await self._send("/look/a"))[0])
 
     async def test_malformed_store_values_are_ignored(self) -> None:
         """Guards against a malformed entry that removes a target or the configuration."""
