--- a/coltsfootfront/tests/test_copy_transfers.py
+++ b/coltsfootfront/tests/test_copy_transfers.py
@@ -515,14 +515,18 @@
         """Guards against a large configuration that is late, or fills small links for seconds."""
         for link_bytes_per_s in (SMALL_LINK_BYTES_PER_S, WIDE_LINK_BYTES_PER_S):
             with self.subTest(link_bytes_per_s=link_bytes_per_s):
-                routers = await self._start(link_bytes_per_s)
-                for version in (2, 3):
-                    passed_s, transfers_s = await self._change(routers, version)
-                    self.assertLess(passed_s, APPLY_LIMIT_S)
-                    # One copy for each router that does not watch the store.
-                    self.assertEqual(4, len(transfers_s))
-                    self.assertLess(max(transfers_s), 0.35)
-                await self.fleet.close()
+                try:
+                    await self._check_changes(await self._start(link_bytes_per_s))
+                finally:
+                    await self.fleet.close()
+
+    async def _check_changes(self, routers: list[LinkedRouter]) -> None:
+        for version in (2, 3):
+            passed_s, transfers_s = await self._change(routers, version)
+            self.assertLess(passed_s, APPLY_LIMIT_S)
+            # One copy for each router that does not watch the store.
+            self.assertEqual(4, len(transfers_s))
+            self.assertLess(max(transfers_s), 0.35)
 
     async def test_restarted_router_with_a_small_link_has_the_configuration_in_time(self) -> None:
         """Guards against a restart after which a router has no configuration for seconds."""
--- a/coltsfootfront_dev/tcpproxy.py
+++ b/coltsfootfront_dev/tcpproxy.py
@@ -8,6 +8,8 @@
 READ_BYTES = 65_536
 # Bytes of a limited direction are forwarded in pieces of about this duration.
 PIECE_S = 0.01
+# A link that was busy until this time ago has gone on meanwhile, and the event loop is late.
+MAX_LATENESS_S = 0.05
 
 
 class LinkRate:
@@ -30,8 +32,10 @@
     async def transmit(self, size_bytes: int) -> None:
         """Wait until the link has transmitted a piece, after all pieces before it."""
         now_s = asyncio.get_running_loop().time()
-        self._busy_until_s = max(now_s, self._busy_until_s) + size_bytes / self.bytes_per_s
-        await asyncio.sleep(self._busy_until_s - now_s)
+        if self._busy_until_s < now_s - MAX_LATENESS_S:
+            self._busy_until_s = now_s
+        self._busy_until_s += size_bytes / self.bytes_per_s
+        await asyncio.sleep(max(0.0, self._busy_until_s - now_s))
 
 
 class TcpProxy:
