--- a/coltsfootfront/common/retries.py
+++ b/coltsfootfront/common/retries.py
@@ -43,6 +43,15 @@
         """Set the retries per second that are allowed in addition to the share."""
         self._floor_per_s = floor_per_s
 
+    def set_ratio(self, ratio: float) -> None:
+        """Set the retries that are allowed for each request."""
+        self._ratio = ratio
+
+    def can_spend(self) -> bool:
+        """Whether the budget allows a retry now."""
+        self._current_bucket()
+        return self._retries + 1 <= self._requests * self._ratio + self._floor_per_s * WINDOW_S
+
     def record_request(self) -> None:
         """Count one new request."""
         self._current_bucket().requests += 1
@@ -55,8 +64,7 @@
         :returns: False when the budget is exhausted.
         """
         bucket = self._current_bucket()
-        allowed = self._requests * self._ratio + self._floor_per_s * WINDOW_S
-        if self._retries + 1 > allowed:
+        if not self.can_spend():
             metrics.RETRIES_DENIED.inc({"reason": reason})
             return False
         self._record_retry(bucket, reason)
--- a/coltsfootfront/direct/retrybudgets.py
+++ b/coltsfootfront/direct/retrybudgets.py
@@ -39,9 +39,11 @@
                 budget.set_floor(self._floor_per_s())
 
     def set_limits(self, ratio: float, fixed: float, window_s: float) -> None:
-        """Set the limits and reset all budgets."""
+        """Set the limits; what has been counted stays counted."""
         self._ratio, self._fixed, self._window_s = ratio, fixed, window_s
-        self._budgets.clear()
+        for budget in self._budgets.values():
+            budget.set_ratio(ratio * BUDGET_SHARE)
+            budget.set_floor(self._floor_per_s())
 
     def get(self, service: str) -> RetryBudget:
         """Retry budget of a service."""
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -690,3 +690,17 @@
             taken += sum(budget.try_spend("lost") for _ in range(100))
         self.assertLessEqual(taken, 0.2 * 20 * routers + fixed)
         self.assertGreater(taken, fixed / 2)
+
+    def test_changed_limits_keep_what_was_counted(self) -> None:
+        """Guards against a reload that forgets retries, or denies those of earlier requests."""
+        budgets = ServiceRetryBudgets(ManualClock(), 0.2, 0.0, 10.0)
+        budget = budgets.get("service")
+        for _ in range(100):
+            budget.record_request()
+        for _ in range(10):
+            self.assertTrue(budget.try_spend("lost"))
+        budgets.set_limits(0.2, 0.0, 10.0)
+        budgets.set_limits(0.1, 0.0, 10.0)
+        self.assertFalse(budgets.get("service").try_spend("lost"))
+        budgets.set_limits(0.2, 0.0, 10.0)
+        self.assertEqual([True] * 6 + [False], [budget.try_spend("lost") for _ in range(7)])
