--- a/coltsfootfront/direct/liveness.py
+++ b/coltsfootfront/direct/liveness.py
@@ -103,7 +103,8 @@
                 log.info(event("target_back", target=target.name, silent_s=silent_s))
                 self._directory.notify()
         except (OSError, TimeoutError) as error:
-            if isinstance(error, TimeoutError) and target.last_heard_s >= began_s:
+            is_refused = isinstance(error, ConnectionRefusedError | ConnectionResetError)
+            if not is_refused and target.last_heard_s >= began_s:
                 return
             self._on_probe_failed(target)
             if target.is_unreachable:
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -79,6 +79,7 @@
         body = bytearray()
         chunks = response.chunks()
         async for chunk in chunks:
+            placement.target.record_heard(self._clock.monotonic_s())
             body += chunk
             if len(body) > MAX_BUFFERED_BYTES:
                 break
@@ -103,6 +104,7 @@
         if not is_buffered:
             relayed_bytes = len(body)
             async for chunk in chunks:
+                placement.target.record_heard(self._clock.monotonic_s())
                 relayed_bytes += len(chunk)
                 if relayed_bytes > MAX_RESPONSE_BYTES:
                     raise ExchangeError(
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -199,8 +199,10 @@
                 ExchangeFailure.NO_CONNECTION, f"no connection: {_describe_error(error)}"
             ) from error
         except aiohttp.ClientConnectorError as error:
+            is_refused = isinstance(error.os_error, ConnectionRefusedError | ConnectionResetError)
             raise ExchangeError(
-                ExchangeFailure.NOT_SENT, f"no connection: {_describe_error(error)}"
+                ExchangeFailure.NOT_SENT if is_refused else ExchangeFailure.NO_CONNECTION,
+                f"no connection: {_describe_error(error)}",
             ) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise ExchangeError(
