--- a/coltsfootfront/tests/test_routing_config.py
+++ b/coltsfootfront/tests/test_routing_config.py
@@ -1,14 +1,30 @@
 """Tests of the routing configuration: how routes are found, and what a large one costs."""
 
-import asyncio
 import json
-import time
+import subprocess
+import sys
 import unittest
+from pathlib import Path
 
 from coltsfootfront.direct.routingconfig import RoutingConfig
-from coltsfootfront.platform.decoder import decode_config
 from coltsfootfront.tests.direct_support import make_route
 
+ROOT = Path(__file__).resolve().parents[2]
+# Prints the processor time to decode 4,200 routes, and to look 1,000 paths up, in seconds.
+MEASURE_DECODING = """
+import json, time
+from coltsfootfront.platform.decoder import decode_config
+
+fields = {"host": "h.example", "service": "s", "kind": "stream", "timeout-ms": 3000}
+routes = [{"name": f"r{n}", "prefix": f"/r{n}/x/"} | fields for n in range(4200)]
+value = json.dumps({"version": 1, "services": [{"name": "s"}], "routes": routes}).encode()
+began_s = time.process_time()
+config = decode_config(value).unwrap()
+decoded_s = time.process_time()
+assert config.find_route("h.example", "/r7/x/y").name == "r7"
+assert not any(config.find_route("h.example", "/absent/x/y") for _ in range(1000))
+print(json.dumps([decoded_s - began_s, time.process_time() - decoded_s]))
+"""
 # The longest pause between the events of a stream that users accept.
 ACCEPTED_PAUSE_S = 0.2
 
@@ -75,26 +91,13 @@
         self.assertLess(_CountingPrefix.lengths_taken, 50 * count)
 
 
-class LargeConfigurationTest(unittest.IsolatedAsyncioTestCase):
-    async def test_decoding_many_routes_of_one_host_does_not_pause_streams(self) -> None:
+class LargeConfigurationTest(unittest.TestCase):
+    def test_decoding_many_routes_of_one_host_does_not_pause_streams(self) -> None:
         """Guards against streams that pause at each change of a large configuration."""
-        routes = [
-            {
-                "name": f"r{number}",
-                "host": "h.example",
-                "prefix": f"/r{number}/x/",
-                "service": "s",
-                "kind": "stream",
-                "timeout-ms": 3000,
-            }
-            for number in range(4200)
-        ]
-        value = json.dumps({"version": 1, "services": [{"name": "s"}], "routes": routes}).encode()
-        loop = asyncio.get_running_loop()
-        began_s = time.process_time()
-        config = decode_config(value).unwrap()
-        self.assertLess(time.process_time() - began_s, ACCEPTED_PAUSE_S)
-        began_s = loop.time()
-        for _ in range(1000):
-            self.assertIsNone(config.find_route("h.example", "/absent/x/y"))
-        self.assertLess(loop.time() - began_s, ACCEPTED_PAUSE_S)
+        # In a process of its own, as a router is: the heap and threads of other tests count too.
+        measured = subprocess.run(
+            [sys.executable, "-c", MEASURE_DECODING], cwd=ROOT, check=True, capture_output=True
+        )
+        decode_s, find_s = json.loads(measured.stdout)
+        self.assertLess(decode_s, ACCEPTED_PAUSE_S)
+        self.assertLess(find_s, ACCEPTED_PAUSE_S)
