--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -703,4 +703,5 @@
         budgets.set_limits(0.1, 0.0, 10.0)
         self.assertFalse(budgets.get("service").try_spend("lost"))
         budgets.set_limits(0.2, 0.0, 10.0)
-        self.assertEqual([True] * 6 + [False], [budget.try_spend("lost") for _ in range(7)])
+        kept = budgets.get("service")
+        self.assertEqual([True] * 6 + [False], [kept.try_spend("lost") for _ in range(7)])
