--- a/coltsfootfront/tests/test_system_quarantine.py
+++ b/coltsfootfront/tests/test_system_quarantine.py
@@ -16,6 +16,7 @@
 
 ROUTERS = 3
 ENGINES = 6
+PLAIN_TARGETS = 6
 STABLE_S = 4.0
 # Crashes after which users count the requests with a part that crashes targets, and how many of
 # them may reach targets later than STABLE_S.
@@ -41,9 +42,9 @@
 class SystemQuarantineTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
-        self.fleet = PlatformFleet(0, ENGINES)
+        self.fleet = PlatformFleet(PLAIN_TARGETS, ENGINES)
         await self.fleet.start()
-        for target in self.fleet.engine_targets:
+        for target in self.fleet.targets:
             target.execution_time_s = 0.05
         self.processes = RouterProcesses(Path(self.folder.name), self.fleet.store.address)
         await self.processes.start(ROUTERS)
@@ -60,7 +61,9 @@
         await self.fleet.close()
         self.folder.cleanup()
 
-    async def _send(self, router: RouterProcess, path: str, prefix: str, kind: str) -> None:
+    async def _send(
+        self, router: RouterProcess, path: str, prefix: str, kind: str, body: bytes = b"body"
+    ) -> None:
         self.sent += 1
         request_id = f"{kind}-{self.sent}"
         headers = {
@@ -68,15 +71,18 @@
             "X-Request-Id": request_id,
             "X-Deadline-Ms": "3000",
             "Authorization": f"Token {API_KEY}",
-            "X-Model": "m",
-            "X-Token-Usage": "700,10",
-            "X-Prompt-Prefix": f"{prefix},{self.sent:x}:50",
         }
+        if prefix:
+            headers |= {
+                "X-Model": "m",
+                "X-Token-Usage": "700,10",
+                "X-Prompt-Prefix": f"{prefix},{self.sent:x}:50",
+            }
         sent_s = time.monotonic()
         url = f"http://{router.settings['listen']['front']}{path}"
         status, retry_after = 0, "nan"
         try:
-            async with self.session.post(url, headers=headers, data=b"body") as response:
+            async with self.session.post(url, headers=headers, data=body) as response:
                 await response.read()
                 status = response.status
                 retry_after = response.headers.get("Retry-After", retry_after)
@@ -101,6 +107,19 @@
             await asyncio.sleep(1 / SOUND_PER_S)
         await asyncio.gather(*requests)
 
+    async def _send_plain_for(self, duration_s: float, path: str, deadly_body: bytes) -> None:
+        """Send sound requests to the plain service, and one with a deadly body repeatedly."""
+        end_s = time.monotonic() + duration_s
+        requests = []
+        while time.monotonic() < end_s:
+            is_deadly = self.generator.random() < DEADLY_PER_S / SOUND_PER_S
+            kind = "deadly" if is_deadly else "sound"
+            body = deadly_body if is_deadly else b"body"
+            sending = self._send(self.generator.choice(self.routers), path, "", kind, body)
+            requests.append(asyncio.create_task(sending))
+            await asyncio.sleep(1 / SOUND_PER_S)
+        await asyncio.gather(*requests)
+
     def _set_deadly(self, part: str, crashes_before_head: bool = False) -> None:
         self.deadly_part = part
         self.fleet.crashes_s.clear()
@@ -111,7 +130,7 @@
     def _deadly_arrivals_after(self, begin_s: float) -> list[str]:
         return [
             request_id
-            for target in self.fleet.engine_targets
+            for target in self.fleet.targets
             for at_s, request_id in target.arrivals
             if at_s > begin_s and request_id.startswith("deadly")
         ]
@@ -149,6 +168,17 @@
         arrived = set(self._deadly_arrivals_after(0.0))
         self.assertFalse(arrived & {response.request_id for response in refused})
 
+    async def test_plain_request_that_crashes_targets_is_held_back_by_all_routers(self) -> None:
+        """Guards against a request without a prompt that crashes target after target (BUDGET)."""
+        for path in ("/look/a", "/file/a"):
+            with self.subTest(path=path):
+                self.fleet.crashes_s.clear()
+                deadly_body = f"deadly {path}".encode()
+                for target in self.fleet.plain_targets:
+                    target.deadly_body = deadly_body
+                await self._send_plain_for(10.0, path, deadly_body)
+                self._check_quarantine()
+
     async def test_new_and_restarted_routers_hold_the_part_back(self) -> None:
         """Guards against a part that crashes targets again through routers that start later."""
         self._set_deadly("d1")
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -98,6 +98,8 @@
         self.deadly_parts: frozenset[str] = frozenset()
         """Prompt parts on which it crashes when it begins to answer; see :meth:`crash`."""
         self.crashes_before_head = False
+        self.deadly_body: bytes | None = None
+        """Body of the requests on which it crashes before it answers."""
         self.born = 1
         self.is_down = False
         self.event_interval_s = 0.002
@@ -255,6 +257,9 @@
         if self.faults.hangs:
             await asyncio.Event().wait()
         await asyncio.sleep(self.execution_time_s)
+        if body == self.deadly_body:
+            self.on_crash(self)
+            await asyncio.Event().wait()
         headers = {"X-Request-Id": request_id, SIGNATURE_HEADER: f"{self.name}.{request_id}"}
         if self.faults.crosses:
             headers["X-Request-Id"] = "another"
