--- a/coltsfootfront/direct/callerrequest.py
+++ b/coltsfootfront/direct/callerrequest.py
@@ -1,9 +1,13 @@
 """A caller's request, and the interface through which the response is written."""
 
+import hashlib
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
 from coltsfootfront.common.errors import Failure
+from coltsfootfront.direct.crashevidence import DIGEST_PREFIX
+
+DIGEST_BYTES = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +48,7 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = field(default=())
     resume_after: int | None = None
+    _digest: str = field(default="", init=False, repr=False)
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -55,6 +60,23 @@
         """Keys of the shared parts."""
         return tuple(part.key for part in self.shared_parts)
 
+    @property
+    def digest(self) -> str:
+        """Identifies a request that comes again, with the same path, caller and body."""
+        if not self._digest:
+            content = hashlib.blake2b(digest_size=DIGEST_BYTES)
+            for text in (self.method, self.host, self.path, self.api_key):
+                data = text.encode("utf-8", "surrogateescape")
+                content.update(len(data).to_bytes(4) + data)
+            content.update(self.body)
+            self._digest = DIGEST_PREFIX + content.hexdigest()
+        return self._digest
+
+    @property
+    def crash_keys(self) -> tuple[str, ...]:
+        """Keys by which a request that crashes targets is told from others."""
+        return (*self.shared_keys, self.digest)
+
 
 class ResponseWriter(ABC):
     """Writes the response to one request."""
--- a/coltsfootfront/direct/crashobserver.py
+++ b/coltsfootfront/direct/crashobserver.py
@@ -20,7 +20,9 @@
 class Exchange:
     """A request that was sent to a target.
 
+    :param parts: keys of the request, by which it is told from others.
     :param timeout: ends the exchange.
+    :param sent_s: monotonic time at which it began.
     :param is_trial: it was sent to find out whether its parts still crash targets.
     :param is_answering: the head of the answer has arrived.
     :param is_relayed: the caller has begun to read the answer.
@@ -30,6 +32,7 @@
 
     parts: Parts
     timeout: ReadTimeout
+    sent_s: float
     is_trial: bool = False
     is_answering: bool = False
     is_relayed: bool = False
@@ -73,7 +76,7 @@
 
     def begin(self, parts: Parts, timeout: ReadTimeout, is_trial: bool) -> Exchange:
         """Track an exchange until :meth:`end`."""
-        exchange = Exchange(parts, timeout, is_trial)
+        exchange = Exchange(parts, timeout, self._clock.monotonic_s(), is_trial)
         self._open.add(exchange)
         return exchange
 
@@ -87,7 +90,8 @@
             return
         now_s = self._clock.monotonic_s()
         losses = self._of(target, now_s)
-        losses.lost.append((now_s, Suspect(exchange.parts, exchange.is_answering)))
+        suspect = Suspect(exchange.parts, exchange.is_answering, exchange.sent_s, now_s)
+        losses.lost.append((now_s, suspect))
         if now_s - losses.down_s < CONFIRMATION_S:
             self._report(target, losses, now_s)
         else:
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -81,7 +81,7 @@
 # Spreads the returns of callers whose requests were held back.
 QUARANTINE_JITTER_S = 1.0
 STOPPING_MESSAGE = "the router is stopping"
-QUARANTINE_MESSAGE = "targets have crashed on a part of the prompt"
+QUARANTINE_MESSAGE = "targets have crashed on such requests"
 # Length of an unexpected error in the log.
 MAX_ERROR_CHARACTERS = 200
 
@@ -92,7 +92,7 @@
     :param budgets: retry budget of each service.
     :param prefill_rates: prefill rate of each service's engines, estimated from their responses.
     :param permits: permits for requests to targets with a limit.
-    :param quarantine: holds requests back whose prompts crash targets.
+    :param quarantine: holds requests back that crash targets.
     :param crash_observer: told of each exchange, and of its failure.
     """
 
@@ -190,7 +190,7 @@
             async with asyncio.timeout(None) as timeout:
                 self._unanswered[timeout] = state
                 self._budgets.get(state.service).record_request()
-                state.is_trial = await self._quarantine.may_try(state.request.shared_keys)
+                state.is_trial = await self._quarantine.may_try(state.request.crash_keys)
                 self._check_quarantine(state)
                 await self._serve_with_retries(state, writer)
         except TimeoutError:
@@ -266,13 +266,13 @@
         raise RefusedError(_stopping_failure())
 
     def _check_quarantine(self, state: RequestState) -> None:
-        """Refuse a request whose prompt parts are quarantined, unless it is sent as a trial.
+        """Refuse a request that is quarantined, or whose parts are, unless it is sent as a trial.
 
         :raises RefusedError: if it is held back.
         """
         if state.is_trial and not state.sends:
             return
-        held_s = self._quarantine.held_for_s(state.request.shared_keys)
+        held_s = self._quarantine.held_for_s(state.request.crash_keys)
         if held_s is None:
             return
         state.reason = QUARANTINE_MESSAGE
@@ -407,10 +407,9 @@
             target.last_activity_s = self._clock.monotonic_s()
         target.in_flight += 1
         timeout = ReadTimeout(remaining_s)
-        keys = state.request.shared_keys
-        if keys:
-            state.exchange = self._crash_observer.begin(keys, timeout, state.is_trial)
-            state.exchange.is_relayed = state.has_response_begun
+        keys = state.request.crash_keys
+        state.exchange = self._crash_observer.begin(keys, timeout, state.is_trial)
+        state.exchange.is_relayed = state.has_response_begun
         movable = MovableExchange(timeout, lambda: self._may_move(state))
         if state.may_retry:
             target.exchanges.add(movable)
@@ -480,7 +479,7 @@
         is_in_time = self.stop.may_pass_on(
             state.route, state.deadline_s, now_s, True, state.has_response_begun
         )
-        return is_in_time and self._quarantine.held_for_s(state.request.shared_keys) is None
+        return is_in_time and self._quarantine.held_for_s(state.request.crash_keys) is None
 
     def _record_prefill_work(self, placement: Placement) -> None:
         if not placement.prefill_tokens:
@@ -643,7 +642,7 @@
                 answered_s=(
                     now_s - state.answer_begun_s if state.answer_begun_s is not None else None
                 ),
-                parts=",".join(state.request.shared_keys) or None,
+                parts=",".join(state.request.crash_keys),
             )
         )
         if failure in (ExchangeFailure.NOT_SENT, ExchangeFailure.NO_CONNECTION):
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -492,6 +492,7 @@
                 PermitResponse.from_fields(found)
             ),
             gossip.CRASH: self._quarantine.handle_crash,
+            gossip.RESENT: self._quarantine.handle_resent,
             gossip.ANSWERED: self._quarantine.handle_answered,
             gossip.QUARANTINED: self._quarantine.handle_quarantined,
             gossip.RELEASED: self._quarantine.handle_released,
--- a/coltsfootfront/direct/quarantinekeeper.py
+++ b/coltsfootfront/direct/quarantinekeeper.py
@@ -1,7 +1,8 @@
-"""Shares evidence of crashes and quarantined prompt parts among the routers.
+"""Shares evidence of crashes and what is quarantined among the routers.
 
-Evidence travels as gossip, and each router convicts by what it has. A quarantined part is also
-written to the store, from where routers that start later learn of it.
+Evidence travels as gossip, and each router convicts by what it has. A quarantined part of prompts,
+or digest of a request, is also written to the store, from where routers that start later learn of
+it. Routers of an earlier version take a digest for a part that none of their requests has.
 """
 
 import json
@@ -17,7 +18,12 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct import gossip
-from coltsfootfront.direct.crashevidence import CrashEvidence, Parts, Suspect
+from coltsfootfront.direct.crashevidence import (
+    MAX_SUSPECTS_PER_CRASH,
+    CrashEvidence,
+    Parts,
+    Suspect,
+)
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.quarantine import FIRST_HOLD_S, Quarantine, QuarantineRecord
@@ -37,8 +43,9 @@
 TRIAL_RETRY_S = 1.0
 # Time for which the record of a release stays in the store, longer than any router lags behind.
 RELEASE_RETENTION_S = 60.0
-# Prompts in one message, of about 100 bytes each, so that it fits into one packet.
+# Requests in one message, of about 130 bytes each, so that it fits into one packet.
 SUSPECTS_PER_MESSAGE = 8
+RESENT_PER_MESSAGE = 32
 
 ReadRevision = Callable[[str], int | None]
 
@@ -128,6 +135,7 @@
     def record_crash(self, target: Target, suspects: list[Suspect]) -> None:
         """Record the unanswered requests of this router at a target that has crashed."""
         started_ms = target.entry.started_ms
+        suspects = suspects[-MAX_SUSPECTS_PER_CRASH:]
         self._record_crash(target.name, started_ms, suspects, by="this router")
         for begin in range(0, len(suspects), SUSPECTS_PER_MESSAGE):
             rows = [
@@ -135,11 +143,25 @@
                 for item in suspects[begin : begin + SUSPECTS_PER_MESSAGE]
             ]
             self._gossip.broadcast(gossip.CRASH, [target.name, started_ms, rows])
+        resent = self._evidence.resent(target.name, started_ms)[:RESENT_PER_MESSAGE]
+        if resent:
+            self._gossip.broadcast(gossip.RESENT, [target.name, started_ms, resent])
+
+    def count_crashes(self, digest: str, except_for: Target | None = None) -> int:
+        """Number of targets that have crashed while a request was unanswered, as far as is known.
+
+        An answer to such a request ends the suspicion.
+
+        :param except_for: target whose crash is not counted.
+        """
+        start = (except_for.name, except_for.entry.started_ms) if except_for else None
+        return self._evidence.count_crashes(digest, start)
 
     def record_answer(self, parts: Parts) -> None:
         """Record that a target answers a prompt with these parts."""
         cleared = self._evidence.record_answer(parts)
         if cleared:
+            log.info(event("suspicion_cleared", parts=",".join(cleared)))
             self._gossip.broadcast(gossip.ANSWERED, cleared)
         for record in self._quarantine.answered(parts):
             self._release(record, "a target answered them")
@@ -150,6 +172,11 @@
         suspects = [Suspect(tuple(parts), bool(is_answering)) for is_answering, parts in rows]
         self._record_crash(name, started_ms, suspects, by="a peer")
 
+    def handle_resent(self, fields: list[Any]) -> None:
+        """Record which requests a peer had sent to a target after they had crashed another one."""
+        name, started_ms, digests = fields
+        self._evidence.record_resent(name, started_ms, digests)
+
     def handle_answered(self, fields: list[Any]) -> None:
         """Clear parts that a target has answered at a peer."""
         self._evidence.record_answer(tuple(fields))
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -35,8 +35,8 @@
     :param first_s: time from its arrival until its first event.
     :param longest_pause_s: longest time between two events, None before the second.
     :param answer_begun_s: monotonic time of the first event of the current attempt, None before.
-    :param exchange: the current attempt, None before the first and for requests without a prompt.
-    :param is_trial: it is sent although its prompt parts are quarantined.
+    :param exchange: the current attempt, None before the first.
+    :param is_trial: it is sent although it is quarantined.
     :param waited_for: why it last waited for a target.
     :param replacement: reserved for the next attempt, with a retry of the budget, None if nothing
         is reserved.
--- a/coltsfootfront/tests/test_direct_deadly_requests.py
+++ b/coltsfootfront/tests/test_direct_deadly_requests.py
@@ -164,7 +164,9 @@
     async def test_power_failure_does_not_convict_a_popular_request(self) -> None:
         """Guards against a request of many callers that is held back after a power failure."""
         popular: Parts = ("request:popular",)
-        alone = {f"t{number}": [(f"request:{number}",)] for number in range(6)}
+        alone: dict[str, list[Parts]] = {
+            f"t{number}": [(f"request:{number}",)] for number in range(6)
+        }
         self._crash_together(6, {"all": [popular], **alone})
         self.assertEqual([], self._convicted(self.keeper))
 
