--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -82,6 +82,9 @@
 QUARANTINE_JITTER_S = 1.0
 STOPPING_MESSAGE = "the router is stopping"
 QUARANTINE_MESSAGE = "targets have crashed on such requests"
+# Targets that the attempts at one request, or at others with its digest, may crash; only a caller
+# sends it again.
+MAX_CRASHES_BY_ATTEMPTS = 2
 # Length of an unexpected error in the log.
 MAX_ERROR_CHARACTERS = 200
 
@@ -273,9 +276,11 @@
         if state.is_trial and not state.sends:
             return
         held_s = self._quarantine.held_for_s(state.request.crash_keys)
-        if held_s is None:
+        if held_s is None and not (state.sends and self._has_crashed_targets(state)):
             return
         state.reason = QUARANTINE_MESSAGE
+        if held_s is None:
+            raise self._refusal(state, QUARANTINE_MESSAGE)
         if state.execution_state is not ExecutionState.NOT_RUN or state.has_response_begun:
             raise self._refusal(state, QUARANTINE_MESSAGE)
         retry_after_s = held_s + self._generator.uniform(0.0, QUARANTINE_JITTER_S)
@@ -283,6 +288,14 @@
             Failure(ErrorKind.QUARANTINED, QUARANTINE_MESSAGE, retry_after_s=retry_after_s)
         )
 
+    def _has_crashed_targets(self, state: RequestState, lost_at: Target | None = None) -> bool:
+        """Whether a request seems to have crashed so many targets that it is not sent again.
+
+        :param lost_at: target that has just lost it, and has crashed by this assumption.
+        """
+        crashes = self._quarantine.count_crashes(state.request.digest, lost_at)
+        return crashes + (lost_at is not None) >= MAX_CRASHES_BY_ATTEMPTS
+
     async def _wait_for_target(self, state: RequestState) -> Placement:
         wait_until_s = _placement_deadline_s(state)
         while True:
@@ -479,7 +492,8 @@
         is_in_time = self.stop.may_pass_on(
             state.route, state.deadline_s, now_s, True, state.has_response_begun
         )
-        return is_in_time and self._quarantine.held_for_s(state.request.crash_keys) is None
+        is_held = self._quarantine.held_for_s(state.request.crash_keys) is not None
+        return is_in_time and not is_held and not self._has_crashed_targets(state)
 
     def _record_prefill_work(self, placement: Placement) -> None:
         if not placement.prefill_tokens:
@@ -664,6 +678,9 @@
         )
         if state.has_response_begun and not is_resumable:
             can_retry = False
+        is_suspect = state.exchange is not None and not state.exchange.is_answered
+        if is_suspect and state.replacement is None and self._has_crashed_targets(state, target):
+            can_retry = False
         if not can_retry:
             return self._refusal(state, "the target's answer was lost")
         state.stream_validator.restart()
