--- a/coltsfootfront/tests/test_direct_deadly_requests.py
+++ b/coltsfootfront/tests/test_direct_deadly_requests.py
@@ -1,5 +1,6 @@
 """Tests of requests that crash each target which runs them, told from others by their digest."""
 
+import json
 import random
 import unittest
 from unittest import mock
@@ -10,6 +11,7 @@
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.crashevidence import (
     EPISODE_S,
+    MAX_SUSPECTS_PER_CRASH,
     SETTLE_S,
     CrashEvidence,
     Parts,
@@ -89,6 +91,36 @@
             self.evidence.record_answer(("shared", "request:sound"))
         self.assertEqual({"deadly"}, self._convicted(first))
 
+    def test_reports_of_peers_without_digests_convict_parts(self) -> None:
+        """Guards against evidence of routers of an earlier version that is lost."""
+        self._crash(("shared", "deadly"))
+        self._crash(("shared", "deadly", "request:1"))
+        self._crash(("shared", "deadly"))
+        self.evidence.record_answer(("shared", "request:sound"))
+        self.assertEqual({"deadly"}, self._convicted())
+
+    def test_memory_is_bounded(self) -> None:
+        """Guards against evidence that grows with the digests of all lost requests."""
+        for number in range(3):
+            requests = [(f"request:{number}-{index}",) for index in range(400)]
+            self._crash(*requests)
+        for crash in self.evidence._crashes.values():
+            self.assertEqual(MAX_SUSPECTS_PER_CRASH, len(crash.suspects))
+
+
+class DigestTest(unittest.TestCase):
+    def test_digest_tells_requests_apart(self) -> None:
+        """Guards against requests that are held back for another one, or show their key."""
+        requests = [make_request(), make_request("/plain/y"), make_request(key="other")]
+        for change in ({"method": "PUT"}, {"host": "g"}, {"body": b"a"}):
+            requests.append(make_request())
+            for name, value in change.items():
+                setattr(requests[-1], name, value)
+        digests = {request.digest for request in requests}
+        self.assertEqual(len(requests), len(digests))
+        self.assertEqual(requests[0].digest, make_request(request_id="r2").digest)
+        self.assertFalse([digest for digest in digests if "key" in digest or "other" in digest])
+
 
 class QuickCrashesTest(unittest.IsolatedAsyncioTestCase):
     """Crashes that follow each other within EPISODE_S."""
@@ -183,6 +215,14 @@
             self.observer.record_down(target)
         self.assertEqual([], self._convicted(self.keeper))
 
+    async def test_record_of_an_earlier_version_holds_only_its_request_back(self) -> None:
+        """Guards against a record with parts and digest that holds sound requests back."""
+        record = {"id": "x", "parts": list(DEADLY), "targets": 3, "hold_s": 20.0, "trials": 0}
+        record |= {"since_ms": 1, "reported_by": "peer", "is_released": False}
+        self.keeper.handle_quarantined([json.dumps(record).encode()])
+        self.assertIsNotNone(self.keeper.held_for_s(DEADLY))
+        self.assertIsNone(self.keeper.held_for_s((*DEADLY[:-1], "request:sound")))
+
     async def test_answer_clears_only_the_request_that_it_proves_sound(self) -> None:
         """Guards against a popular request that stays suspected, or clears a deadly one."""
         popular: Parts = ("shared", "request:popular")
