--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -81,7 +81,10 @@
 # Spreads the returns of callers whose requests were held back.
 QUARANTINE_JITTER_S = 1.0
 STOPPING_MESSAGE = "the router is stopping"
-QUARANTINE_MESSAGE = "targets have crashed on a part of the prompt"
+QUARANTINE_MESSAGE = "targets have crashed on such requests"
+# Targets that the attempts at one request, or at others with its digest, may crash; only a caller
+# sends it again.
+MAX_CRASHES_BY_ATTEMPTS = 2
 # Length of an unexpected error in the log.
 MAX_ERROR_CHARACTERS = 200
 
@@ -92,7 +95,7 @@
     :param budgets: retry budget of each service.
     :param prefill_rates: prefill rate of each service's engines, estimated from their responses.
     :param permits: permits for requests to targets with a limit.
-    :param quarantine: holds requests back whose prompts crash targets.
+    :param quarantine: holds requests back that crash targets.
     :param crash_observer: told of each exchange, and of its failure.
     """
 
@@ -190,7 +193,7 @@
             async with timeout:
                 self._unanswered[timeout] = state
                 self._budgets.get(state.service).record_request()
-                state.is_trial = await self._quarantine.may_try(state.request.shared_keys)
+                state.is_trial = await self._quarantine.may_try(state.request.crash_keys)
                 self._check_quarantine(state)
                 await self._serve_with_retries(state, writer)
         except TimeoutError:
@@ -269,16 +272,18 @@
         raise RefusedError(_stopping_failure())
 
     def _check_quarantine(self, state: RequestState) -> None:
-        """Refuse a request whose prompt parts are quarantined, unless it is sent as a trial.
+        """Refuse a request that is quarantined, or whose parts are, unless it is sent as a trial.
 
         :raises RefusedError: if it is held back.
         """
         if state.is_trial and not state.sends:
             return
-        held_s = self._quarantine.held_for_s(state.request.shared_keys)
-        if held_s is None:
+        held_s = self._quarantine.held_for_s(state.request.crash_keys)
+        if held_s is None and not (state.sends and self._has_crashed_targets(state)):
             return
         state.reason = QUARANTINE_MESSAGE
+        if held_s is None:
+            raise self._refusal(state, QUARANTINE_MESSAGE)
         if state.execution_state is not ExecutionState.NOT_RUN or state.has_response_begun:
             raise self._refusal(state, QUARANTINE_MESSAGE)
         retry_after_s = held_s + self._generator.uniform(0.0, QUARANTINE_JITTER_S)
@@ -286,6 +291,14 @@
             Failure(ErrorKind.QUARANTINED, QUARANTINE_MESSAGE, retry_after_s=retry_after_s)
         )
 
+    def _has_crashed_targets(self, state: RequestState, lost_at: Target | None = None) -> bool:
+        """Whether a request seems to have crashed so many targets that it is not sent again.
+
+        :param lost_at: target that has just lost it, and has crashed by this assumption.
+        """
+        crashes = self._quarantine.count_crashes(state.request.digest, lost_at)
+        return crashes + (lost_at is not None) >= MAX_CRASHES_BY_ATTEMPTS
+
     async def _wait_for_target(self, state: RequestState) -> Placement:
         wait_until_s = _placement_deadline_s(state)
         while True:
@@ -410,10 +423,9 @@
             target.last_activity_s = self._clock.monotonic_s()
         target.in_flight += 1
         timeout = ReadTimeout(remaining_s, is_deadline=True)
-        keys = state.request.shared_keys
-        if keys:
-            state.exchange = self._crash_observer.begin(keys, timeout, state.is_trial)
-            state.exchange.is_relayed = state.has_response_begun
+        keys = state.request.crash_keys
+        state.exchange = self._crash_observer.begin(keys, timeout, state.is_trial)
+        state.exchange.is_relayed = state.has_response_begun
         movable = MovableExchange(timeout, lambda: self._may_move(state))
         if state.may_retry:
             target.exchanges.add(movable)
@@ -511,7 +523,8 @@
         is_in_time = self.stop.may_pass_on(
             state.route, state.deadline_s, now_s, True, state.has_response_begun
         )
-        return is_in_time and self._quarantine.held_for_s(state.request.shared_keys) is None
+        is_held = self._quarantine.held_for_s(state.request.crash_keys) is not None
+        return is_in_time and not is_held and not self._has_crashed_targets(state)
 
     def _record_prefill_work(self, placement: Placement) -> None:
         if not placement.prefill_tokens:
@@ -674,7 +687,7 @@
                 answered_s=(
                     now_s - state.answer_begun_s if state.answer_begun_s is not None else None
                 ),
-                parts=",".join(state.request.shared_keys) or None,
+                parts=",".join(state.request.crash_keys),
             )
         )
         if failure in (ExchangeFailure.NOT_SENT, ExchangeFailure.NO_CONNECTION):
@@ -697,6 +710,9 @@
         )
         if state.has_response_begun and not is_resumable:
             can_retry = False
+        is_suspect = state.exchange is not None and not state.exchange.is_answered
+        if is_suspect and state.replacement is None and self._has_crashed_targets(state, target):
+            can_retry = False
         if not can_retry:
             return self._refusal(state, "the target's answer was lost")
         state.stream_validator.restart()
