--- a/coltsfootfront/direct/copyencoding.py
+++ b/coltsfootfront/direct/copyencoding.py
@@ -6,7 +6,6 @@
 
 from coltsfootfront.direct.storefollower import Changes, Position
 
-DEFLATE = "deflate"
 # Smaller bodies fit into a few packets, and links are no faster for fewer.
 MIN_COMPRESSED_BYTES = 4096
 # Higher levels take several times the processor time for a body that is hardly smaller.
@@ -68,18 +67,3 @@
     if len(body) < MIN_COMPRESSED_BYTES:
         return body, False
     return zlib.compress(body, COMPRESSION_LEVEL), True
-
-
-def inflate(body: bytes) -> bytes:
-    """Decompress a peer's response.
-
-    :raises ValueError: if it cannot be decompressed, or is too large.
-    """
-    inflater = zlib.decompressobj()
-    try:
-        data = inflater.decompress(body, MAX_COPY_BYTES)
-    except zlib.error as error:
-        raise ValueError(str(error)) from error
-    if not inflater.eof:
-        raise ValueError(f"it is cut short, or has more than {MAX_COPY_BYTES} bytes")
-    return data
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -25,18 +25,18 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
-from coltsfootfront.direct.copyencoding import (
-    DEFLATE,
-    MAX_COPY_BYTES,
-    CopyEncoder,
-    deflate,
-    inflate,
-)
+from coltsfootfront.direct.copyencoding import MAX_COPY_BYTES, CopyEncoder, deflate
 from coltsfootfront.direct.gossipfields import decode_location
 from coltsfootfront.direct.registration import RouterEntry
-from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
-from coltsfootfront.direct.transfers import OnProgress, Transfer, TransferLimits, receive
+from coltsfootfront.direct.transfers import (
+    DEFLATE,
+    OnProgress,
+    Transfer,
+    TransferLimits,
+    create_session,
+    receive,
+)
 
 log = logbook.Logger(__name__)
 
@@ -65,6 +65,13 @@
 # Prompt parts in one response, about 60 bytes each before it is compressed. A small link carries
 # them in 200 ms.
 MAX_PARTS_SENT = 8000
+# Largest response on each path. A position is two numbers; a part has about 60 bytes, and up to
+# three times as many with long names.
+MAX_RESPONSE_BYTES = {
+    COPY_PATH: MAX_COPY_BYTES,
+    POSITION_PATH: 1024,
+    PARTS_PATH: 2 * 1024 * 1024,
+}
 # Routers of a data centre that watch the store directly, those with the widest links. The others
 # use one of them as relay.
 WATCHERS_PER_DATA_CENTRE = 2
@@ -105,13 +112,7 @@
 
     async def start(self) -> None:
         """Start the HTTP client, and the server for other routers."""
-        connector = aiohttp.TCPConnector(socket_factory=create_socket)
-        # Responses are decompressed here, as a peer's must not exhaust the memory.
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            headers={hdrs.ACCEPT_ENCODING: DEFLATE},
-            auto_decompress=False,
-        )
+        self._session = create_session(TIMEOUTS)
         self._runner = web.ServerRunner(web.Server(self._handle_request, access_log=None))
         await self._runner.setup()
         host, _, port = self._own_address.rpartition(":")
@@ -262,15 +263,7 @@
         **params: str,
     ) -> bytes | None:
         received = await self._receive(address, path, head_s, on_progress, **params)
-        if received is None or received.status != HTTP_OK:
-            return None
-        if received.headers.get(hdrs.CONTENT_ENCODING) != DEFLATE:
-            return received.body
-        try:
-            return inflate(received.body)
-        except ValueError as error:
-            log.warning(event("peer_unreadable", peer=address, reason=repr(error)))
-            return None
+        return received.body if received is not None and received.status == HTTP_OK else None
 
     async def _receive(
         self,
@@ -282,11 +275,12 @@
     ) -> Transfer | None:
         assert self._session is not None
         session, url = self._session, self._url(address, path)
-        limits = TransferLimits(head_s, SILENCE_S, MAX_TRANSFER_S, MAX_COPY_BYTES)
+        limits = TransferLimits(head_s, SILENCE_S, MAX_TRANSFER_S, MAX_RESPONSE_BYTES[path])
         try:
-            received = await receive(
-                lambda: session.get(url, params=params, timeout=TIMEOUTS), limits, on_progress
-            )
+            received = await receive(lambda: session.get(url, params=params), limits, on_progress)
+        except aiohttp.ClientPayloadError as error:
+            log.warning(event("peer_unreadable", peer=address, path=path, reason=repr(error)))
+            return None
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(event("peer_silent", peer=address, reason=repr(error)))
             return None
--- a/coltsfootfront/platform/cachedparts.py
+++ b/coltsfootfront/platform/cachedparts.py
@@ -16,14 +16,17 @@
 )
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.cachediscovery import CachedPart, CachedPartReader
-from coltsfootfront.direct.responselimits import use_bounded_handler
-from coltsfootfront.direct.sockets import create_socket
+from coltsfootfront.direct.transfers import TransferLimits, create_session, receive
 
 log = logbook.Logger(__name__)
 
 # Enough to read a few hundred kilobytes of events from the other region.
 TIMEOUT_S = 2.0
+SILENCE_S = 1.0
 CONNECT_TIMEOUT_S = 0.3
+# About 15,000 events. Several holders are read at once, each with a list of this size at most.
+MAX_EVENTS_BYTES = 1024 * 1024
+LIMITS = TransferLimits(TIMEOUT_S, SILENCE_S, TIMEOUT_S, MAX_EVENTS_BYTES)
 # The platform charges a call without a wait as a probe. The wait takes no time
 # where there are events, since every read starts at the first one.
 WAIT_MS = 200
@@ -39,10 +42,8 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        connector = aiohttp.TCPConnector(socket_factory=create_socket)
-        self._session = aiohttp.ClientSession(
-            connector=use_bounded_handler(connector),
-            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S),
+        self._session = create_session(
+            aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
         )
 
     async def close(self) -> None:
@@ -50,16 +51,16 @@
             await self._session.close()
 
     async def read_parts(self, address: str) -> list[CachedPart] | None:
-        assert self._session is not None
+        session = self._session
+        assert session is not None
         url = f"http://{address}/v1/kv-events"
+        query, fields = {"since": "0"}, {"Wait-Ms": str(WAIT_MS)}
         try:
-            async with self._session.get(
-                url, params={"since": "0"}, headers={"Wait-Ms": str(WAIT_MS)}
-            ) as response:
-                if response.status != 200:
-                    log.info(event("parts_unread", address=address, status=response.status))
-                    return None
-                return _replay_events(await response.read(), address)
+            received = await receive(lambda: session.get(url, params=query, headers=fields), LIMITS)
+            if received.status != 200:
+                log.info(event("parts_unread", address=address, status=received.status))
+                return None
+            return _replay_events(received.body, address)
         except _READ_ERRORS as error:
             log.info(event("parts_unread", address=address, reason=describe(error)))
             return None
--- a/coltsfootfront/platform/orders.py
+++ b/coltsfootfront/platform/orders.py
@@ -17,8 +17,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.orders import OrderClient, OrderResult, TargetState
-from coltsfootfront.direct.responselimits import use_bounded_handler
-from coltsfootfront.direct.sockets import create_socket
+from coltsfootfront.direct.transfers import TransferLimits, create_session, receive
 from coltsfootfront.platform import headers
 
 log = logbook.Logger(__name__)
@@ -26,6 +25,10 @@
 # A target answers an order at once, so the response takes one round trip: 50 ms between regions.
 TIMEOUT_S = 0.4
 CONNECT_TIMEOUT_S = 0.3
+TIMEOUTS = aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+# A report lists the models of one target and its running requests, about 60 bytes each.
+MAX_REPORT_BYTES = 128 * 1024
+REPORT_LIMITS = TransferLimits(TIMEOUT_S, TIMEOUT_S, TIMEOUT_S, MAX_REPORT_BYTES)
 # Instructs a target to keep its running requests while it loads new weights.
 SWITCH_MODE = "retain"
 
@@ -86,8 +89,8 @@
     async def start(self) -> None:
         # Each order has a connection of its own: nothing in a response names its order, and on a
         # kept connection a late second response would be read as the response to the next order.
-        self._order_session = _create_session(is_kept_alive=False)
-        self._report_session = _create_session(is_kept_alive=True)
+        self._order_session = create_session(TIMEOUTS, is_kept_alive=False)
+        self._report_session = create_session(TIMEOUTS)
 
     async def close(self) -> None:
         for session in (self._order_session, self._report_session):
@@ -136,27 +139,20 @@
             return OrderResult.UNKNOWN
 
     async def read_state(self, target: Target) -> TargetState | None:
-        assert self._report_session is not None
+        session = self._report_session
+        assert session is not None
         url = f"http://{target.entry.address}/v1/report"
         request_headers = {headers.EXPECTED_TARGET: target.name}
         try:
-            async with self._report_session.get(url, headers=request_headers) as response:
-                if response.status != 200:
-                    return None
-                return _decode_state(await response.read())
+            received = await receive(
+                lambda: session.get(url, headers=request_headers), REPORT_LIMITS
+            )
+            return _decode_state(received.body) if received.status == 200 else None
         except _READ_ERRORS as error:
             log.warning(event("report_unanswered", target=target.name, reason=describe(error)))
             return None
 
 
-def _create_session(is_kept_alive: bool) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(socket_factory=create_socket, force_close=not is_kept_alive)
-    return aiohttp.ClientSession(
-        connector=use_bounded_handler(connector),
-        timeout=aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S),
-    )
-
-
 @decoding("report")
 def _decode_state(data: bytes) -> TargetState:
     """Decode a target's report.
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -28,14 +28,13 @@
 )
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure, FailureError
 from coltsfootfront.common.logs import event
-from coltsfootfront.direct.responselimits import use_bounded_handler
-from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.storefollower import Changes, Item, Snapshot, WatchableStore
 from coltsfootfront.direct.transfers import (
     BodyTooLargeError,
     OnProgress,
     Transfer,
     TransferLimits,
+    create_session,
     receive,
 )
 from coltsfootfront.keyvalue.store import KeyValue, Transaction, TransactionResult, WatchEvent
@@ -87,8 +86,7 @@
         return self._era
 
     async def start(self) -> None:
-        connector = aiohttp.TCPConnector(socket_factory=create_socket)
-        self._session = aiohttp.ClientSession(connector=use_bounded_handler(connector))
+        self._session = create_session(TIMEOUTS)
 
     async def close(self) -> None:
         session, self._session = self._session, None
@@ -262,7 +260,6 @@
                     params=query,
                     data=encoded or None,
                     headers=JSON_TYPE if encoded else None,
-                    timeout=TIMEOUTS,
                 ),
                 limits,
                 on_progress,
--- a/coltsfootfront_dev/endlessresponse.py
+++ b/coltsfootfront_dev/endlessresponse.py
@@ -23,6 +23,12 @@
     "comments": lambda head: (_chunked(head), b"400\r\n" + b": xx\n\n" * 170 + b"\n\n\n\n\r\n"),
 }
 
+# The same for bodies that are not a stream of events.
+ENDLESS_BODIES: dict[str, Callable[[bytes], tuple[bytes, bytes]]] = {
+    "chunks": lambda head: (_chunked(head), b"4000\r\n" + bytes(16_384) + b"\r\n"),
+    "unframed": lambda head: (b"HTTP/1.1 200 OK\r\n" + head + b"\r\n", bytes(16_384)),
+}
+
 
 def _chunked(head: bytes) -> bytes:
     return b"HTTP/1.1 200 OK\r\n" + head + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -33,12 +39,12 @@
 ) -> web.StreamResponse:
     """Send an unbounded response until the client closes the connection.
 
-    :param kind: a key of :data:`ENDLESS_RESPONSES`.
+    :param kind: a key of :data:`ENDLESS_RESPONSES` or :data:`ENDLESS_BODIES`.
     """
     transport = request.transport
     assert transport is not None
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    initial, repeated = ENDLESS_RESPONSES[kind](lines.encode())
+    initial, repeated = (ENDLESS_RESPONSES | ENDLESS_BODIES)[kind](lines.encode())
     transport.write(initial)
     while not transport.is_closing():
         if transport.get_write_buffer_size() < len(repeated) * 64:
