--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 import random
+from dataclasses import replace
 from http import HTTPStatus
 
 import logbook
@@ -52,6 +53,7 @@
     PromptTargetSelector,
     Wait,
     WaitReason,
+    compute_cache_salt,
 )
 from coltsfootfront.direct.versions import WeightVersions
 
@@ -249,12 +251,29 @@
             # Its parts may have been quarantined since it arrived or since it was last sent.
             self._check_quarantine(state)
             self._check_stop(state)
+            state.placement = self._with_current_scope(state, state.placement)
             try:
                 await self._attempt(state, state.placement, writer)
                 return
             except RetryError:
                 continue
 
+    def _with_current_scope(self, state: RequestState, placement: Placement) -> Placement:
+        """Return a placement with the cache salt of the configuration in force.
+
+        The configuration may have changed while the request waited for a permit of its target.
+        """
+        if placement.version is None:
+            return placement
+        scope = self.routing_config.cache_scope(state.customer)
+        salt = compute_cache_salt(state.request.model, placement.version, scope)
+        if salt == placement.salt:
+            return placement
+        log.info(
+            event("cache_scope_changed", id=state.request.request_id, target=placement.target.name)
+        )
+        return replace(placement, salt=salt, fetch_from="", held_tokens=0)
+
     def _check_stop(self, state: RequestState) -> None:
         """Refuse a request that may not be finished before this process exits.
 
@@ -384,9 +403,6 @@
     ) -> Placement | Wait | None:
         if not state.route.has_prompt:
             return self._plain_selector.choose(targets)
-        cache_scope = ""
-        if state.customer is not None and state.customer.is_isolated:
-            cache_scope = state.customer.name
         service = self.routing_config.services.get(state.service)
         engine_properties = service.engine if service else None
         rank_offset = state.route.priority
@@ -394,7 +410,7 @@
             rank_offset = state.customer.priority
         return self._prompt_selector.choose(
             state.request,
-            cache_scope,
+            self.routing_config.cache_scope(state.customer),
             targets,
             wait_until_s,
             engine_properties,
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -406,7 +406,15 @@
         if self._caller_server is not None:
             self._caller_server.set_limits(config.limits)
         metrics.REVISION.set({}, config.number)
-        log.info(event("configuration_in_force", version=config.number, before=before))
+        log.info(
+            event(
+                "configuration_in_force",
+                version=config.number,
+                before=before,
+                isolated_customers=len(config.isolated_customers()),
+                cache_scope=config.shared_cache_scope or None,
+            )
+        )
         self._directory.notify()
 
     def apply_version(self, model: str, version: int) -> None:
--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -1,11 +1,18 @@
 """The part of the configuration that a router needs to send requests directly to targets."""
 
+import hashlib
+import json
 import random
 from bisect import insort
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
+# Prefixes of cache scopes, so that no customer's name is the scope of others.
+CUSTOMER_SCOPE = "customer/"
+SHARED_SCOPE = "shared/"
+SCOPE_DIGEST_BYTES = 8
+
 
 class RetryPolicy(Enum):
     """Whether a route's requests may be retried, or resumed at another target."""
@@ -168,12 +175,17 @@
 
     :param number: version; grows with each change.
     :param customers_by_key: customer of each API key; empty when callers need no keys at all.
+    :param customers: all customers by name, those without a key included.
+    :param shared_cache_scope: scope within which the customers that are not isolated share cached
+        prompt parts.
     """
 
     number: int = 0
     routes: dict[str, HostRoutes] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict)
+    customers: dict[str, Customer] = field(default_factory=dict)
+    shared_cache_scope: str = ""
     requires_keys: bool = False
     limits: CallerLimits = field(default_factory=CallerLimits)
 
@@ -189,7 +201,50 @@
             routes = self.routes[route.host] = HostRoutes()
         routes.add(route)
 
+    def add_customer(self, customer: Customer, keys: Iterable[str]) -> None:
+        """Add a customer with its API keys; one that is listed twice is isolated if either is."""
+        known = self.customers.get(customer.name)
+        if known is not None and known.is_isolated:
+            customer = replace(customer, is_isolated=True)
+        self.customers[customer.name] = customer
+        self.customers_by_key.update(dict.fromkeys(keys, customer))
+        if customer.is_isolated:
+            self.shared_cache_scope = _compute_shared_scope(self.isolated_customers())
+
+    def isolated_customers(self) -> list[str]:
+        """Names of the customers that share no cached prompt part, in a fixed order."""
+        return sorted(name for name, customer in self.customers.items() if customer.is_isolated)
+
+    def cache_scope(self, customer: Customer | None) -> str:
+        """Scope within which a customer's requests share cached prompt parts.
+
+        It depends on nothing but who is isolated, so that routers agree on it by themselves and
+        other changes keep the cached parts in use.
+
+        :param customer: customer as of the configuration in which its request was admitted, None
+            for a request without one.
+        """
+        if customer is None:
+            return self.shared_cache_scope
+        # A customer that has been removed since stays as it was.
+        current = self.customers.get(customer.name, customer)
+        return CUSTOMER_SCOPE + current.name if current.is_isolated else self.shared_cache_scope
+
     def kept_caches(self) -> tuple[KeptCache, ...]:
         """The kept caches."""
         found = (service.kept_cache for service in self.services.values())
         return tuple(cache for cache in found if cache is not None)
+
+
+def _compute_shared_scope(isolated_customers: list[str]) -> str:
+    """Scope of the customers that are not isolated, a new one for each set of isolated customers.
+
+    A customer's parts stay in the targets' caches when it becomes isolated. The parts in the scope
+    were all made while the same customers were isolated, hence by none of them.
+
+    :param isolated_customers: names in a fixed order.
+    """
+    if not isolated_customers:
+        return ""
+    encoded = json.dumps(isolated_customers).encode()
+    return SHARED_SCOPE + hashlib.blake2b(encoded, digest_size=SCOPE_DIGEST_BYTES).hexdigest()
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -108,7 +108,7 @@
 def compute_cache_salt(model: str, version: int, cache_scope: str) -> str:
     """Cache salt of a model's version within one sharing scope.
 
-    :param cache_scope: name of an isolated customer, empty for the scope that all others share.
+    :param cache_scope: see :meth:`RoutingConfig.cache_scope`.
     """
     return f"{model}:{version}:{cache_scope}"
 
@@ -208,7 +208,7 @@
     ) -> Placement | Wait | None:
         """Choose the target with the lowest expected time to first event.
 
-        :param cache_scope: name of the customer if it shares no cached part, empty otherwise.
+        :param cache_scope: scope within which the customer shares cached parts.
         :param targets: targets of the service that have not been tried.
         :param wait_until_s: monotonic time until which the request may wait for its target.
         :param engine_properties: configured properties of the engines.
--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -107,9 +107,8 @@
     for item in read_list(body["routes"]):
         config.add_route(_decode_route(item))
     for tenant in read_list(body.get("tenants", [])):
-        customer = _decode_customer(tenant)
         keys = [read_text(key) for key in read_list(tenant["api-keys"])]
-        config.customers_by_key.update(dict.fromkeys(keys, customer))
+        config.add_customer(_decode_customer(tenant), keys)
     return config
 
 
