--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -266,6 +266,7 @@
         self._registration = Registration(store, clock, settings.name, router, generator)
         self._follower.on_restored = self._registration.register_again
         self._pause = PauseDetector(clock, PAUSE_LIMIT_S, self._on_pause)
+        self._follower.freshness.check_pause = self._pause.check
         self._make_caller_server = make_caller_server
         self._caller_server: CallerServer | None = None
 
@@ -418,7 +419,8 @@
         self._directory.notify()
 
     def apply_version(self, model: str, version: int) -> None:
-        self._versions.record_published(model, version, is_new=self._follower.has_copy)
+        bound = self._follower.change_bound
+        self._versions.record_published(model, version, bound.written_after_s, bound.is_after_pause)
 
     def apply_entry(self, entry: TargetEntry) -> None:
         before = self._directory.get(entry.name)
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
@@ -48,6 +49,11 @@
     POSITION_PATH: metrics.PEER_COPY,
     PARTS_PATH: metrics.PEER_PARTS,
 }
+# Headers of a copy: the time since the peer's copy was known to lack nothing, and since the
+# earliest moment at which the changes can have been written. No part of the body, which is kept
+# for several peers.
+COPY_AGE_HEADER = "Copy-Age-S"
+ITEMS_AGE_HEADER = "Items-Age-S"
 # Stands for the position of a peer of an earlier version, which does not tell it.
 UNTOLD_POSITION = Position(-1, -1)
 # Responses without changes are below this size.
@@ -245,24 +251,17 @@
         query = {"after": str(after.revision), "era": str(after.era)}
         query |= {"wait": str(wait_s)} if wait_s else {}
         head_s = wait_s + RELAY_TIMEOUT_MARGIN_S if wait_s else REQUEST_TIMEOUT_S
-        body = await self._get(address, COPY_PATH, head_s, on_progress, **query)
-        if body is None:
+        received = await self._receive(address, COPY_PATH, head_s, on_progress, **query)
+        if received is None or received.status != HTTP_OK:
             return None
         try:
-            return _decode_changes(body)
+            return _decode_copy(received)
         except DecodingError as error:
             log.warning(event("peer_unreadable", peer=address, reason=str(error)))
             return None
 
-    async def _get(
-        self,
-        address: str,
-        path: str,
-        head_s: float = REQUEST_TIMEOUT_S,
-        on_progress: OnProgress | None = None,
-        **params: str,
-    ) -> bytes | None:
-        received = await self._receive(address, path, head_s, on_progress, **params)
+    async def _get(self, address: str, path: str) -> bytes | None:
+        received = await self._receive(address, path, REQUEST_TIMEOUT_S)
         return received.body if received is not None and received.status == HTTP_OK else None
 
     async def _receive(
@@ -306,7 +305,11 @@
             body, is_deflated = self._encoder.encode(
                 after, changes, "era" in request.query, _accepts_deflate(request)
             )
-            return _make_response(metrics.PEER_COPY, body, is_deflated)
+            response = _make_response(metrics.PEER_COPY, body, is_deflated)
+            response.headers[COPY_AGE_HEADER] = f"{changes.copy_age_s:.3f}"
+            if changes.items_age_s is not None:
+                response.headers[ITEMS_AGE_HEADER] = f"{changes.items_age_s:.3f}"
+            return response
         if request.path == POSITION_PATH and self.follower is not None:
             return _make_response(metrics.PEER_COPY, msgpack.packb([*self.follower.position]))
         if request.path == PARTS_PATH and self.list_parts_to_share is not None:
@@ -352,6 +355,25 @@
         return []
 
 
+@decoding("copy")
+def _decode_copy(received: Transfer) -> Changes:
+    """Decode the changes at a peer, and how old they are.
+
+    :raises DecodingError: if any part is malformed.
+    """
+    changes = _decode_changes(received.body)
+    # A peer of an earlier version does not tell the ages.
+    copy_age_s = read_number(float(received.headers.get(COPY_AGE_HEADER, 0.0)))
+    items_age = received.headers.get(ITEMS_AGE_HEADER)
+    items_age_s = None if items_age is None else read_number(float(items_age))
+    transfer_s = received.duration_s
+    return replace(
+        changes,
+        copy_age_s=copy_age_s + transfer_s,
+        items_age_s=None if items_age_s is None else items_age_s + transfer_s,
+    )
+
+
 @decoding("copy")
 def _decode_changes(body: bytes) -> Changes:
     """Decode the changes at a peer; a copy that lacks a key that it has would remove it.
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -9,7 +9,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 import logbook
@@ -20,6 +20,7 @@
 from coltsfootfront.common.decoding import describe
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct.freshness import UNKNOWN_BOUND, ChangeBound, Freshness
 from coltsfootfront.direct.transfers import OnProgress
 from coltsfootfront.keyvalue.store import KeyValue, Store
 
@@ -68,11 +69,14 @@
 
     :param value: bytes, or None after a removal.
     :param revision: store revision of the last change.
+    :param written_after_s: monotonic time of this process after which it was written, None if that
+        is unknown.
     """
 
     key: str
     value: bytes | None
     revision: int
+    written_after_s: float | None = field(default=None, compare=False)
 
 
 class Position(NamedTuple):
@@ -105,12 +109,17 @@
     :param revision: store revision up to which the changes are complete.
     :param is_full_copy: the items are all existing keys; a key not among them was removed.
     :param era: era of the store to which the revisions belong.
+    :param copy_age_s: time since the copy that they come from was known to lack nothing.
+    :param items_age_s: time since the earliest moment at which the items can have been written,
+        None if that is unknown.
     """
 
     items: list[Item]
     revision: int
     is_full_copy: bool = False
     era: int = 0
+    copy_age_s: float = field(default=0.0, compare=False)
+    items_age_s: float | None = field(default=None, compare=False)
 
     @property
     def position(self) -> "Position":
@@ -217,6 +226,9 @@
         """Called when a copy of a later era has replaced the one before."""
         self.is_restoring = False
         """Whether the listener is called for what a restore of the store has changed."""
+        self.freshness = Freshness(clock)
+        self.change_bound = UNKNOWN_BOUND
+        """Earliest time of the changes that the listener is called for."""
         self.batch_delay_s = MIN_BATCH_DELAY_S
         """Delay after changes, so that further ones are read in one batch."""
         self.revision = 0
@@ -257,19 +269,23 @@
         item = self._items.get(key)
         return item.revision if item else 0
 
-    @property
-    def has_copy(self) -> bool:
-        """Whether the copy has been filled once, so that later items are changes."""
-        return self.revision > 0
-
     def changes_after(self, position: Position) -> Changes:
         """Return the changes after a peer's position, or all keys if it is too far behind."""
         if position.era != self.era or position.revision < self._change_log_after:
-            return Changes(list(self._items.values()), self.revision, True, self.era)
+            return self._make_changes(list(self._items.values()), is_full_copy=True)
         changed = {item.key: item for item in self._change_log if item.revision > position.revision}
         items = [self._items.get(key, removed) for key, removed in changed.items()]
         items.sort(key=lambda item: item.revision)
-        return Changes(items, self.revision, era=self.era)
+        return self._make_changes(items, is_full_copy=False)
+
+    def _make_changes(self, items: list[Item], is_full_copy: bool) -> Changes:
+        written_after_s = [item.written_after_s for item in items]
+        known_s = [written_s for written_s in written_after_s if written_s is not None]
+        items_age_s = None
+        if known_s and len(known_s) == len(items):
+            items_age_s = self._clock.monotonic_s() - min(known_s)
+        copy_age_s = self.freshness.age_s() or 0.0
+        return Changes(items, self.revision, is_full_copy, self.era, copy_age_s, items_age_s)
 
     async def follow_store(self) -> None:
         """Run the loop that follows the store, directly or through the relay."""
@@ -314,6 +330,7 @@
     async def _read_peer(self) -> bool:
         """Apply the changes that peers have; False if no peer answers."""
         asked = self.position
+        sent_s = self._clock.monotonic_s()
         changes = await self._peers.read_peer_changes(asked)
         if changes is None:
             return False
@@ -329,7 +346,10 @@
                 is_whole=changes.is_full_copy,
             )
         )
-        is_applied = self._apply_changes(changes, "a peer", asked.era)
+        bound = self.freshness.bound(sent_s, changes.copy_age_s, changes.items_age_s)
+        is_applied = self._apply_changes(changes, "a peer", asked.era, bound)
+        if is_applied:
+            self.freshness.confirm(sent_s, changes.copy_age_s)
         if is_applied and changes.is_full_copy and not asked.revision and not self.is_complete:
             self._change_log_after = self._change_log_after or changes.revision
             self.is_complete = True
@@ -337,7 +357,8 @@
         return True
 
     def mark_stale(self) -> None:
-        """Treat the copy as stale until the store or a peer has confirmed it."""
+        """Treat the copy as stale, after a pause, until the store or a peer has confirmed it."""
+        self.freshness.record_pause()
         self._current.clear()
 
     async def revalidate(self) -> None:
@@ -369,22 +390,36 @@
         :returns: the source that answered, for the log.
         """
         era = self.era
+        sent_s = self._clock.monotonic_s()
         changed = await self._store.changes(self._prefix, self.revision, 0.0)
-        if isinstance(changed, Success) and self._apply_changes(changed.unwrap(), "store", era):
-            return "store"
+        if isinstance(changed, Success):
+            bound = self.freshness.bound(sent_s, changed.unwrap().copy_age_s)
+            if self._apply_changes(changed.unwrap(), "store", era, bound):
+                self.freshness.confirm(sent_s, changed.unwrap().copy_age_s)
+                return "store"
         if isinstance(changed, Success) or changed.failure().kind is ErrorKind.STALE_REVISION:
+            sent_s = self._clock.monotonic_s()
             read = await self._store.snapshot(self._prefix)
             if isinstance(read, Success):
-                self._load_snapshot(read.unwrap())
+                self._load_snapshot(read.unwrap(), self.freshness.bound(sent_s))
+                self.freshness.confirm(sent_s, self._clock.monotonic_s() - sent_s)
                 return "store"
         return "peer" if await self._read_peer() else "nobody answers"
 
-    def _apply_changes(self, changes: Changes, source: str, asked_era: int) -> bool:
+    def _apply_changes(
+        self,
+        changes: Changes,
+        source: str,
+        asked_era: int,
+        bound: ChangeBound = UNKNOWN_BOUND,
+    ) -> bool:
         """Apply changes of the copy's era, or a full copy of a later one.
 
         :param asked_era: era of the revision after which changes were asked for.
+        :param bound: earliest time at which they can have been written.
         :returns: False if they belong to another era, so that a full copy is needed.
         """
+        self.change_bound = bound
         if changes.era != asked_era and not changes.is_full_copy:
             return False
         if changes.era != self.era:
@@ -418,7 +453,7 @@
                 )
             )
         self.era = era
-        self._items = {item.key: item for item in items}
+        self._items = {item.key: self._with_bound(item, before.get(item.key)) for item in items}
         self._change_log.clear()
         self._change_log_after = self.revision = revision
         self.is_restoring = bool(before)
@@ -458,6 +493,7 @@
         if address is None:
             return False
         asked = self.position
+        sent_s = self._clock.monotonic_s()
         try:
             changes = await self._peers.wait_for_peer_changes(
                 address, asked, RELAY_WAIT_S, self._record_progress
@@ -470,7 +506,9 @@
             log.info(event("relay_left", relay=address, revision=self.revision, for_s=direct_s))
             return False
         self._record_contact()
-        self._apply_changes(changes, "the relay", asked.era)
+        bound = self.freshness.bound(sent_s, changes.copy_age_s, changes.items_age_s)
+        if self._apply_changes(changes, "the relay", asked.era, bound):
+            self.freshness.confirm(sent_s, changes.copy_age_s)
         return True
 
     async def wait_for_changes(self, after: Position, wait_s: float) -> Changes | None:
@@ -497,7 +535,8 @@
     async def _read_store(self) -> Failure | None:
         if not self.is_complete:
             return await self._read_snapshot()
-        self._watch_deadline_s = self._clock.monotonic_s() + WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
+        sent_s = self._clock.monotonic_s()
+        self._watch_deadline_s = sent_s + WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S
         era = self.era
         try:
             changed = await self._store.changes(
@@ -506,13 +545,16 @@
         finally:
             self._is_receiving = False
         if not isinstance(changed, Success):
+            self._record_failed_call(changed.failure(), sent_s)
             return changed.failure()
         self._record_contact()
         changes = changed.unwrap()
-        if not self._apply_changes(changes, "the store", era):
+        bound = self.freshness.bound(sent_s, changes.copy_age_s, is_waiting=True)
+        if not self._apply_changes(changes, "the store", era, bound):
             # The store's history before these changes is another one than this copy's.
             self.is_complete = False
             return None
+        self.freshness.confirm(sent_s, changes.copy_age_s)
         if changes.items:
             await self._clock.sleep(self.batch_delay_s)
         return None
@@ -520,6 +562,7 @@
     async def _read_snapshot(self) -> Failure | None:
         """Read all keys from the store, until a peer's copy makes that unnecessary."""
         self._completed.clear()
+        sent_s = self._clock.monotonic_s()
         reading = asyncio.ensure_future(self._store.snapshot(self._prefix))
         completed = asyncio.ensure_future(self._completed.wait())
         try:
@@ -532,20 +575,28 @@
             reading.cancel()
             completed.cancel()
         if not isinstance(read, Success):
+            self._record_failed_call(read.failure(), sent_s)
             return read.failure()
         self._record_contact()
-        self._load_snapshot(read.unwrap())
+        self._load_snapshot(read.unwrap(), self.freshness.bound(sent_s))
+        # Its revision is that of the first page.
+        self.freshness.confirm(sent_s, self._clock.monotonic_s() - sent_s)
         return None
 
+    def _record_failed_call(self, failure: Failure, sent_s: float) -> None:
+        if failure.kind is not ErrorKind.STALE_REVISION:
+            self.freshness.record_failure(sent_s)
+
     def set_router_count(self, routers: int) -> None:
         """Adapt the batch delay to the number of routers that follow the store."""
         self.batch_delay_s = min(
             MAX_BATCH_DELAY_S, max(MIN_BATCH_DELAY_S, BATCH_DELAY_PER_ROUTER_S * routers)
         )
 
-    def _load_snapshot(self, snapshot: Snapshot) -> None:
+    def _load_snapshot(self, snapshot: Snapshot, bound: ChangeBound = UNKNOWN_BOUND) -> None:
         if snapshot.era < self.era:
             return
+        self.change_bound = bound
         if snapshot.era > self.era:
             items = [Item(found.key, found.value, found.mod_revision) for found in snapshot.items]
             self._begin_era(snapshot.era, items, snapshot.revision, "the store")
@@ -602,6 +653,7 @@
             return
         if previous is None and item.value is None:
             return
+        item = self._with_bound(item)
         if item.value is None:
             self._items.pop(item.key, None)
         else:
@@ -609,9 +661,19 @@
         if len(self._change_log) == self._change_log.maxlen:
             self._change_log_after = self._change_log[0].revision
         # Without its value, as the log would keep superseded values in memory.
-        self._change_log.append(Item(item.key, None, item.revision))
+        self._change_log.append(replace(item, value=None))
         self._tell_listener(item)
 
+    def _with_bound(self, item: Item, known: Item | None = None) -> Item:
+        """Return an item with the earliest time at which its value can have been written.
+
+        :param known: the same key in the copy of an earlier era, None if it had none.
+        """
+        bound = self.change_bound.written_after_s
+        if known is not None and known.value == item.value:
+            bound = known.written_after_s
+        return replace(item, written_after_s=bound)
+
     def _tell_listener(self, item: Item) -> None:
         """Pass an item on; one that the listener fails at does not keep it from the others."""
         try:
--- a/coltsfootfront/direct/versions.py
+++ b/coltsfootfront/direct/versions.py
@@ -15,7 +15,8 @@
 PREFER_NEWEST_AFTER_S = 1.4
 # Requests stop going to older weights this long before the limit, to allow for the transmission.
 LIMIT_MARGIN_S = 1.0
-# A router that has just started stops using older weights this long before the limit binds it.
+# A router that has started or was paused stops using older weights this long before the limit
+# binds it.
 STARTUP_MARGIN_S = 1.0
 # Older versions are dropped; targets that far behind have long ceased to get requests.
 MAX_VERSIONS_PER_MODEL = 64
@@ -25,8 +26,8 @@
 class PublishedVersion:
     """A published version of a model's weights.
 
-    :param published_s: monotonic time at which this router read it; set to an earlier time for a
-        version from the first read of the store.
+    :param published_s: earliest monotonic time at which it can have been published, as far as this
+        router knows.
     """
 
     version: int
@@ -55,23 +56,41 @@
         self.max_outdated_s = max_outdated_s
         self._published: dict[str, list[PublishedVersion]] = {}
 
-    def record_published(self, model: str, version: int, is_new: bool) -> bool:
+    def record_published(
+        self,
+        model: str,
+        version: int,
+        written_after_s: float | None,
+        is_after_pause: bool = False,
+    ) -> bool:
         """Record a published version.
 
-        :param is_new: it was published just now; otherwise this router found it when it first read
-            the store, and the time of publication is unknown.
+        :param written_after_s: monotonic time after which it was published, None if that is unknown
+            as this router has just started.
+        :param is_after_pause: this process was paused since then.
         :returns: whether it is newer than all recorded ones.
         """
         known = self._published.setdefault(model, [])
         if known and version <= known[-1].version:
             return False
         now_s = self._clock.monotonic_s()
-        # Of unknown age: set so that older weights are usable until the limit binds this router.
+        # After a start or a pause, older weights are usable until the limit binds this router.
         assumed_age_s = self.max_outdated_s - LIMIT_MARGIN_S - (self._settle_s - STARTUP_MARGIN_S)
-        published_s = now_s if is_new else now_s - max(PREFER_NEWEST_AFTER_S, assumed_age_s)
+        published_s = now_s - max(PREFER_NEWEST_AFTER_S, assumed_age_s)
+        if written_after_s is not None:
+            published_s = max(published_s, written_after_s) if is_after_pause else written_after_s
         known.append(PublishedVersion(version, published_s))
         del known[:-MAX_VERSIONS_PER_MODEL]
-        log.info(event("version_named", model=model, version=version, is_new=is_new))
+        log.info(
+            event(
+                "version_named",
+                model=model,
+                version=version,
+                age_s=now_s - published_s,
+                is_age_known=written_after_s is not None,
+                is_after_pause=is_after_pause,
+            )
+        )
         return True
 
     def newest(self, model: str) -> PublishedVersion | None:
--- a/coltsfootfront/platform/store.py
+++ b/coltsfootfront/platform/store.py
@@ -269,7 +269,7 @@
                 era = self._record_era(received.headers.get(headers.STORE_ERA, ""), name)
                 result = _decode_response(
                     name, received.status, received.body, build_failure, allow_not_found
-                ).map(lambda body: decode(body | {"era": era}))
+                ).map(lambda body: decode(body | {"era": era, "age": received.duration_s}))
         except FailureError as error:
             result = Failed(error.failure)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -402,7 +402,8 @@
 
 def _decode_changes(body: Json) -> Changes:
     items = decode_each("changes", read_list(body["events"]), _decode_change)
-    return Changes(items, _read_number_of(body, "store-revision"), era=body["era"])
+    revision = _read_number_of(body, "store-revision")
+    return Changes(items, revision, era=body["era"], copy_age_s=body["age"])
 
 
 def _decode_change(change: Json) -> Item:
--- a/coltsfootfront/tests/test_direct_forwarder.py
+++ b/coltsfootfront/tests/test_direct_forwarder.py
@@ -216,7 +216,7 @@
         rejected = FakeResponse(421, is_not_executed=True, is_other_version=True)
         fixture = self._fixture(rejected, FakeResponse(chunks=(EVENTS,)))
         fixture.add(make_entry("e1", version=1))
-        fixture.versions.record_published("m", 3, is_new=True)
+        fixture.versions.record_published("m", 3, fixture.clock.monotonic_s())
         fixture.forwarder.routing_config = make_config(
             make_route("/ask/", "engines", RetryPolicy.RESUMABLE, is_stream=True)
         )
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -149,7 +149,7 @@
                 directory = Directory(clock, REGIONS)
                 directory.put(make_entry("e1", version=1))
                 versions = WeightVersions(clock, directory, limit_s, settle_s)
-                versions.record_published("m", 2, is_new=False)
+                versions.record_published("m", 2, None)
                 targets = directory.of_service("engines")
                 clock.advance(0.5)
                 self.assertEqual(targets, versions.allowed("m", targets))
@@ -158,7 +158,7 @@
                 self.assertEqual([], versions.allowed("m", targets))
                 # A version that is announced while the router runs gets the full time limit.
                 directory.put(make_entry("e2", version=2))
-                versions.record_published("m", 3, is_new=True)
+                versions.record_published("m", 3, clock.monotonic_s())
                 clock.advance(limit_s - 1.5)
                 found = directory.get("e2")
                 assert found is not None
@@ -172,7 +172,7 @@
         directory.put(make_entry("e1", version=1))
         versions = WeightVersions(clock, directory, limit_s, 4.0)
         clock.advance(20.0)
-        versions.record_published("m", 2, is_new=True)
+        versions.record_published("m", 2, clock.monotonic_s())
         targets = directory.of_service("engines")
         clock.advance(limit_s - 1.5)
         self.assertEqual(targets, versions.allowed("m", targets))
--- a/coltsfootfront/tests/test_direct_targetselection.py
+++ b/coltsfootfront/tests/test_direct_targetselection.py
@@ -311,8 +311,8 @@
 
     def test_outdated_weights_are_avoided_and_excluded_in_time(self) -> None:
         """Guards against requests that begin on outdated weights after the limit."""
-        self.versions.record_published(MODEL, 1, is_new=True)
-        self.versions.record_published(MODEL, 2, is_new=True)
+        self.versions.record_published(MODEL, 1, self.clock.monotonic_s())
+        self.versions.record_published(MODEL, 2, self.clock.monotonic_s())
         current = self.directory.get("e3")
         assert current is not None
         current.versions[MODEL] = 2
@@ -329,8 +329,8 @@
 
     def test_request_that_would_begin_too_late_on_outdated_weights_is_not_sent_there(self) -> None:
         """Guards against a request queued at a busy engine until its weights are past the limit."""
-        self.versions.record_published(MODEL, 1, is_new=True)
-        self.versions.record_published(MODEL, 2, is_new=True)
+        self.versions.record_published(MODEL, 1, self.clock.monotonic_s())
+        self.versions.record_published(MODEL, 2, self.clock.monotonic_s())
         request = make_request(parts=(("doc", 5000), ("own", 100)))
         self.clock.advance(8.0)
         self.assertIsInstance(self._choose(request), Placement)
@@ -344,10 +344,10 @@
 
     def test_each_version_has_its_own_limit(self) -> None:
         """Guards against a limit that restarts whenever another version is published."""
-        self.versions.record_published(MODEL, 1, is_new=True)
-        self.versions.record_published(MODEL, 2, is_new=True)
+        self.versions.record_published(MODEL, 1, self.clock.monotonic_s())
+        self.versions.record_published(MODEL, 2, self.clock.monotonic_s())
         self.clock.advance(5.0)
-        self.versions.record_published(MODEL, 3, is_new=True)
+        self.versions.record_published(MODEL, 3, self.clock.monotonic_s())
         for number in range(1, 6):
             target = self.directory.get(f"e{number}")
             assert target is not None
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -14,6 +14,7 @@
 from coltsfootfront.direct.node import ROTATION_REMOVAL_S, Node
 from coltsfootfront.direct.orders import OrderResult
 from coltsfootfront.direct.registration import RouterEntry
+from coltsfootfront.direct.storefollower import MAX_BATCH_DELAY_S, WATCH_WAIT_S
 from coltsfootfront.platform import program, settings
 from coltsfootfront.platform.orders import PlatformOrderClient
 from coltsfootfront_dev.platformfleet import (
@@ -209,13 +210,16 @@
 
     async def test_new_weights_are_ordered_and_expected(self) -> None:
         """Guards against engines that keep old weights, and cache salts of old weights in use."""
+        known_age_s = self.node._follower.freshness.age_s()
+        assert known_age_s is not None
         announced_s = SystemClock().monotonic_s()
         self.fleet.store.put_json("op/version/m", {"model": "m", "version": 2})
         await self._until(lambda: all(engine.version == 2 for engine in self.fleet.engine_targets))
-        # The age of a version that is announced while the router runs counts from the announcement.
+        # The age of a version counts from the last moment before at which there was none.
         newest = self.node._versions.newest("m")
         assert newest is not None
-        self.assertGreaterEqual(newest.published_s, announced_s)
+        self.assertLess(known_age_s, WATCH_WAIT_S + MAX_BATCH_DELAY_S)
+        self.assertGreaterEqual(newest.published_s, announced_s - known_age_s)
         await self._until(lambda: bool(self.fleet.engine_targets[0].orders))
         fences = {order["fence"] for engine in self.fleet.engine_targets for order in engine.orders}
         self.assertEqual(1, len(fences))
