--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -3,20 +3,26 @@
 import random
 from collections.abc import AsyncIterator, Callable
 
+import logbook
+
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
 from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.cacheindex import CacheIndex, kept_cache_name
 from coltsfootfront.direct.callerrequest import ResponseWriter
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
+from coltsfootfront.direct.relaypace import ExcessPacer, StreamPace, split_chunks
 from coltsfootfront.direct.requeststate import RequestState, RetryError, build_refusal
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import RetryPolicy, Route
 from coltsfootfront.direct.targetclient import ExchangeError, ExchangeFailure, TargetResponse
 from coltsfootfront.direct.targetselection import Placement
 
+log = logbook.Logger(__name__)
+
 # Minimum time without an event after which a resumable stream is resumed at another target.
 MIN_EVENT_TIMEOUT_S = 1.0
 # The timeout grows with the route's objective for the gap between events, and with the longest gap
@@ -64,6 +70,7 @@
         self._gossip = gossip
         self._budgets = budgets
         self._generator = generator
+        self._pacer = ExcessPacer(clock)
 
     async def relay_body(
         self,
@@ -124,7 +131,8 @@
 
         :raises StreamBrokenError: if its events are out of order or it ends within one.
         """
-        chunks = response.chunks()
+        chunks = split_chunks(response.chunks())
+        pace = self._pacer.start()
         is_first_event = True
         events_before = state.stream_validator.event_count
         progress = _StreamProgress(state.route, events_before, self._clock.monotonic_s())
@@ -134,6 +142,7 @@
             placement.target.record_heard(now_s)
             if chunk is None:
                 break
+            await self._keep_pace(state, placement, pace, len(chunk))
             events = state.stream_validator.feed(chunk)
             progress.record(state.stream_validator.event_count, now_s)
             state.longest_pause_s = progress.longest_pause_s
@@ -157,6 +166,26 @@
             await self._begin_stream(state, response, writer)
         await writer.end()
 
+    async def _keep_pace(
+        self, state: RequestState, placement: Placement, pace: StreamPace, size_bytes: int
+    ) -> None:
+        """Delay a stream that arrives faster than a target generates it."""
+        was_exceeded = pace.is_exceeded
+        delay_s = pace.delay_s(size_bytes)
+        if not delay_s:
+            return
+        if not was_exceeded:
+            metrics.CONNECTION_EVENTS.inc({"event": "stream_paced"})
+            log.warning(
+                event(
+                    "stream_paced",
+                    id=state.request.request_id,
+                    target=placement.target.name,
+                    events=state.stream_validator.event_count,
+                )
+            )
+        await self._clock.sleep(delay_s)
+
     def _record_answer(self, state: RequestState) -> None:
         """Record that the target has not crashed when it began to answer."""
         if state.exchange is not None and not state.exchange.is_answered:
--- a/coltsfootfront_dev/endlessresponse.py
+++ b/coltsfootfront_dev/endlessresponse.py
@@ -1,11 +1,13 @@
 """Unbounded responses of a faulty target, which go on until the client closes the connection."""
 
 import asyncio
+import itertools
 from collections.abc import Callable
 
 from aiohttp import web
 
 WRITE_INTERVAL_S = 0.0005
+EVENTS_PER_WRITE = 2000
 
 # Builds, from the encoded header fields, the first bytes of a response and the bytes that are
 # repeated after them. The key names the part of the response that never ends.
@@ -51,3 +53,17 @@
             transport.write(repeated)
         await asyncio.sleep(WRITE_INTERVAL_S)
     return web.Response()
+
+
+async def send_endless_events(
+    request: web.BaseRequest, headers: dict[str, str]
+) -> web.StreamResponse:
+    """Send valid events as fast as the client reads them, until it closes the connection."""
+    response = web.StreamResponse(headers=headers)
+    response.content_type = "text/event-stream"
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    for first in itertools.count(0, EVENTS_PER_WRITE):
+        numbers = range(first, first + EVENTS_PER_WRITE)
+        await response.write(b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers))
+    return response
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from coltsfootfront_dev.endlessresponse import send_endless_response
+from coltsfootfront_dev.endlessresponse import send_endless_events, send_endless_response
 
 STREAM_EVENT_COUNT = 6
 # Time for which a request goes on running that was answered with an earlier rejection.
@@ -58,6 +58,7 @@
     :param head_bytes: bytes of a response's head after which the connection is closed; 0 for all.
     :param endless: part of the response that never ends, as a key of
         :data:`coltsfootfront_dev.endlessresponse.ENDLESS_RESPONSES`; empty for none.
+    :param floods: streams send valid events as fast as they are read, and never end.
     """
 
     rejects: bool = False
@@ -73,6 +74,7 @@
     resumed_status: int = 0
     unframed_events: int = 0
     head_bytes: int = 0
+    floods: bool = False
     endless: str = ""
 
 
@@ -285,7 +287,8 @@
             return await send_endless_response(request, headers, self.faults.endless)
         if self.version is None:
             return await self._send_plain_response(request, headers)
-        return await self._send_stream(request, headers)
+        send = send_endless_events if self.faults.floods else self._send_stream
+        return await send(request, headers)
 
     async def _send_plain_response(
         self, request: web.BaseRequest, headers: dict[str, str]
