--- a/coltsfootfront/direct/freshness.py
+++ b/coltsfootfront/direct/freshness.py
@@ -102,18 +102,20 @@
             bounds_s.append(now_s - copy_age_s)
         return ChangeBound(max(bounds_s))
 
-    def confirm(self, sent_s: float, copy_age_s: float = 0.0) -> None:
+    def confirm(self, sent_s: float, copy_age_s: float = 0.0, ends_outage: bool = True) -> None:
         """Record that a response has brought the copy up to date.
 
         :param sent_s: monotonic time at which the call was sent.
         :param copy_age_s: see :meth:`bound`.
+        :param ends_outage: it shows that the store answers again.
         """
         self.check_pause()
         received_s = sent_s if self._is_paused_since(sent_s) else self._clock.monotonic_s()
         current_s = received_s - copy_age_s
         self._known_s = current_s if self._known_s is None else max(self._known_s, current_s)
-        self._failures = 0
-        self._unserved_s = None
+        if ends_outage:
+            self._failures = 0
+            self._unserved_s = None
 
     def _is_paused_since(self, since_s: float) -> bool:
         return self._paused_s is not None and self._paused_s >= since_s
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -349,7 +349,7 @@
         bound = self.freshness.bound(sent_s, changes.copy_age_s, changes.items_age_s)
         is_applied = self._apply_changes(changes, "a peer", asked.era, bound)
         if is_applied:
-            self.freshness.confirm(sent_s, changes.copy_age_s)
+            self.freshness.confirm(sent_s, changes.copy_age_s, ends_outage=False)
         if is_applied and changes.is_full_copy and not asked.revision and not self.is_complete:
             self._change_log_after = self._change_log_after or changes.revision
             self.is_complete = True
@@ -401,8 +401,7 @@
             sent_s = self._clock.monotonic_s()
             read = await self._store.snapshot(self._prefix)
             if isinstance(read, Success):
-                self._load_snapshot(read.unwrap(), self.freshness.bound(sent_s))
-                self.freshness.confirm(sent_s, self._clock.monotonic_s() - sent_s)
+                self._take_snapshot(read.unwrap(), sent_s)
                 return "store"
         return "peer" if await self._read_peer() else "nobody answers"
 
@@ -578,9 +577,7 @@
             self._record_failed_call(read.failure(), sent_s)
             return read.failure()
         self._record_contact()
-        self._load_snapshot(read.unwrap(), self.freshness.bound(sent_s))
-        # Its revision is that of the first page.
-        self.freshness.confirm(sent_s, self._clock.monotonic_s() - sent_s)
+        self._take_snapshot(read.unwrap(), sent_s)
         return None
 
     def _record_failed_call(self, failure: Failure, sent_s: float) -> None:
@@ -593,6 +590,13 @@
             MAX_BATCH_DELAY_S, max(MIN_BATCH_DELAY_S, BATCH_DELAY_PER_ROUTER_S * routers)
         )
 
+    def _take_snapshot(self, snapshot: Snapshot, sent_s: float) -> None:
+        """Load a snapshot that was asked for at a time."""
+        self._load_snapshot(snapshot, self.freshness.bound(sent_s))
+        if snapshot.era == self.era:
+            # Changes after its first page may be missing.
+            self.freshness.confirm(sent_s, self._clock.monotonic_s() - sent_s)
+
     def _load_snapshot(self, snapshot: Snapshot, bound: ChangeBound = UNKNOWN_BOUND) -> None:
         if snapshot.era < self.era:
             return
--- a/coltsfootfront/tests/test_freshness.py
+++ b/coltsfootfront/tests/test_freshness.py
@@ -93,6 +93,16 @@
         self.clock.advance(0.5)
         self.assertEqual(-0.5, self.read())
 
+    def test_copy_of_a_peer_does_not_end_an_outage(self) -> None:
+        """Guards against weights that are refused after an outage in which peers were read."""
+        self.read()
+        for _ in range(3):
+            self.clock.advance(4.0)
+            self.freshness.record_failure(self.clock.monotonic_s())
+            self.freshness.confirm(self.clock.monotonic_s(), 9.0, ends_outage=False)
+        self.clock.advance(0.5)
+        self.assertEqual(-0.5, self.read())
+
     def test_one_lost_call_is_no_outage(self) -> None:
         """Guards against a connection gone silent that makes what it missed seem new."""
         self.read()
@@ -225,6 +235,18 @@
         changes = follower.changes_after(Position(0, 2))
         self.assertEqual((2.0, 8.0), (changes.copy_age_s, changes.items_age_s))
 
+    async def test_snapshot_of_an_earlier_era_confirms_nothing(self) -> None:
+        """Guards against a copy that seems current since an older store was read."""
+        follower = self.make_follower(
+            Success(Snapshot([KeyValue(KEY, b"1", 1, 1)], 1, era=2)),
+            Success(Snapshot([KeyValue(KEY, b"1", 9, 9)], 9, era=1)),
+        )
+        for _ in range(2):
+            follower.is_complete = False
+            await follower._read_store()
+            self.clock.advance(3.0)
+        self.assertEqual(6.0, follower.freshness.age_s())
+
     async def test_calls_that_fail_are_told_to_the_freshness(self) -> None:
         """Guards against an outage that is taken for a connection gone silent."""
         follower = self.make_follower(
