--- a/coltsfootfront/common/retries.py
+++ b/coltsfootfront/common/retries.py
@@ -9,6 +9,9 @@
 
 # Sliding window over which requests and retries are counted.
 WINDOW_S = 10.0
+# Time from the decision to retry until the retry reaches its target. Retries decided within more
+# than a window may arrive within one.
+MAX_RETRY_LATENCY_S = 0.5
 # Without a delay, rejections by many targets at once would cause a burst of retries.
 BASE_DELAY_S = 0.02
 MAX_DELAY_S = 0.5
@@ -18,7 +21,6 @@
 class _SecondBucket:
     start_s: float
     requests: int = 0
-    retries: int = 0
 
 
 class RetryBudget:
@@ -29,7 +31,7 @@
     :param floor_per_s: retries per second allowed in addition.
     """
 
-    __slots__ = ("_buckets", "_clock", "_floor_per_s", "_ratio", "_requests", "_retries")
+    __slots__ = ("_buckets", "_clock", "_floor_per_s", "_ratio", "_requests", "_retries_s")
 
     def __init__(self, clock: Clock, ratio: float, floor_per_s: float) -> None:
         self._clock = clock
@@ -37,7 +39,8 @@
         self._floor_per_s = floor_per_s
         self._buckets: deque[_SecondBucket] = deque()
         self._requests = 0
-        self._retries = 0
+        self._retries_s: deque[float] = deque()
+        """Monotonic time of each retry that counts; buckets would forget some of them early."""
 
     def set_floor(self, floor_per_s: float) -> None:
         """Set the retries per second that are allowed in addition to the share."""
@@ -50,7 +53,8 @@
     def can_spend(self) -> bool:
         """Whether the budget allows a retry now."""
         self._current_bucket()
-        return self._retries + 1 <= self._requests * self._ratio + self._floor_per_s * WINDOW_S
+        retries = self.count_retries()
+        return retries + 1 <= self._requests * self._ratio + self._floor_per_s * WINDOW_S
 
     def record_request(self) -> None:
         """Count one new request."""
@@ -63,28 +67,32 @@
         :param reason: value of the error kind that makes the retry necessary.
         :returns: False when the budget is exhausted.
         """
-        bucket = self._current_bucket()
         if not self.can_spend():
             metrics.RETRIES_DENIED.inc({"reason": reason})
             return False
-        self._record_retry(bucket, reason)
+        self._record_retry(reason)
         return True
 
     def spend_unconditionally(self, reason: str) -> None:
         """Count a retry even when the budget is exhausted, such as the resumption of a stream."""
-        self._record_retry(self._current_bucket(), reason)
+        self._record_retry(reason)
 
-    def _record_retry(self, bucket: _SecondBucket, reason: str) -> None:
-        bucket.retries += 1
-        self._retries += 1
+    def _record_retry(self, reason: str) -> None:
+        self._retries_s.append(self._clock.monotonic_s())
         metrics.count_retry(reason)
 
+    def count_retries(self) -> int:
+        """Count the retries of the window."""
+        oldest_s = self._clock.monotonic_s() - WINDOW_S - MAX_RETRY_LATENCY_S
+        while self._retries_s and self._retries_s[0] < oldest_s:
+            self._retries_s.popleft()
+        return len(self._retries_s)
+
     def _current_bucket(self) -> _SecondBucket:
         now_s = self._clock.monotonic_s()
         while self._buckets and now_s - self._buckets[0].start_s > WINDOW_S:
             expired = self._buckets.popleft()
             self._requests -= expired.requests
-            self._retries -= expired.retries
         if not self._buckets or now_s - self._buckets[-1].start_s >= 1.0:
             self._buckets.append(_SecondBucket(now_s))
         return self._buckets[-1]
--- a/coltsfootfront/tests/test_direct_begun_answers.py
+++ b/coltsfootfront/tests/test_direct_begun_answers.py
@@ -226,7 +226,7 @@
         first = FakeResponse(chunks=(EVENTS, 5.0))
         fixture = self._fixture(first, FakeResponse(chunks=(NEXT_EVENT,)))
         self._assert_whole(await self._serve(fixture), EVENTS + NEXT_EVENT)
-        self.assertEqual(1, fixture.forwarder._budgets.get("plain")._retries)
+        self.assertEqual(1, fixture.forwarder._budgets.get("plain").count_retries())
 
     async def test_request_without_an_answer_moves_to_targets_that_rejected_it_or_have_a_limit(
         self,
--- a/coltsfootfront/tests/test_retries.py
+++ b/coltsfootfront/tests/test_retries.py
@@ -31,6 +31,26 @@
             budget.record_request()
         self.assertEqual(2, sum(budget.try_spend("overloaded") for _ in range(50)))
 
+    def test_no_window_has_more_retries_than_the_budget(self) -> None:
+        """Guards against retries that are forgotten before the window they count in has passed."""
+        clock = ManualClock()
+        budget = RetryBudget(clock, 0.2, 1.0)
+        retries_s: list[float] = []
+        for step in range(6000):
+            if step % 10 == 0:
+                budget.record_request()
+            # Many targets fail from here on.
+            if step > 1500 and budget.try_spend("lost"):
+                retries_s.append(clock.monotonic_s())
+            clock.advance(0.01)
+        requests = WINDOW_S / 0.1
+        counts = [
+            sum(begin_s <= retry_s <= begin_s + WINDOW_S for retry_s in retries_s)
+            for begin_s in retries_s
+        ]
+        self.assertLessEqual(max(counts), 0.2 * requests + 1.0 * WINDOW_S)
+        self.assertGreater(max(counts), 0.8 * (0.2 * requests + 1.0 * WINDOW_S))
+
     def test_resumptions_count_but_are_not_denied(self) -> None:
         """Guards against streams that are not resumed because the budget is exhausted."""
         budget = RetryBudget(ManualClock(), 0.0, 0.1)
--- a/coltsfootfront_dev/platformrouters.py
+++ b/coltsfootfront_dev/platformrouters.py
@@ -49,7 +49,7 @@
 
     def start(self) -> None:
         """Write the settings and start the process."""
-        self._settings_path.write_text(to_toml(self.settings), encoding="utf-8")
+        self.rewrite_settings()
         with self.log_path.open("ab") as log:
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", "coltsfootfront.platform"],
@@ -59,6 +59,10 @@
                 stderr=log,
             )
 
+    def rewrite_settings(self) -> None:
+        """Write the settings file, which the process reads again by itself or at SIGHUP."""
+        self._settings_path.write_text(to_toml(self.settings), encoding="utf-8")
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self._popen is not None and self._popen.poll() is None:
