--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -210,9 +210,9 @@
 
     async def test_new_weights_are_ordered_and_expected(self) -> None:
         """Guards against engines that keep old weights, and cache salts of old weights in use."""
+        announced_s = SystemClock().monotonic_s()
         known_age_s = self.node._follower.freshness.age_s()
         assert known_age_s is not None
-        announced_s = SystemClock().monotonic_s()
         self.fleet.store.put_json("op/version/m", {"model": "m", "version": 2})
         await self._until(lambda: all(engine.version == 2 for engine in self.fleet.engine_targets))
         # The age of a version counts from the last moment before at which there was none.
