--- a/coltsfootfront/tests/copy_fleet.py
+++ b/coltsfootfront/tests/copy_fleet.py
@@ -144,7 +144,7 @@
 
 
 class CopyFleet:
-    """Routers of one data centre, each behind a link of its own.
+    """Routers, each behind a link of its own.
 
     :param store: address of the store.
     """
@@ -154,15 +154,17 @@
         self._store = store
 
     async def add(
-        self, bytes_per_s: float = WIDE_LINK_BYTES_PER_S, address: str | None = None
+        self,
+        bytes_per_s: float = WIDE_LINK_BYTES_PER_S,
+        address: str | None = None,
+        data_centre: str = "a",
     ) -> LinkedRouter:
         """Start a router and let all know each other.
 
         :param address: peer address of the router that it replaces.
         """
-        entry = RouterEntry(
-            address or f"127.0.0.1:{free_ports(1)[0]}", "a", "east", bytes_per_s * 8 / 1e6
-        )
+        address = address or f"127.0.0.1:{free_ports(1)[0]}"
+        entry = RouterEntry(address, data_centre, "east", bytes_per_s * 8 / 1e6)
         link = Link(bytes_per_s)
         added = LinkedRouter(entry, link, await link.connect(self._store), seed=len(self.routers))
         await added.start()
