--- a/coltsfootfront/common/retries.py
+++ b/coltsfootfront/common/retries.py
@@ -1,5 +1,6 @@
 """Retry budget and delay between attempts."""
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -29,14 +30,26 @@
     :param clock: time source.
     :param ratio: retries allowed for each request within the window.
     :param floor_per_s: retries per second allowed in addition.
+    :param floor_from_s: monotonic time from which that addition accrues.
     """
 
-    __slots__ = ("_buckets", "_clock", "_floor_per_s", "_ratio", "_requests", "_retries_s")
-
-    def __init__(self, clock: Clock, ratio: float, floor_per_s: float) -> None:
+    __slots__ = (
+        "_buckets",
+        "_clock",
+        "_floor_from_s",
+        "_floor_per_s",
+        "_ratio",
+        "_requests",
+        "_retries_s",
+    )
+
+    def __init__(
+        self, clock: Clock, ratio: float, floor_per_s: float, floor_from_s: float = -math.inf
+    ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._floor_per_s = floor_per_s
+        self._floor_from_s = floor_from_s
         self._buckets: deque[_SecondBucket] = deque()
         self._requests = 0
         self._retries_s: deque[float] = deque()
@@ -54,7 +67,8 @@
         """Whether the budget allows a retry now."""
         self._current_bucket()
         retries = self.count_retries()
-        return retries + 1 <= self._requests * self._ratio + self._floor_per_s * WINDOW_S
+        accrued_s = min(WINDOW_S, max(0.0, self._clock.monotonic_s() - self._floor_from_s))
+        return retries + 1 <= self._requests * self._ratio + self._floor_per_s * accrued_s
 
     def record_request(self) -> None:
         """Count one new request."""
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -52,7 +52,7 @@
     RouterEntry,
     decode_router_entry,
 )
-from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
+from coltsfootfront.direct.retrybudgets import ROSTER_SETTLE_S, ServiceRetryBudgets
 from coltsfootfront.direct.roster import RouterRoster
 from coltsfootfront.direct.routingconfig import CallerLimits, RoutingConfig
 from coltsfootfront.direct.settings import NodeSettings
@@ -201,7 +201,11 @@
         self._versions = WeightVersions(clock, self._directory, bounds.version_s, bounds.stable_s)
         self._cache_index = CacheIndex(clock)
         self._budgets = ServiceRetryBudgets(
-            clock, bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
+            clock,
+            bounds.retry_ratio,
+            bounds.retry_fixed,
+            bounds.retry_window_s,
+            clock.monotonic_s() + ROSTER_SETTLE_S,
         )
         self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
         self._roster = RouterRoster(clock, max(ISSUER_GRACE_S, bounds.retry_window_s))
--- a/coltsfootfront/direct/retrybudgets.py
+++ b/coltsfootfront/direct/retrybudgets.py
@@ -2,14 +2,19 @@
 
 In a window, a service may get a share of its requests and a fixed number as retries, from all
 routers together. Each router may use that share of its own requests and an equal part of the fixed
-number.
+number. A router that has started knows neither the retries of the process before it nor, for some
+seconds, how many others there are, so its part of the fixed number accrues from then on.
 """
 
+import math
+
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.retries import WINDOW_S, RetryBudget
 
 # Share of the budget that is used; the rest covers requests that reach targets late.
 BUDGET_SHARE = 0.8
+# Routers that start together have read each other's entries after this time.
+ROSTER_SETTLE_S = 3.0
 
 
 class ServiceRetryBudgets:
@@ -19,15 +24,32 @@
     :param ratio: retries allowed per request, over all routers.
     :param fixed: additional retries allowed in a window, over all routers.
     :param window_s: length of the window in seconds.
+    :param fixed_from_s: monotonic time from which the fixed number accrues.
     """
 
-    __slots__ = ("_budgets", "_clock", "_fixed", "_ratio", "_routers", "_window_s")
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_fixed",
+        "_fixed_from_s",
+        "_ratio",
+        "_routers",
+        "_window_s",
+    )
 
-    def __init__(self, clock: Clock, ratio: float, fixed: float, window_s: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        ratio: float,
+        fixed: float,
+        window_s: float,
+        fixed_from_s: float = -math.inf,
+    ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._fixed = fixed
         self._window_s = window_s
+        self._fixed_from_s = fixed_from_s
         self._routers = 1
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -50,7 +72,9 @@
         budget = self._budgets.get(service)
         if budget is None:
             ratio = self._ratio * BUDGET_SHARE
-            budget = self._budgets[service] = RetryBudget(self._clock, ratio, self._floor_per_s())
+            budget = self._budgets[service] = RetryBudget(
+                self._clock, ratio, self._floor_per_s(), self._fixed_from_s
+            )
         return budget
 
     def _floor_per_s(self) -> float:
--- a/coltsfootfront/platform/program.py
+++ b/coltsfootfront/platform/program.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from coltsfootfront import __version__
-from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.clock import Clock, SystemClock
 from coltsfootfront.common.errors import EXIT_BAD_SETTING, SettingsError
 from coltsfootfront.common.runtime import serve
 from coltsfootfront.direct.node import Node
@@ -40,14 +40,16 @@
     initial_settings: NodeSettings,
     load_settings: Callable[[], NodeSettings],
     generator: random.Random,
+    clock: Clock | None = None,
 ) -> Node:
     """Build the router with the platform's adapters.
 
     :param initial_settings: settings at the start; a reload keeps their name and addresses.
     :param load_settings: reads the settings, also for each reload.
     :param generator: source of jitter, so that routers do not act in step.
+    :param clock: time source, the system's if there is none.
     """
-    clock = SystemClock()
+    clock = clock or SystemClock()
     return Node(
         load_settings,
         clock,
