--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -89,7 +89,7 @@
 # Longest wait for changes that a peer may ask for.
 MAX_WAIT_S = 10.0
 # Peers that are queried in parallel.
-PEERS_QUERIED = 2
+PEERS_QUERIED = 3
 PEERS_QUERIED_AT_START = 5
 
 
@@ -172,17 +172,30 @@
         return await self._request_changes(address, after, wait_s, on_progress)
 
     async def read_peer_changes(self, after: Position) -> Changes | None:
-        peers = self.addresses()
-        self._generator.shuffle(peers)
         # A router that has just started has no revision of its own to recognise a stale copy by, so
         # it queries more peers.
         queried = PEERS_QUERIED if after.revision else PEERS_QUERIED_AT_START
-        asked = set(peers[:queried])
+        asked = set(self._choose_peers(queried))
         if self.announcer is not None and self.announcer != self._own_address:
             # Its entry may stand in the store alone, when it has started during an outage.
             asked.add(self.announcer)
         return await self._read_newest(sorted(asked), after)
 
+    def _choose_peers(self, count: int) -> list[str]:
+        """Choose peers at random, one of them in this data centre and one in this region.
+
+        The links to the others may be full.
+        """
+        peers = self.addresses()
+        self._generator.shuffle(peers)
+        own = self._own
+        entries = {router.address: router for router in self.others()}
+        near = [peer for peer in peers if peer in entries]
+        same_data_centre = [peer for peer in near if entries[peer].data_centre == own.data_centre]
+        same_region = [peer for peer in near if entries[peer].region == own.region]
+        first = dict.fromkeys([*same_data_centre[:1], *same_region[:1], *peers])
+        return list(first)[:count]
+
     async def _read_newest(self, addresses: list[str], after: Position) -> Changes | None:
         """Read the changes of the peer that is furthest ahead.
 
--- a/coltsfootfront/tests/test_copy_age.py
+++ b/coltsfootfront/tests/test_copy_age.py
@@ -11,6 +11,8 @@
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.direct import storefollower
+from coltsfootfront.direct.peers import Peers
+from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.routingconfig import RetryPolicy
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, Position, Snapshot
 from coltsfootfront.direct.transfers import OnProgress
@@ -182,6 +184,23 @@
         self.assertLess(passed_s, LARGE_APPLY_LIMIT_S)
 
 
+class QueriedPeersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_peer_of_the_own_data_centre_is_among_those_asked(self) -> None:
+        """Guards against an old copy for as long as the links to all other places are full."""
+        for seed in range(20):
+            own = RouterEntry("own:1", "a", "east")
+            peers = Peers(own, [], random.Random(seed))
+            peers.add("near", RouterEntry("near:1", "a", "east"))
+            peers.add("region", RouterEntry("region:1", "b", "east"))
+            for number in range(20):
+                peers.add(f"far{number}", RouterEntry(f"far{number}:1", "c", "west"))
+            with mock.patch.object(peers, "_request_position", return_value=None) as asked:
+                await peers.read_peer_changes(Position(0, 5))
+            addresses = {call.args[0] for call in asked.call_args_list}
+            self.assertIn("near:1", addresses)
+            self.assertTrue(any(address.startswith("far") for address in addresses), addresses)
+
+
 class RefusalByAnOldCopyTest(unittest.IsolatedAsyncioTestCase):
     """Requests that the configuration in force does not allow."""
 
