--- a/coltsfootfront/direct/callerrequest.py
+++ b/coltsfootfront/direct/callerrequest.py
@@ -32,6 +32,8 @@
     :param api_key: API key, empty when there is none.
     :param parts: parts of the prompt in order; the last one is specific to this request.
     :param resume_after: id of the last event that the caller has received, None for a new stream.
+    :param resumes: id of the caller's request that brought the first event of the stream, empty if
+        the caller names none, or several.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = field(default=())
     resume_after: int | None = None
+    resumes: str = ""
     _digest: str = field(default="", init=False, repr=False)
 
     @property
