--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -42,6 +42,7 @@
 # Half-life of the failure rate while the target gets no requests.
 FAILURE_HALF_LIFE_S = 2.0
 PRUNE_INTERVAL_S = 0.2
+UNKNOWN_BUILD_PREFIX = "unknown/"
 # Number of starts of targets that are recorded as draining or gone, in case an older entry of one
 # is read later.
 MAX_RECORDED_STARTS = 1024
@@ -59,6 +60,7 @@
     :param is_draining: the target is draining and accepts no new requests.
     :param versions: version of the weights of each model.
     :param started_ms: Unix time of the target's start in milliseconds, 0 if unknown.
+    :param build: version of the target's software, empty if unknown.
     """
 
     name: str
@@ -69,6 +71,12 @@
     is_draining: bool
     versions: dict[str, int] = field(default_factory=dict)
     started_ms: int = 0
+    build: str = ""
+
+    @property
+    def build_key(self) -> str:
+        """Build whose streams the target may continue; an unknown one is unlike all others."""
+        return self.build or f"{UNKNOWN_BUILD_PREFIX}{self.name}/{self.started_ms}"
 
 
 @dataclass(frozen=True, slots=True, eq=False)
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -41,6 +41,7 @@
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import RetryPolicy, RoutingConfig
 from coltsfootfront.direct.stopping import StopSchedule
+from coltsfootfront.direct.takeups import TakeUps
 from coltsfootfront.direct.targetclient import (
     Directive,
     ExchangeError,
@@ -88,6 +89,8 @@
 MAX_OUTDATED_RETRY_AFTER_S = 0.8
 STOPPING_MESSAGE = "the router is stopping"
 OUTDATED_MESSAGE = "the configuration may be outdated and does not allow this request"
+UNKNOWN_BUILD_MESSAGE = "it is not known which target software began this stream"
+NO_TARGET_OF_BUILD_MESSAGE = "no target has the software that began this stream"
 QUARANTINE_MESSAGE = "targets have crashed on such requests"
 # Refusals that a newer configuration may not give.
 CONFIGURED_REFUSALS = (ErrorKind.NOT_FOUND, ErrorKind.UNAUTHENTICATED)
@@ -106,6 +109,7 @@
     :param permits: permits for requests to targets with a limit.
     :param quarantine: holds requests back that crash targets.
     :param crash_observer: told of each exchange, and of its failure.
+    :param take_ups: finds the build at which a stream may go on.
     """
 
     def __init__(
@@ -124,6 +128,7 @@
         permits: Permits,
         quarantine: QuarantineKeeper,
         crash_observer: CrashObserver,
+        take_ups: TakeUps,
         generator: random.Random,
     ) -> None:
         self._clock = clock
@@ -139,6 +144,7 @@
         self._permits = permits
         self._quarantine = quarantine
         self._crash_observer = crash_observer
+        self._take_ups = take_ups
         self._head_recorder = ResponseHeadRecorder(
             clock, directory, cache_index, versions, gossip, limits
         )
@@ -150,6 +156,7 @@
             prefill_rates,
             quarantine,
             self._reserve_replacement,
+            take_ups,
             generator,
         )
         self.routing_config = RoutingConfig()
@@ -206,6 +213,7 @@
                 self._budgets.get(state.service).record_request()
                 state.is_trial = await self._quarantine.may_try(state.request.crash_keys)
                 self._check_quarantine(state)
+                await self._find_build(state)
                 await self._serve_with_retries(state, writer)
         except TimeoutError:
             if not timeout.expired():
@@ -271,6 +279,24 @@
         state.stream_validator.last_event_id = request.resume_after
         return state
 
+    async def _find_build(self, state: RequestState) -> None:
+        """Find the build at which a stream that its caller takes up may go on.
+
+        :raises RefusedError: if it is unknown, or no service of the route has it.
+        """
+        request = state.request
+        if request.resume_after is None or not state.route.is_stream:
+            return
+        customer = state.customer.name if state.customer else ""
+        stream = await self._take_ups.find(customer, request.resumes, state.service)
+        services = {choice.service for choice in state.route.weighted_services}
+        if stream is not None and stream.service in services:
+            state.service, state.build = stream
+            return
+        metrics.CONNECTION_EVENTS.inc({"event": "take_up_refused"})
+        state.reason = UNKNOWN_BUILD_MESSAGE
+        raise RefusedError(Failure(ErrorKind.NO_TARGET, UNKNOWN_BUILD_MESSAGE, may_retry=False))
+
     async def _serve_with_retries(self, state: RequestState, writer: ResponseWriter) -> None:
         while True:
             await self._await_budget(state)
@@ -353,11 +379,7 @@
         while True:
             self._check_stop(state)
             now_s = self._clock.monotonic_s()
-            untried = [
-                target
-                for target in self._directory.of_service(state.service)
-                if target.name not in state.attempted
-            ] or self._silent_targets(state)
+            untried = self._untried_targets(state)
             available = [
                 target
                 for target in untried
@@ -389,6 +411,40 @@
             else:
                 raise self._unavailable_error(state, unavailable, now_s)
 
+    def _untried_targets(self, state: RequestState) -> list[Target]:
+        """Targets that have not had the request, or that may have it once more.
+
+        :raises RefusedError: if no target can continue the stream any more.
+        """
+        untried = [
+            target for target in self._candidates(state) if target.name not in state.attempted
+        ] or self._silent_targets(state)
+        if state.build and not untried:
+            raise self._build_gone(state)
+        return untried
+
+    def _candidates(self, state: RequestState) -> list[Target]:
+        """Targets that may serve a request, by the builds that the stream allows."""
+        targets = self._directory.of_service(state.service)
+        if state.build:
+            return [target for target in targets if state.may_serve(target)]
+        if state.route.retry_policy is not RetryPolicy.RESUMABLE:
+            return targets
+        recorded = [
+            target
+            for target in targets
+            if self._take_ups.may_begin(state.service, target.entry.build_key)
+        ]
+        return recorded if any(target.is_usable() for target in recorded) else targets
+
+    def _build_gone(self, state: RequestState) -> RefusedError:
+        """Refuse a stream that no target can continue any more."""
+        state.reason = NO_TARGET_OF_BUILD_MESSAGE
+        if state.execution_state is not ExecutionState.NOT_RUN or state.has_response_begun:
+            return self._refusal(state, NO_TARGET_OF_BUILD_MESSAGE)
+        failure = Failure(ErrorKind.NO_TARGET, NO_TARGET_OF_BUILD_MESSAGE, may_retry=False)
+        return RefusedError(failure)
+
     async def _choose_unavailable(
         self, state: RequestState, untried: list[Target], wait_until_s: float
     ) -> Placement | Wait | None:
@@ -520,7 +576,7 @@
             return False
         free = [
             target
-            for target in self._directory.of_service(state.service)
+            for target in self._candidates(state)
             if target.name not in tried
             and target.is_healthy(now_s)
             and target.available_from_s() <= now_s
@@ -552,17 +608,15 @@
         replacement = state.take_replacement()
         if replacement is None or not replacement.target.is_usable():
             return None
+        if not state.may_serve(replacement.target):
+            return None
         return replacement if await self._permits.acquire(replacement.target) else None
 
     def _silent_targets(self, state: RequestState) -> list[Target]:
         """Targets that may go on with an answer, though it was given up there for their silence."""
         if not state.has_response_begun:
             return []
-        return [
-            target
-            for target in self._directory.of_service(state.service)
-            if target.name in state.silent
-        ]
+        return [target for target in self._candidates(state) if target.name in state.silent]
 
     def _may_send_again(self, state: RequestState, now_s: float) -> bool:
         """Whether neither a planned stop nor a quarantine keeps a request from being sent again."""
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -26,6 +26,7 @@
     read_list,
 )
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct.streambuilds import StreamBuild
 
 log = logbook.Logger(__name__)
 
@@ -41,6 +42,8 @@
 # Prompt parts in one message. Each takes about 60 bytes, so that a message fits into one packet on
 # common links.
 PARTS_PER_MESSAGE = 18
+# Keys of streams in one message, 10 bytes each.
+STREAMS_PER_MESSAGE = 100
 # Messages about learned parts in one flush; a larger burst would fill the queue of a small link.
 LEARNED_MESSAGES_PER_FLUSH = 10
 # Peers that are sent a message which each of them sends to as many in turn.
@@ -65,6 +68,7 @@
 ANSWERED = "answered"
 QUARANTINED = "quarantined"
 RELEASED = "released"
+BEGUN = "begun"
 
 Address = tuple[str, int]
 OnMessage = Callable[[str, list[Any]], None]
@@ -79,6 +83,7 @@
     expected: list[list[Any]] = field(default_factory=list)
     cached: list[list[Any]] = field(default_factory=list)
     learned: list[list[Any]] = field(default_factory=list)
+    begun: dict[StreamBuild, list[bytes]] = field(default_factory=dict)
     cached_since_s: float = 0.0
 
 
@@ -152,6 +157,10 @@
         key = (target, priority)
         self._pending.prefill_work[key] = self._pending.prefill_work.get(key, 0.0) + work_s
 
+    def queue_begun(self, key: bytes, stream: StreamBuild) -> None:
+        """Queue an update that a stream has begun at a build."""
+        self._pending.begun.setdefault(stream, []).append(key)
+
     def queue_load(self, target: str, load: int) -> None:
         """Queue an update on the load that a target has reported."""
         self._pending.loads[target] = load
@@ -173,6 +182,7 @@
                 break
             self._broadcast([[LEARNED, pending.learned[:PARTS_PER_MESSAGE]]])
             del pending.learned[:PARTS_PER_MESSAGE]
+        self._flush_begun(pending.begun)
         while pending.prefill_work or pending.expected or pending.loads or is_cached_due:
             message: list[list[Any]] = []
             if pending.loads:
@@ -195,6 +205,12 @@
             is_cached_due = is_cached_due and bool(pending.cached)
             self._broadcast(message)
 
+    def _flush_begun(self, begun: dict[StreamBuild, list[bytes]]) -> None:
+        for stream, keys in begun.items():
+            for start in range(0, len(keys), STREAMS_PER_MESSAGE):
+                self._broadcast([[BEGUN, [*stream, keys[start : start + STREAMS_PER_MESSAGE]]]])
+        begun.clear()
+
     def _broadcast(self, message: list[list[Any]]) -> None:
         """Send a message to all routers, but only once to each other region."""
         for region, peers in self._peers.items():
--- a/coltsfootfront/direct/gossipfields.py
+++ b/coltsfootfront/direct/gossipfields.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from coltsfootfront.common.decoding import (
+    DecodingError,
+    describe,
     read_address,
     read_integer,
     read_ip_address,
@@ -16,6 +18,7 @@
 )
 from coltsfootfront.direct.backlog import PRIORITIES
 from coltsfootfront.direct.storefollower import Position
+from coltsfootfront.direct.streambuilds import KEY_BYTES, StreamBuild
 
 
 def decode_location(row: Any) -> tuple[str, str, str]:
@@ -66,6 +69,18 @@
     return read_ip_address(router), read_seconds(for_s)
 
 
+def decode_begun(fields: Any) -> tuple[StreamBuild, list[bytes]]:
+    """Decode a service and a build, and the keys of the streams that it has begun."""
+    service, build, keys = read_list(fields)
+    return StreamBuild(read_text(service), read_text(build)), [_read_key(key) for key in keys]
+
+
+def _read_key(key: Any) -> bytes:
+    if type(key) is not bytes or len(key) != KEY_BYTES:
+        raise DecodingError(f"{describe(key)} is not the key of a stream")
+    return key
+
+
 def decode_position(fields: Any) -> tuple[Position, str | None]:
     """Decode the position of a peer's copy, and the address where it can be read."""
     revision, *rest = read_list(fields)
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -55,8 +55,10 @@
 from coltsfootfront.direct.retrybudgets import ROSTER_SETTLE_S, ServiceRetryBudgets
 from coltsfootfront.direct.roster import RouterRoster
 from coltsfootfront.direct.routingconfig import CallerLimits, RoutingConfig
+from coltsfootfront.direct.servicebuilds import BUILDS_PREFIX, ServiceBuilds
 from coltsfootfront.direct.settings import NodeSettings
 from coltsfootfront.direct.storefollower import Follower, Item, Position, WatchableStore
+from coltsfootfront.direct.takeups import TakeUps
 from coltsfootfront.direct.targetclient import TargetClient
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
 from coltsfootfront.direct.versions import WeightVersions
@@ -237,12 +239,25 @@
             self._crash_observer.withdraw,
             generator,
         )
+        self._builds = ServiceBuilds(
+            clock,
+            self._directory,
+            store,
+            lambda key: self._follower.revision_of(key),
+            self._peers.names,
+            self._peers.own_name(),
+            generator,
+        )
+        self._builds.is_first_start = settings.is_first_start
+        self._take_ups = TakeUps(clock, self._builds, self._gossip, self._peers)
         self._forwarder = self._build_forwarder()
         self._forwarder.max_in_progress = admission.max_requests_for_memory(settings.memory_bytes)
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
         self._follower.apply_limit_s = bounds.config_apply_s
         self._forwarder.confirm_configuration = self._confirm_configuration
         self._peers.follower = self._follower
+        self._peers.list_streams_to_share = self._take_ups.streams_to_share
+        self._builds.copy_age_s = self._follower.freshness.age_s
         lease_ttl_s = max(ORDERS_LEASE_S, settings.store.min_lease_ttl_s)
         lease = LeaseLock(store, clock, ORDERS_LEASE_KEY, lease_ttl_s)
         self._lease = lease
@@ -317,6 +332,7 @@
         supervisor.add("liveness", self._liveness.run)
         supervisor.add("quarantine", self._quarantine.run)
         supervisor.add("quarantine_writes", self._quarantine.run_writes)
+        supervisor.add("builds", self._builds.run)
         supervisor.add("limits", self._limits.run)
         supervisor.add("permits", self._permits.run)
         supervisor.add("roster", self._drop_routers)
@@ -415,6 +431,7 @@
         if config.number <= before:
             return
         self._forwarder.routing_config = config
+        self._builds.set_services(config.resumable_timeouts_s())
         if self._caller_server is not None:
             self._caller_server.set_limits(config.limits)
         metrics.REVISION.set({}, config.number)
@@ -437,6 +454,7 @@
         before = self._directory.get(entry.name)
         versions = dict(before.versions) if before is not None else {}
         self._directory.put(entry, is_from_restore=self._follower.is_restoring)
+        self._builds.observe(entry.service)
         target = self._directory.get(entry.name)
         if target is not None and versions and target.versions != versions:
             self._cache_index.remove_holder(entry.name)
@@ -470,6 +488,7 @@
             self._permits,
             self._quarantine,
             self._crash_observer,
+            self._take_ups,
             self._generator,
         )
 
@@ -481,6 +500,8 @@
         elif item.key.startswith(QUARANTINE_PREFIX):
             record_id = item.key.removeprefix(QUARANTINE_PREFIX)
             self._quarantine.handle_stored(record_id, item.value)
+        elif item.key.startswith(BUILDS_PREFIX):
+            self._builds.handle_stored(item.key.removeprefix(BUILDS_PREFIX), item.value)
         else:
             self._decoder.decode(item, self)
 
@@ -533,6 +554,7 @@
             ),
             gossip.CRASH: self._quarantine.handle_crash,
             gossip.RESENT: self._quarantine.handle_resent,
+            gossip.BEGUN: self._take_ups.handle_begun,
             gossip.ANSWERED: self._quarantine.handle_answered,
             gossip.QUARANTINED: self._quarantine.handle_quarantined,
             gossip.RELEASED: self._quarantine.handle_released,
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -28,9 +28,11 @@
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.cachediscovery import CachedPartLocation, PeerCaches
 from coltsfootfront.direct.copyencoding import MAX_COPY_BYTES, CopyEncoder, deflate
-from coltsfootfront.direct.gossipfields import decode_location
+from coltsfootfront.direct.gossipfields import decode_begun, decode_location
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
+from coltsfootfront.direct.streambuilds import StreamBuild
+from coltsfootfront.direct.takeups import PeerStreams, Streams
 from coltsfootfront.direct.transfers import (
     DEFLATE,
     OnProgress,
@@ -45,10 +47,12 @@
 COPY_PATH = "/peer/copy"
 POSITION_PATH = "/peer/position"
 PARTS_PATH = "/peer/parts"
+STREAMS_PATH = "/peer/streams"
 PURPOSES = {
     COPY_PATH: metrics.PEER_COPY,
     POSITION_PATH: metrics.PEER_COPY,
     PARTS_PATH: metrics.PEER_PARTS,
+    STREAMS_PATH: metrics.PEER_PARTS,
 }
 # Headers of a copy: the time since the peer's copy was known to lack nothing, and since the
 # earliest moment at which the changes can have been written. No part of the body, which is kept
@@ -72,12 +76,15 @@
 # Prompt parts in one response, about 60 bytes each before it is compressed. A small link carries
 # them in 200 ms.
 MAX_PARTS_SENT = 8000
+# Streams in one response, about 10 bytes each.
+MAX_STREAMS_SENT = 20_000
 # Largest response on each path. A position is two numbers; a part has about 60 bytes, and up to
 # three times as many with long names.
 MAX_RESPONSE_BYTES = {
     COPY_PATH: MAX_COPY_BYTES,
     POSITION_PATH: 1024,
     PARTS_PATH: 2 * 1024 * 1024,
+    STREAMS_PATH: 1024 * 1024,
 }
 # Routers of a data centre that watch the store directly, those with the widest links. The others
 # use one of them as relay.
@@ -93,7 +100,7 @@
 PEERS_QUERIED_AT_START = 5
 
 
-class Peers(PeerSource, PeerCaches):
+class Peers(PeerSource, PeerCaches, PeerStreams):
     """Exchanges copies of the store's keys, and the locations of cached prompt parts, with peers.
 
     :param own: this router.
@@ -116,6 +123,8 @@
         self.follower: Follower | None = None
         self.list_parts_to_share: Callable[[], list[CachedPartLocation]] | None = None
         """Returns the parts to send to a router that has just started."""
+        self.list_streams_to_share: Callable[[], Streams] | None = None
+        """Returns the streams to send to a router that does not know one."""
 
     async def start(self) -> None:
         """Start the HTTP client, and the server for other routers."""
@@ -265,6 +274,16 @@
         copies = [_decode_parts(response) for response in responses if response is not None]
         return max(copies, key=len, default=[])
 
+    async def read_streams(self) -> Streams:
+        responses = await asyncio.gather(
+            *(self._get(peer, STREAMS_PATH) for peer in self._choose_peers(PEERS_QUERIED))
+        )
+        found: dict[bytes, StreamBuild] = {}
+        for response in responses:
+            if response is not None:
+                found |= _decode_streams(response)
+        return list(found.items())
+
     async def _request_changes(
         self,
         address: str,
@@ -313,27 +332,30 @@
     def _url(self, address: str, path: str) -> str:
         return f"http://{address}{path}"
 
+    async def _answer_copy(self, request: web.BaseRequest, follower: Follower) -> web.Response:
+        try:
+            after, wait_s = _decode_query(request.query)
+        except DecodingError as error:
+            return web.Response(status=400, text=str(error))
+        changes: Changes | None
+        if wait_s is not None:
+            changes = await follower.wait_for_changes(after, wait_s)
+        else:
+            changes = follower.changes_after(after)
+        if changes is None:
+            return web.Response(status=503)
+        body, is_deflated = self._encoder.encode(
+            after, changes, "era" in request.query, _accepts_deflate(request)
+        )
+        response = _make_response(metrics.PEER_COPY, body, is_deflated)
+        response.headers[COPY_AGE_HEADER] = f"{changes.copy_age_s:.3f}"
+        if changes.items_age_s is not None:
+            response.headers[ITEMS_AGE_HEADER] = f"{changes.items_age_s:.3f}"
+        return response
+
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
         if request.path == COPY_PATH and self.follower is not None:
-            try:
-                after, wait_s = _decode_query(request.query)
-            except DecodingError as error:
-                return web.Response(status=400, text=str(error))
-            changes: Changes | None
-            if wait_s is not None:
-                changes = await self.follower.wait_for_changes(after, wait_s)
-            else:
-                changes = self.follower.changes_after(after)
-            if changes is None:
-                return web.Response(status=503)
-            body, is_deflated = self._encoder.encode(
-                after, changes, "era" in request.query, _accepts_deflate(request)
-            )
-            response = _make_response(metrics.PEER_COPY, body, is_deflated)
-            response.headers[COPY_AGE_HEADER] = f"{changes.copy_age_s:.3f}"
-            if changes.items_age_s is not None:
-                response.headers[ITEMS_AGE_HEADER] = f"{changes.items_age_s:.3f}"
-            return response
+            return await self._answer_copy(request, self.follower)
         if request.path == POSITION_PATH and self.follower is not None:
             response = _make_response(metrics.PEER_COPY, msgpack.packb([*self.follower.position]))
             age_s = self.follower.freshness.age_s()
@@ -346,6 +368,9 @@
             if _accepts_deflate(request):
                 body, is_deflated = deflate(body)
             return _make_response(metrics.PEER_PARTS, body, is_deflated)
+        if request.path == STREAMS_PATH and self.list_streams_to_share is not None:
+            body = _encode_streams(self.list_streams_to_share()[-MAX_STREAMS_SENT:])
+            return _make_response(metrics.PEER_PARTS, body)
         return web.Response(status=404)
 
 
@@ -374,6 +399,24 @@
     )
 
 
+def _encode_streams(streams: Streams) -> bytes:
+    rows: dict[StreamBuild, list[bytes]] = {}
+    for key, stream in streams:
+        rows.setdefault(stream, []).append(key)
+    body: bytes = msgpack.packb([[*stream, keys] for stream, keys in rows.items()])
+    return body
+
+
+def _decode_streams(body: bytes) -> dict[bytes, StreamBuild]:
+    try:
+        with decoding("streams"):
+            rows = decode_each("streams", read_list(load_msgpack(body)), decode_begun)
+            return {key: stream for stream, keys in rows for key in keys}
+    except DecodingError as error:
+        log.warning(event("streams_unreadable", reason=str(error)))
+        return {}
+
+
 def _decode_parts(body: bytes) -> list[CachedPartLocation]:
     try:
         with decoding("parts"):
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -7,6 +7,7 @@
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.crashobserver import Exchange
+from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.events import StreamValidator
 from coltsfootfront.direct.routingconfig import Customer, RetryPolicy, Route
 from coltsfootfront.direct.targetselection import Placement, WaitReason
@@ -40,6 +41,7 @@
     :param waited_for: why it last waited for a target.
     :param replacement: reserved for the next attempt, with a retry of the budget, None if nothing
         is reserved.
+    :param build: build at which the stream has to go on, empty before it has begun.
     :param owed_retry: reason of a retry that the budget must allow first, empty if there is none.
     :param silent: targets that were given up for being silent while the caller read their answer.
     """
@@ -69,6 +71,11 @@
     replacement: Placement | None = None
     silent: set[str] = field(default_factory=set)
     owed_retry: str = ""
+    build: str = ""
+
+    def may_serve(self, target: Target) -> bool:
+        """Whether a target may serve the request, as it is by now."""
+        return not self.build or (target.entry.build_key == self.build and target.is_usable())
 
     def take_replacement(self) -> Placement | None:
         """Take the reserved placement, if there is one."""
@@ -143,6 +150,7 @@
         "aim_s": state.route.latency_objective_s,
         "waited_for": state.waited_for.value if state.waited_for else None,
         "events": state.stream_validator.event_count or None,
+        "build": state.build or None,
         "longest_pause_s": state.longest_pause_s,
         "pause_aim_s": state.route.event_gap_objective_s or None,
     }
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -18,6 +18,8 @@
 from coltsfootfront.direct.requeststate import RequestState, RetryError, build_refusal
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import RetryPolicy, Route
+from coltsfootfront.direct.streambuilds import StreamBuild
+from coltsfootfront.direct.takeups import TakeUps
 from coltsfootfront.direct.targetclient import ExchangeError, ExchangeFailure, TargetResponse
 from coltsfootfront.direct.targetselection import Placement
 
@@ -49,6 +51,7 @@
     :param prefill_rates: prefill rate of each service's engines, updated from times to first
         event.
     :param reserve_replacement: reserves another target for a request, if that is possible.
+    :param take_ups: told of each stream that begins.
     """
 
     def __init__(
@@ -60,10 +63,12 @@
         prefill_rates: PrefillRates,
         quarantine: QuarantineKeeper,
         reserve_replacement: Callable[[RequestState], bool],
+        take_ups: TakeUps,
         generator: random.Random,
     ) -> None:
         self._quarantine = quarantine
         self._reserve_replacement = reserve_replacement
+        self._take_ups = take_ups
         self._clock = clock
         self._prefill_rates = prefill_rates
         self._cache_index = cache_index
@@ -156,6 +161,7 @@
                 state.answer_begun_s = now_s
                 self._record_cached_parts(state, placement)
                 self._record_prefill_rate(state, placement, now_s)
+                self._record_build(state, placement)
             if not state.has_response_begun:
                 await self._begin_stream(state, response, writer)
             await writer.write(events)
@@ -166,6 +172,15 @@
             await self._begin_stream(state, response, writer)
         await writer.end()
 
+    def _record_build(self, state: RequestState, placement: Placement) -> None:
+        """Record the build that has begun a stream, before its caller has an event of it."""
+        if state.build or state.route.retry_policy is not RetryPolicy.RESUMABLE:
+            return
+        state.build = placement.target.entry.build_key
+        customer = state.customer.name if state.customer else ""
+        stream = StreamBuild(state.service, state.build)
+        self._take_ups.record_begun(customer, state.request.request_id, stream)
+
     async def _keep_pace(
         self, state: RequestState, placement: Placement, pace: StreamPace, size_bytes: int
     ) -> None:
--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -201,6 +201,16 @@
             routes = self.routes[route.host] = HostRoutes()
         routes.add(route)
 
+    def resumable_timeouts_s(self) -> dict[str, float]:
+        """Longest timeout of the routes with resumable streams, for each service that has any."""
+        timeouts_s: dict[str, float] = {}
+        for route in (route for host in self.routes.values() for route in host):
+            if route.retry_policy is RetryPolicy.RESUMABLE:
+                for choice in route.weighted_services:
+                    longest_s = max(route.timeout_s, timeouts_s.get(choice.service, 0.0))
+                    timeouts_s[choice.service] = longest_s
+        return timeouts_s
+
     def add_customer(self, customer: Customer, keys: Iterable[str]) -> None:
         """Add a customer with its API keys; one that is listed twice is isolated if either is."""
         known = self.customers.get(customer.name)
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -56,6 +56,7 @@
     :param link_mbit_per_s: capacity of the VM's link; None if the settings do not tell it.
     :param memory_bytes: memory of the VM; the platform kills a process that exceeds it.
     :param seed_addresses: peer addresses of a few routers, which may be stale.
+    :param is_first_start: no router of this deployment has run before.
     """
 
     name: str
@@ -73,3 +74,4 @@
     seed_addresses: list[str]
     store: StoreSettings
     bounds: Bounds
+    is_first_start: bool = False
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -344,9 +344,15 @@
         output_tokens=output_tokens,
         parts=_parse_prompt_parts(request_headers.get(headers.PROMPT_PARTS, "")),
         resume_after=read_integer(int(resume_after)) if resume_after else None,
+        resumes=_parse_resumes(request_headers.getall(headers.RESUMES, [])),
     )
 
 
+def _parse_resumes(values: list[str]) -> str:
+    """Id of the one request that a caller names, empty if it names none or several."""
+    return values[0].strip() if len(values) == 1 else ""
+
+
 def _parse_token_usage(text: str) -> tuple[int, int]:
     if not text:
         return 0, 0
--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -43,6 +43,8 @@
 TARGET_PREFIX = "servers/"
 # Priorities that targets know, 0 is the most urgent.
 MAX_PRIORITY = 9
+# Routers tell each other builds by name.
+MAX_BUILD_CHARACTERS = 64
 # A target with more slots than any machine has attracts every request.
 MAX_SLOTS = 1_000_000
 
@@ -234,4 +236,11 @@
             for model in read_list(body.get("models", []))
         },
         started_ms=read_integer(body.get("born", 0)),
+        build=_read_build(body.get("version")),
     )
+
+
+def _read_build(version: Any) -> str:
+    """Version of a target's software, empty if it cannot be told from others."""
+    is_readable = isinstance(version, str) and len(version) <= MAX_BUILD_CHARACTERS
+    return version if is_readable else ""
--- a/coltsfootfront/platform/headers.py
+++ b/coltsfootfront/platform/headers.py
@@ -12,6 +12,8 @@
 # Parts of the prompt in order, as comma-separated ID:TOKENS pairs.
 PROMPT_PARTS = "X-Prompt-Prefix"
 RESUME_AFTER = "Last-Event-Id"
+# Id of the caller's request that brought the first event of the stream that it takes up.
+RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
 # Signature with which a target authenticates its response.
 SIGNATURE = "X-Response-Signature"
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -62,6 +62,7 @@
             stable_s=reader.number("bounds.stable-ms") / 1000,
             targets_check_fencing=reader.boolean("bounds.require-fence"),
         ),
+        is_first_start=fields.get("bootstrap") is True,
     )
 
 
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -29,6 +29,8 @@
     Service,
     WeightedService,
 )
+from coltsfootfront.direct.servicebuilds import ServiceBuilds
+from coltsfootfront.direct.takeups import PeerStreams, Streams, TakeUps
 from coltsfootfront.direct.targetclient import (
     Directive,
     ExchangeError,
@@ -68,6 +70,7 @@
         is_draining=is_leaving,
         versions=versions,
         started_ms=started_ms,
+        build="v1",
     )
 
 
@@ -253,6 +256,13 @@
         pass
 
 
+class NoPeerStreams(PeerStreams):
+    """Streams of a router that is alone."""
+
+    async def read_streams(self) -> Streams:
+        return []
+
+
 class ForwarderFixture:
     """A forwarder with its collaborators and a fake client."""
 
@@ -285,6 +295,16 @@
             self.crash_observer.withdraw,
             generator,
         )
+        self.builds = ServiceBuilds(
+            clock,
+            self.directory,
+            InMemoryStore(clock),
+            lambda key: 0,
+            lambda: ["own:1"],
+            "own:1",
+            generator,
+        )
+        self.take_ups = TakeUps(clock, self.builds, channel, NoPeerStreams())
         self.forwarder = Forwarder(
             clock,
             self.directory,
@@ -300,6 +320,7 @@
             self.permits,
             self.quarantine,
             self.crash_observer,
+            self.take_ups,
             generator,
         )
 
