--- a/coltsfootfront/direct/gossipfields.py
+++ b/coltsfootfront/direct/gossipfields.py
@@ -72,7 +72,9 @@
 def decode_begun(fields: Any) -> tuple[StreamBuild, list[bytes]]:
     """Decode a service and a build, and the keys of the streams that it has begun."""
     service, build, keys = read_list(fields)
-    return StreamBuild(read_text(service), read_text(build)), [_read_key(key) for key in keys]
+    return StreamBuild(read_text(service), read_text(build)), [
+        _read_key(key) for key in read_list(keys)
+    ]
 
 
 def _read_key(key: Any) -> bytes:
