--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -276,7 +276,7 @@
 
     async def read_streams(self) -> Streams:
         responses = await asyncio.gather(
-            *(self._get(peer, STREAMS_PATH) for peer in self._choose_peers(PEERS_QUERIED))
+            *(self._get(peer, STREAMS_PATH) for peer in self._choose_peers(PEERS_QUERIED_AT_START))
         )
         found: dict[bytes, StreamBuild] = {}
         for response in responses:
