--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -56,6 +56,8 @@
 # Longest time for which a router whose relay does not answer watches the store directly. The time
 # is drawn at random from the upper half of this range.
 DIRECT_WATCH_S = 8.0
+# Time for which a router that has a relay leaves it to others to read all keys from the store.
+SNAPSHOT_PATIENCE_S = 1.2
 # Routers normally lag behind each other by the batch delay. One that lags by more than this margin
 # on top reads the copy of a peer.
 LAG_MARGIN_S = 0.25
@@ -649,11 +651,8 @@
 
     async def _read_snapshot(self) -> Failure | None:
         """Read all keys from the store, unless a peer's copy makes that unnecessary."""
-        if self.revision:
-            # A snapshot is several times as large as a peer's copy, and often has farther to come.
-            await self._read_peer()
-            if self.is_complete:
-                return None
+        if self.revision and await self._is_brought_by_peers():
+            return None
         sent_s = self._clock.monotonic_s()
         read = await self._unless_overtaken("snapshot", self._store.snapshot(self._prefix))
         if read is None:
@@ -665,6 +664,22 @@
         self._take_snapshot(read.unwrap(), sent_s)
         return None
 
+    async def _is_brought_by_peers(self) -> bool:
+        """Whether a peer's copy takes the place of a snapshot.
+
+        A snapshot is several times as large as a peer's copy, and often has farther to come. The
+        routers that watch the store for this one read one themselves.
+        """
+        self._overtaken.clear()
+        await self._read_peer()
+        if not self.is_complete and self._peers.relay_address() is not None:
+            try:
+                async with asyncio.timeout(SNAPSHOT_PATIENCE_S):
+                    await self._overtaken.wait()
+            except TimeoutError:
+                pass
+        return self.is_complete
+
     async def _unless_overtaken(self, call: str, reading: Coroutine[Any, Any, T]) -> T | None:
         """Wait for a call to the store, and give it up when a peer's copy has come first.
 
--- a/coltsfootfront/tests/test_copy_age.py
+++ b/coltsfootfront/tests/test_copy_age.py
@@ -66,6 +66,11 @@
     def __init__(self, *responses: Result[Snapshot, Failure] | Result[Changes, Failure]) -> None:
         super().__init__(*responses)
         self.asked: list[object] = []
+        self.snapshots = 0
+
+    async def snapshot(self, prefix: str) -> Result[Snapshot, Failure]:
+        self.snapshots += 1
+        return await super().snapshot(prefix)
 
     async def changes(
         self, prefix: str, after: Position, wait_s: float, on_progress: OnProgress | None = None
@@ -74,6 +79,18 @@
         return await super().changes(prefix, after, wait_s, on_progress)
 
 
+class LatePeer(OnePeer):
+    """A peer that has a change after it was read a few times, and a relay that has failed."""
+
+    def __init__(self, after_reads: int) -> None:
+        super().__init__(None, relay_responses=[None])
+        self._reads_left = after_reads
+
+    async def read_peer_changes(self, after: Position) -> Changes | None:
+        self._reads_left -= 1
+        return AHEAD if self._reads_left < 0 else None
+
+
 class UnannouncedChangeTest(unittest.IsolatedAsyncioTestCase):
     """A peer has a change of which no announcement arrives."""
 
@@ -123,6 +140,14 @@
         store = ScriptedStore(OLD, Failed(HISTORY_COMPACTED))
         await self.follow_until_changed(self.make_follower(store, limit_s=10.0))
 
+    async def test_router_behind_a_relay_leaves_a_snapshot_to_its_relay(self) -> None:
+        """Guards against a narrow link that every router of a region reads all keys over."""
+        store = RecordingStore(OLD, Failed(HISTORY_COMPACTED))
+        follower = self.make_follower(store, limit_s=10.0)
+        follower._peers = LatePeer(after_reads=2)
+        await self.follow_until_changed(follower)
+        self.assertEqual(1, store.snapshots)
+
     async def test_change_that_a_peer_has_brought_is_not_received_again(self) -> None:
         """Guards against a small link that a superseded watch keeps full."""
         store = RecordingStore(OLD)
