--- a/coltsfootfront/direct/servicebuilds.py
+++ b/coltsfootfront/direct/servicebuilds.py
@@ -195,7 +195,7 @@
         if observed.recorded == build:
             return False, build
         has_seen_all = self._clock.monotonic_s() - observed.since_s >= self.life_s
-        is_new = self.is_first_start and not observed.has_record and not self._store.era
+        is_new = self.is_first_start and not observed.has_record
         if has_seen_all or is_new:
             return True, build
         # The record names another build, whose targets have gone before this router started.
--- /dev/null
+++ b/coltsfootfront/tests/test_system_joined_streams.py
@@ -0,0 +1,179 @@
+"""Tests of streams that callers take up while several software versions serve, with processes."""
+
+import asyncio
+import re
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from coltsfootfront_dev.platformfleet import API_KEY, HOST, PlatformFleet
+from coltsfootfront_dev.platformrouters import PROCESS_TIMEOUT_S, RouterProcess, RouterProcesses
+
+ROUTERS = 3
+STREAMS = 24
+EVENTS = 40
+EVENT_INTERVAL_S = 0.05
+# Until a router knows a new build and the store has recorded it.
+SETTLE_S = 2.5
+DEADLINE_MS = 8000
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \d+\n\n")
+
+
+class Stream:
+    """One caller's stream over its tries.
+
+    :param name: its first request's id.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.builds: list[str] = []
+        self.last_event_id: int | None = None
+        self.refusal: tuple[int, str | None] | None = None
+        """Status and ``Retry-After`` of the latest refusal, None if the last try was served."""
+
+    @property
+    def is_joined(self) -> bool:
+        """Whether its events come from several software versions."""
+        return len(set(self.builds)) > 1
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether its last event has arrived."""
+        return self.last_event_id == EVENTS - 1
+
+    def feed(self, data: bytes) -> bytes:
+        """Record the complete events, and return the rest."""
+        end = 0
+        for match in EVENT.finditer(data):
+            self.last_event_id = int(match[1])
+            self.builds.append(match[2].decode())
+            end = match.end()
+        return data[end:]
+
+
+class SystemJoinedStreamsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.fleet = PlatformFleet(1, 4)
+        await self.fleet.start()
+        for target in self.fleet.engine_targets:
+            target.event_count = EVENTS
+            target.event_interval_s = EVENT_INTERVAL_S
+        self.set_builds("v1", "v1", "v1", "v1")
+        self.processes = RouterProcesses(Path(self.folder.name), self.fleet.store.address)
+        await self.processes.start(ROUTERS)
+        self.routers = self.processes.routers
+        self.session = aiohttp.ClientSession()
+        await asyncio.sleep(1.0)
+
+    async def asyncTearDown(self) -> None:
+        await self.session.close()
+        await self.processes.close()
+        await self.fleet.close()
+        self.folder.cleanup()
+
+    def set_builds(self, *builds: str) -> None:
+        for target, build in zip(self.fleet.engine_targets, builds, strict=True):
+            target.build = build
+            target.event_data_format = build + " {number}"
+            self.fleet.register(target)
+
+    async def request(self, stream: Stream, router: RouterProcess, request_id: str) -> None:
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "Authorization": f"Token {API_KEY}",
+            "X-Model": "m",
+            "X-Token-Usage": "100,10",
+            "X-Prompt-Prefix": f"aa:50,{request_id}:50",
+        }
+        if stream.last_event_id is not None:
+            headers["Last-Event-Id"] = str(stream.last_event_id)
+            headers["Resumes"] = stream.name
+        url = f"http://{router.settings['listen']['front']}/ask/x"
+        rest = b""
+        async with self.session.post(url, headers=headers, data=b"x") as response:
+            if response.status != 200:
+                stream.refusal = (response.status, response.headers.get("Retry-After"))
+                return
+            stream.refusal = None
+            async for chunk in response.content.iter_any():
+                rest = stream.feed(rest + chunk)
+
+    async def begin(self, number: int) -> Stream:
+        """Run a stream until it ends or breaks off."""
+        stream = Stream(f"s{number}")
+        try:
+            await self.request(stream, self.routers[number % ROUTERS], stream.name)
+        except aiohttp.ClientError:
+            pass
+        return stream
+
+    async def take_up(self, stream: Stream, routers: list[RouterProcess]) -> None:
+        """Take a stream up again, until a router serves it or refuses it for good."""
+        for attempt in range(100):
+            router = routers[attempt % len(routers)]
+            try:
+                await self.request(stream, router, f"{stream.name}-{attempt}")
+            except aiohttp.ClientError:
+                await asyncio.sleep(0.05)
+                continue
+            if stream.refusal is None or stream.refusal[1] is None:
+                return
+            await asyncio.sleep(float(stream.refusal[1]))
+
+    async def run_streams(self, killed: list[RouterProcess], is_old_gone: bool) -> list[Stream]:
+        """Begin streams, kill routers in the middle, and take up what has broken off."""
+        tasks = [asyncio.create_task(self.begin(number)) for number in range(STREAMS)]
+        await asyncio.sleep(EVENT_INTERVAL_S * EVENTS / 2)
+        for router in killed:
+            router.signal(signal.SIGKILL)
+        await asyncio.gather(*(router.wait(PROCESS_TIMEOUT_S) for router in killed))
+        if is_old_gone:
+            for target in self.fleet.engine_targets[:2]:
+                self.fleet.store.delete(f"servers/{target.name}")
+                await target.crash()
+        for router in killed:
+            router.settings["bootstrap"] = False
+            router.start()
+        streams = await asyncio.gather(*tasks)
+        broken = [stream for stream in streams if stream.builds and not stream.is_complete]
+        left = [router for router in self.routers if router not in killed]
+        await asyncio.gather(*(self.take_up(stream, left or self.routers) for stream in broken))
+        return broken
+
+    async def test_streams_are_not_joined_after_a_kill_of_all_routers(self) -> None:
+        """Guards against take-ups at routers that know nothing of the time before (ORDER)."""
+        self.set_builds("v1", "v1", "v2", "v2")
+        await asyncio.sleep(SETTLE_S)
+        for is_old_gone in (False, True):
+            with self.subTest(is_old_gone=is_old_gone):
+                broken = await self.run_streams(self.routers, is_old_gone)
+                self.assertGreater(len(broken), STREAMS / 2)
+                self.assertEqual([], [stream.name for stream in broken if stream.is_joined])
+                self.assertEqual({(503, None)}, {stream.refusal for stream in broken})
+                await asyncio.gather(*(router.wait_ready() for router in self.routers))
+
+    async def test_streams_go_on_after_a_kill_of_all_routers_while_one_version_serves(self) -> None:
+        """Guards against callers that lose their streams although nothing is mixed (LOST)."""
+        broken = await self.run_streams(self.routers, is_old_gone=False)
+        self.assertGreater(len(broken), STREAMS / 2)
+        self.assertEqual(len(broken), sum(stream.is_complete for stream in broken))
+
+    async def test_streams_go_on_at_their_version_through_the_routers_that_are_left(self) -> None:
+        """Guards against take-ups refused by routers that did not begin the stream (LOST)."""
+        self.set_builds("v1", "v1", "v2", "v2")
+        await asyncio.sleep(SETTLE_S)
+        broken = await self.run_streams(self.routers[:2], is_old_gone=False)
+        self.assertGreater(len(broken), STREAMS / 3)
+        self.assertEqual([], [stream.name for stream in broken if stream.is_joined])
+        self.assertGreater(sum(stream.is_complete for stream in broken), len(broken) / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -45,6 +45,7 @@
     first_port, last_port = min(gossip, metrics), max(gossip, metrics)
     return {
         "node": name,
+        "bootstrap": True,
         "ip": ip,
         "zone": "zone-a",
         "region": "region-1",
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -103,6 +103,8 @@
         self.deadly_body: bytes | None = None
         """Body of the requests on which it crashes before it answers."""
         self.born = 1
+        self.build = "v1"
+        """Version of its software."""
         self.is_down = False
         self.event_interval_s = 0.002
         self.event_count = STREAM_EVENT_COUNT
@@ -147,7 +149,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.build,
             "slots": 8,
             "state": state,
             "cold-left-ms": 0,
