--- a/coltsfootfront/direct/streambuilds.py
+++ b/coltsfootfront/direct/streambuilds.py
@@ -15,7 +15,7 @@
 from coltsfootfront.common.clock import Clock
 
 KEY_BYTES = 8
-# Streams that are kept, some 200 bytes each.
+# Streams that are kept, some 300 bytes each.
 MAX_STREAMS = 40_000
 
 
