--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -84,7 +84,7 @@
 STOPPING_RETRY_AFTER_S = 0.05
 # Spreads the returns of callers whose requests were held back.
 QUARANTINE_JITTER_S = 1.0
-# Another router may be in touch, and this one is so soon after the store's return.
+# Short, since another router may have a current configuration.
 MIN_OUTDATED_RETRY_AFTER_S = 0.3
 MAX_OUTDATED_RETRY_AFTER_S = 0.8
 STOPPING_MESSAGE = "the router is stopping"
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -76,8 +76,8 @@
 # Prompt parts in one response, about 60 bytes each before it is compressed. A small link carries
 # them in 200 ms.
 MAX_PARTS_SENT = 8000
-# Streams in one response, about 10 bytes each.
-MAX_STREAMS_SENT = 20_000
+# The latest streams, about 10 bytes each, in one response.
+MAX_STREAMS_SENT = 8_000
 # Largest response on each path. A position is two numbers; a part has about 60 bytes, and up to
 # three times as many with long names.
 MAX_RESPONSE_BYTES = {
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -68,8 +68,8 @@
 # Time limit for checking after a process pause that the copy is current. The store answers in
 # milliseconds; callers wait meanwhile.
 REVALIDATION_TIMEOUT_S = 1.0
-# Time that the store has before the answer of a peer is taken instead.
-STORE_PRECEDENCE_S = 0.25
+# Time that the store has before the answer of a peer is taken instead; what peers say is older.
+STORE_PRECEDENCE_S = 0.5
 # Who has confirmed a copy, for the log.
 FROM_STORE = "store"
 FROM_PEER = "peer"
@@ -435,7 +435,6 @@
         sources = [asyncio.create_task(self._refresh()), asyncio.create_task(self._ask_peers())]
         try:
             async with asyncio.timeout(REVALIDATION_TIMEOUT_S):
-                # What peers say is older.
                 await asyncio.wait(sources[:1], timeout=STORE_PRECEDENCE_S)
                 if sources[0].done() and sources[0].result() == FROM_STORE:
                     outcome = FROM_STORE
