--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -414,8 +414,9 @@
     async def confirm_age(self, max_age_s: float) -> bool:
         """Whether the copy was confirmed recently, by the store or a peer that is asked now.
 
-        :param max_age_s: longest time since the copy was known to lack nothing.
+        :param max_age_s: longest time from when the copy was known to lack nothing to this call.
         """
+        called_s = self._clock.monotonic_s()
         if self._is_younger_than(max_age_s):
             return True
         if self._is_store_failing:
@@ -424,7 +425,7 @@
         if self._revalidation is None:
             self._revalidation = asyncio.create_task(self._run_revalidation())
         await asyncio.shield(self._revalidation)
-        return self._is_younger_than(max_age_s)
+        return self._is_younger_than(max_age_s + self._clock.monotonic_s() - called_s)
 
     def _is_younger_than(self, max_age_s: float) -> bool:
         age_s = self.freshness.age_s()
