--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -1,5 +1,6 @@
 """Assembles a router that calls targets directly, and runs its background tasks."""
 
+import math
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
@@ -207,7 +208,8 @@
             bounds.retry_ratio,
             bounds.retry_fixed,
             bounds.retry_window_s,
-            clock.monotonic_s() + ROSTER_SETTLE_S,
+            # No process before it has spent any.
+            -math.inf if settings.is_first_start else clock.monotonic_s() + ROSTER_SETTLE_S,
         )
         self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
         self._roster = RouterRoster(clock, max(ISSUER_GRACE_S, bounds.retry_window_s))
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -53,6 +53,8 @@
 # Longest wait for changes at the relay. A relay that stops answering is noticed within this time
 # plus a few round trips.
 RELAY_WAIT_S = 1.0
+# A relay that has not answered this long after the end of the wait is paused or cut off.
+RELAY_SILENCE_MARGIN_S = 0.2
 # Longest time for which a router whose relay does not answer watches the store directly. The time
 # is drawn at random from the upper half of this range.
 DIRECT_WATCH_S = 8.0
@@ -263,6 +265,8 @@
         False until a snapshot or a peer's full copy was read, and again once the store has dropped
         its history.
         """
+        self._is_relay_silent = False
+        """Whether the last call to the relay had no answer, which a relay without contact gives."""
         self._overtaken = asyncio.Event()
         """Set when a peer's copy has brought this one further than the open call would."""
 
@@ -583,6 +587,8 @@
         finally:
             self._is_receiving = False
             self._answer_due_s = 0.0
+            answered_by_s = sent_s + RELAY_WAIT_S + RELAY_SILENCE_MARGIN_S
+            self._is_relay_silent = self._clock.monotonic_s() > answered_by_s
         if changes is None or changes.era < self.era:
             direct_s = self._generator.uniform(DIRECT_WATCH_S / 2, DIRECT_WATCH_S)
             self._direct_until_s = self._clock.monotonic_s() + direct_s
@@ -672,7 +678,8 @@
         """
         self._overtaken.clear()
         await self._read_peer()
-        if not self.is_complete and self._peers.relay_address() is not None:
+        has_relay = self._peers.relay_address() is not None and not self._is_relay_silent
+        if not self.is_complete and has_relay:
             try:
                 async with asyncio.timeout(SNAPSHOT_PATIENCE_S):
                     await self._overtaken.wait()
--- a/coltsfootfront/tests/copy_fleet.py
+++ b/coltsfootfront/tests/copy_fleet.py
@@ -15,6 +15,8 @@
 CONFIG_KEY = "op/config"
 # Net rate of a link of 10 Mbit/s of which half is taken by other traffic.
 SMALL_LINK_BYTES_PER_S = 600_000
+# Time within which changes must be in force in deployments with configurations of that size.
+APPLY_LIMIT_S = 4.0
 # Net rate of a link of 200 Mbit/s.
 WIDE_LINK_BYTES_PER_S = 25_000_000
 
@@ -98,6 +100,7 @@
         self.store = PlatformStore(store)
         generator = random.Random(seed)
         self.follower = Follower(self.store, self.peers, SystemClock(), "", self._apply, generator)
+        self.follower.apply_limit_s = APPLY_LIMIT_S
         self.peers.follower = self.follower
         self._values: dict[str, bytes | None] = {}
         self._changed = asyncio.Event()
