--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -242,5 +242,8 @@
 
 def _read_build(version: Any) -> str:
     """Version of a target's software, empty if it cannot be told from others."""
-    is_readable = isinstance(version, str) and len(version) <= MAX_BUILD_CHARACTERS
-    return version if is_readable else ""
+    try:
+        build = read_text(version)
+    except DecodingError:
+        return ""
+    return build if len(build) <= MAX_BUILD_CHARACTERS else ""
--- a/coltsfootfront/tests/test_joined_streams.py
+++ b/coltsfootfront/tests/test_joined_streams.py
@@ -102,7 +102,7 @@
 
     async def test_versions_that_cannot_be_read_are_taken_for_different_ones(self) -> None:
         """Guards against streams joined between targets that do not tell their version (ORDER)."""
-        for version in (None, 7, "", "v" * 1000):
+        for version in (None, 7, "", "v" * 1000, "v1\ud800", "v1\nv2", ["v1"]):
             with self.subTest(version):
                 self.setUp()
                 self.add(t1=version, t22=version)
