Read what has arrived before an agent counts as silent

Callers could get an error, run unknown, for a request that an agent had accepted and was about to answer.

Cause: after a stall of the event loop a timer that is due runs before the task that what has arrived wakes up.

Evidence: the new tests stall the loop right after the agent's message was sent. The waits for acceptance, for the next message, for the state of a cancelled request, for replies, for probes and for connections changed.

--- a/coltsfootfront/peers/channel.py
+++ b/coltsfootfront/peers/channel.py
@@ -10,6 +10,7 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.peers.connection import Connection, ConnectionLostError, Identity, connect
 from coltsfootfront.peers.messages import Message
 
@@ -137,7 +138,7 @@
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._calls[number] = future
         try:
-            async with asyncio.timeout(timeout_s):
+            async with ReadTimeout(timeout_s):
                 await self.send(message)
                 reply = await future
         except TimeoutError as error:
--- a/coltsfootfront/peers/connection.py
+++ b/coltsfootfront/peers/connection.py
@@ -15,6 +15,7 @@
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.peers.messages import (
     PROTOCOL_VERSION,
     Challenge,
@@ -166,7 +167,7 @@
     """
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(timeout_s):
+        async with ReadTimeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, int(port))
             connection = Connection(reader, writer, identity)
             try:
--- a/coltsfootfront/placing/probes.py
+++ b/coltsfootfront/placing/probes.py
@@ -9,6 +9,7 @@
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.peers.channel import Channel, ChannelPool
 from coltsfootfront.peers.connection import ConnectionLostError
 from coltsfootfront.peers.messages import Probe, ProbeReply
@@ -182,7 +183,10 @@
             if self._consecutive_misses.get(name, 0) < MAX_CONSECUTIVE_MISSES
         } or set(tasks.values())
         try:
-            await asyncio.wait(awaited, timeout=timeout_s)
+            async with ReadTimeout(timeout_s):
+                await asyncio.wait(awaited)
+        except TimeoutError:
+            pass
         finally:
             self._track_late_probes({task for task in tasks.values() if not task.done()})
         answers = [task.result() for task in tasks.values() if task.done()]
--- a/coltsfootfront/serving/attempt.py
+++ b/coltsfootfront/serving/attempt.py
@@ -12,6 +12,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.peers.channel import Channel, StreamInbox
 from coltsfootfront.peers.connection import MAX_FRAME_BYTES, ConnectionLostError
 from coltsfootfront.peers.liveness import AgentLiveness
@@ -257,7 +258,7 @@
 
     async def _try_send(self, message: Message) -> bool:
         try:
-            async with asyncio.timeout(self._timeouts.accept_s):
+            async with ReadTimeout(self._timeouts.accept_s):
                 await self._channel.send(message)
         except ConnectionLostError as error:
             log.debug(self._event("send_failed", message=message.TYPE, reason=error))
@@ -388,7 +389,7 @@
         started_s = self._clock.monotonic_s()
         while True:
             try:
-                async with asyncio.timeout(self._receive_timeout_s()):
+                async with ReadTimeout(self._receive_timeout_s()):
                     return await inbox.get()
             except ConnectionLostError as error:
                 raise _StreamInterruptedError(str(error)) from error
@@ -430,7 +431,7 @@
         inbox = self._inbox
         assert inbox is not None
         try:
-            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+            async with ReadTimeout(CANCEL_TIMEOUT_S):
                 while True:
                     reply = await inbox.get()
                     if isinstance(reply, Fail) and self._is_current(reply):
--- a/coltsfootfront/tests/test_depthpolicy.py
+++ b/coltsfootfront/tests/test_depthpolicy.py
@@ -6,11 +6,13 @@
 import unittest
 from collections import Counter
 from typing import Any
+from unittest import mock
 
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.configuration.document import Grant, PolicySettings
-from coltsfootfront.peers.messages import Probe, ProbeReply, encode
+from coltsfootfront.peers.connection import Connection
+from coltsfootfront.peers.messages import Message, Probe, ProbeReply, encode
 from coltsfootfront.placing.policy import PlacementRequest, TargetEstimate, TargetLoad
 from coltsfootfront.placing.prefixaffinity import PrefixAffinityPolicy
 from coltsfootfront.placing.probes import LoadTable, ProbeQuery, Prober, ProbeTarget
@@ -210,6 +212,28 @@
         self.assertLess(elapsed_s, 0.3)
         self.assertEqual(0.7, load_table.get("t2").load)
 
+    async def test_stall_of_the_event_loop_hides_no_reply(self) -> None:
+        """Guards against an agent whose reply has arrived and that is passed over as silent."""
+        (agent,) = await start_agents(FakeAgent("t1"))
+        channels = channel_pool()
+        clock = SystemClock()
+        prober = Prober(channels, LoadTable(clock), clock, 0.1, 0.5)
+        query = ProbeQuery("c", "m", "", "", 0, 5, True)
+        targets = [ProbeTarget(agent.name, agent.address, "v1", (), ())]
+        await prober.probe(query, targets)
+        handle = agent._handle
+
+        async def stall_after_reply(connection: Connection, message: Message) -> None:
+            await handle(connection, message)
+            time.sleep(0.2)  # noqa: ASYNC251 - stalls the event loop
+
+        with mock.patch.object(agent, "_handle", stall_after_reply):
+            result = await prober.probe(query, targets)
+        await prober.close()
+        await channels.close()
+        await agent.stop()
+        self.assertEqual(["t1"], [found.target for found in result.answers])
+
     async def test_placement_with_probes(self) -> None:
         """Guards against probe answers that do not influence placement."""
         agents = await start_agents(*(FakeAgent(f"t{n}") for n in range(4)), FakeAgent("far1"))
--- a/coltsfootfront/tests/test_dispatch.py
+++ b/coltsfootfront/tests/test_dispatch.py
@@ -27,6 +27,7 @@
     Message,
     Resume,
     Run,
+    Status,
 )
 from coltsfootfront.placing.breaker import Breaker
 from coltsfootfront.placing.policy import (
@@ -41,6 +42,7 @@
 from coltsfootfront_dev.fakeagent import SECRET, FakeAgent, document_for_agents, send_text_response
 
 TEXT = "one two three"
+ACCEPT_TIMEOUT_S = 0.15
 
 
 class NameOrderPolicy(Policy):
@@ -68,7 +70,7 @@
         **changes: Any,
     ) -> None:
         options: dict[str, Any] = {
-            "accept_timeout_s": 0.15,
+            "accept_timeout_s": ACCEPT_TIMEOUT_S,
             "stream_idle_timeout_s": 0.5,
             "probe_timeout_s": 0.1,
             "connect_timeout_s": 0.3,
@@ -347,6 +349,46 @@
         )
         self.assertEqual((TEXT, (1, 0)), (text, self.runs()))
 
+    async def test_stall_of_the_event_loop_is_not_taken_for_silence_of_the_agent(self) -> None:
+        """Guards against a timeout that ends before messages which have arrived are read."""
+
+        def stall_after(*frames: Frame) -> Script:
+            async def script(agent: FakeAgent, connection: Connection, run: Run) -> None:
+                for frame in frames:
+                    await connection.send(frame(run.stream, run.attempt))
+                time.sleep(2 * ACCEPT_TIMEOUT_S)  # noqa: ASYNC251 - stalls the event loop
+                if frames[-1] is accepted:
+                    await send_text_response(agent, connection, run)
+
+            return script
+
+        with self.subTest("accepted"):
+            text, _ = await self.run_script(make_service_request(), stall_after(accepted))
+            self.assertEqual((TEXT, (1,)), (text, self.runs()))
+        with self.subTest("refused"):
+            refused = stall_after(fail("overloaded", "not_run", 3.0))
+            _, outcome = await self.run_script(make_service_request(), refused)
+            self.assertEqual(ExecutionState.NOT_RUN, outcome.failure().execution_state)
+
+    async def test_stall_during_a_status_query_does_not_lose_the_agent(self) -> None:
+        """Guards against a stream that is given up though its agent has answered."""
+
+        async def wait_in_queue(agent: FakeAgent, connection: Connection, run: Run) -> None:
+            await connection.send(accepted(run.stream, run.attempt))
+            handle = agent._handle_peer
+
+            async def stall_after_reply(connection: Connection, message: Message) -> None:
+                await handle(connection, message)
+                if isinstance(message, Status):
+                    time.sleep(2 * ACCEPT_TIMEOUT_S)  # noqa: ASYNC251 - stalls the event loop
+
+            with mock.patch.object(agent, "_handle_peer", stall_after_reply):
+                await asyncio.sleep(4 * ACCEPT_TIMEOUT_S)
+            await send_text_response(agent, connection, run)
+
+        text, _ = await self.run_script(make_service_request(), wait_in_queue)
+        self.assertEqual((TEXT, 0), (text, len(self.agents[0].resumes)))
+
     async def test_a_slow_caller_delays_acknowledgements(self) -> None:
         """Guards against a send window that opens although the caller has read nothing."""
         gate = asyncio.Event()
