--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -32,7 +32,7 @@
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, PeerSource, Position
 from coltsfootfront.direct.streambuilds import StreamBuild
-from coltsfootfront.direct.takeups import PeerStreams, Streams
+from coltsfootfront.direct.takeups import OnStreams, PeerStreams, Streams
 from coltsfootfront.direct.transfers import (
     DEFLATE,
     OnProgress,
@@ -293,15 +293,26 @@
         copies = [_decode_parts(response) for response in responses if response is not None]
         return max(copies, key=len, default=[])
 
-    async def read_streams(self) -> Streams:
-        responses = await asyncio.gather(
-            *(self._get(peer, STREAMS_PATH) for peer in self._choose_peers(PEERS_QUERIED_AT_START))
-        )
-        found: dict[bytes, StreamBuild] = {}
-        for response in responses:
+    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
+        has_answered = False
+
+        async def read(peer: str) -> None:
+            nonlocal has_answered
+            response = await self._get(peer, STREAMS_PATH)
             if response is not None:
-                found |= _decode_streams(response)
-        return list(found.items())
+                has_answered = True
+                receive(_decode_streams(response))
+
+        peers = self._choose_peers(PEERS_QUERIED_AT_START)
+        if not peers:
+            return True
+        reads = [asyncio.create_task(read(peer)) for peer in peers]
+        try:
+            await asyncio.wait(reads, timeout=limit_s)
+        finally:
+            for task in reads:
+                task.cancel()
+        return has_answered
 
     async def _request_changes(
         self,
@@ -426,14 +437,14 @@
     return body
 
 
-def _decode_streams(body: bytes) -> dict[bytes, StreamBuild]:
+def _decode_streams(body: bytes) -> Streams:
     try:
         with decoding("streams"):
             rows = decode_each("streams", read_list(load_msgpack(body)), decode_begun)
-            return {key: stream for stream, keys in rows for key in keys}
+            return [(key, stream) for stream, keys in rows for key in keys]
     except DecodingError as error:
         log.warning(event("streams_unreadable", reason=str(error)))
-        return {}
+        return []
 
 
 def _decode_parts(body: bytes) -> list[CachedPartLocation]:
--- a/coltsfootfront/direct/takeups.py
+++ b/coltsfootfront/direct/takeups.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -23,14 +24,20 @@
 READ_TIMEOUT_S = 0.5
 
 Streams = list[tuple[bytes, StreamBuild]]
+OnStreams = Callable[[Streams], None]
 
 
 class PeerStreams(ABC):
     """Reads which streams other routers know."""
 
     @abstractmethod
-    async def read_streams(self) -> Streams:
-        """Read the streams that a few peers know."""
+    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
+        """Read the streams that a few peers know.
+
+        :param limit_s: peers that have not answered within this time are not waited for.
+        :param receive: called with what each of them knows, as it arrives.
+        :returns: whether a peer has answered, or there is none.
+        """
 
 
 class TakeUps:
@@ -52,6 +59,10 @@
         self.table = StreamTable(clock, builds.life_s)
         self._read_s: float | None = None
         self._reading: asyncio.Task[None] | None = None
+        self._have_peers_answered = False
+        """Whether the last read of what peers know had an answer."""
+        self._received = asyncio.Event()
+        """Set when a peer has answered, or the read of what peers know has ended."""
         builds.on_mixed = self._announce_own
 
     def record_begun(self, customer: str, request_id: str, stream: StreamBuild) -> None:
@@ -78,8 +89,8 @@
         :param service: service of the stream's route.
         :returns: None if it is not known which build began it.
         """
-        key = stream_key(customer, resumes)
-        known = self.table.find(key) if resumes else None
+        key = stream_key(customer, resumes) if resumes else b""
+        known = self.table.find(key)
         if known is not None:
             return known
         only = self._builds.only_build(service)
@@ -87,7 +98,7 @@
             return StreamBuild(service, only)
         if not resumes:
             return None
-        await self._read_peers()
+        await self._read_peers(key)
         return self.table.find(key)
 
     def handle_begun(self, fields: list[Any]) -> None:
@@ -105,24 +116,36 @@
         for key, stream in self.table.own(service):
             self._gossip.queue_begun(key, stream)
 
-    async def _read_peers(self) -> None:
-        """Read what peers know, unless that was done just now."""
+    async def _read_peers(self, key: bytes) -> None:
+        """Read what peers know, unless that was done just now, until a stream is found."""
         now_s = self._clock.monotonic_s()
         if self._reading is None:
             if self._read_s is not None and now_s - self._read_s < MIN_READ_INTERVAL_S:
                 return
             self._read_s = now_s
             self._reading = asyncio.create_task(self._read_once())
-        await asyncio.shield(self._reading)
+        while self._reading is not None and self.table.find(key) is None:
+            await self._received.wait()
 
     async def _read_once(self) -> None:
         before = len(self.table)
+        has_answered = False
         try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                for key, stream in await self._peers.read_streams():
-                    self.table.record(key, stream)
-        except TimeoutError:
-            metrics.CONNECTION_EVENTS.inc({"event": "streams_not_read"})
+            has_answered = await self._peers.read_streams(READ_TIMEOUT_S, self._record_streams)
         finally:
+            self._have_peers_answered = has_answered
             self._reading = None
-            log.info(event("streams_read", before=before, known=len(self.table)))
+            self._wake_waiting()
+            if not has_answered:
+                metrics.CONNECTION_EVENTS.inc({"event": "streams_not_read"})
+            known = len(self.table)
+            log.info(event("streams_read", before=before, known=known, answered=has_answered))
+
+    def _record_streams(self, streams: Streams) -> None:
+        for key, stream in streams:
+            self.table.record(key, stream)
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        received, self._received = self._received, asyncio.Event()
+        received.set()
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -30,7 +30,7 @@
     WeightedService,
 )
 from coltsfootfront.direct.servicebuilds import ServiceBuilds
-from coltsfootfront.direct.takeups import PeerStreams, Streams, TakeUps
+from coltsfootfront.direct.takeups import OnStreams, PeerStreams, TakeUps
 from coltsfootfront.direct.targetclient import (
     Directive,
     ExchangeError,
@@ -259,8 +259,8 @@
 class NoPeerStreams(PeerStreams):
     """Streams of a router that is alone."""
 
-    async def read_streams(self) -> Streams:
-        return []
+    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
+        return True
 
 
 class ForwarderFixture:
--- a/coltsfootfront/tests/test_stream_builds.py
+++ b/coltsfootfront/tests/test_stream_builds.py
@@ -2,6 +2,8 @@
 
 import json
 import random
+import socket
+import time
 import unittest
 
 from returns.result import Success
@@ -11,10 +13,18 @@
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.peers import Peers
+from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.routingconfig import RetryPolicy
 from coltsfootfront.direct.servicebuilds import BUILDS_PREFIX, STAGGER_S, ServiceBuilds
 from coltsfootfront.direct.streambuilds import KEY_BYTES, StreamBuild, StreamTable, stream_key
-from coltsfootfront.direct.takeups import PeerStreams, Streams, TakeUps
+from coltsfootfront.direct.takeups import (
+    READ_TIMEOUT_S,
+    OnStreams,
+    PeerStreams,
+    Streams,
+    TakeUps,
+)
 from coltsfootfront.direct.targetclient import Directive
 from coltsfootfront.keyvalue.store import Put, Transaction
 from coltsfootfront.platform.callerserver import _parse_resumes
@@ -29,6 +39,7 @@
     make_route,
 )
 from coltsfootfront.tests.support import InMemoryStore, ManualClock
+from coltsfootfront_dev.platformfleet import free_ports
 
 SERVICE = "engines"
 KEY = BUILDS_PREFIX + SERVICE
@@ -57,10 +68,13 @@
     def __init__(self) -> None:
         self.streams: Streams = []
         self.reads = 0
+        self.is_silent = False
 
-    async def read_streams(self) -> Streams:
+    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
         self.reads += 1
-        return self.streams
+        if not self.is_silent:
+            receive(self.streams)
+        return not self.is_silent
 
 
 class Router:
@@ -375,3 +389,45 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class PeerStreamsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.addresses = [f"127.0.0.1:{port}" for port in free_ports(3)]
+        clock = ManualClock()
+        self.there = Router(clock, InMemoryStore(clock))
+        self.there.put("t1", "v1")
+        self.there.put("t2", "v2")
+        self.there.begin("r1", "v1")
+        self.here = Router(clock, InMemoryStore(clock))
+        self.here.put("t1", "v1")
+        self.here.put("t2", "v2")
+        self.routers = [
+            Peers(RouterEntry(a, "a", "east"), [], random.Random(1)) for a in self.addresses
+        ]
+        reader, answering, _ = self.routers
+        answering.list_streams_to_share = self.there.take_ups.streams_to_share
+        for peers in (reader, answering):
+            await peers.start()
+            self.addAsyncCleanup(peers.close)
+        for name, address in zip("bc", self.addresses[1:], strict=True):
+            reader.add(name, RouterEntry(address, "a", "east"))
+        self.take_ups = TakeUps(clock, self.here.builds, self.here.gossip, reader)
+
+    async def test_silent_peer_does_not_hide_what_others_know(self) -> None:
+        """Guards against take-ups refused, or held, as one of the peers is frozen (LOST)."""
+        host, _, port = self.addresses[2].rpartition(":")
+        # Connections are accepted by the system, and nobody reads from them.
+        silent = socket.create_server((host, int(port)))
+        began_s = time.monotonic()
+        found = await self.take_ups.find("c", "r1", SERVICE)
+        took_s = time.monotonic() - began_s
+        self.assertIsNone(await self.take_ups.find("c", "r2", SERVICE))
+        silent.close()
+        self.assertEqual(StreamBuild(SERVICE, "v1"), found)
+        self.assertLess(took_s, READ_TIMEOUT_S)
+
+    async def test_peers_that_all_refuse_connections_have_not_answered(self) -> None:
+        """Guards against a router that takes the silence of all peers for their word (ORDER)."""
+        await self.routers[1].close()
+        self.assertFalse(await self.routers[0].read_streams(READ_TIMEOUT_S, lambda streams: None))
