--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -249,6 +249,7 @@
             self._peers.names,
             self._peers.own_name(),
             generator,
+            lambda: max(store.era, self._follower.era),
         )
         self._builds.is_first_start = settings.is_first_start
         self._take_ups = TakeUps(clock, self._builds, self._gossip, self._peers)
--- a/coltsfootfront/direct/servicebuilds.py
+++ b/coltsfootfront/direct/servicebuilds.py
@@ -4,18 +4,27 @@
 may have left a second ago. So the store keeps one record for each service that has resumable
 streams: the build that was the only one for that long, or that there were several. It has no
 lease, and does not depend on the time of day. It is written when a second build appears, before
-its targets begin streams, and once a single build has been alone for long enough.
+its targets begin streams, and once a single build has been alone for long enough. It tells the era
+of the store, as a restore may bring back one from before a release.
 """
 
 import json
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 import logbook
 from returns.result import Success
 
 from coltsfootfront.common.clock import Clock
-from coltsfootfront.common.decoding import DecodingError, decoding, load_json, read_object
+from coltsfootfront.common.decoding import (
+    DecodingError,
+    decoding,
+    load_json,
+    read_integer,
+    read_object,
+    read_text,
+)
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.directory import Directory
@@ -35,21 +44,33 @@
 LIFE_PER_TIMEOUT = 1.5
 
 
+class _Record(NamedTuple):
+    """Record in the store of the builds of one service.
+
+    :param only: the only build, None if there were several.
+    :param era: era of the store in which it was written; -1 if it cannot be read.
+    """
+
+    only: str | None
+    era: int
+
+
+UNREADABLE_RECORD = _Record(None, -1)
+
+
 class _Observation:
     """What this router has seen of one service.
 
     :param since_s: monotonic time from which on it has seen every build.
     """
 
-    __slots__ = ("due_s", "has_record", "last_seen_s", "recorded", "since_s")
+    __slots__ = ("due_s", "last_seen_s", "record", "since_s")
 
     def __init__(self, since_s: float) -> None:
         self.since_s = since_s
         self.last_seen_s: dict[str, float] = {}
         """Monotonic time at which each build was last there."""
-        self.has_record = False
-        self.recorded: str | None = None
-        """Build that the record in the store names, None if it says that there were several."""
+        self.record: _Record | None = None
         self.due_s: float | None = None
         """Monotonic time at which this router writes the record, None if it need not."""
 
@@ -63,6 +84,7 @@
     :param revision_of: revision of a key in the copy of the store, None if it is not known.
     :param list_routers: names of all routers, this one included, from which the writer is chosen.
     :param router: name of this router.
+    :param store_era: latest known era of the store.
     """
 
     def __init__(
@@ -74,6 +96,7 @@
         list_routers: Callable[[], list[str]],
         router: str,
         generator: random.Random,
+        store_era: Callable[[], int],
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -82,6 +105,7 @@
         self._list_routers = list_routers
         self._router = router
         self._generator = generator
+        self._store_era = store_era
         self._services: dict[str, _Observation] = {}
         self.life_s = MIN_STREAM_LIFE_S
         """Longest time from the beginning of a stream until a caller takes it up again."""
@@ -109,14 +133,17 @@
         """
         observed = self._observe(service)
         recent = self._recent(observed)
-        if len(recent) == 1 and observed.recorded in recent:
-            return observed.recorded
-        return None
+        record = observed.record
+        if record is None or record.only is None or recent != {record.only}:
+            return None
+        if record.era != self._store_era() and not self._has_seen_all(observed):
+            return None
+        return record.only
 
     def may_begin(self, service: str, build: str) -> bool:
         """Whether streams may begin at a build: the store knows that it is not the only one."""
-        observed = self._observation(service)
-        return not observed.has_record or observed.recorded in (None, build)
+        record = self._observation(service).record
+        return record is None or record.only in (None, build)
 
     def observe(self, service: str) -> None:
         """Take note of a changed entry of a service's target."""
@@ -126,8 +153,7 @@
     def handle_stored(self, service: str, value: bytes | None) -> None:
         """Take the record that the store has of a service."""
         observed = self._observation(service)
-        observed.has_record = value is not None
-        observed.recorded = _decode(service, value) if value is not None else None
+        observed.record = _decode(service, value) if value is not None else None
         observed.due_s = None
 
     async def run(self) -> None:
@@ -187,26 +213,31 @@
     def _wanted_record(self, observed: _Observation) -> tuple[bool, str | None]:
         """Whether the store's record should change, and the build that it should name."""
         recent = self._recent(observed)
+        record = observed.record
         if not recent:
             return False, None
         if len(recent) > 1:
-            return not observed.has_record or observed.recorded is not None, None
+            return record is None or record.only is not None, None
         (build,) = recent
-        if observed.recorded == build:
+        if record is not None and record == (build, self._store_era()):
             return False, build
-        has_seen_all = self._clock.monotonic_s() - observed.since_s >= self.life_s
-        is_new = self.is_first_start and not observed.has_record
-        if has_seen_all or is_new:
+        if self._has_seen_all(observed) or (self.is_first_start and record is None):
             return True, build
+        if record is None or record.only is None or record.only == build:
+            return False, None
         # The record names another build, whose targets have gone before this router started.
-        return observed.recorded is not None, None
+        return True, None
+
+    def _has_seen_all(self, observed: _Observation) -> bool:
+        """Whether this router has seen each build of which a stream may still be taken up."""
+        return self._clock.monotonic_s() - observed.since_s >= self.life_s
 
     async def _write(self, service: str, build: str | None) -> None:
         key = BUILDS_PREFIX + service
         revision = self._revision_of(key)
         if revision is None:
             return
-        value = json.dumps({"only": build}).encode()
+        value = json.dumps({"only": build, "era": self._store_era()}).encode()
         committed = await self._store.commit(
             Transaction(compares=[Compare(key, revision)], puts=[Put(key, value)])
         )
@@ -218,12 +249,13 @@
             self.handle_stored(service, value)
 
 
-def _decode(service: str, value: bytes) -> str | None:
-    """Build that a record names; None also for a record that cannot be read."""
+def _decode(service: str, value: bytes) -> _Record:
+    """Decode a record; one that cannot be read names no build."""
     try:
         with decoding("builds"):
-            build = read_object(load_json(value))["only"]
-            return build if isinstance(build, str) else None
+            fields = read_object(load_json(value))
+            only = None if fields["only"] is None else read_text(fields["only"])
+            return _Record(only, read_integer(fields["era"]))
     except DecodingError as error:
         log.warning(event("builds_unreadable", service=service, reason=str(error)))
-        return None
+        return UNREADABLE_RECORD
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -303,6 +303,7 @@
             lambda: ["own:1"],
             "own:1",
             generator,
+            lambda: 0,
         )
         self.take_ups = TakeUps(clock, self.builds, channel, NoPeerStreams())
         self.forwarder = Forwarder(
--- a/coltsfootfront/tests/test_stream_builds.py
+++ b/coltsfootfront/tests/test_stream_builds.py
@@ -95,6 +95,7 @@
             lambda: [ROUTER, "peer:1", "peer:2"],
             name,
             random.Random(1),
+            lambda: store.era,
         )
         self.take_ups = TakeUps(clock, self.builds, self.gossip, self.peer)
         self.builds.set_services({SERVICE: 10.0})
@@ -140,8 +141,8 @@
     def make_router(self, name: str = ROUTER) -> Router:
         return Router(self.clock, self.store, name)
 
-    async def record(self, only: str | None) -> None:
-        value = json.dumps({"only": only}).encode()
+    async def record(self, only: str | None, era: int = 0) -> None:
+        value = json.dumps({"only": only, "era": era}).encode()
         await self.store.commit(Transaction(puts=[Put(KEY, value)]))
 
     async def test_router_that_has_just_started_does_not_know_which_builds_served(self) -> None:
@@ -172,7 +173,9 @@
         router.put("t1", "v1")
         router.put("t2", "v2")
         await router.wait(2 * STAGGER_S + 1)
-        self.assertFalse(router.builds._services[SERVICE].recorded)
+        record = router.builds._services[SERVICE].record
+        assert record is not None
+        self.assertIsNone(record.only)
         router.drop("t1")
         await router.wait(router.builds.life_s - 2)
         self.assertIsNone(router.builds.only_build(SERVICE))
@@ -214,6 +217,33 @@
         await router.wait(2 * STAGGER_S + 1)
         self.assertEqual("v1", router.builds.only_build(SERVICE))
 
+    async def test_record_of_before_a_restore_says_nothing_to_a_router_that_starts(self) -> None:
+        """Guards against a restore that brings back a single build of before a release (ORDER)."""
+        await self.record("v1")
+        self.store.current_era = 1
+        router = self.make_router()
+        await router.read_store()
+        router.put("t1", "v1")
+        self.assertIsNone(router.builds.only_build(SERVICE))
+        self.assertIsNone(await router.take_ups.find("c", "r1", SERVICE))
+        await router.wait(router.builds.life_s + 2 * STAGGER_S + 1)
+        self.assertEqual("v1", router.builds.only_build(SERVICE))
+
+    async def test_record_of_before_a_restore_holds_for_a_router_that_has_seen_all(self) -> None:
+        """Guards against take-ups refused after each restore, and a record left as it was."""
+        await self.record("v1")
+        router = self.make_router()
+        await router.read_store()
+        router.put("t1", "v1")
+        await router.wait(router.builds.life_s + 1)
+        self.store.current_era = 1
+        self.assertEqual("v1", router.builds.only_build(SERVICE))
+        await router.wait(2 * STAGGER_S + 1)
+        started = self.make_router("peer:1")
+        await started.read_store()
+        started.put("t1", "v1")
+        self.assertEqual("v1", started.builds.only_build(SERVICE))
+
     async def test_nothing_is_written_while_one_build_serves(self) -> None:
         """Guards against calls to the store that no release pays for."""
         await self.record("v1")
@@ -247,7 +277,16 @@
         """Guards against a record of another writer that joins streams, or ends the router."""
         router = self.make_router()
         router.put("t1", "v1")
-        for value in (b"", b"[]", b"\xff", b'{"only": 7}', b'{"only": ["v1"]}', b"{}"):
+        for value in (
+            b"",
+            b"[]",
+            b"\xff",
+            b'{"only": 7, "era": 0}',
+            b'{"only": ["v1"], "era": 0}',
+            b'{"only": "v1"}',
+            b'{"only": "v1", "era": "0"}',
+            b"{}",
+        ):
             with self.subTest(value):
                 router.builds.handle_stored(SERVICE, value)
                 self.assertIsNone(router.builds.only_build(SERVICE))
@@ -276,7 +315,7 @@
 
     async def test_streams_from_before_a_release_are_told_when_it_begins(self) -> None:
         """Guards against take-ups refused for streams that began while one version served."""
-        await self.there.store.commit(Transaction(puts=[Put(KEY, b'{"only": "v1"}')]))
+        await self.there.store.commit(Transaction(puts=[Put(KEY, b'{"only": "v1", "era": 0}')]))
         router = Router(self.clock, self.there.store, "peer:2")
         await router.read_store()
         router.put("t1", "v1")
@@ -326,6 +365,48 @@
         self.assertEqual(0, len(table))
 
 
+class PeerStreamsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.addresses = [f"127.0.0.1:{port}" for port in free_ports(3)]
+        clock = ManualClock()
+        self.there = Router(clock, InMemoryStore(clock))
+        self.there.put("t1", "v1")
+        self.there.put("t2", "v2")
+        self.there.begin("r1", "v1")
+        self.here = Router(clock, InMemoryStore(clock))
+        self.here.put("t1", "v1")
+        self.here.put("t2", "v2")
+        self.routers = [
+            Peers(RouterEntry(a, "a", "east"), [], random.Random(1)) for a in self.addresses
+        ]
+        reader, answering, _ = self.routers
+        answering.list_streams_to_share = self.there.take_ups.streams_to_share
+        for peers in (reader, answering):
+            await peers.start()
+            self.addAsyncCleanup(peers.close)
+        for name, address in zip("bc", self.addresses[1:], strict=True):
+            reader.add(name, RouterEntry(address, "a", "east"))
+        self.take_ups = TakeUps(clock, self.here.builds, self.here.gossip, reader)
+
+    async def test_silent_peer_does_not_hide_what_others_know(self) -> None:
+        """Guards against take-ups refused, or held, as one of the peers is frozen (LOST)."""
+        host, _, port = self.addresses[2].rpartition(":")
+        # Connections are accepted by the system, and nobody reads from them.
+        silent = socket.create_server((host, int(port)))
+        began_s = time.monotonic()
+        found = await self.take_ups.find("c", "r1", SERVICE)
+        took_s = time.monotonic() - began_s
+        self.assertIsNone(await self.take_ups.find("c", "r2", SERVICE))
+        silent.close()
+        self.assertEqual(StreamBuild(SERVICE, "v1"), found)
+        self.assertLess(took_s, READ_TIMEOUT_S)
+
+    async def test_peers_that_all_refuse_connections_have_not_answered(self) -> None:
+        """Guards against a router that takes the silence of all peers for their word (ORDER)."""
+        await self.routers[1].close()
+        self.assertFalse(await self.routers[0].read_streams(READ_TIMEOUT_S, lambda streams: None))
+
+
 class TakenUpStreamTest(unittest.IsolatedAsyncioTestCase):
     """Take-ups by callers, at a router that knows the stream."""
 
@@ -389,45 +470,3 @@
 
 if __name__ == "__main__":
     unittest.main()
-
-
-class PeerStreamsTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.addresses = [f"127.0.0.1:{port}" for port in free_ports(3)]
-        clock = ManualClock()
-        self.there = Router(clock, InMemoryStore(clock))
-        self.there.put("t1", "v1")
-        self.there.put("t2", "v2")
-        self.there.begin("r1", "v1")
-        self.here = Router(clock, InMemoryStore(clock))
-        self.here.put("t1", "v1")
-        self.here.put("t2", "v2")
-        self.routers = [
-            Peers(RouterEntry(a, "a", "east"), [], random.Random(1)) for a in self.addresses
-        ]
-        reader, answering, _ = self.routers
-        answering.list_streams_to_share = self.there.take_ups.streams_to_share
-        for peers in (reader, answering):
-            await peers.start()
-            self.addAsyncCleanup(peers.close)
-        for name, address in zip("bc", self.addresses[1:], strict=True):
-            reader.add(name, RouterEntry(address, "a", "east"))
-        self.take_ups = TakeUps(clock, self.here.builds, self.here.gossip, reader)
-
-    async def test_silent_peer_does_not_hide_what_others_know(self) -> None:
-        """Guards against take-ups refused, or held, as one of the peers is frozen (LOST)."""
-        host, _, port = self.addresses[2].rpartition(":")
-        # Connections are accepted by the system, and nobody reads from them.
-        silent = socket.create_server((host, int(port)))
-        began_s = time.monotonic()
-        found = await self.take_ups.find("c", "r1", SERVICE)
-        took_s = time.monotonic() - began_s
-        self.assertIsNone(await self.take_ups.find("c", "r2", SERVICE))
-        silent.close()
-        self.assertEqual(StreamBuild(SERVICE, "v1"), found)
-        self.assertLess(took_s, READ_TIMEOUT_S)
-
-    async def test_peers_that_all_refuse_connections_have_not_answered(self) -> None:
-        """Guards against a router that takes the silence of all peers for their word (ORDER)."""
-        await self.routers[1].close()
-        self.assertFalse(await self.routers[0].read_streams(READ_TIMEOUT_S, lambda streams: None))
