--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -252,6 +252,7 @@
             lambda: max(store.era, self._follower.era),
         )
         self._builds.is_first_start = settings.is_first_start
+        self._builds.max_copy_age_s = bounds.config_apply_s
         self._take_ups = TakeUps(clock, self._builds, self._gossip, self._peers)
         self._forwarder = self._build_forwarder()
         self._forwarder.max_in_progress = admission.max_requests_for_memory(settings.memory_bytes)
--- a/coltsfootfront/direct/servicebuilds.py
+++ b/coltsfootfront/direct/servicebuilds.py
@@ -42,6 +42,8 @@
 MIN_STREAM_LIFE_S = 20.0
 # A caller may take a stream up after the timeout of its route, within a deadline of its own.
 LIFE_PER_TIMEOUT = 1.5
+# Used until the settings tell the time within which changes must be in force.
+DEFAULT_MAX_COPY_AGE_S = 2.5
 
 
 class _Record(NamedTuple):
@@ -113,6 +115,8 @@
         """Whether no router has run in this deployment before."""
         self.copy_age_s: Callable[[], float | None] = lambda: 0.0
         """Time since the copy of the store was known to lack nothing."""
+        self.max_copy_age_s = DEFAULT_MAX_COPY_AGE_S
+        """Age up to which a copy is taken to have the record of a release."""
         self.on_mixed: Callable[[str], None] = lambda service: None
         """Called with a service that has got a second build."""
 
@@ -140,6 +144,11 @@
             return None
         return record.only
 
+    def is_copy_young(self) -> bool:
+        """Whether the copy of the store has the record of any release of before this moment."""
+        age_s = self.copy_age_s()
+        return age_s is not None and age_s <= self.max_copy_age_s
+
     def may_begin(self, service: str, build: str) -> bool:
         """Whether streams may begin at a build: the store knows that it is not the only one."""
         record = self._observation(service).record
--- a/coltsfootfront/direct/streambuilds.py
+++ b/coltsfootfront/direct/streambuilds.py
@@ -7,7 +7,7 @@
 build began which stream, and a take-up whose build is unknown is refused.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable
 from hashlib import blake2b
 from typing import NamedTuple
@@ -53,12 +53,13 @@
     :param max_streams: the oldest streams beyond this number are forgotten.
     """
 
-    __slots__ = ("_clock", "_max_streams", "_records", "life_s")
+    __slots__ = ("_clock", "_counts", "_max_streams", "_records", "life_s")
 
     def __init__(self, clock: Clock, life_s: float, max_streams: int = MAX_STREAMS) -> None:
         self._clock = clock
         self._max_streams = max_streams
         self._records: OrderedDict[bytes, _Record] = OrderedDict()
+        self._counts: Counter[StreamBuild] = Counter()
         self.life_s = life_s
         """Longest time from the beginning of a stream until a caller takes it up again."""
 
@@ -71,8 +72,9 @@
         if key in self._records:
             return
         self._records[key] = _Record(build, self._clock.monotonic_s(), is_own)
+        self._counts[build] += 1
         if len(self._records) > self._max_streams:
-            self._records.popitem(last=False)
+            self._forget_oldest()
 
     def find(self, key: bytes) -> StreamBuild | None:
         """Build that began a stream, None if it is not known."""
@@ -80,6 +82,11 @@
         record = self._records.get(key)
         return record.build if record is not None else None
 
+    def has_other_build(self, service: str, build: str) -> bool:
+        """Whether a stream of a service has begun at another build."""
+        self._forget_old()
+        return any(known.service == service and known.build != build for known in self._counts)
+
     def own(self, service: str) -> list[tuple[bytes, StreamBuild]]:
         """Streams of a service that have begun at this router."""
         self._forget_old()
@@ -97,7 +104,12 @@
     def _forget_old(self) -> None:
         oldest_s = self._clock.monotonic_s() - self.life_s
         while self._records:
-            key, record = next(iter(self._records.items()))
-            if record.begun_s >= oldest_s:
+            if next(iter(self._records.values())).begun_s >= oldest_s:
                 return
-            del self._records[key]
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        _, record = self._records.popitem(last=False)
+        self._counts[record.build] -= 1
+        if not self._counts[record.build]:
+            del self._counts[record.build]
--- a/coltsfootfront/direct/takeups.py
+++ b/coltsfootfront/direct/takeups.py
@@ -93,13 +93,24 @@
         known = self.table.find(key)
         if known is not None:
             return known
-        only = self._builds.only_build(service)
-        if only is not None:
-            return StreamBuild(service, only)
-        if not resumes:
+        only = self._find_only(service)
+        if only is not None and self._builds.is_copy_young():
+            return only
+        if only is None and not resumes:
             return None
+        # A router that is cut off does not learn of a release; its peers do.
         await self._read_peers(key)
-        return self.table.find(key)
+        known = self.table.find(key)
+        if known is not None or not self._have_peers_answered:
+            return known
+        return self._find_only(service)
+
+    def _find_only(self, service: str) -> StreamBuild | None:
+        """The single build of a service, None if there may be several."""
+        only = self._builds.only_build(service)
+        if only is None or self.table.has_other_build(service, only):
+            return None
+        return StreamBuild(service, only)
 
     def handle_begun(self, fields: list[Any]) -> None:
         """Record streams that have begun at a peer."""
--- a/coltsfootfront/tests/test_stream_builds.py
+++ b/coltsfootfront/tests/test_stream_builds.py
@@ -336,6 +336,48 @@
             self.assertIsNone(await self.here.take_ups.find("c", f"x{number}", SERVICE))
         self.assertEqual(1, self.here.peer.reads)
 
+    async def make_outdated_router(self) -> Router:
+        """Create a router whose copy of the store is of before a release."""
+        record = Put(KEY, b'{"only": "v1", "era": 0}')
+        await self.here.store.commit(Transaction(puts=[record]))
+        router = Router(self.clock, self.here.store, "peer:2")
+        await router.read_store()
+        router.put("t1", "v1")
+        router.builds.copy_age_s = lambda: 60.0
+        return router
+
+    async def test_router_with_an_old_copy_asks_peers_before_it_relies_on_a_single_build(
+        self,
+    ) -> None:
+        """Guards against a router cut off from a release that joins its streams (ORDER)."""
+        router = await self.make_outdated_router()
+        self.there.begin("r1", "v2")
+        router.peer.streams = self.there.take_ups.streams_to_share()
+        found = await router.take_ups.find("c", "r1", SERVICE)
+        self.assertEqual(StreamBuild(SERVICE, "v2"), found)
+        self.assertIsNone(await router.take_ups.find("c", "r2", SERVICE))
+
+    async def test_old_copy_is_no_reason_to_refuse_while_peers_know_no_other_build(self) -> None:
+        """Guards against take-ups refused in an outage of the store (LOST)."""
+        router = await self.make_outdated_router()
+        found = await router.take_ups.find("c", "r1", SERVICE)
+        self.assertEqual(StreamBuild(SERVICE, "v1"), found)
+
+    async def test_router_that_is_cut_off_relies_on_no_single_build(self) -> None:
+        """Guards against a router that nothing reaches but its callers (ORDER)."""
+        router = await self.make_outdated_router()
+        router.peer.is_silent = True
+        self.assertIsNone(await router.take_ups.find("c", "r1", SERVICE))
+
+    async def test_announced_stream_of_another_build_ends_the_belief_in_a_single_one(self) -> None:
+        """Guards against a copy that is one change behind a release (ORDER)."""
+        router = await self.make_outdated_router()
+        router.builds.copy_age_s = lambda: 0.1
+        self.there.begin("r1", "v2")
+        for fields in self.there.gossip.delivered():
+            router.take_ups.handle_begun(fields)
+        self.assertIsNone(await router.take_ups.find("c", "r2", SERVICE))
+
     async def test_names_that_fit_no_stream_find_none_and_take_no_memory(self) -> None:
         """Guards against another customer's stream, and memory that callers can fill."""
         self.here.begin("r1", "v1")
