--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 SEEDS ?= 10
 SECONDS ?= 10
 ROUTERS ?= 3
+RELEASES ?=
 
 all: test
 
@@ -39,7 +40,7 @@
 	@$(BIN)/python -m coltsfootfront_dev.slopes --deployment $(DEPLOYMENT)
 
 soak: setup
-	@$(BIN)/python -m coltsfootfront_dev.soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --routers $(ROUTERS)
+	@$(BIN)/python -m coltsfootfront_dev.soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) --routers $(ROUTERS) $(if $(RELEASES),--releases)
 
 format: setup
 	$(BIN)/black coltsfootfront coltsfootfront_dev
--- a/coltsfootfront/tests/test_soak.py
+++ b/coltsfootfront/tests/test_soak.py
@@ -23,7 +23,11 @@
         """Guards against a router that takes its own pause for the silence of its targets."""
         await self._check(9)
 
-    async def _check(self, seed: int) -> None:
-        report = await soak(seed, FAULTS_S)
+    async def test_streams_are_not_joined_while_engines_are_released(self) -> None:
+        """Guards against streams that go on at another software version under faults (ORDER)."""
+        await self._check(4812, has_releases=True)
+
+    async def _check(self, seed: int, has_releases: bool = False) -> None:
+        report = await soak(seed, FAULTS_S, has_releases=has_releases)
         self.assertEqual([], report.broken, report.to_json())
         self.assertGreater(report.statuses["200"], 100)
--- a/coltsfootfront/tests/test_system_joined_streams.py
+++ b/coltsfootfront/tests/test_system_joined_streams.py
@@ -1,7 +1,6 @@
 """Tests of streams that callers take up while several software versions serve, with processes."""
 
 import asyncio
-import re
 import signal
 import tempfile
 import unittest
@@ -9,6 +8,7 @@
 
 import aiohttp
 
+from coltsfootfront_dev.clientstream import BUILD_DATA_FORMAT, ClientStream
 from coltsfootfront_dev.platformfleet import API_KEY, HOST, PlatformFleet
 from coltsfootfront_dev.platformrouters import PROCESS_TIMEOUT_S, RouterProcess, RouterProcesses
 
@@ -19,41 +19,16 @@
 # Until a router knows a new build and the store has recorded it.
 SETTLE_S = 2.5
 DEADLINE_MS = 8000
-EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \d+\n\n")
 
 
-class Stream:
-    """One caller's stream over its tries.
-
-    :param name: its first request's id.
-    """
+class Stream(ClientStream):
+    """One caller's stream, with the latest refusal of it."""
 
     def __init__(self, name: str) -> None:
-        self.name = name
-        self.builds: list[str] = []
-        self.last_event_id: int | None = None
+        super().__init__(name, EVENTS)
         self.refusal: tuple[int, str | None] | None = None
         """Status and ``Retry-After`` of the latest refusal, None if the last try was served."""
 
-    @property
-    def is_joined(self) -> bool:
-        """Whether its events come from several software versions."""
-        return len(set(self.builds)) > 1
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether its last event has arrived."""
-        return self.last_event_id == EVENTS - 1
-
-    def feed(self, data: bytes) -> bytes:
-        """Record the complete events, and return the rest."""
-        end = 0
-        for match in EVENT.finditer(data):
-            self.last_event_id = int(match[1])
-            self.builds.append(match[2].decode())
-            end = match.end()
-        return data[end:]
-
 
 class SystemJoinedStreamsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -79,7 +54,7 @@
     def set_builds(self, *builds: str) -> None:
         for target, build in zip(self.fleet.engine_targets, builds, strict=True):
             target.build = build
-            target.event_data_format = build + " {number}"
+            target.event_data_format = BUILD_DATA_FORMAT.format(build=build)
             self.fleet.register(target)
 
     async def request(self, stream: Stream, router: RouterProcess, request_id: str) -> None:
@@ -92,18 +67,15 @@
             "X-Token-Usage": "100,10",
             "X-Prompt-Prefix": f"aa:50,{request_id}:50",
         }
-        if stream.last_event_id is not None:
-            headers["Last-Event-Id"] = str(stream.last_event_id)
-            headers["Resumes"] = stream.name
+        headers |= stream.take_up_headers()
         url = f"http://{router.settings['listen']['front']}/ask/x"
-        rest = b""
         async with self.session.post(url, headers=headers, data=b"x") as response:
             if response.status != 200:
                 stream.refusal = (response.status, response.headers.get("Retry-After"))
                 return
             stream.refusal = None
             async for chunk in response.content.iter_any():
-                rest = stream.feed(rest + chunk)
+                stream.feed(chunk)
 
     async def begin(self, number: int) -> Stream:
         """Run a stream until it ends or breaks off."""
--- a/coltsfootfront_dev/limitcheck.py
+++ b/coltsfootfront_dev/limitcheck.py
@@ -122,7 +122,7 @@
 
     def record_response(self, router: str, headers: Mapping[str, str]) -> None:
         """Record that a router has passed on a response, which may name a limit."""
-        name = headers.get(SIGNATURE_HEADER, "").partition(".")[0]
+        name = headers.get(SIGNATURE_HEADER, "").rpartition(".")[0]
         for limit in self._limits:
             is_named = headers.get(LIMIT_HEADER) == str(limit.rate_per_s)
             if is_named and limit.target.name == name and limit.end_s is None:
--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+from coltsfootfront_dev.clientstream import BUILD_DATA_FORMAT
 from coltsfootfront_dev.platformstore import PlatformStoreStandIn, StoreCheckpoint
 from coltsfootfront_dev.platformtarget import PlatformTargetStandIn
 
@@ -183,13 +184,24 @@
     async def _restart(self, target: PlatformTargetStandIn) -> None:
         await target.crash()
         await asyncio.sleep(RESTART_S)
-        self.store.delete(f"servers/{target.name}")
-        target.born += 1
-        target.name = f"{target.name.partition('.')[0]}.{target.born}"
+        self._rename(target)
         await target.start()
         target.is_down = False
         self.register(target)
 
+    def replace(self, target: PlatformTargetStandIn, build: str) -> None:
+        """Let a new instance, of another software version, take the place of a target."""
+        self._rename(target)
+        target.abort_connections()
+        target.build = build
+        target.event_data_format = BUILD_DATA_FORMAT.format(build=build)
+        self.register(target)
+
+    def _rename(self, target: PlatformTargetStandIn) -> None:
+        self.store.delete(f"servers/{target.name}")
+        target.born += 1
+        target.name = f"{target.name.partition('.')[0]}.{target.born}"
+
     async def restore_store(
         self, checkpoint: StoreCheckpoint, outage_s: float, rewrite_delay_s: float
     ) -> None:
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -131,12 +131,16 @@
 
     async def crash(self) -> None:
         """Reset all connections and stop listening, as a process that ends by itself."""
+        self.abort_connections()
+        await self.close()
+        self._runner = None
+
+    def abort_connections(self) -> None:
+        """Reset all connections."""
         for transport in self._transports:
             if isinstance(transport, asyncio.Transport):
                 transport.abort()
         self._transports.clear()
-        await self.close()
-        self._runner = None
 
     async def close(self) -> None:
         """Stop listening."""
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -22,6 +22,7 @@
 
 import aiohttp
 
+from coltsfootfront_dev.clientstream import BUILD_DATA_FORMAT, ClientStream
 from coltsfootfront_dev.limitcheck import LimitMonitor
 from coltsfootfront_dev.platformfleet import (
     API_KEY,
@@ -54,6 +55,8 @@
 STEADY_EVENT_COUNT = 10
 # Longer than a stream takes whose router is stopped twice meanwhile.
 REQUEST_TIMEOUT_MS = 6000
+# Tries of a caller to take up a stream that has broken off.
+MAX_TAKE_UPS = 3
 # Time after a fault within which its effects may end an answer.
 FAULT_EFFECT_S = 2.0
 CONFIGURATION_PATTERN = re.compile(r"event=configuration_in_force version=(\d+)")
@@ -102,6 +105,7 @@
 
     :param allows_retries: whether the routers' retry budget was more than nothing.
     :param statuses: requests by HTTP status, or by exception type without an answer.
+    :param take_ups: the same for streams that callers take up again.
     :param broken: violations of a guarantee, one sentence each.
     """
 
@@ -109,6 +113,7 @@
     allows_retries: bool = True
     requests: int = 0
     statuses: Counter[str] = field(default_factory=Counter)
+    take_ups: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
 
@@ -120,6 +125,7 @@
                 "allows_retries": self.allows_retries,
                 "requests": self.requests,
                 "statuses": dict(self.statuses),
+                "take_ups": dict(self.take_ups),
                 "faults": self.faults,
                 "broken": self.broken,
             }
@@ -132,9 +138,17 @@
     :param seed: seed of faults and requests.
     :param faults_s: duration of the fault injection.
     :param folder: where settings and logs of the routers are written.
+    :param has_releases: engines are replaced by ones of other software versions meanwhile.
     """
 
-    def __init__(self, seed: int, faults_s: float, folder: Path, routers: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int,
+        faults_s: float,
+        folder: Path,
+        routers: int = 3,
+        has_releases: bool = False,
+    ) -> None:
         self.report = SoakReport(seed)
         self._random = random.Random(seed)
         self._faults_s = faults_s
@@ -148,6 +162,10 @@
         self._cut_answers: list[CutAnswer] = []
         self._interruptions: list[Interruption] = []
         self._monitor = LimitMonitor()
+        # Apart from the other faults, so that a seed's faults are the same without releases.
+        self._release_random = random.Random(f"{seed}/releases")
+        self._has_releases = has_releases
+        self._builds = 1
         self._customer_version = 1
         self._added_routes = 0
         self._weights_version = 1
@@ -190,6 +208,7 @@
             target.execution_time_s = 0.01
             target.event_interval_s = STEADY_EVENT_INTERVAL_S
             target.event_count = STEADY_EVENT_COUNT
+            target.event_data_format = BUILD_DATA_FORMAT.format(build=target.build)
             self._fleet.register(target)
         self._processes = RouterProcesses(self._folder, self._fleet.store.address)
         self._routers = self._processes.routers
@@ -241,6 +260,8 @@
         ]
         end_s = time.monotonic() + self._faults_s
         running = []
+        if self._has_releases:
+            running.append(asyncio.ensure_future(self._release_software(end_s)))
         while time.monotonic() < end_s:
             fault = self._random.choice(faults)
             self.report.faults.append(fault.__name__.strip("_"))
@@ -338,6 +359,20 @@
         setattr(faults, name, False)
         self._interrupt(begin_s)
 
+    async def _release_software(self, end_s: float) -> None:
+        """Replace one or two engines at a time by ones of a new version."""
+        generator = self._release_random
+        while time.monotonic() < end_s:
+            self._builds += 1
+            engines = self._fleet.engine_targets
+            for target in generator.sample(engines, generator.randint(1, 2)):
+                self._fleet.register(target, "draining")
+                await asyncio.sleep(generator.uniform(0.1, 1.2))
+                self._monitor.end_limit(target)
+                self._fleet.replace(target, f"v{self._builds}")
+                self._interrupt(time.monotonic())
+            await asyncio.sleep(generator.uniform(0.2, 3.0))
+
     async def _change_configuration(self) -> None:
         self._write_configuration(self._added_routes)
 
@@ -406,14 +441,45 @@
                 path, method = generator.choice(PATHS)
                 router = generator.choice(self._routers)
                 faults_were_over = self._faults_are_over
-                outcome = await self._send(session, router, path, method)
+                stream = self._make_stream(path)
+                outcome = await self._send(session, router, path, method, stream)
                 self.report.statuses[outcome] += 1
+                if path.startswith("/ask") and stream is not None and stream.builds:
+                    await self._take_up(session, generator, path, stream)
                 if faults_were_over and outcome != "200":
                     self.report.broken.append(f"{path} got {outcome} after all faults had ended")
                 await asyncio.sleep(CLIENT_PAUSE_S)
 
+    def _make_stream(self, path: str) -> ClientStream | None:
+        """Create the stream that the next request begins, None if it begins none."""
+        if not path.startswith(("/ask", "/long")):
+            return None
+        return ClientStream(f"s{self._requests_sent + 1}", STEADY_EVENT_COUNT)
+
+    async def _take_up(
+        self,
+        session: aiohttp.ClientSession,
+        generator: random.Random,
+        path: str,
+        stream: ClientStream,
+    ) -> None:
+        """Take a stream up again that has broken off."""
+        for _ in range(MAX_TAKE_UPS):
+            if stream.is_complete:
+                break
+            router = generator.choice(self._routers)
+            outcome = await self._send(session, router, path, "POST", stream)
+            self.report.take_ups[outcome] += 1
+        if stream.is_joined or stream.is_out_of_order:
+            self.report.broken.append(f"{stream.name} on {path} got events {stream.builds}")
+
     async def _send(
-        self, session: aiohttp.ClientSession, router: RouterProcess, path: str, method: str
+        self,
+        session: aiohttp.ClientSession,
+        router: RouterProcess,
+        path: str,
+        method: str,
+        stream: ClientStream | None,
     ) -> str:
         self._requests_sent += 1
         self.report.requests += 1
@@ -425,19 +491,24 @@
             "X-Deadline-Ms": str(REQUEST_TIMEOUT_MS),
             "Authorization": f"Token {API_KEY}",
         }
-        if path.startswith(("/ask", "/long")):
-            headers |= PROMPT_HEADERS
+        if stream is not None:
+            headers |= PROMPT_HEADERS | stream.take_up_headers()
         url = f"http://{router.settings['listen']['front']}{path}"
         timeout = aiohttp.ClientTimeout(total=8.0, sock_connect=1.0)
         data = b"body" if method == "POST" else None
         sent_s = time.monotonic()
         response: aiohttp.ClientResponse | None = None
+        body = b""
         try:
             async with session.request(
                 method, url, data=data, headers=headers, timeout=timeout
             ) as response:
                 self._monitor.record_response(router.name, response.headers)
-                body = await response.read()
+                if stream is None:
+                    body = await response.read()
+                elif response.status == 200:
+                    async for chunk in response.content.iter_any():
+                        stream.feed(chunk)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             if response is not None:
                 self._cut_answers.append(
@@ -447,20 +518,23 @@
         if response.status in NOT_RUN_STATUSES:
             self._refused_as_not_run.add(request_id)
         if response.status == 200:
-            self._check_answer(request_id, path, body, response.headers)
+            self._check_answer(request_id, path, body, response.headers, stream)
         return str(response.status)
 
-    def _check_answer(self, request_id: str, path: str, body: bytes, headers: Any) -> None:
+    def _check_answer(
+        self,
+        request_id: str,
+        path: str,
+        body: bytes,
+        headers: Any,
+        stream: ClientStream | None,
+    ) -> None:
         if headers.get("X-Request-Id") != request_id:
             self.report.broken.append(f"{request_id} got the answer of another request")
-        if path.startswith(("/ask", "/long")):
-            expected = "".join(
-                f"id: {number}\ndata: {number}\n\n" for number in range(STEADY_EVENT_COUNT)
-            )
-            is_whole = body == expected.encode()
-        else:
-            is_whole = body.endswith(b" " + request_id.encode())
-        if not is_whole:
+        if stream is not None:
+            if not stream.is_complete or stream.is_out_of_order or stream.is_joined:
+                self.report.broken.append(f"{request_id} on {path} got events {stream.builds}")
+        elif not body.endswith(b" " + request_id.encode()):
             self.report.broken.append(f"{request_id} on {path} got a wrong body: {body!r}")
 
     def _check_configurations(self) -> None:
@@ -495,10 +569,12 @@
                 )
 
 
-async def soak(seed: int, faults_s: float, routers: int = 3) -> SoakReport:
+async def soak(
+    seed: int, faults_s: float, routers: int = 3, has_releases: bool = False
+) -> SoakReport:
     """Run one seed; settings and logs stay in a temporary directory."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    return await SoakRun(seed, faults_s, folder, routers).run()
+    return await SoakRun(seed, faults_s, folder, routers, has_releases).run()
 
 
 def main() -> None:
@@ -512,11 +588,12 @@
         seeds: Annotated[int, cappa.Arg(long=True)] = 1
         seconds: Annotated[float, cappa.Arg(long=True)] = 10.0
         routers: Annotated[int, cappa.Arg(long=True)] = 3
+        releases: Annotated[bool, cappa.Arg(long=True)] = False
 
     command = cappa.parse(Command, completion=False)
     broken = 0
     for seed in range(command.seed, command.seed + command.seeds):
-        report = asyncio.run(soak(seed, command.seconds, command.routers))
+        report = asyncio.run(soak(seed, command.seconds, command.routers, command.releases))
         broken += bool(report.broken)
         print(report.to_json(), flush=True)
     print(f"{command.seeds - broken} passed, {broken} failed")
