--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -239,6 +239,8 @@
             "max_field_size": self._limits.header_bytes,
             "max_headers": MAX_HEADERS,
             "access_log": None,
+            # Bodies are forwarded as they were sent.
+            "auto_decompress": False,
             # Parse errors are counted as refusals; aiohttp would also log each with a traceback.
             "logger": logging.getLogger("coltsfootfront.callers"),
         }
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -1,9 +1,11 @@
 """Tests of a router on the users' platform, against stand-ins over loopback."""
 
 import asyncio
+import gzip
 import itertools
 import random
 import unittest
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -76,6 +78,17 @@
 
     async def _send(
         self, path: str, method: str = "GET", key: str = API_KEY, **headers: str
+    ) -> tuple[int, bytes, str]:
+        body = b"body" if method == "POST" else None
+        return await self._send_body(path, method, body, headers, key)
+
+    async def _send_body(
+        self,
+        path: str,
+        method: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        key: str = API_KEY,
     ) -> tuple[int, bytes, str]:
         request_id = f"r{next(self.numbers)}"
         url = f"http://{self.fields['listen']['front']}{path}"
@@ -85,7 +98,6 @@
             "X-Deadline-Ms": "3000",
             "Authorization": f"Token {key}",
         }
-        body = b"body" if method == "POST" else None
         async with self.session.request(
             method, url, data=body, headers=default_headers | headers, timeout=CALLER_TIMEOUT
         ) as response:
@@ -119,6 +131,21 @@
         runs = [run for target in self.fleet.engine_targets for run in target.executions]
         self.assertEqual([(CUSTOMER, "m:1:")], [(run.customer, run.salt) for run in runs])
 
+    async def test_compressed_body_is_forwarded_as_it_was_sent(self) -> None:
+        """Guards against a body that targets get decompressed under its old header (UNASKED)."""
+        for coding, content in (
+            ("gzip", gzip.compress(b"body" * 200)),
+            ("deflate", zlib.compress(b"body" * 200)),
+            ("gzip", b"not compressed"),
+        ):
+            with self.subTest(coding, content=content[:3]):
+                headers = {"Content-Encoding": coding}
+                status, _, request_id = await self._send_body("/file/a", "POST", content, headers)
+                self.assertEqual(200, status)
+                runs = [run for target in self.fleet.plain_targets for run in target.executions]
+                found = [run.body for run in runs if run.request_id == request_id]
+                self.assertEqual([content], found)
+
     async def test_refusals(self) -> None:
         """Guards against requests without a route or a valid key that are served."""
         self.assertEqual(404, (await self._send("/none/a"))[0])
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -122,7 +122,9 @@
 
     async def start(self) -> None:
         """Start listening on loopback."""
-        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        server = web.Server(
+            self._handle, access_log=None, handler_cancellation=True, auto_decompress=False
+        )
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
