--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -113,6 +113,14 @@
     return f"{model}:{version}:{cache_scope}"
 
 
+def _can_run(request: CallerRequest, target: Target) -> bool:
+    """Whether a target is usable and has the request's model.
+
+    Without its version there is no salt that keeps isolated customers apart.
+    """
+    return target.is_usable() and (not request.model or request.model in target.versions)
+
+
 def has_salt_version(salt: str, model: str, version: int) -> bool:
     """Whether a cache salt belongs to a version of a model, in any sharing scope."""
     return salt.startswith(compute_cache_salt(model, version, ""))
@@ -216,7 +224,7 @@
         :param rank_offset: priority of the route or the customer, 0 is the most urgent.
         """
         now_s = self._clock.monotonic_s()
-        usable = [target for target in targets if target.is_usable()]
+        usable = [target for target in targets if _can_run(request, target)]
         usable = self._versions.allowed(request.model, usable)
         if not usable:
             return None
--- a/coltsfootfront/tests/test_direct_targetselection.py
+++ b/coltsfootfront/tests/test_direct_targetselection.py
@@ -373,6 +373,21 @@
         }
         self.assertEqual({"e2", "e5"}, chosen)
 
+    def test_target_that_does_not_tell_the_version_of_a_model_gets_no_prompts_for_it(self) -> None:
+        """Guards against prompts of isolated customers that are cached without a salt (WALL)."""
+        for number in range(6):
+            entry = make_entry(f"e{number}")
+            if number != 4:
+                versions = {} if number % 2 else {"other": 1}
+                self.directory.put(replace(entry, versions=versions, started_ms=2))
+        chosen = {
+            self._choose_placement(
+                make_request(parts=((f"d{number}", 50), ("own", 10))), "isolated"
+            ).target.name
+            for number in range(30)
+        }
+        self.assertEqual({"e4"}, chosen)
+
     def test_short_prompts_get_higher_priority(self) -> None:
         """Guards against head-of-line blocking of short prompts by long ones."""
         ranks = [prefill_priority(tokens, 0) for tokens in (100, 1000, 5000, 50_000)]
