--- a/coltsfootfront/common/retries.py
+++ b/coltsfootfront/common/retries.py
@@ -13,6 +13,11 @@
 # Time from the decision to retry until the retry reaches its target. Retries decided within more
 # than a window may arrive within one.
 MAX_RETRY_LATENCY_S = 0.5
+# Routers that start together have read each other's entries after this time.
+ROSTER_SETTLE_S = 3.0
+# Share of the budget for the first window after a start. The process before may have spent the
+# whole budget right before, and the users allow a quarter more than that.
+SHARE_AFTER_START = 0.25
 # Without a delay, rejections by many targets at once would cause a burst of retries.
 BASE_DELAY_S = 0.02
 MAX_DELAY_S = 0.5
@@ -30,26 +35,27 @@
     :param clock: time source.
     :param ratio: retries allowed for each request within the window.
     :param floor_per_s: retries per second allowed in addition.
-    :param floor_from_s: monotonic time from which that addition accrues.
+    :param started_s: monotonic time at which this process took the place of one whose retries it
+        does not know.
     """
 
     __slots__ = (
         "_buckets",
         "_clock",
-        "_floor_from_s",
         "_floor_per_s",
         "_ratio",
         "_requests",
         "_retries_s",
+        "_started_s",
     )
 
     def __init__(
-        self, clock: Clock, ratio: float, floor_per_s: float, floor_from_s: float = -math.inf
+        self, clock: Clock, ratio: float, floor_per_s: float, started_s: float = -math.inf
     ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._floor_per_s = floor_per_s
-        self._floor_from_s = floor_from_s
+        self._started_s = started_s
         self._buckets: deque[_SecondBucket] = deque()
         self._requests = 0
         self._retries_s: deque[float] = deque()
@@ -66,9 +72,12 @@
     def can_spend(self) -> bool:
         """Whether the budget allows a retry now."""
         self._current_bucket()
-        retries = self.count_retries()
-        accrued_s = min(WINDOW_S, max(0.0, self._clock.monotonic_s() - self._floor_from_s))
-        return retries + 1 <= self._requests * self._ratio + self._floor_per_s * accrued_s
+        share, accrued_s = 1.0, WINDOW_S
+        age_s = self._clock.monotonic_s() - self._started_s
+        if age_s < WINDOW_S + MAX_RETRY_LATENCY_S:
+            share, accrued_s = SHARE_AFTER_START, max(0.0, age_s - ROSTER_SETTLE_S)
+        allowed = share * (self._requests * self._ratio + self._floor_per_s * accrued_s)
+        return self.count_retries() + 1 <= allowed
 
     def record_request(self) -> None:
         """Count one new request."""
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -53,7 +53,7 @@
     RouterEntry,
     decode_router_entry,
 )
-from coltsfootfront.direct.retrybudgets import ROSTER_SETTLE_S, ServiceRetryBudgets
+from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.roster import RouterRoster
 from coltsfootfront.direct.routingconfig import CallerLimits, RoutingConfig
 from coltsfootfront.direct.servicebuilds import BUILDS_PREFIX, ServiceBuilds
@@ -209,7 +209,7 @@
             bounds.retry_fixed,
             bounds.retry_window_s,
             # No process before it has spent any.
-            -math.inf if settings.is_first_start else clock.monotonic_s() + ROSTER_SETTLE_S,
+            -math.inf if settings.is_first_start else clock.monotonic_s(),
         )
         self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
         self._roster = RouterRoster(clock, max(ISSUER_GRACE_S, bounds.retry_window_s))
--- a/coltsfootfront/direct/retrybudgets.py
+++ b/coltsfootfront/direct/retrybudgets.py
@@ -3,7 +3,7 @@
 In a window, a service may get a share of its requests and a fixed number as retries, from all
 routers together. Each router may use that share of its own requests and an equal part of the fixed
 number. A router that has started knows neither the retries of the process before it nor, for some
-seconds, how many others there are, so its part of the fixed number accrues from then on.
+seconds, how many others there are, so it uses a small share of both for a window.
 """
 
 import math
@@ -11,10 +11,9 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.retries import WINDOW_S, RetryBudget
 
-# Share of the budget that is used; the rest covers requests that reach targets late.
+# Share of the budget that is used; the rest covers requests that reach targets late, and retries
+# of routers that have started.
 BUDGET_SHARE = 0.8
-# Routers that start together have read each other's entries after this time.
-ROSTER_SETTLE_S = 3.0
 
 
 class ServiceRetryBudgets:
@@ -24,16 +23,17 @@
     :param ratio: retries allowed per request, over all routers.
     :param fixed: additional retries allowed in a window, over all routers.
     :param window_s: length of the window in seconds.
-    :param fixed_from_s: monotonic time from which the fixed number accrues.
+    :param started_s: monotonic time at which this process took the place of one whose retries it
+        does not know.
     """
 
     __slots__ = (
         "_budgets",
         "_clock",
         "_fixed",
-        "_fixed_from_s",
         "_ratio",
         "_routers",
+        "_started_s",
         "_window_s",
     )
 
@@ -43,13 +43,13 @@
         ratio: float,
         fixed: float,
         window_s: float,
-        fixed_from_s: float = -math.inf,
+        started_s: float = -math.inf,
     ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._fixed = fixed
         self._window_s = window_s
-        self._fixed_from_s = fixed_from_s
+        self._started_s = started_s
         self._routers = 1
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -73,7 +73,7 @@
         if budget is None:
             ratio = self._ratio * BUDGET_SHARE
             budget = self._budgets[service] = RetryBudget(
-                self._clock, ratio, self._floor_per_s(), self._fixed_from_s
+                self._clock, ratio, self._floor_per_s(), self._started_s
             )
         return budget
 
