--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -38,6 +38,7 @@
     decode_start,
     decode_suspicion,
 )
+from coltsfootfront.direct.handover import HandoverRecord
 from coltsfootfront.direct.limitrecorder import LimitRecorder
 from coltsfootfront.direct.liveness import LivenessWatch
 from coltsfootfront.direct.orders import OrderClient, OrderIssuer
@@ -264,11 +265,16 @@
         self._builds.copy_age_s = self._follower.freshness.age_s
         lease_ttl_s = max(ORDERS_LEASE_S, settings.store.min_lease_ttl_s)
         lease = LeaseLock(store, clock, ORDERS_LEASE_KEY, lease_ttl_s)
-        self._lease = lease
+        handover = HandoverRecord(
+            lambda key: self._follower.get(key),
+            lambda key: self._follower.revision_of(key),
+            lambda: max(store.era, self._follower.era),
+        )
         self._orders = OrderIssuer(
             clock,
             lease,
             0.0 if bounds.targets_check_fencing else bounds.lease_s,
+            None if bounds.targets_check_fencing else handover,
             self._directory,
             self._versions,
             order_client,
@@ -368,7 +374,7 @@
         # Requests that wait for a target and may not be sent any more are refused at once.
         self._directory.notify()
         await self._supervisor.stop("orders")
-        await self._lease.release()
+        await self._orders.resign()
         close_times_s = list(CLOSE_IDLE_AT_S)
         is_listening = True
         while True:
--- a/coltsfootfront/direct/orders.py
+++ b/coltsfootfront/direct/orders.py
@@ -2,7 +2,8 @@
 
 The router that holds a lease in the store sends targets the orders to load weights. Each order has
 the lease's creation revision as its fencing token. Where targets do not check the token, a new
-holder waits before its first order, to keep the orders of two holders apart in time.
+holder waits before its first order, to keep the orders of two holders apart in time; one that
+resigns leaves what remains of that wait to the next.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.backlog import PRIORITIES
 from coltsfootfront.direct.directory import Directory, Target
+from coltsfootfront.direct.handover import NOTHING_LEFT, HandoverRecord
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.leases import LeaseLock
 
@@ -54,6 +56,8 @@
 # Time after a start within which the directory is filled from the store.
 DIRECTORY_FILL_S = 0.5
 LEASE_RETRY_INTERVAL_S = 0.5
+# An order whose connection was closed may arrive this much later, as its packets are sent again.
+LATE_ORDER_S = 1.0
 
 
 class OrderResult(Enum):
@@ -140,6 +144,7 @@
 
     :param lease: lease whose holder alone may send orders.
     :param settle_s: wait of a new holder before its first order.
+    :param handover: where a holder leaves the rest of that wait, None if there is none.
     :param on_loading: called with target, model, version and expected time; 0 cancels.
     :param on_loaded: called with target, model and version.
     """
@@ -149,6 +154,7 @@
         clock: Clock,
         lease: LeaseLock,
         settle_s: float,
+        handover: HandoverRecord | None,
         directory: Directory,
         versions: WeightVersions,
         client: OrderClient,
@@ -159,6 +165,11 @@
         self._clock = clock
         self._lease = lease
         self._settle_s = settle_s
+        self._handover = handover
+        self._settled_s = 0.0
+        """Monotonic time from which this holder may send orders."""
+        self._last_order_s: float | None = None
+        """Monotonic time of this holder's last order, None if it has sent none."""
         self._directory = directory
         self._versions = versions
         self._client = client
@@ -186,11 +197,33 @@
             finally:
                 await self._stop_loads()
 
+    async def resign(self) -> None:
+        """Release the lease, and leave what remains of the wait to the next holder."""
+        left = []
+        if self._handover is not None and self._lease.is_held:
+            left = self._handover.leave(self._remaining_wait_s())
+        await self._lease.release(left)
+
+    def _remaining_wait_s(self) -> float:
+        """Time until the next holder may send an order."""
+        from_s = self._settled_s
+        if self._last_order_s is not None:
+            from_s = self._last_order_s + LATE_ORDER_S + self._settle_s
+        return max(0.0, from_s - self._clock.monotonic_s())
+
     async def _acquire_lease(self) -> bool:
-        acquired = await self._lease.acquire()
+        handover, clear = NOTHING_LEFT, []
+        if self._handover is not None:
+            handover, clear = self._handover.read(), self._handover.clear()
+        acquired = await self._lease.acquire(clear, handover.conditions)
         if not isinstance(acquired, Success) or not acquired.unwrap():
             return False
-        log.info(event("orders_lease_taken", fencing=self._lease.fencing_token))
+        wait_s = self._settle_s
+        if handover.wait_s is not None:
+            wait_s = min(wait_s, handover.wait_s)
+        self._settled_s = self._clock.monotonic_s() + wait_s
+        self._last_order_s = None
+        log.info(event("orders_lease_taken", fencing=self._lease.fencing_token, wait_s=wait_s))
         return True
 
     async def _run_as_holder(self) -> None:
@@ -199,14 +232,13 @@
         count_reader = asyncio.create_task(self._read_order_counts())
         renewal = asyncio.create_task(self._lease.renew_forever())
         try:
-            settled_s = self._clock.monotonic_s() + self._settle_s
             lost_s: float | None = None
             while not self._is_fenced:
                 await self._clock.sleep(LEASE_CHECK_INTERVAL_S)
                 now_s = self._clock.monotonic_s()
                 if self._lease.is_held:
                     lost_s = None
-                    if now_s >= settled_s:
+                    if now_s >= self._settled_s:
                         self._start_loads()
                     continue
                 lost_s = lost_s or now_s
@@ -339,9 +371,12 @@
             if not self._lease.is_held:
                 return result
             fencing = self._lease.fencing_token
-            result = await self._client.load_version(
-                target, model, version, orders, fencing, lambda: self._lease.is_held
-            )
+            try:
+                result = await self._client.load_version(
+                    target, model, version, orders, fencing, lambda: self._lease.is_held
+                )
+            finally:
+                self._last_order_s = self._clock.monotonic_s()
             if result is not OrderResult.UNKNOWN:
                 return result
         return result
--- a/coltsfootfront/keyvalue/leases.py
+++ b/coltsfootfront/keyvalue/leases.py
@@ -51,6 +51,7 @@
         self._lease = 0
         self._lease_era = 0
         self._valid_until_s = 0.0
+        self._create_revision = 0
         self.fencing_token = 0
         """Fencing token: era and create revision of the key, which grows with each new holder."""
 
@@ -70,11 +71,14 @@
         """Treat the lease as expired until the store confirms it."""
         self._valid_until_s = 0.0
 
-    async def acquire(self, extra: list[Put] | None = None) -> Result[bool, Failure]:
+    async def acquire(
+        self, extra: list[Put] | None = None, conditions: list[Compare] | None = None
+    ) -> Result[bool, Failure]:
         """Try to acquire the lock.
 
         :param extra: writes made in the same transaction.
-        :returns: False if another process holds the lock.
+        :param conditions: further conditions of the transaction.
+        :returns: False if another process holds the lock, or a condition does not hold.
         """
         started_s = self._clock.monotonic_s()
         granted = await self._store.grant_lease(self._ttl_s)
@@ -84,11 +88,12 @@
         self._lease = granted.unwrap()
         self._lease_era = self._store.era
         self._holder = secrets.token_hex(16)
-        created = await self._create(extra or [])
+        created = await self._create(extra or [], conditions or [])
         if not isinstance(created, Success) or created.unwrap() is None:
             await self._revoke()
             return created.map(lambda _: False)
-        self.fencing_token = self._lease_era * TOKENS_PER_ERA + (created.unwrap() or 0)
+        self._create_revision = created.unwrap() or 0
+        self.fencing_token = self._lease_era * TOKENS_PER_ERA + self._create_revision
         self._valid_until_s = started_s + self._ttl_s
         return Success(self._lease_era == self._store.era)
 
@@ -117,15 +122,20 @@
         :param extra: writes made in the same transaction as the removal.
         """
         if self._lease and extra and self.is_held:
-            await self._store.commit(
-                Transaction([], extra, [self._key], []),
-            )
+            # A write without an answer may be made after another process has acquired the lock.
+            own = Compare(self._key, self._create_revision)
+            await self._store.commit(Transaction([own], extra, [self._key], []))
         await self._revoke()
 
-    async def _create(self, extra: list[Put]) -> Result[int | None, Failure]:
+    async def _create(
+        self, extra: list[Put], conditions: list[Compare]
+    ) -> Result[int | None, Failure]:
         value = self._holder.encode()
         transaction = Transaction(
-            [Compare(self._key, 0)], [Put(self._key, value, self._lease), *extra], [], [self._key]
+            [Compare(self._key, 0), *conditions],
+            [Put(self._key, value, self._lease), *extra],
+            [],
+            [self._key],
         )
         committed = await self._store.commit(transaction)
         _count("take")
