--- a/coltsfootfront/direct/relaypace.py
+++ b/coltsfootfront/direct/relaypace.py
@@ -13,10 +13,18 @@
 STREAM_BURST_BYTES = 256 * 1024
 # Rate of all that streams send beyond that, which takes some hundredths of a core.
 EXCESS_BYTES_PER_S = 256 * 1024
+# Least that a line counts for, since short events take as much processor time as long ones. An
+# event has three lines and a few hundred bytes.
+LINE_BYTES = 85
 # Size up to which a stream is relayed in one turn of the event loop.
 PIECE_BYTES = 16 * 1024
 
 
+def relay_cost_bytes(data: bytes) -> int:
+    """Size that data of a stream counts for."""
+    return max(len(data), data.count(b"\n") * LINE_BYTES)
+
+
 class ExcessPacer:
     """Rate that all streams share for what they send beyond their allowances.
 
@@ -63,6 +71,7 @@
     def delay_s(self, size_bytes: int) -> float:
         """Count what has arrived.
 
+        :param size_bytes: see :func:`relay_cost_bytes`.
         :returns: seconds after which more may be read, 0 within the allowance.
         """
         now_s = self._clock.monotonic_s()
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -14,7 +14,7 @@
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
-from coltsfootfront.direct.relaypace import ExcessPacer, StreamPace, split_chunks
+from coltsfootfront.direct.relaypace import ExcessPacer, StreamPace, relay_cost_bytes, split_chunks
 from coltsfootfront.direct.requeststate import RequestState, RetryError, build_refusal
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import RetryPolicy, Route
@@ -147,7 +147,7 @@
             placement.target.record_heard(now_s)
             if chunk is None:
                 break
-            await self._keep_pace(state, placement, pace, len(chunk))
+            await self._keep_pace(state, placement, pace, relay_cost_bytes(chunk))
             events = state.stream_validator.feed(chunk)
             progress.record(state.stream_validator.event_count, now_s)
             state.longest_pause_s = progress.longest_pause_s
--- a/coltsfootfront/tests/test_relaypace.py
+++ b/coltsfootfront/tests/test_relaypace.py
@@ -9,11 +9,15 @@
     STREAM_BURST_BYTES,
     STREAM_BYTES_PER_S,
     ExcessPacer,
+    relay_cost_bytes,
     split_chunks,
 )
 from coltsfootfront.tests.support import ManualClock
 
 EVENT_BYTES = 300
+SHORT_EVENT = b"id: 7\ndata: 7\n\n"
+# Processor time for 3,000 events takes a small part of a core, for 50,000 all of it.
+MAX_EVENTS_PER_S = 5_000
 
 
 class StreamPaceTest(unittest.TestCase):
@@ -29,6 +33,29 @@
             self.clock.advance(1 / 400)
         self.assertFalse(pace.is_exceeded)
 
+    def test_sound_stream_of_short_events_is_never_delayed(self) -> None:
+        """Guards against a count of events that delays the tokens of a fast engine."""
+        pace = self.pacer.start()
+        for _ in range(4000):
+            self.assertEqual(0.0, pace.delay_s(relay_cost_bytes(SHORT_EVENT)))
+            self.clock.advance(1 / 400)
+
+    def test_floods_of_short_events_are_bounded_by_their_number(self) -> None:
+        """Guards against short events that use up the processor within the rates in bytes."""
+        floods = [self.pacer.start() for _ in range(4)]
+        piece = SHORT_EVENT * (PIECE_BYTES // len(SHORT_EVENT))
+        began_s = self.clock.monotonic_s()
+        free_s = [began_s] * len(floods)
+        events = 0
+        while self.clock.monotonic_s() < began_s + 20.0:
+            for number, flood in enumerate(floods):
+                if self.clock.monotonic_s() >= free_s[number]:
+                    events += piece.count(SHORT_EVENT)
+                    delay_s = flood.delay_s(relay_cost_bytes(piece))
+                    free_s[number] = self.clock.monotonic_s() + delay_s
+            self.clock.advance(0.01)
+        self.assertLess(events / 20.0, MAX_EVENTS_PER_S)
+
     def test_burst_after_a_pause_is_not_delayed(self) -> None:
         """Guards against a stream that is delayed since its link held it back."""
         pace = self.pacer.start()
