--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -167,6 +167,8 @@
         """Brings an old configuration up to date; False if nobody confirms it."""
         self.max_in_progress = math.inf
         """Limit on concurrent requests, derived from the memory of the VM."""
+        self.body_memory = admission.BodyMemory()
+        """Memory of the bodies of the requests under way."""
 
     async def serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
         """Serve one request and write the response or a refusal."""
@@ -257,7 +259,7 @@
         ) from None
 
     def _admit(self, request: CallerRequest) -> RequestState:
-        if self.in_progress > self.max_in_progress:
+        if self.in_progress > self.max_in_progress - self.body_memory.held_requests:
             message = f"{self.in_progress} requests are under way"
             failure = Failure(ErrorKind.OVERLOADED, message, retry_after_s=admission.RETRY_AFTER_S)
             raise RefusedError(failure)
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -126,6 +126,8 @@
     """Server for callers' connections."""
 
     is_draining: bool
+    body_memory: admission.BodyMemory
+    """Memory that is reserved for a body before it is read."""
 
     @abstractmethod
     def set_limits(self, limits: CallerLimits) -> None:
@@ -256,7 +258,9 @@
         self._builds.max_copy_age_s = bounds.config_apply_s
         self._take_ups = TakeUps(clock, self._builds, self._gossip, self._peers)
         self._forwarder = self._build_forwarder()
-        self._forwarder.max_in_progress = admission.max_requests_for_memory(settings.memory_bytes)
+        max_requests = admission.max_requests_for_memory(settings.memory_bytes)
+        self._forwarder.max_in_progress = max_requests
+        self._forwarder.body_memory = admission.BodyMemory(max_requests)
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
         self._follower.apply_limit_s = bounds.config_apply_s
         self._forwarder.confirm_configuration = self._confirm_configuration
@@ -356,6 +360,7 @@
         supervisor.add("settings", self._watch_settings)
         await supervisor.start()
         self._caller_server = self._make_caller_server(self.serve)
+        self._caller_server.body_memory = self._forwarder.body_memory
         self._caller_server.set_limits(self._forwarder.routing_config.limits)
         await self._caller_server.start(settings.caller_address)
 
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -15,6 +15,7 @@
 from coltsfootfront.common.decoding import read_integer, read_seconds, read_text
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct import admission
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
 from coltsfootfront.direct.node import CallerServer, Serve
 from coltsfootfront.direct.routingconfig import CallerLimits
@@ -31,6 +32,8 @@
 # Length of an error in the log; parse errors quote what the caller sent.
 MAX_ERROR_CHARACTERS = 200
 
+BODY_MEMORY_MESSAGE = "the bodies of other requests take up the memory"
+
 log = logbook.Logger(__name__)
 
 
@@ -38,6 +41,10 @@
     """The framing of a request's body cannot be parsed."""
 
 
+class BodyMemoryError(Exception):
+    """The bodies of other requests leave too little memory for one."""
+
+
 class PlatformResponseWriter(ResponseWriter):
     """Writes the response to one request.
 
@@ -193,6 +200,7 @@
         self._active_connections: set[web.RequestHandler] = set()
         self.is_draining = False
         """Whether responses close their connections."""
+        self.body_memory = admission.BodyMemory()
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -267,9 +275,28 @@
     async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = self._clock.monotonic_s()
         writer = PlatformResponseWriter(request, lambda: self.is_draining)
+        reservation = self.body_memory.begin()
         try:
-            body = await request.read()
+            return await self._serve_within(reservation, request, writer, received_s)
+        finally:
+            reservation.release()
+
+    async def _serve_within(
+        self,
+        reservation: admission.BodyReservation,
+        request: web.BaseRequest,
+        writer: PlatformResponseWriter,
+        received_s: float,
+    ) -> web.StreamResponse:
+        try:
+            body = await self._read_body(request, reservation)
             caller_request = decode_caller_request(request, body, received_s)
+        except BodyMemoryError as error:
+            # The rest of the body is not read, so no other request may follow on the connection.
+            await writer.fail(
+                Failure(ErrorKind.OVERLOADED, str(error), retry_after_s=admission.RETRY_AFTER_S)
+            )
+            return writer.response
         except web.HTTPRequestEntityTooLarge:
             await writer.refuse(Failure(ErrorKind.BODY_TOO_LARGE, "the body is too large"))
             return writer.response
@@ -290,6 +317,27 @@
             await writer.fail(failure)
         return writer.response
 
+    async def _read_body(
+        self, request: web.BaseRequest, reservation: admission.BodyReservation
+    ) -> bytes:
+        """Read a body within the memory that is left for bodies.
+
+        :raises BodyMemoryError: if there is too little.
+        :raises web.HTTPRequestEntityTooLarge: if it is longer than the limit.
+        """
+        if request.content_length is not None:
+            if not reservation.grow(min(request.content_length, self._limits.body_bytes)):
+                raise BodyMemoryError(BODY_MEMORY_MESSAGE)
+            return await request.read()
+        body = bytearray()
+        async for piece in request.content.iter_any():
+            body += piece
+            if len(body) > self._limits.body_bytes:
+                raise web.HTTPRequestEntityTooLarge(self._limits.body_bytes, len(body))
+            if not reservation.grow(len(body)):
+                raise BodyMemoryError(BODY_MEMORY_MESSAGE)
+        return bytes(body)
+
 
 def _asks_for_upgrade(request: web.BaseRequest) -> bool:
     """Whether aiohttp's parser may drop bytes that follow the request in the same read.
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -6,13 +6,14 @@
 import random
 import unittest
 import zlib
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
 
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.direct import gossip
+from coltsfootfront.direct.admission import BodyMemory
 from coltsfootfront.direct.node import ROTATION_REMOVAL_S, Node
 from coltsfootfront.direct.orders import OrderResult
 from coltsfootfront.direct.registration import RouterEntry
@@ -35,6 +36,7 @@
 CONFIG_APPLY_S = 2.5
 # Time after a disruption from which the users expect the store to be usable again.
 STABLE_S = 4.0
+LONG_BODY_BYTES = 1024 * 1024
 PROMPT_HEADERS = {
     "X-Model": "m",
     "X-Token-Usage": "700,10",
@@ -86,7 +88,7 @@
         self,
         path: str,
         method: str,
-        body: bytes | None,
+        body: bytes | AsyncIterator[bytes] | None,
         headers: dict[str, str],
         key: str = API_KEY,
     ) -> tuple[int, bytes, str]:
@@ -146,6 +148,33 @@
                 found = [run.body for run in runs if run.request_id == request_id]
                 self.assertEqual([content], found)
 
+    async def test_long_bodies_beyond_the_memory_are_refused_before_they_are_read(self) -> None:
+        """Guards against a process that is killed for the bodies of a burst of requests (LOST)."""
+        caller_server = self.node._caller_server
+        assert caller_server is not None
+        caller_server.body_memory = BodyMemory()
+        caller_server.body_memory._free_bytes = 1.5 * LONG_BODY_BYTES
+        for target in self.fleet.plain_targets:
+            target.execution_time_s = 0.5
+
+        async def pieces() -> AsyncIterator[bytes]:
+            yield bytes(LONG_BODY_BYTES // 2)
+            yield bytes(LONG_BODY_BYTES // 2)
+
+        for content in (bytes(LONG_BODY_BYTES), pieces):
+            with self.subTest(type(content)):
+                contents = [content if isinstance(content, bytes) else content() for _ in range(3)]
+                answers = await asyncio.gather(
+                    *(self._send_body("/file/a", "POST", body, {}) for body in contents),
+                    self._send("/file/a", "POST"),
+                )
+                self.assertEqual([200, 200, 503, 503], sorted(answer[0] for answer in answers))
+                self.assertEqual(200, answers[-1][0])
+                for status, _, request_id in answers:
+                    runs = 1 if status == 200 else 0
+                    self.assertEqual(runs, self.fleet.execution_count(request_id))
+        self.assertEqual(0.0, caller_server.body_memory.held_requests)
+
     async def test_refusals(self) -> None:
         """Guards against requests without a route or a valid key that are served."""
         self.assertEqual(404, (await self._send("/none/a"))[0])
