--- a/coltsfootfront/direct/orders.py
+++ b/coltsfootfront/direct/orders.py
@@ -58,6 +58,8 @@
 LEASE_RETRY_INTERVAL_S = 0.5
 # An order whose connection was closed may arrive this much later, as its packets are sent again.
 LATE_ORDER_S = 1.0
+# Time limit for resigning; connections are to be closed in time also while the store is slow.
+RESIGN_TIMEOUT_S = 1.0
 
 
 class OrderResult(Enum):
@@ -198,11 +200,18 @@
                 await self._stop_loads()
 
     async def resign(self) -> None:
-        """Release the lease, and leave what remains of the wait to the next holder."""
+        """Release the lease, and leave what remains of the wait to the next holder.
+
+        A lease that the store does not release in time expires.
+        """
         left = []
         if self._handover is not None and self._lease.is_held:
             left = self._handover.leave(self._remaining_wait_s())
-        await self._lease.release(left)
+        try:
+            async with asyncio.timeout(RESIGN_TIMEOUT_S):
+                await self._lease.release(left)
+        except TimeoutError:
+            log.info(event("orders_lease_not_released", fencing=self._lease.fencing_token))
 
     def _remaining_wait_s(self) -> float:
         """Time until the next holder may send an order."""
--- a/coltsfootfront/tests/test_order_handover.py
+++ b/coltsfootfront/tests/test_order_handover.py
@@ -5,7 +5,9 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from unittest import mock
 
+from coltsfootfront.direct import orders
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.handover import HANDOVER_KEY, HandoverRecord
 from coltsfootfront.direct.orders import OrderClient, OrderIssuer, OrderResult, TargetState
@@ -123,6 +125,16 @@
         sent_s = await self.hold(SETTLE_S)
         self.assertLess(sent_s[0] - began_s, SETTLE_S)
 
+    async def test_router_that_stops_does_not_wait_for_a_slow_store(self) -> None:
+        """Guards against connections that stay open past the stop for a lease (DRAIN)."""
+        issuer, _ = self.make_holder()
+        with (
+            mock.patch.object(issuer._lease, "release", lambda left: asyncio.sleep(60)),
+            mock.patch.object(orders, "RESIGN_TIMEOUT_S", 0.05),
+        ):
+            async with asyncio.timeout(1.0):
+                await issuer.resign()
+
     async def test_orders_of_two_holders_are_apart(self) -> None:
         """Guards against a holder that begins too soon after the orders of another (ONE)."""
         for pauses_s in ((0.0,), (1.0,), (0.3, 0.3, 0.3), (2.0, 0.1)):
