--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -69,8 +69,6 @@
 TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 # Within this time a peer tells its position, unless it is paused or a link on the way is full.
 PROMPT_ANSWER_S = 0.25
-# Queries in which a peer that has not told its position promptly is not waited for.
-QUERIES_WITHOUT_WAIT = 8
 # A peer that sends nothing for this long in the middle of a response is given up.
 SILENCE_S = 0.6
 # Longest transfer. A change that arrives later is too late for its users anyway.
@@ -119,9 +117,6 @@
         self.seed_addresses = seed_addresses
         self._generator = generator
         self._routers: dict[str, RouterEntry] = {}
-        self._silent: dict[str, int] = {}
-        """Peers that have not told their position promptly, with the number of further queries in
-        which they are not waited for."""
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
         self._encoder = CopyEncoder()
@@ -239,46 +234,25 @@
     async def _request_positions(self, addresses: list[str]) -> dict[str, tuple[Position, float]]:
         """Ask peers for the positions and ages of their copies.
 
-        Peers that are paused, or behind a full link, are not waited for once another has answered,
-        and not at all in the next queries.
+        Peers that are paused, or behind a full link, are not waited for once another has answered.
         """
         asked = {
             asyncio.create_task(self._request_position(address)): address for address in addresses
         }
         told: dict[str, tuple[Position, float]] = {}
         pending = set(asked)
-
-        async def receive(awaited: set[asyncio.Task[Any]], wait_s: float | None, how: str) -> None:
-            nonlocal pending
-            await asyncio.wait(awaited, timeout=wait_s, return_when=how)
-            done = {task for task in pending if task.done()}
-            told.update({asked[task]: found for task in done if (found := task.result())})
-            pending -= done
-
+        wait_s: float | None = PROMPT_ANSWER_S
         try:
-            prompt = {task for task, address in asked.items() if address not in self._silent}
-            if prompt:
-                await receive(prompt, PROMPT_ANSWER_S, asyncio.ALL_COMPLETED)
-            while pending and not told:
-                await receive(pending, None, asyncio.FIRST_COMPLETED)
-            self._record_silence(addresses, {asked[task] for task in pending})
+            while pending and not (told and wait_s is None):
+                how = asyncio.ALL_COMPLETED if wait_s is not None else asyncio.FIRST_COMPLETED
+                done, pending = await asyncio.wait(pending, timeout=wait_s, return_when=how)
+                told |= {asked[task]: found for task in done if (found := task.result())}
+                wait_s = None
         finally:
             for task in pending:
                 task.cancel()
         return told
 
-    def _record_silence(self, asked: list[str], silent: set[str]) -> None:
-        """Record which of the peers that were asked have not answered in time."""
-        for address in asked:
-            if address not in silent or self._silent.get(address) == 1:
-                self._silent.pop(address, None)
-            elif address in self._silent:
-                self._silent[address] -= 1
-            else:
-                self._silent[address] = QUERIES_WITHOUT_WAIT
-        for address in self._silent.keys() - set(self.addresses()):
-            del self._silent[address]
-
     def _is_near(self, address: str) -> bool:
         """Whether a router is in the same data centre."""
         return any(
