Say once how the era of the store is known, and what limit a copy's age has

Found while reading the change: node.py computed the latest era in two places, and servicebuilds had a copy of storefollower's default for the time within which changes must be in force. No change of behaviour; the tests of builds, budgets and joined streams pass.

--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -252,7 +252,7 @@
             self._peers.names,
             self._peers.own_name(),
             generator,
-            lambda: max(store.era, self._follower.era),
+            self._store_era,
         )
         self._builds.is_first_start = settings.is_first_start
         self._builds.max_copy_age_s = bounds.config_apply_s
@@ -273,7 +273,7 @@
             lambda key: self._follower.get(key),
             lambda key: self._follower.revision_of(key),
             lambda: self._follower.revision > 0,
-            lambda: max(store.era, self._follower.era),
+            self._store_era,
         )
         self._orders = OrderIssuer(
             clock,
@@ -306,6 +306,10 @@
         self._make_caller_server = make_caller_server
         self._caller_server: CallerServer | None = None
 
+    def _store_era(self) -> int:
+        """Latest known era of the store, which a peer's copy may tell before the store."""
+        return max(self._store.era, self._follower.era)
+
     @property
     def is_ready(self) -> bool:
         """Whether the platform should send new connections to this router."""
--- a/coltsfootfront/direct/servicebuilds.py
+++ b/coltsfootfront/direct/servicebuilds.py
@@ -28,6 +28,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.directory import Directory
+from coltsfootfront.direct.storefollower import DEFAULT_APPLY_LIMIT_S
 from coltsfootfront.keyvalue.store import Compare, Put, Store, Transaction
 
 log = logbook.Logger(__name__)
@@ -42,8 +43,6 @@
 MIN_STREAM_LIFE_S = 20.0
 # A caller may take a stream up after the timeout of its route, within a deadline of its own.
 LIFE_PER_TIMEOUT = 1.5
-# Used until the settings tell the time within which changes must be in force.
-DEFAULT_MAX_COPY_AGE_S = 2.5
 
 
 class _Record(NamedTuple):
@@ -115,7 +114,7 @@
         """Whether no router has run in this deployment before."""
         self.copy_age_s: Callable[[], float | None] = lambda: 0.0
         """Time since the copy of the store was known to lack nothing."""
-        self.max_copy_age_s = DEFAULT_MAX_COPY_AGE_S
+        self.max_copy_age_s = DEFAULT_APPLY_LIMIT_S
         """Age up to which a copy is taken to have the record of a release."""
         self.on_mixed: Callable[[str], None] = lambda service: None
         """Called with a service that has got a second build."""
