Compare the streams of the soak byte for byte again

A check must not get weaker with a change; found while reading the diff.

A stream is whole again only if all of its bytes are its events, in order.

--- a/coltsfootfront_dev/clientstream.py
+++ b/coltsfootfront_dev/clientstream.py
@@ -33,6 +33,12 @@
         """Whether its last event has arrived."""
         return self.last_event_id == self._events - 1
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether all events of one software version have arrived, in order and nothing else."""
+        is_sound = not (self.is_joined or self.is_out_of_order or self._rest)
+        return self.is_complete and is_sound
+
     def take_up_headers(self) -> dict[str, str]:
         """Headers of the next try, which brings an event again that has arrived in part."""
         self._rest = b""
@@ -41,10 +47,10 @@
         return {"Last-Event-Id": str(self.last_event_id), "Resumes": self.name}
 
     def feed(self, data: bytes) -> None:
-        """Record the complete events."""
+        """Record the complete events; bytes that are no event end what is recorded."""
         data = self._rest + data
         end = 0
-        for match in EVENT.finditer(data):
+        while match := EVENT.match(data, end):
             number = int(match[1])
             expected = 0 if self.last_event_id is None else self.last_event_id + 1
             self.is_out_of_order |= number != expected
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -532,7 +532,7 @@
         if headers.get("X-Request-Id") != request_id:
             self.report.broken.append(f"{request_id} got the answer of another request")
         if stream is not None:
-            if not stream.is_complete or stream.is_out_of_order or stream.is_joined:
+            if not stream.is_whole:
                 self.report.broken.append(f"{request_id} on {path} got events {stream.builds}")
         elif not body.endswith(b" " + request_id.encode()):
             self.report.broken.append(f"{request_id} on {path} got a wrong body: {body!r}")
