--- a/coltsfootfront/direct/registration.py
+++ b/coltsfootfront/direct/registration.py
@@ -72,19 +72,27 @@
     async def run(self) -> None:
         """Run the loop that registers the router and renews its lease."""
         while True:
+            if self._is_lost:
+                log.info(event("registration_lost", key=self._key, era=self._store.era))
+                self._lease = 0
             if not self._lease and not await self._register():
                 await self._clock.sleep(self._generator.uniform(0.2, MAX_RETRY_DELAY_S))
                 continue
-            await self._wait_until_due()
-            if self._lease_era != self._store.era:
-                log.info(event("registration_lost", key=self._key, era=self._store.era))
-                self._lease = 0
+            if not self._is_lost:
+                await self._wait_until_due()
+            if self._is_lost:
                 continue
+            # A relay may tell of a restore before the store does, in its answer to this call.
             renewed = await self._store.keep_alive(self._lease)
             if isinstance(renewed, Success) and renewed.unwrap() <= 0:
                 log.info(event("registration_lapsed", key=self._key))
                 self._lease = 0
 
+    @property
+    def _is_lost(self) -> bool:
+        """Whether the store is known to have been restored since this router registered."""
+        return self._lease != 0 and self._lease_era != self._store.era
+
     def register_again(self) -> None:
         """Register at once, as the store has been restored and may have lost the entry."""
         self._restored.set()
