--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -69,6 +69,9 @@
 TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 # Within this time a peer tells its position, unless it is paused or a link on the way is full.
 PROMPT_ANSWER_S = 0.25
+# Further wait for the other peers once one that is ahead has told its position. One in the other
+# region tells it within two round trips.
+AHEAD_MARGIN_S = 0.1
 # A peer that sends nothing for this long in the middle of a response is given up.
 SILENCE_S = 0.6
 # Longest transfer. A change that arrives later is too late for its users anyway.
@@ -212,7 +215,7 @@
 
         Copies of several peers would share the link, and all but one would be dropped.
         """
-        told = await self._request_positions(addresses)
+        told = await self._request_positions(addresses, after)
         positions = {peer: position for peer, (position, _) in told.items()}
         ahead = [peer for peer, position in positions.items() if position > after]
         for peer in sorted(ahead, key=lambda peer: (positions[peer], self._is_near(peer)))[::-1]:
@@ -231,23 +234,32 @@
             found.append(Changes([], after.revision, era=after.era, copy_age_s=min(ages_s)))
         return max(found, key=lambda changes: changes.position, default=None)
 
-    async def _request_positions(self, addresses: list[str]) -> dict[str, tuple[Position, float]]:
+    async def _request_positions(
+        self, addresses: list[str], after: Position
+    ) -> dict[str, tuple[Position, float]]:
         """Ask peers for the positions and ages of their copies.
 
-        Peers that are paused, or behind a full link, are not waited for once another has answered.
+        Peers that are paused, or behind a full link, are not waited for once another has answered,
+        and even less once one is ahead of a position.
         """
         asked = {
             asyncio.create_task(self._request_position(address)): address for address in addresses
         }
         told: dict[str, tuple[Position, float]] = {}
         pending = set(asked)
-        wait_s: float | None = PROMPT_ANSWER_S
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + PROMPT_ANSWER_S
         try:
-            while pending and not (told and wait_s is None):
-                how = asyncio.ALL_COMPLETED if wait_s is not None else asyncio.FIRST_COMPLETED
-                done, pending = await asyncio.wait(pending, timeout=wait_s, return_when=how)
+            while pending:
+                wait_s = max(0.0, until_s - loop.time()) if told else None
+                done, pending = await asyncio.wait(
+                    pending, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    break
                 told |= {asked[task]: found for task in done if (found := task.result())}
-                wait_s = None
+                if any(position > after for position, _ in told.values()):
+                    until_s = min(until_s, loop.time() + AHEAD_MARGIN_S)
         finally:
             for task in pending:
                 task.cancel()
--- a/coltsfootfront/tests/test_copy_age.py
+++ b/coltsfootfront/tests/test_copy_age.py
@@ -11,7 +11,7 @@
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.direct import storefollower
-from coltsfootfront.direct.peers import Peers
+from coltsfootfront.direct.peers import PROMPT_ANSWER_S, Peers
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.routingconfig import RetryPolicy
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, Position, Snapshot
@@ -263,6 +263,23 @@
         assert changes is not None
         self.assertEqual(0.1, changes.copy_age_s)
 
+    async def test_peer_that_is_ahead_is_read_before_a_paused_one_has_had_its_time(self) -> None:
+        """Guards against a change that each paused peer keeps back (CONFIG)."""
+        peers = Peers(RouterEntry("own:1", "a", "east"), [], random.Random(1))
+        for name in ("paused", "ahead", "further"):
+            peers.add(name, RouterEntry(f"{name}:1", "a", "east"))
+        answers = {"paused:1": (WAIT_S, 9), "ahead:1": (0.0, 6), "further:1": (0.04, 7)}
+
+        async def answer(address: str) -> tuple[Position, float] | None:
+            delay_s, revision = answers[address]
+            await asyncio.sleep(delay_s)
+            return Position(0, revision), 0.1
+
+        with mock.patch.object(peers, "_request_position", answer):
+            async with asyncio.timeout(PROMPT_ANSWER_S - 0.05):
+                told = await peers._request_positions(peers.addresses(), Position(0, 5))
+        self.assertEqual({"ahead:1", "further:1"}, set(told))
+
 
 class RefusalByAnOldCopyTest(unittest.IsolatedAsyncioTestCase):
     """Requests that the configuration in force does not allow."""
