--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -45,6 +45,8 @@
 MAX_RETRY_DELAY_S = 1.0
 # Interval at which peers are polled while the copy may be older than theirs.
 PEER_POLL_INTERVAL_S = 0.4
+# Shortest pause between two polls, which may have used up a link.
+MIN_PEER_POLL_PAUSE_S = 0.15
 # Share of the time within which changes must be in force after which a copy that nobody has
 # confirmed is compared with peers. The rest is for the comparison and a transfer.
 UNCONFIRMED_SHARE = 0.6
@@ -332,8 +334,11 @@
 
     async def follow_peers(self) -> None:
         """Run the loop that reads peers' copies while this one may be older than theirs."""
+        polled_s = 0.0
         while True:
-            await self._clock.sleep(PEER_POLL_INTERVAL_S)
+            # A poll that waited for a paused peer does not delay the next one by as much.
+            await self._clock.sleep(max(MIN_PEER_POLL_PAUSE_S, PEER_POLL_INTERVAL_S - polled_s))
+            polled_s = 0.0
             is_lagging = self._is_lagging()
             is_unconfirmed = self._is_unconfirmed()
             if self._is_receiving and not is_unconfirmed:
@@ -341,7 +346,9 @@
                 continue
             is_out_of_touch = not self.is_complete or self._is_store_failing
             if is_out_of_touch or is_lagging or is_unconfirmed:
+                began_s = self._clock.monotonic_s()
                 await self._read_peer()
+                polled_s = self._clock.monotonic_s() - began_s
 
     def _is_unconfirmed(self) -> bool:
         """Whether the copy was not confirmed for long, and the open call may not do so in time.
--- a/coltsfootfront/tests/test_copy_age.py
+++ b/coltsfootfront/tests/test_copy_age.py
@@ -91,6 +91,19 @@
         return AHEAD if self._reads_left < 0 else None
 
 
+class WaitingPeer(OnePeer):
+    """Peers of which a paused one keeps each read waiting."""
+
+    def __init__(self) -> None:
+        super().__init__(None)
+        self.reads_s: list[float] = []
+
+    async def read_peer_changes(self, after: Position) -> Changes | None:
+        self.reads_s.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(PROMPT_ANSWER_S)
+        return None
+
+
 class SilentRelay(OnePeer):
     """A relay that does not answer at all."""
 
@@ -136,6 +149,16 @@
             for task in tasks:
                 task.cancel()
 
+    async def test_paused_peer_does_not_stretch_the_time_between_polls(self) -> None:
+        """Guards against a change that is polled for more rarely for one paused peer (CONFIG)."""
+        peers = WaitingPeer()
+        follower = self.make_follower(ScriptedStore())
+        follower._peers = peers
+        task = asyncio.create_task(follower.follow_peers())
+        await asyncio.sleep(5.5 * storefollower.PEER_POLL_INTERVAL_S)
+        task.cancel()
+        self.assertGreaterEqual(len(peers.reads_s), 5)
+
     async def test_router_reads_a_peer_while_its_watch_is_overdue(self) -> None:
         """Guards against an old copy for as long as a slow store takes to answer."""
         with mock.patch.object(storefollower, "WATCH_WAIT_S", 0.2):
