--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -89,6 +89,9 @@
 # Time for which a router whose entry has disappeared may still issue permits. When the entries of
 # all routers expire in an outage of the store, they are back about two seconds after its end.
 ISSUER_GRACE_S = 5.0
+# Time for which a router whose entry has disappeared is still told and asked. All entries may lapse
+# at once; the routers register again, and the others read that after their batch delays.
+RETURN_GRACE_S = 5.0
 ROSTER_CHECK_INTERVAL_S = 1.0
 # The settings are polled, since they may change without a signal.
 SETTINGS_CHECK_INTERVAL_S = 2.0
@@ -528,18 +531,15 @@
     def _handle_router(self, item: Item) -> None:
         name = item.key.removeprefix(ROUTER_PREFIX)
         router = decode_router_entry(item.value) if item.value is not None else None
-        if router is None:
-            self._peers.remove(name)
-            self._roster.remove(name)
-        else:
+        if router is not None:
             self._peers.add(name, router)
             self._roster.put(name, router)
+        else:
+            self._peers.remove(name)
+            self._roster.remove(name)
+            if name == self._settings.name and not self._is_stopping:
+                self._registration.register_again()
         self._apply_roster()
-        addresses: dict[str, list[gossip.Address]] = {}
-        for other in self._peers.others():
-            address = (other.ip, self._settings.gossip_port)
-            addresses.setdefault(other.region, []).append(address)
-        self._gossip.set_peers(addresses)
 
     def _apply_roster(self) -> None:
         """Pass the routers on to all that share a limit or a budget with them."""
@@ -550,6 +550,25 @@
         self._budgets.set_router_count(count)
         self._follower.set_router_count(count)
         self._cache_planner.set_router_count(count)
+        self._apply_peers()
+
+    def _apply_peers(self) -> None:
+        """Pass on which routers to tell and to ask.
+
+        Those whose entries have disappeared recently may go on. In another region one of them is
+        told only if no router is registered there, as a single one is to pass messages on.
+        """
+        registered = self._peers.others()
+        known = {router.address for router in registered} | {self._settings.peer_address}
+        recent = self._roster.current(RETURN_GRACE_S)
+        missing = [router for address, router in recent.items() if address not in known]
+        self._peers.missing = missing
+        regions = {router.region for router in registered} - {self._settings.region}
+        addresses: dict[str, list[gossip.Address]] = {}
+        for router in (*registered, *(other for other in missing if other.region not in regions)):
+            address = (router.ip, self._settings.gossip_port)
+            addresses.setdefault(router.region, []).append(address)
+        self._gossip.set_peers(addresses)
 
     def _handle_message(self, kind: str, fields: list[Any]) -> None:
         handlers: dict[str, Callable[[list[Any]], None]] = {
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -120,6 +120,8 @@
         self.seed_addresses = seed_addresses
         self._generator = generator
         self._routers: dict[str, RouterEntry] = {}
+        self.missing: list[RouterEntry] = []
+        """Routers whose entries have disappeared recently, and which may go on."""
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
         self._encoder = CopyEncoder()
@@ -161,9 +163,9 @@
         return [found[address] for address in sorted(found)]
 
     def addresses(self) -> list[str]:
-        """Return the other routers' peer addresses, the seed addresses if none has registered."""
-        registered = [router.address for router in self.others()]
-        return registered or sorted(set(self.seed_addresses) - {self._own_address})
+        """Return the other routers' peer addresses, the seed addresses if none is known."""
+        known = [router.address for router in (*self.others(), *self.missing)]
+        return known or sorted(set(self.seed_addresses) - {self._own_address})
 
     def relay_address(self) -> str | None:
         own = self._own
@@ -203,7 +205,7 @@
         peers = self.addresses()
         self._generator.shuffle(peers)
         own = self._own
-        entries = {router.address: router for router in self.others()}
+        entries = {router.address: router for router in (*self.others(), *self.missing)}
         near = [peer for peer in peers if peer in entries]
         same_data_centre = [peer for peer in near if entries[peer].data_centre == own.data_centre]
         same_region = [peer for peer in near if entries[peer].region == own.region]
--- a/coltsfootfront/direct/registration.py
+++ b/coltsfootfront/direct/registration.py
@@ -82,6 +82,9 @@
                 await self._wait_until_due()
             if self._is_lost:
                 continue
+            if not self._lease:
+                # Deregistered meanwhile.
+                return
             # A relay may tell of a restore before the store does, in its answer to this call.
             renewed = await self._store.keep_alive(self._lease)
             if isinstance(renewed, Success) and renewed.unwrap() <= 0:
@@ -94,7 +97,7 @@
         return self._lease != 0 and self._lease_era != self._store.era
 
     def register_again(self) -> None:
-        """Register at once, as the store has been restored and may have lost the entry."""
+        """Register at once, as the entry may be lost after a restore, or when leases lapse."""
         self._restored.set()
 
     async def _wait_until_due(self) -> None:
--- a/coltsfootfront/tests/test_registration.py
+++ b/coltsfootfront/tests/test_registration.py
@@ -74,6 +74,14 @@
         await self.wait(LEASE_TTL_S / RENEWALS_PER_TTL + RETURN_S)
         self.assertIn(KEY, self.store.values)
 
+    async def test_router_that_has_deregistered_stays_away(self) -> None:
+        """Guards against a router that leaves and registers once more as it is woken."""
+        await self.wait(1.0)
+        await self.registration.deregister()
+        self.registration.register_again()
+        await self.wait(RETURN_S)
+        self.assertNotIn(KEY, self.store.values)
+
     async def test_calm_router_only_renews_its_lease(self) -> None:
         """Guards against calls to the store that no restore pays for."""
         await self.wait(1.0)
