--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -47,6 +47,8 @@
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
 # Loads and versions; a longer number is no count of anything, and would overflow a float.
 COUNT = re.compile(r"[0-9]{1,15}")
+# Running requests, waiting requests and slots in the load header.
+LOAD_COUNTS = 3
 
 log = logbook.Logger(__name__)
 
@@ -320,11 +322,12 @@
 def _parse_load(target: Target, text: str) -> int | None:
     if not text:
         return None
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(COUNT.fullmatch(part) for part in parts):
+    # Some services append further figures, which must not cost the known ones.
+    counts = [part.strip() for part in text.split(",")[:LOAD_COUNTS]]
+    if len(counts) < LOAD_COUNTS or not all(COUNT.fullmatch(count) for count in counts):
         _log_invalid(target, headers.LOAD, text)
         return None
-    return int(parts[0]) + int(parts[1])
+    return int(counts[0]) + int(counts[1])
 
 
 def _log_invalid(target: Target, name: str, text: str) -> None:
--- a/coltsfootfront/tests/test_platform_responses.py
+++ b/coltsfootfront/tests/test_platform_responses.py
@@ -78,6 +78,24 @@
         await self.client.close()
         await self.stand_in.close()
 
+    async def test_figures_that_follow_the_known_load_do_not_cost_it(self) -> None:
+        """Guards against placing by no load at all where targets tell more than three figures."""
+        for value in ("3,2,128", "3,2,128,70", "3, 2, 128, 70, x"):
+            with self.subTest(value):
+                self.assertEqual(await self._read_load(value), 5)
+
+    async def test_load_that_lacks_a_figure_is_unknown(self) -> None:
+        """Guards against taking a part of a malformed load for the whole."""
+        for value in ("3", "3,2", "3,,128,70", "a,2,128,70"):
+            with self.subTest(value):
+                self.assertIsNone(await self._read_load(value))
+
+    async def _read_load(self, value: str) -> int | None:
+        self.stand_in.load_header = value
+        response = await self._send("r1")
+        response.close()
+        return response.load
+
     def _make_request(self, request_id: str, method: str = "GET") -> CallerRequest:
         request = direct_support.make_request(request_id=request_id)
         request.method = method
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -99,6 +99,8 @@
         self.on_crash: Callable[[PlatformTargetStandIn], None] = lambda target: None
         self.deadly_parts: frozenset[str] = frozenset()
         """Prompt parts on which it crashes when it begins to answer; see :meth:`crash`."""
+        self.load_header = ""
+        """Value of ``X-Server-Load`` on every response to a request; empty for none."""
         self.crashes_before_head = False
         self.deadly_body: bytes | None = None
         """Body of the requests on which it crashes before it answers."""
@@ -276,6 +278,8 @@
             self.on_crash(self)
             await asyncio.Event().wait()
         headers = {"X-Request-Id": request_id, SIGNATURE_HEADER: f"{self.name}.{request_id}"}
+        if self.load_header:
+            headers["X-Server-Load"] = self.load_header
         if self.faults.crosses:
             headers["X-Request-Id"] = "another"
         headers |= self._state_headers()
