--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -39,6 +39,13 @@
     "Difference between the expected and the measured time to the first event.",
     buckets=TIME_BUCKETS_S,
 )
+QUOTA_REQUESTS = Counter(
+    "coltsfootfront_quota_requests_total", "Requests of customers with a quota, by outcome."
+)
+QUOTA_LEVEL = Gauge(
+    "coltsfootfront_quota_level",
+    "Units of a customer's quota that are available in the whole fleet, by customer.",
+)
 TARGET_LIMIT_PER_S = Gauge(
     "coltsfootfront_target_limit_per_second",
     "Requests per second that a target accepts from all routers together, by target.",
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -69,6 +69,7 @@
 QUARANTINED = "quarantined"
 RELEASED = "released"
 BEGUN = "begun"
+USAGE = "usage"
 
 Address = tuple[str, int]
 OnMessage = Callable[[str, list[Any]], None]
@@ -101,6 +102,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._peers: dict[str, list[Address]] = {}
         self._pending = _PendingUpdates()
+        self.take_usage_reports: Callable[[], list[list[Any]]] = list
+        """Returns the reports on the use of quotas that are due."""
 
     async def start(self, ip: str, port: int) -> None:
         """Bind the UDP socket."""
@@ -183,8 +186,11 @@
             self._broadcast([[LEARNED, pending.learned[:PARTS_PER_MESSAGE]]])
             del pending.learned[:PARTS_PER_MESSAGE]
         self._flush_begun(pending.begun)
-        while pending.prefill_work or pending.expected or pending.loads or is_cached_due:
+        reports = self.take_usage_reports()
+        while pending.prefill_work or pending.expected or pending.loads or is_cached_due or reports:
             message: list[list[Any]] = []
+            if reports:
+                message.append([USAGE, reports.pop(0)])
             if pending.loads:
                 names = list(pending.loads)[:PARTS_PER_MESSAGE]
                 message.append([LOAD, [[name, pending.loads.pop(name)] for name in names]])
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -65,6 +65,9 @@
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.leases import LeaseLock
+from coltsfootfront.quotas.quotas import Quotas
+from coltsfootfront.quotas.sharedbucket import Tolerance
+from coltsfootfront.quotas.usage import UsageReport
 
 log = logbook.Logger(__name__)
 
@@ -217,6 +220,9 @@
             # No process before it has spent any.
             -math.inf if settings.is_first_start else clock.monotonic_s(),
         )
+        self._quotas = Quotas(clock, settings.peer_address, settings.is_first_start, generator)
+        self._quotas.set_tolerance(Tolerance(bounds.quota_tolerance_units, bounds.quota_window_s))
+        self._gossip.take_usage_reports = self._quotas.take_reports
         self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
         self._roster = RouterRoster(clock, max(ISSUER_GRACE_S, bounds.retry_window_s))
         self._permits = Permits(
@@ -455,6 +461,7 @@
             return
         self._forwarder.routing_config = config
         self._builds.set_services(config.resumable_timeouts_s())
+        self._quotas.set_quotas(config.quotas())
         if self._caller_server is not None:
             self._caller_server.set_limits(config.limits)
         metrics.REVISION.set({}, config.number)
@@ -512,6 +519,7 @@
             self._quarantine,
             self._crash_observer,
             self._take_ups,
+            self._quotas,
             self._generator,
         )
 
@@ -548,6 +556,7 @@
         sharing = self._roster.current(self._settings.bounds.retry_window_s)
         count = len({*sharing, self._settings.peer_address})
         self._budgets.set_router_count(count)
+        self._quotas.set_routers({*sharing, self._settings.peer_address})
         self._follower.set_router_count(count)
         self._cache_planner.set_router_count(count)
         self._apply_peers()
@@ -597,6 +606,7 @@
             gossip.ANSWERED: self._quarantine.handle_answered,
             gossip.QUARANTINED: self._quarantine.handle_quarantined,
             gossip.RELEASED: self._quarantine.handle_released,
+            gossip.USAGE: lambda found: self._quotas.handle_report(UsageReport.from_fields(found)),
             gossip.ISSUER_SUSPECTED: lambda found: self._permits.handle_suspicion(
                 *decode_suspicion(found)
             ),
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -41,6 +41,7 @@
     :param waited_for: why it last waited for a target.
     :param replacement: reserved for the next attempt, with a retry of the budget, None if nothing
         is reserved.
+    :param is_counted: it counts against the quota of its customer.
     :param build: build at which the stream has to go on, empty before it has begun.
     :param owed_retry: reason of a retry that the budget must allow first, empty if there is none.
     :param silent: targets that were given up for being silent while the caller read their answer.
@@ -72,6 +73,7 @@
     silent: set[str] = field(default_factory=set)
     owed_retry: str = ""
     build: str = ""
+    is_counted: bool = False
 
     def may_serve(self, target: Target) -> bool:
         """Whether a target may serve the request, as it is by now."""
--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
+from coltsfootfront.quotas.quota import Quota
+
 # Prefixes of cache scopes, so that no customer's name is the scope of others.
 CUSTOMER_SCOPE = "customer/"
 SHARED_SCOPE = "shared/"
@@ -119,11 +121,13 @@
 
     :param priority: overrides the priority of the route; None when not set.
     :param is_isolated: shares no cached prompt part with other customers.
+    :param quota: limit on its use, over all routers together; None if there is none.
     """
 
     name: str
     priority: int | None = None
     is_isolated: bool = False
+    quota: Quota | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,6 +225,14 @@
         if customer.is_isolated:
             self.shared_cache_scope = _compute_shared_scope(self.isolated_customers())
 
+    def quotas(self) -> dict[str, Quota]:
+        """Quotas of the customers that have one, by customer."""
+        return {
+            name: customer.quota
+            for name, customer in self.customers.items()
+            if customer.quota is not None
+        }
+
     def isolated_customers(self) -> list[str]:
         """Names of the customers that share no cached prompt part, in a fixed order."""
         return sorted(name for name, customer in self.customers.items() if customer.is_isolated)
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -17,6 +17,9 @@
         on older ones.
     :param config_apply_s: time after the acknowledgement of a configuration from which requests are
         handled as it says.
+    :param quota_tolerance_units: units that a customer may use beyond its quota within a window,
+        over all routers.
+    :param quota_window_s: length of that window.
     :param stable_s: time without a disruption after which these limits apply to a router.
     """
 
@@ -29,6 +32,8 @@
     config_apply_s: float
     stable_s: float
     targets_check_fencing: bool
+    quota_tolerance_units: float = 0.0
+    quota_window_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -37,6 +37,7 @@
     WeightedService,
 )
 from coltsfootfront.direct.storefollower import Item
+from coltsfootfront.quotas.quota import Quota, QuotaUnit
 
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
@@ -195,9 +196,31 @@
         name=read_text(tenant["name"]),
         priority=read_integer(priority, high=MAX_PRIORITY) if priority is not None else None,
         is_isolated=bool(tenant.get("isolated")),
+        quota=_decode_quota(tenant),
     )
 
 
+def _decode_quota(tenant: Json) -> Quota | None:
+    """Decode a customer's quota, None if it has none.
+
+    A malformed one is ignored: without it the customer is served, and the others as well.
+    """
+    try:
+        with decoding("quota"):
+            rate_per_s = read_number(tenant.get("rate-per-s") or 0)
+            if not rate_per_s:
+                return None
+            return Quota(
+                rate_per_s=rate_per_s,
+                burst=read_number(tenant.get("burst") or 0),
+                unit=QuotaUnit.TOKENS if tenant.get("unit") == "tokens" else QuotaUnit.REQUESTS,
+                request_units=read_number(tenant.get("plain-tokens") or 1),
+            )
+    except DecodingError as error:
+        log.warning(event("quota_ignored", customer=describe(tenant["name"]), reason=str(error)))
+        return None
+
+
 def decode_version(value: bytes) -> Result[tuple[str, int], str]:
     """Decode the version of a model's weights that operators ask for."""
     try:
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -61,6 +61,8 @@
             config_apply_s=reader.number("bounds.config-apply-ms") / 1000,
             stable_s=reader.number("bounds.stable-ms") / 1000,
             targets_check_fencing=reader.boolean("bounds.require-fence"),
+            quota_tolerance_units=reader.optional_number("bounds.quota-slack") or 0.0,
+            quota_window_s=reader.optional_number("bounds.quota-window-s") or 1.0,
         ),
         is_first_start=fields.get("bootstrap") is True,
     )
--- /dev/null
+++ b/coltsfootfront/quotas/quotas.py
@@ -0,0 +1,347 @@
+"""Decides whether requests are within the quotas of their customers.
+
+Load it answers: customers that send several times their quota, which take the room of the others
+when they are served, and a fleet whose routers start, stop, pause, and cannot always hear each
+other while they do. A decision needs no network; see :mod:`coltsfootfront.quotas.sharedbucket`.
+
+A router that is not heard admits no more than its peers take it to admit: the rate that it last
+reported, or a part of an equal share. It learns that it is not heard from the reports of those who
+miss its own, and takes itself for unheard while it hears fewer than half of its peers.
+"""
+
+import random
+from collections.abc import Mapping
+
+import logbook
+
+from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.common.logs import event
+from coltsfootfront.quotas.quota import Quota
+from coltsfootfront.quotas.sharedbucket import SharedBucket, Tolerance
+from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
+
+log = logbook.Logger(__name__)
+
+# Interval of reports without news, by which a router shows that it is heard.
+KEEPALIVE_INTERVAL_S = 0.3
+# Interval at which all recent usage is reported again, for routers that have started since.
+REFRESH_INTERVAL_S = 1.0
+# A peer that has reported nothing for this long counts as silent.
+SILENT_AFTER_S = 1.0
+# Usage is reported for this long after the last request of a customer.
+RECENT_S = 8.0
+# Customers in one message, about 40 bytes each.
+CUSTOMERS_PER_REPORT = 18
+# Routers that a report names as missing, and the share of the peers that have to name a router.
+# One peer alone may have lost its own link.
+MAX_UNHEARD_NAMED = 32
+UNHEARD_SHARE = 0.25
+# A peer that has run for this long knows the levels of the buckets.
+SETTLED_AFTER_S = 8.0
+# Time without a refusal after which a customer counts as within its quota again, for the log.
+QUIET_S = 1.0
+MAX_INCARNATION = 2**53 - 1
+
+
+class _Peer:
+    """What is known of one peer."""
+
+    __slots__ = ("incarnation", "is_hearing")
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.is_hearing = True
+        """Whether it has lately received the reports of this router."""
+
+
+class _Refusals:
+    """Refusals of one customer since it exceeded its quota."""
+
+    __slots__ = ("count", "last_s", "since_s")
+
+    def __init__(self, now_s: float) -> None:
+        self.count = 0
+        self.since_s = self.last_s = now_s
+
+
+class Quotas:
+    """Quotas of all customers, as one router sees them.
+
+    :param clock: time source.
+    :param address: address of this router.
+    :param is_first_start: no router of the deployment has run before.
+    """
+
+    def __init__(
+        self, clock: Clock, address: str, is_first_start: bool, generator: random.Random
+    ) -> None:
+        self._clock = clock
+        self._address = address
+        self._is_first_start = is_first_start
+        self._incarnation = generator.randint(1, MAX_INCARNATION)
+        self._started_s = clock.monotonic_s()
+        self._quotas: dict[str, Quota] = {}
+        self._buckets: dict[str, SharedBucket] = {}
+        self._used_s: dict[str, float] = {}
+        self._changed: set[str] = set()
+        self._peers: dict[str, _Peer] = {}
+        self._known_since_s: dict[str, float] = {}
+        """When each peer was last heard; one that never was, when it has become known."""
+        self._heard_s: dict[str, float] = {}
+        """When each peer that is not silent was last heard."""
+        self._silent: set[str] = set()
+        self._tolerance = Tolerance()
+        self._refusals: dict[str, _Refusals] = {}
+        self._reported_s = self._refreshed_s = self._started_s
+        self._was_unheard = False
+
+    def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
+        """Apply the quotas of a configuration, by customer."""
+        now_s = self._clock.monotonic_s()
+        for customer in self._buckets.keys() - quotas.keys():
+            del self._buckets[customer]
+            self._used_s.pop(customer, None)
+            self._refusals.pop(customer, None)
+            metrics.QUOTA_LEVEL.values.pop({"customer": customer}, None)
+        self._changed &= quotas.keys()
+        for customer, quota in quotas.items():
+            bucket = self._buckets.get(customer)
+            if bucket is None:
+                # A customer of the first configuration may have used its quota through an earlier
+                # process; one that is added later has not.
+                is_new = self._is_first_start or bool(self._quotas)
+                self._buckets[customer] = SharedBucket(quota, self._tolerance, is_new, now_s)
+            elif bucket.quota != quota:
+                self._log_change(customer, bucket.quota, quota)
+                bucket.set_quota(quota, now_s)
+        self._quotas = dict(quotas)
+
+    def set_tolerance(self, tolerance: Tolerance) -> None:
+        """Set the use beyond each quota that is tolerated; it holds for quotas set afterwards."""
+        self._tolerance = tolerance
+
+    def set_routers(self, addresses: set[str]) -> None:
+        """Set the routers that share the quotas, this one included."""
+        peers = addresses - {self._address}
+        now_s = self._clock.monotonic_s()
+        for address in self._known_since_s.keys() - peers:
+            del self._known_since_s[address]
+            self._peers.pop(address, None)
+            self._heard_s.pop(address, None)
+        for address in peers - self._known_since_s.keys():
+            self._known_since_s[address] = now_s
+        for bucket in self._buckets.values():
+            bucket.set_peers(peers, now_s)
+
+    def admit(self, customer: str, prompt_tokens: int, output_tokens: int) -> float | None:
+        """Admit a request if its customer has room.
+
+        :returns: None if it is admitted; else the seconds until there is room for it.
+        """
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        units = bucket.quota.cost(prompt_tokens, output_tokens)
+        is_unheard = self._is_unheard(now_s)
+        if is_unheard:
+            is_admitted = bucket.try_admit_unheard(units, self._router_count, now_s)
+        else:
+            is_admitted = bucket.try_admit(units, self._heard_s, now_s)
+        if is_admitted:
+            self._record_use(customer, now_s)
+            metrics.QUOTA_REQUESTS.inc({"outcome": "admitted"})
+            self._log_recovery(customer, now_s)
+            return None
+        metrics.QUOTA_REQUESTS.inc({"outcome": "refused_unheard" if is_unheard else "refused"})
+        self._log_excess(customer, bucket, is_unheard, now_s)
+        return bucket.room_after_s(units, self._heard_s, now_s)
+
+    def charge(self, customer: str, prompt_tokens: int, output_tokens: int) -> None:
+        """Count a further run of a request that was admitted."""
+        self._add(customer, prompt_tokens, output_tokens, 1)
+
+    def refund(self, customer: str, prompt_tokens: int, output_tokens: int) -> None:
+        """Give back what a request counted that did not run."""
+        self._add(customer, prompt_tokens, output_tokens, -1)
+
+    def describe(self, customer: str) -> dict[str, float | bool] | None:
+        """State of a customer's quota, None if it has none."""
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        return {
+            "rate_per_s": bucket.quota.rate_per_s,
+            "burst": bucket.quota.burst,
+            "available": bucket.level(self._heard_s, now_s),
+            "own_rate_per_s": bucket.rate_per_s(now_s),
+            "is_unheard": self._is_unheard(now_s),
+        }
+
+    def take_reports(self) -> list[list[object]]:
+        """Take the messages that are due for the peers, as their fields."""
+        if not self._buckets or not self._known_since_s:
+            return []
+        now_s = self._clock.monotonic_s()
+        self._update_silent(now_s)
+        if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
+            self._refreshed_s = now_s
+            self._refresh(now_s)
+        if not self._changed and now_s - self._reported_s < KEEPALIVE_INTERVAL_S:
+            return []
+        self._reported_s = now_s
+        customers, self._changed = sorted(self._changed), set()
+        unheard = self._name_unheard()
+        uptime_s = now_s - self._started_s
+        reports: list[list[object]] = []
+        for start in range(0, max(1, len(customers)), CUSTOMERS_PER_REPORT):
+            usages = tuple(
+                self._usage(customer, now_s)
+                for customer in customers[start : start + CUSTOMERS_PER_REPORT]
+            )
+            report = UsageReport(self._address, self._incarnation, uptime_s, unheard, usages)
+            reports.append(report.to_fields())
+        return reports
+
+    def handle_report(self, report: UsageReport) -> None:
+        """Apply the report of a peer."""
+        if report.router not in self._known_since_s:
+            return
+        now_s = self._clock.monotonic_s()
+        peer = self._peers.get(report.router)
+        is_new = peer is not None and peer.incarnation != report.incarnation
+        if peer is None or is_new:
+            peer = self._peers[report.router] = _Peer(report.incarnation)
+        was_silent = report.router not in self._heard_s
+        self._known_since_s[report.router] = self._heard_s[report.router] = now_s
+        if was_silent:
+            self._update_silent(now_s)
+        peer.is_hearing = self._address not in report.unheard
+        for usage in report.usages:
+            bucket = self._buckets.get(usage.customer)
+            if bucket is None:
+                continue
+            if report.uptime_s >= SETTLED_AFTER_S:
+                bucket.learn_level(usage.level, now_s)
+            bucket.apply_report(report.router, is_new, usage.total, usage.rate_per_s, now_s)
+
+    @property
+    def _router_count(self) -> int:
+        return len(self._known_since_s) + 1
+
+    def _update_silent(self, now_s: float) -> None:
+        """Find out which peers are silent, and let the buckets count their assumed use."""
+        silent = {
+            address: heard_s
+            for address, heard_s in self._known_since_s.items()
+            if now_s - heard_s > SILENT_AFTER_S
+        }
+        for address in silent:
+            self._heard_s.pop(address, None)
+        if silent.keys() != self._silent:
+            self._silent = set(silent)
+            for bucket in self._buckets.values():
+                bucket.set_silent(silent, self._router_count, now_s)
+
+    def _add(self, customer: str, prompt_tokens: int, output_tokens: int, sign: int) -> None:
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return
+        now_s = self._clock.monotonic_s()
+        bucket.charge(sign * bucket.quota.cost(prompt_tokens, output_tokens), now_s)
+        self._record_use(customer, now_s)
+        metrics.QUOTA_REQUESTS.inc({"outcome": "charged_again" if sign > 0 else "refunded"})
+
+    def _record_use(self, customer: str, now_s: float) -> None:
+        self._used_s[customer] = now_s
+        self._changed.add(customer)
+
+    def _refresh(self, now_s: float) -> None:
+        """Report all recent usage once more, and publish the levels."""
+        for customer, used_s in list(self._used_s.items()):
+            if now_s - used_s > RECENT_S:
+                del self._used_s[customer]
+            else:
+                self._changed.add(customer)
+            level = self._buckets[customer].level(self._heard_s, now_s)
+            metrics.QUOTA_LEVEL.set({"customer": customer}, level)
+        is_unheard = self._is_unheard(now_s)
+        if is_unheard != self._was_unheard:
+            self._was_unheard = is_unheard
+            name = "quotas_unheard" if is_unheard else "quotas_heard"
+            log.info(event(name, peers=len(self._known_since_s), heard=len(self._heard_s)))
+
+    def _usage(self, customer: str, now_s: float) -> CustomerUsage:
+        bucket = self._buckets[customer]
+        return CustomerUsage(
+            customer,
+            bucket.own_total,
+            bucket.rate_per_s(now_s),
+            bucket.level(self._heard_s, now_s),
+        )
+
+    def _is_unheard(self, now_s: float) -> bool:
+        """Whether this router has to keep to what its peers take it to admit."""
+        # Also right after a pause of the process, before any message is read.
+        heard = [
+            address
+            for address, heard_s in self._heard_s.items()
+            if now_s - heard_s <= SILENT_AFTER_S
+        ]
+        if 2 * len(heard) < len(self._known_since_s):
+            return True
+        missing = sum(not self._peers[address].is_hearing for address in heard)
+        return missing > UNHEARD_SHARE * len(heard)
+
+    def _name_unheard(self) -> tuple[str, ...]:
+        """Peers whose reports are missing; none if this router itself seems to be cut off."""
+        if 2 * len(self._silent) > len(self._known_since_s):
+            return ()
+        return tuple(sorted(self._silent)[:MAX_UNHEARD_NAMED])
+
+    def _log_change(self, customer: str, before: Quota, quota: Quota) -> None:
+        log.info(
+            event(
+                "quota_changed",
+                customer=customer,
+                rate_per_s=quota.rate_per_s,
+                before_per_s=before.rate_per_s,
+                burst=quota.burst,
+            )
+        )
+
+    def _log_excess(
+        self, customer: str, bucket: SharedBucket, is_unheard: bool, now_s: float
+    ) -> None:
+        """Log once that a customer exceeds its quota; further refusals are counted."""
+        refusals = self._refusals.get(customer)
+        if refusals is None:
+            refusals = self._refusals[customer] = _Refusals(now_s)
+            log.info(
+                event(
+                    "quota_exceeded",
+                    customer=customer,
+                    level=bucket.level(self._heard_s, now_s),
+                    own_per_s=bucket.rate_per_s(now_s),
+                    limit_per_s=bucket.quota.rate_per_s,
+                    unheard=is_unheard or None,
+                )
+            )
+        refusals.count += 1
+        refusals.last_s = now_s
+
+    def _log_recovery(self, customer: str, now_s: float) -> None:
+        refusals = self._refusals.get(customer)
+        if refusals is None or now_s - refusals.last_s < QUIET_S:
+            return
+        del self._refusals[customer]
+        log.info(
+            event(
+                "quota_restored",
+                customer=customer,
+                refused=refusals.count,
+                for_s=refusals.last_s - refusals.since_s,
+            )
+        )
--- /dev/null
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -0,0 +1,272 @@
+"""One customer's token bucket, as one router sees it.
+
+Load it answers: a customer that sends several times its quota, through all routers or a few, while
+the others must not be refused below theirs. Each router keeps a copy of the bucket. It takes out
+what it admits itself, what its peers report, and what they have probably admitted since.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from coltsfootfront.quotas.bucket import TokenBucket
+from coltsfootfront.quotas.quota import Quota
+
+# Half-life of a router's rate. Long enough for a rate of a few requests per second, short enough
+# that reports follow a burst within the time that the quota's burst covers.
+RATE_HALF_LIFE_S = 0.7
+# Time from an admission until a peer has read of it: a batch of gossip and the way to another
+# region.
+REPORT_DELAY_S = 0.06
+# Share of an equal part of the quota that a router which is not heard may use although its rate was
+# lower. Most such routers have just ended, and the others get what they leave.
+SILENT_SHARE = 0.5
+# Share of the tolerated excess of a window up to which a bucket may go into debt. Copies of a
+# bucket differ by a few requests, which are much of a small quota.
+DEBT_SHARE = 0.25
+# Share of the burst that is available after a start of which no peer has told the level. The
+# processes before may have used the whole burst; while none ran, the rate has gone unused.
+START_LEVEL_SHARE = 0.5
+
+
+class UsageRate:
+    """Rate at which units have been used lately."""
+
+    __slots__ = ("_rate_per_s", "_updated_s")
+
+    def __init__(self, now_s: float) -> None:
+        self._rate_per_s = 0.0
+        self._updated_s = now_s
+
+    def add(self, units: float, now_s: float) -> None:
+        """Add units that were used."""
+        # The integral of the decaying weight is the half-life over ln 2.
+        self._rate_per_s = max(0.0, self.per_s(now_s) + units * 0.6931 / RATE_HALF_LIFE_S)
+
+    def per_s(self, now_s: float) -> float:
+        """Units per second."""
+        weight: float = 0.5 ** (max(0.0, now_s - self._updated_s) / RATE_HALF_LIFE_S)
+        self._updated_s = max(now_s, self._updated_s)
+        self._rate_per_s *= weight
+        return self._rate_per_s
+
+
+@dataclass(frozen=True, slots=True)
+class Tolerance:
+    """Use beyond a quota that operators tolerate.
+
+    :param units: in one window, over all routers together.
+    :param window_s: length of the window in seconds.
+    """
+
+    units: float = 0.0
+    window_s: float = 1.0
+
+    @property
+    def per_s(self) -> float:
+        """Units per second."""
+        return self.units / self.window_s
+
+
+@dataclass(slots=True)
+class _PeerUsage:
+    """What is known of one peer's use.
+
+    :param total: what it has reported, and what it was assumed to use while it was silent.
+    :param rate_per_s: rate that it has reported last.
+    :param reported_s: monotonic time of that report.
+    """
+
+    total: float = 0.0
+    rate_per_s: float = 0.0
+    reported_s: float = -math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class _SilentUse:
+    """Assumed use of a silent peer."""
+
+    rate_per_s: float
+    since_s: float
+
+
+class SharedBucket:
+    """Copy of one customer's bucket.
+
+    :param quota: limit of the customer over all routers.
+    :param tolerance: what all routers together may use beyond the quota in a window.
+    :param is_first_start: no process has admitted anything before.
+    :param now_s: monotonic time.
+    """
+
+    __slots__ = (
+        "_bucket",
+        "_is_level_learned",
+        "_own_rate",
+        "_peers",
+        "_promised_s",
+        "_restricted",
+        "_silent",
+        "_tolerance",
+        "own_total",
+        "quota",
+    )
+
+    def __init__(
+        self, quota: Quota, tolerance: Tolerance, is_first_start: bool, now_s: float
+    ) -> None:
+        self.quota = quota
+        level = quota.burst if is_first_start else START_LEVEL_SHARE * quota.burst
+        self._bucket = TokenBucket(quota.rate_per_s, quota.burst, level, now_s)
+        self._tolerance = tolerance
+        self._is_level_learned = is_first_start
+        self._own_rate = UsageRate(now_s)
+        self._peers: dict[str, _PeerUsage] = {}
+        self._silent: dict[str, _SilentUse] = {}
+        self._promised_s = now_s
+        self._restricted: TokenBucket | None = None
+        self.own_total = 0.0
+
+    def set_quota(self, quota: Quota, now_s: float) -> None:
+        """Change the limit."""
+        self.quota = quota
+        self._bucket.set_limit(quota.rate_per_s, quota.burst, now_s)
+        self._apply_silent_rates(now_s)
+        self._restricted = None
+
+    def set_silent(self, silent: Mapping[str, float], routers: int, now_s: float) -> None:
+        """Set the peers whose reports are missing.
+
+        :param silent: monotonic time at which each was last heard, or has become known.
+        :param routers: number of routers that share the quota, this one included.
+        """
+        for router in self._silent.keys() - silent.keys():
+            use = self._silent.pop(router)
+            self._peers[router].total += use.rate_per_s * (now_s - use.since_s)
+        for router in silent.keys() - self._silent.keys():
+            peer = self._peers.setdefault(router, _PeerUsage())
+            rate_per_s = max(peer.rate_per_s, self._silent_rate_per_s(routers))
+            missed = rate_per_s * (now_s - silent[router])
+            peer.total += missed
+            self._bucket.take(missed, now_s)
+            self._silent[router] = _SilentUse(rate_per_s, now_s)
+        self._apply_silent_rates(now_s)
+
+    def set_peers(self, peers: set[str], now_s: float) -> None:
+        """Forget the routers that have gone."""
+        for router in self._peers.keys() - peers:
+            del self._peers[router]
+            self._silent.pop(router, None)
+        self._apply_silent_rates(now_s)
+
+    def apply_report(
+        self, router: str, is_new: bool, total: float, rate_per_s: float, now_s: float
+    ) -> None:
+        """Take out what a peer has admitted since its last report.
+
+        :param is_new: the peer's process is not the one of its last report.
+        """
+        peer = self._peers.get(router)
+        is_known = peer is not None and math.isfinite(peer.reported_s)
+        known = peer.total if peer is not None else 0.0
+        if is_new and is_known:
+            known = 0.0
+        elif not is_known and not self._is_level_learned:
+            # What a peer admitted before this process has started is in the level that it reports.
+            known = total
+        self._bucket.take(total - known, now_s)
+        self._peers[router] = _PeerUsage(total, rate_per_s, now_s)
+
+    def learn_level(self, level: float, now_s: float) -> None:
+        """Take over the level from a peer that has known the bucket for longer."""
+        if self._is_level_learned:
+            return
+        self._is_level_learned = True
+        self._bucket.set_level(level - self.own_total, now_s)
+
+    def level(self, heard_s: Mapping[str, float], now_s: float) -> float:
+        """Units that are probably available in the whole fleet.
+
+        :param heard_s: monotonic time at which each peer was last heard.
+        """
+        return self._bucket.level(now_s) - self._unreported(heard_s, now_s)
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Rate of what this router has admitted."""
+        return self._own_rate.per_s(now_s)
+
+    def try_admit(self, units: float, heard_s: Mapping[str, float], now_s: float) -> bool:
+        """Admit a request if there is room.
+
+        :param heard_s: monotonic time at which each peer was last heard.
+        """
+        self._restricted = None
+        if self.level(heard_s, now_s) < -DEBT_SHARE * self._tolerance.units:
+            return False
+        self.charge(units, now_s)
+        return True
+
+    def try_admit_unheard(self, units: float, routers: int, now_s: float) -> bool:
+        """Admit a request within what the peers take this router to use.
+
+        :param routers: number of routers that share the quota, this one included.
+        """
+        restricted = self._enter_restriction(routers, now_s)
+        if restricted.level(now_s) < 0:
+            return False
+        restricted.take(units, now_s)
+        self.charge(units, now_s)
+        return True
+
+    def charge(self, units: float, now_s: float) -> None:
+        """Count units that are used in any case, or put back if negative."""
+        self._bucket.take(units, now_s)
+        self._own_rate.add(units, now_s)
+        self.own_total += units
+
+    def room_after_s(self, units: float, heard_s: Mapping[str, float], now_s: float) -> float:
+        """Time until a refused request finds room, after those that were told to return before."""
+        if self._restricted is not None:
+            level, own_per_s = self._restricted.level(now_s), self._restricted.rate_per_s
+            free_per_s = own_per_s
+        else:
+            level = self.level(heard_s, now_s) + DEBT_SHARE * self._tolerance.units
+            free_per_s = self.quota.rate_per_s
+            # The part of the rate that other routers use is not available to this one's callers.
+            others_per_s = sum(peer.rate_per_s for peer in self._peers.values())
+            own_per_s = max(free_per_s - others_per_s, free_per_s / (len(heard_s) + 1))
+        free_s = now_s + max(0.0, -level) / free_per_s
+        self._promised_s = max(free_s, self._promised_s + units / own_per_s)
+        return self._promised_s - now_s
+
+    def _silent_rate_per_s(self, routers: int) -> float:
+        """Rate that a router which is not heard may use, however little it used before."""
+        return SILENT_SHARE * (self.quota.rate_per_s + self._tolerance.per_s) / routers
+
+    def _apply_silent_rates(self, now_s: float) -> None:
+        """Let the bucket refill by what the silent peers leave of the rate."""
+        used_per_s = sum(use.rate_per_s for use in self._silent.values())
+        tolerated_per_s = (
+            SILENT_SHARE * self._tolerance.per_s * len(self._silent) / (len(self._peers) + 1)
+        )
+        rate_per_s = max(0.0, self.quota.rate_per_s + tolerated_per_s - used_per_s)
+        self._bucket.set_limit(rate_per_s, self.quota.burst, now_s)
+
+    def _enter_restriction(self, routers: int, now_s: float) -> TokenBucket:
+        """Bucket of a router that the others count by its last reported rate."""
+        if self._restricted is None:
+            rate_per_s = max(self._own_rate.per_s(now_s), self._silent_rate_per_s(routers))
+            burst = SILENT_SHARE * self.quota.burst / routers
+            self._restricted = TokenBucket(rate_per_s, burst, burst, now_s)
+        return self._restricted
+
+    def _unreported(self, heard_s: Mapping[str, float], now_s: float) -> float:
+        """Units that the peers have probably admitted since they were last heard."""
+        units = 0.0
+        for router, peer in self._peers.items():
+            if not peer.rate_per_s or router in self._silent:
+                continue
+            weight = 0.5 ** ((now_s - peer.reported_s) / RATE_HALF_LIFE_S)
+            missing_s = now_s - heard_s.get(router, now_s) + REPORT_DELAY_S
+            units += peer.rate_per_s * weight * missing_s
+        return units
--- /dev/null
+++ b/coltsfootfront/quotas/usage.py
@@ -0,0 +1,83 @@
+"""What routers report to each other about the use of quotas."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from coltsfootfront.common.decoding import (
+    read_address,
+    read_integer,
+    read_list,
+    read_number,
+    read_seconds,
+    read_text,
+)
+
+# Largest debt of a bucket that is reported; a bucket of 2^40 tokens would last for years.
+MAX_LEVEL = 2.0**40
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerUsage:
+    """Use of one customer's quota at one router.
+
+    :param total: units admitted by this process since it started, less those refunded.
+    :param rate_per_s: recent rate of these.
+    :param level: units that the router takes to be available in the whole fleet.
+    """
+
+    customer: str
+    total: float
+    rate_per_s: float
+    level: float
+
+    def to_fields(self) -> list[Any]:
+        """Encode as a row of a message."""
+        return [self.customer, round(self.total), round(self.rate_per_s), round(self.level)]
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """Report of one router.
+
+    :param router: its address.
+    :param incarnation: tells its process from an earlier one, whose totals have gone.
+    :param uptime_s: time since its process started.
+    :param unheard: routers whose reports it has been missing.
+    """
+
+    router: str
+    incarnation: int
+    uptime_s: float
+    unheard: tuple[str, ...] = ()
+    usages: tuple[CustomerUsage, ...] = ()
+
+    def to_fields(self) -> list[Any]:
+        """Encode as the fields of a message."""
+        rows = [usage.to_fields() for usage in self.usages]
+        uptime_s = round(self.uptime_s, 1)
+        return [self.router, self.incarnation, uptime_s, list(self.unheard), rows]
+
+    @classmethod
+    def from_fields(cls, fields: Any) -> "UsageReport":
+        """Decode the fields of a message.
+
+        :raises DecodingError: if one of them is malformed.
+        """
+        router, incarnation, uptime_s, unheard, rows = read_list(fields)
+        return cls(
+            read_address(router),
+            read_integer(incarnation),
+            read_seconds(uptime_s),
+            tuple(read_address(address) for address in read_list(unheard)),
+            tuple(_decode_usage(row) for row in read_list(rows)),
+        )
+
+
+def _decode_usage(row: Any) -> CustomerUsage:
+    customer, total, rate_per_s, level = read_list(row)
+    return CustomerUsage(
+        read_text(customer),
+        read_number(total, low=-MAX_LEVEL),
+        read_number(rate_per_s),
+        read_number(level, low=-MAX_LEVEL),
+    )
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -40,6 +40,7 @@
 )
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
 from coltsfootfront.direct.versions import WeightVersions
+from coltsfootfront.quotas.quotas import Quotas
 from coltsfootfront.tests.support import InMemoryStore
 
 REGIONS = {"a": "east", "b": "east", "c": "west"}
@@ -306,6 +307,7 @@
             lambda: 0,
         )
         self.take_ups = TakeUps(clock, self.builds, channel, NoPeerStreams())
+        self.quotas = Quotas(clock, "10.0.0.1:1", True, generator)
         self.forwarder = Forwarder(
             clock,
             self.directory,
@@ -322,6 +324,7 @@
             self.quarantine,
             self.crash_observer,
             self.take_ups,
+            self.quotas,
             generator,
         )
 
