--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -181,6 +181,7 @@
         state: RequestState | None = None
         try:
             state = await self._admit_by_current_configuration(request)
+            self._count_against_quota(state)
             await self._serve_until_exit(state, writer)
             self._log_request_end(request, state, "answered", "")
         except RefusedError as refused:
@@ -286,7 +287,6 @@
         state = RequestState(request, route, service, customer, deadline_s)
         self._check_stop(state)
         state.stream_validator.last_event_id = request.resume_after
-        self._count_against_quota(state)
         return state
 
     def _count_against_quota(self, state: RequestState) -> None:
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -151,6 +151,7 @@
         "first_s": state.first_s,
         "aim_s": state.route.latency_objective_s,
         "waited_for": state.waited_for.value if state.waited_for else None,
+        "usage_tokens": (request.prompt_tokens + request.output_tokens) or None,
         "events": state.stream_validator.event_count or None,
         "build": state.build or None,
         "longest_pause_s": state.longest_pause_s,
