--- /dev/null
+++ b/coltsfootfront/costs/__init__.py
@@ -0,0 +1,1 @@
+"""Estimates of what requests cost at targets, learned from responses."""
--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -12,6 +12,7 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.timeouts import ReadTimeout
+from coltsfootfront.costs.pace import TargetPace
 from coltsfootfront.direct.backlog import Backlog
 from coltsfootfront.direct.limits import TargetLimit
 
@@ -116,6 +117,7 @@
     suspended_until_s: float = 0.0
     suspension_s: float = FIRST_SUSPENSION_S
     last_result_s: float = 0.0
+    pace: TargetPace = field(default_factory=TargetPace)
     reported_load: int = 0
     in_flight_at_report: int = 0
     last_report_s: float = -math.inf
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -671,9 +671,9 @@
     def _record_prefill_work(self, placement: Placement) -> None:
         if not placement.prefill_tokens:
             return
-        work_s = self._prefill_rates.get(placement.target.entry.service).prefill_time_s(
-            placement.prefill_tokens
-        )
+        work_s = placement.target.pace.lasting * self._prefill_rates.get(
+            placement.target.entry.service
+        ).prefill_time_s(placement.prefill_tokens)
         placement.target.backlog.add(placement.priority, work_s, self._clock.monotonic_s())
         self._gossip.queue_prefill_work(placement.target.name, placement.priority, work_s)
 
@@ -686,6 +686,7 @@
         for part in request.shared_parts:
             tokens += part.tokens
             prefill_s = prefill_rate.prefill_time_s(max(0, tokens - placement.held_tokens))
+            prefill_s *= placement.target.pace.lasting
             ready_in_s = (
                 placement.begin_s + prefill_rate.base_s * PREFILL_BASE_TIME_SHARE + prefill_s
             )
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -56,6 +56,7 @@
 REVISION = "revision"
 PREFILL_WORK = "work"
 LOAD = "load"
+PACE = "pace"
 DRAINING = "leaving"
 LEARNED = "learned"
 UNREACHABLE = "dark"
@@ -81,6 +82,7 @@
 
     prefill_work: dict[tuple[str, int], float] = field(default_factory=dict)
     loads: dict[str, int] = field(default_factory=dict)
+    paces: dict[str, float] = field(default_factory=dict)
     expected: list[list[Any]] = field(default_factory=list)
     cached: list[list[Any]] = field(default_factory=list)
     learned: list[list[Any]] = field(default_factory=list)
@@ -168,6 +170,14 @@
         """Queue an update on the load that a target has reported."""
         self._pending.loads[target] = load
 
+    def queue_pace(self, target: str, percent: float) -> None:
+        """Queue an update on the pace that a target has reported.
+
+        It is no part of the update on the load, which routers of earlier versions would drop with
+        a further field.
+        """
+        self._pending.paces[target] = percent
+
     async def flush(self) -> None:
         """Run the loop that sends the queued updates in batches."""
         while True:
@@ -187,13 +197,23 @@
             del pending.learned[:PARTS_PER_MESSAGE]
         self._flush_begun(pending.begun)
         reports = self.take_usage_reports()
-        while pending.prefill_work or pending.expected or pending.loads or is_cached_due or reports:
+        while (
+            pending.prefill_work
+            or pending.expected
+            or pending.loads
+            or pending.paces
+            or is_cached_due
+            or reports
+        ):
             message: list[list[Any]] = []
             if reports:
                 message.append([USAGE, reports.pop(0)])
             if pending.loads:
                 names = list(pending.loads)[:PARTS_PER_MESSAGE]
                 message.append([LOAD, [[name, pending.loads.pop(name)] for name in names]])
+            if pending.paces:
+                names = list(pending.paces)[:PARTS_PER_MESSAGE]
+                message.append([PACE, [[name, pending.paces.pop(name)] for name in names]])
             if pending.prefill_work:
                 keys = list(pending.prefill_work)[:PARTS_PER_MESSAGE]
                 message.append(
--- a/coltsfootfront/direct/gossipfields.py
+++ b/coltsfootfront/direct/gossipfields.py
@@ -45,6 +45,12 @@
     return read_text(name), read_integer(load)
 
 
+def decode_pace(row: Any) -> tuple[str, float]:
+    """Decode a target's name and the pace that it has reported, in percent of the usual time."""
+    name, percent = read_list(row)
+    return read_text(name), read_number(percent)
+
+
 def decode_start(fields: Any) -> tuple[str, int]:
     """Decode a target's name and the Unix time of its start in milliseconds."""
     name, started_ms = read_list(fields)
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -33,6 +33,7 @@
     decode_load,
     decode_loading,
     decode_location,
+    decode_pace,
     decode_position,
     decode_prefill_work,
     decode_start,
@@ -586,6 +587,7 @@
             gossip.EXPECTED: self._handle_expected,
             gossip.PREFILL_WORK: self._handle_prefill_work,
             gossip.LOAD: self._handle_loads,
+            gossip.PACE: self._handle_paces,
             gossip.DRAINING: lambda found: self._handle_draining(*decode_start(found)),
             gossip.UNREACHABLE: lambda found: self._directory.suspect(*decode_start(found)),
             gossip.WEIGHTS_LOADING: lambda found: self._handle_loading(
@@ -651,6 +653,12 @@
             if target is not None:
                 target.record_load(load, self._clock.monotonic_s())
 
+    def _handle_paces(self, fields: list[Any]) -> None:
+        for name, percent in decode_each(gossip.PACE, read_list(fields), decode_pace):
+            target = self._directory.get(name)
+            if target is not None:
+                target.pace.record_sample(percent, self._clock.monotonic_s())
+
     def _handle_loading(self, kind: str, name: str, model: str, version: int, for_s: float) -> None:
         target = self._directory.get(name)
         if target is None:
--- a/coltsfootfront/direct/responseheads.py
+++ b/coltsfootfront/direct/responseheads.py
@@ -67,6 +67,10 @@
         if response.load is not None:
             target.record_load(response.load, now_s)
             self._gossip.queue_load(target.name, response.load)
+        if response.pace_percent is not None and target.pace.record_sample(
+            response.pace_percent, now_s
+        ):
+            self._gossip.queue_pace(target.name, response.pace_percent)
         if response.is_draining:
             self._record_draining(target)
         if response.retry_after_s is not None:
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -254,8 +254,10 @@
             return
         prefill_rate = self._prefill_rates.get(placement.target.entry.service)
         ahead_tokens = placement.begin_s * prefill_rate.tokens_per_s
+        # Counted in tokens at the usual pace, so that fast and slow engines share one rate.
+        own_tokens = placement.prefill_tokens * placement.target.pace.lasting
         sent_s = state.request.received_s + state.placed_s
-        prefill_rate.add_sample(ahead_tokens + placement.prefill_tokens, now_s - sent_s)
+        prefill_rate.add_sample(ahead_tokens + own_tokens, now_s - sent_s)
 
     def _record_cached_parts(self, state: RequestState, placement: Placement) -> None:
         name = placement.target.name
--- a/coltsfootfront/direct/targetclient.py
+++ b/coltsfootfront/direct/targetclient.py
@@ -76,6 +76,8 @@
     """Version of the weights that the target reports, None if it reports none."""
     load: int | None
     """Requests running or queued at the target, None if it does not report them."""
+    pace_percent: float | None
+    """How long work takes at the target now, where 100 is usual, None if it does not report it."""
     is_draining: bool
     """The target is draining and accepts no new requests."""
     retry_after_s: float | None
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -173,6 +173,8 @@
 
     def _cost(self, target: Target, now_s: float) -> tuple[float, float]:
         cost = target.load(now_s) / max(1, target.entry.slots)
+        if target.pace.is_told:
+            cost = (cost + 1 / max(1, target.entry.slots)) * target.pace.factor(now_s)
         if target.region != self._region:
             cost += OTHER_REGION_PENALTY_LOAD
         elif target.entry.data_centre != self._data_centre:
@@ -277,9 +279,9 @@
         if ready_s <= now_s + MIN_PREFILL_WAIT_S:
             return placement
         # A longer wait would cost this request more than the redundant prefill costs all requests.
-        saved_s = self._prefill_rates.get(placement.target.entry.service).prefill_time_s(
-            placement.held_tokens
-        )
+        saved_s = placement.target.pace.lasting * self._prefill_rates.get(
+            placement.target.entry.service
+        ).prefill_time_s(placement.held_tokens)
         until_s = min(wait_until_s, now_s + DUPLICATE_PREFILL_FACTOR * saved_s)
         return Wait(ready_s, WaitReason.PREFILL) if ready_s <= until_s else placement
 
@@ -312,8 +314,12 @@
         begin_s = target.wait_s(priority, now_s)
         ready_s = self._cache_planner.ready_s(request, salt, target)
         load = target.load(now_s)
-        cost_s = max(begin_s, ready_s - now_s)
-        cost_s += rate.prefill_time_s(prefill_tokens) * (1 + PREFILL_SLOWDOWN_PER_REQUEST * load)
+        # The backlog is in seconds at the target's own lasting pace already.
+        pace = target.pace
+        prefill_s = rate.prefill_time_s(prefill_tokens) * pace.lasting
+        prefill_s *= 1 + PREFILL_SLOWDOWN_PER_REQUEST * load
+        begin_work_s = max(begin_s, ready_s - now_s)
+        cost_s = pace.time_s(begin_work_s + prefill_s, now_s)
         cost_s += rate.prefill_time_s(plan.duplicate_tokens) * DUPLICATE_PREFILL_FACTOR
         cost_s += plan.transfer_s
         cost_s += RUNNING_REQUEST_PENALTY_S * load + EXCESS_REQUEST_PENALTY_S * max(
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -13,6 +13,7 @@
 
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.timeouts import ReadTimeout
+from coltsfootfront.costs.pace import MAX_PERCENT, MIN_PERCENT
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.responselimits import use_bounded_handler
@@ -49,6 +50,8 @@
 COUNT = re.compile(r"[0-9]{1,15}")
 # Running requests, waiting requests and slots in the load header.
 LOAD_COUNTS = 3
+# Place of the pace in the load header, which not all targets tell.
+PACE_PLACE = 3
 
 log = logbook.Logger(__name__)
 
@@ -97,6 +100,7 @@
         "length_bytes",
         "limit_per_s",
         "load",
+        "pace_percent",
         "retry_after_s",
         "status",
         "version",
@@ -121,6 +125,7 @@
         self.is_other_version = self.status == MISDIRECTED_REQUEST and responder == target.name
         self.version = _parse_version(target, response_headers.get(headers.WEIGHTS_VERSION, ""))
         self.load = _parse_load(target, response_headers.get(headers.LOAD, ""))
+        self.pace_percent = _parse_pace(target, response_headers.get(headers.LOAD, ""))
         self.is_draining = headers.DRAINING in response_headers
         self.limit_per_s = _parse_limit(target, response_headers.get(headers.LIMIT))
         self.retry_after_s = _parse_retry_after(
@@ -330,5 +335,17 @@
     return int(counts[0]) + int(counts[1])
 
 
+def _parse_pace(target: Target, text: str) -> float | None:
+    """Pace in percent of the usual time; it is dropped alone if it is invalid."""
+    figures = text.split(",")
+    if len(figures) <= PACE_PLACE:
+        return None
+    pace = figures[PACE_PLACE].strip()
+    if DECIMAL_NUMBER.fullmatch(pace) is None or not MIN_PERCENT <= float(pace) <= MAX_PERCENT:
+        _log_invalid(target, headers.LOAD, text)
+        return None
+    return float(pace)
+
+
 def _log_invalid(target: Target, name: str, text: str) -> None:
     log.warning(event("target_header_invalid", target=target.name, header=name, value=text[:40]))
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -157,6 +157,7 @@
         pause_s: float | None = None,
         load: int | None = None,
         limit_per_s: float | None = None,
+        pace_percent: float | None = None,
     ) -> None:
         self.status = status
         self.headers = []
@@ -166,6 +167,7 @@
         self.is_other_version = is_other_version
         self.version = version
         self.load = load
+        self.pace_percent = pace_percent
         self.is_draining = is_leaving
         self.retry_after_s = pause_s
         self.limit_per_s = limit_per_s
