--- /dev/null
+++ b/coltsfootfront/costs/model.py
@@ -0,0 +1,46 @@
+"""What this router has learned of the cost of requests, by service.
+
+Takes effect where a deployment calls for it: where the targets of a service tell their pace, or
+where customers have quotas and thus compete for capacity. Elsewhere targets are chosen as before.
+"""
+
+from collections.abc import Iterable
+
+from coltsfootfront.costs.callcost import CallModel
+from coltsfootfront.costs.pace import ServiceOutcomes, TargetPace
+from coltsfootfront.costs.promptcost import FirstEventModel
+
+
+class CostModel:
+    """Cost models of all services."""
+
+    __slots__ = ("_calls", "_outcomes", "_prompts", "has_quotas")
+
+    def __init__(self) -> None:
+        self.has_quotas = False
+        """Whether customers of the configuration in force have quotas."""
+        self._prompts: dict[str, FirstEventModel] = {}
+        self._calls: dict[str, CallModel] = {}
+        self._outcomes: dict[str, ServiceOutcomes] = {}
+
+    def applies(self, paces: Iterable[TargetPace]) -> bool:
+        """Whether requests are placed by their cost.
+
+        :param paces: paces of the targets among which is chosen.
+        """
+        return self.has_quotas or any(pace.is_told for pace in paces)
+
+    def prompts(self, service: str) -> FirstEventModel:
+        """Model of the prompts of a service."""
+        model = self._prompts.get(service)
+        return model if model is not None else self._prompts.setdefault(service, FirstEventModel())
+
+    def calls(self, service: str) -> CallModel:
+        """Model of the plain calls of a service."""
+        model = self._calls.get(service)
+        return model if model is not None else self._calls.setdefault(service, CallModel())
+
+    def outcomes(self, service: str) -> ServiceOutcomes:
+        """Outcomes with which those of each target of a service are compared."""
+        found = self._outcomes.get(service)
+        return found if found is not None else self._outcomes.setdefault(service, ServiceOutcomes())
--- a/coltsfootfront/costs/pace.py
+++ b/coltsfootfront/costs/pace.py
@@ -27,10 +27,14 @@
 # Weight of an outcome in the moving averages, of one target and of all targets of a service.
 OUTCOME_WEIGHT = 0.08
 SERVICE_OUTCOME_WEIGHT = 0.01
-# Outcomes after which the target's own average counts half; before, it is taken for usual.
-PRIOR_OUTCOMES = 8.0
-# Number of outcomes that count at most, and the time in which they lose half of their weight.
-MAX_OUTCOMES = 40.0
+# Standard deviation of the logarithm of an outcome, 0.5 to 0.75 on two recorded days. A difference
+# from the other targets counts by what exceeds the standard error of the average.
+OUTCOME_SPREAD = 0.65
+# Outcomes after which the average counts half; before, the target is taken for usual.
+PRIOR_OUTCOMES = 4.0
+# Number of outcomes that count at most, as in the moving average, and the time in which they lose
+# half of their weight.
+MAX_OUTCOMES = 24.0
 OUTCOME_HALF_LIFE_S = 10.0
 # Bounds of the natural logarithm of the time taken in proportion to the time expected, and of the
 # pace learned from it. A single outcome varies by the work ahead of it.
@@ -59,26 +63,24 @@
 
 
 class TargetPace:
-    """Lasting and momentary pace of one target; 1.0 is usual, and 2.0 takes twice as long.
-
-    :param outcomes: outcomes of all targets of the service; None if outcomes are not compared.
-    """
+    """Lasting and momentary pace of one target; 1.0 is usual, and 2.0 takes twice as long."""
 
     __slots__ = (
         "_lasting",
         "_latest",
         "_latest_s",
         "_mean_log",
-        "_outcomes",
         "_outcomes_s",
         "_samples",
         "_samples_s",
         "_told_s",
         "_weight",
+        "outcomes",
     )
 
-    def __init__(self, outcomes: ServiceOutcomes | None = None) -> None:
-        self._outcomes = outcomes
+    def __init__(self) -> None:
+        self.outcomes: ServiceOutcomes | None = None
+        """Outcomes of all targets of the service; None if outcomes are not compared."""
         self._samples: deque[float] = deque(maxlen=LASTING_SAMPLES)
         self._samples_s = -math.inf
         self._lasting = 1.0
@@ -125,16 +127,16 @@
 
         :param expected_s: expected time at a target of usual pace.
         """
-        if self._samples or self._outcomes is None:
+        if self._samples or self.outcomes is None:
             return
         ratio = max(MIN_OUTCOME_S, took_s) / max(MIN_OUTCOME_S, expected_s)
         outcome_log = min(max(math.log(ratio), -MAX_OUTCOME_LOG), MAX_OUTCOME_LOG)
-        self._outcomes.record(outcome_log)
+        self.outcomes.record(outcome_log)
         self._weight = self._decayed_weight(now_s)
         self._outcomes_s = now_s
         self._weight = min(MAX_OUTCOMES, self._weight + 1)
         share = max(OUTCOME_WEIGHT, 1 / self._weight)
-        self._mean_log += share * (outcome_log - self._outcomes.mean_log - self._mean_log)
+        self._mean_log += share * (outcome_log - self.outcomes.mean_log - self._mean_log)
 
     def factor(self, now_s: float) -> float:
         """Expected pace of work that begins now and takes no time."""
@@ -147,8 +149,13 @@
         weight = self._decayed_weight(now_s)
         if self._samples or not weight:
             return 1.0
-        learned_log = self._mean_log * weight / (weight + PRIOR_OUTCOMES)
-        return math.exp(min(max(learned_log, -MAX_LEARNED_LOG), MAX_LEARNED_LOG))
+        difference = abs(self._mean_log) * weight / (weight + PRIOR_OUTCOMES)
+        excess = max(0.0, difference - OUTCOME_SPREAD / math.sqrt(weight))
+        return math.exp(math.copysign(min(excess, MAX_LEARNED_LOG), self._mean_log))
+
+    def expected(self, now_s: float) -> float:
+        """Lasting pace, as told or as learned."""
+        return self._lasting if self._samples else self.learned(now_s)
 
     def time_s(self, work_s: float, now_s: float) -> float:
         """Expected time of work that would take `work_s` at the lasting pace.
--- a/coltsfootfront/direct/directory.py
+++ b/coltsfootfront/direct/directory.py
@@ -12,7 +12,9 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.timeouts import ReadTimeout
+from coltsfootfront.costs.callcost import PendingCalls
 from coltsfootfront.costs.pace import TargetPace
+from coltsfootfront.costs.pending import PendingWork
 from coltsfootfront.direct.backlog import Backlog
 from coltsfootfront.direct.limits import TargetLimit
 
@@ -118,6 +120,8 @@
     suspension_s: float = FIRST_SUSPENSION_S
     last_result_s: float = 0.0
     pace: TargetPace = field(default_factory=TargetPace)
+    pending: PendingWork = field(default_factory=PendingWork)
+    calls: PendingCalls = field(default_factory=PendingCalls)
     reported_load: int = 0
     in_flight_at_report: int = 0
     last_report_s: float = -math.inf
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -57,6 +57,7 @@
     WaitReason,
     compute_cache_salt,
 )
+from coltsfootfront.direct.targetwork import TargetWorkRecorder
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.quotas.quotas import Quotas
 
@@ -113,6 +114,7 @@
     :param crash_observer: told of each exchange, and of its failure.
     :param take_ups: finds the build at which a stream may go on.
     :param quotas: quotas of the customers.
+    :param target_work: told of each attempt, and of what it took.
     """
 
     def __init__(
@@ -133,9 +135,11 @@
         crash_observer: CrashObserver,
         take_ups: TakeUps,
         quotas: Quotas,
+        target_work: TargetWorkRecorder,
         generator: random.Random,
     ) -> None:
         self._clock = clock
+        self._target_work = target_work
         self._prefill_rates = prefill_rates
         self._directory = directory
         self._client = client
@@ -529,7 +533,7 @@
         self, state: RequestState, targets: list[Target], wait_until_s: float
     ) -> Placement | Wait | None:
         if not state.route.has_prompt:
-            return self._plain_selector.choose(targets)
+            return self._plain_selector.choose(targets, state.route.name)
         service = self.routing_config.services.get(state.service)
         engine_properties = service.engine if service else None
         rank_offset = state.route.priority
@@ -561,7 +565,7 @@
         self._count_further_run(state)
         state.answer_begun_s = None
         self._prompt_selector.record_placement(state.request, placement)
-        self._record_prefill_work(placement)
+        state.work = self._target_work.begin(placement, state.route.name, state.route.has_prompt)
         self._record_expected_parts(state.request, placement)
         if not target.in_flight:
             target.last_activity_s = self._clock.monotonic_s()
@@ -591,6 +595,7 @@
             raise
         finally:
             target.in_flight -= 1
+            state.work.end()
             target.exchanges.discard(movable)
             if state.exchange is not None:
                 self._crash_observer.end(state.exchange)
@@ -668,15 +673,6 @@
         is_held = self._quarantine.held_for_s(state.request.crash_keys) is not None
         return is_in_time and not is_held and not self._has_crashed_targets(state)
 
-    def _record_prefill_work(self, placement: Placement) -> None:
-        if not placement.prefill_tokens:
-            return
-        work_s = placement.target.pace.lasting * self._prefill_rates.get(
-            placement.target.entry.service
-        ).prefill_time_s(placement.prefill_tokens)
-        placement.target.backlog.add(placement.priority, work_s, self._clock.monotonic_s())
-        self._gossip.queue_prefill_work(placement.target.name, placement.priority, work_s)
-
     def _record_expected_parts(self, request: CallerRequest, placement: Placement) -> None:
         if not placement.salt:
             return
@@ -686,7 +682,6 @@
         for part in request.shared_parts:
             tokens += part.tokens
             prefill_s = prefill_rate.prefill_time_s(max(0, tokens - placement.held_tokens))
-            prefill_s *= placement.target.pace.lasting
             ready_in_s = (
                 placement.begin_s + prefill_rate.base_s * PREFILL_BASE_TIME_SHARE + prefill_s
             )
--- a/coltsfootfront/direct/gossip.py
+++ b/coltsfootfront/direct/gossip.py
@@ -57,6 +57,7 @@
 PREFILL_WORK = "work"
 LOAD = "load"
 PACE = "pace"
+PENDING = "pending"
 DRAINING = "leaving"
 LEARNED = "learned"
 UNREACHABLE = "dark"
@@ -83,12 +84,18 @@
     prefill_work: dict[tuple[str, int], float] = field(default_factory=dict)
     loads: dict[str, int] = field(default_factory=dict)
     paces: dict[str, float] = field(default_factory=dict)
+    pending_prompts: dict[str, list[int]] = field(default_factory=dict)
     expected: list[list[Any]] = field(default_factory=list)
     cached: list[list[Any]] = field(default_factory=list)
     learned: list[list[Any]] = field(default_factory=list)
     begun: dict[StreamBuild, list[bytes]] = field(default_factory=dict)
     cached_since_s: float = 0.0
 
+    @property
+    def has_target_updates(self) -> bool:
+        """Whether there are updates on the work or the pace of targets."""
+        return bool(self.prefill_work or self.loads or self.paces or self.pending_prompts)
+
 
 class Gossip(asyncio.DatagramProtocol):
     """Sends updates to the other routers and delivers theirs.
@@ -104,6 +111,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._peers: dict[str, list[Address]] = {}
         self._pending = _PendingUpdates()
+        self.router = ""
+        """Name of this router, under which peers keep its totals."""
         self.take_usage_reports: Callable[[], list[list[Any]]] = list
         """Returns the reports on the use of quotas that are due."""
 
@@ -178,6 +187,13 @@
         """
         self._pending.paces[target] = percent
 
+    def queue_pending(self, target: str, totals: list[int]) -> None:
+        """Queue an update on the tokens of this router's prompts that wait at a target.
+
+        :param totals: tokens by priority.
+        """
+        self._pending.pending_prompts[target] = totals
+
     async def flush(self) -> None:
         """Run the loop that sends the queued updates in batches."""
         while True:
@@ -197,31 +213,11 @@
             del pending.learned[:PARTS_PER_MESSAGE]
         self._flush_begun(pending.begun)
         reports = self.take_usage_reports()
-        while (
-            pending.prefill_work
-            or pending.expected
-            or pending.loads
-            or pending.paces
-            or is_cached_due
-            or reports
-        ):
+        while pending.has_target_updates or pending.expected or is_cached_due or reports:
             message: list[list[Any]] = []
             if reports:
                 message.append([USAGE, reports.pop(0)])
-            if pending.loads:
-                names = list(pending.loads)[:PARTS_PER_MESSAGE]
-                message.append([LOAD, [[name, pending.loads.pop(name)] for name in names]])
-            if pending.paces:
-                names = list(pending.paces)[:PARTS_PER_MESSAGE]
-                message.append([PACE, [[name, pending.paces.pop(name)] for name in names]])
-            if pending.prefill_work:
-                keys = list(pending.prefill_work)[:PARTS_PER_MESSAGE]
-                message.append(
-                    [
-                        PREFILL_WORK,
-                        [[*key, round(pending.prefill_work.pop(key), 4)] for key in keys],
-                    ]
-                )
+            message += self._take_target_updates(pending)
             room = PARTS_PER_MESSAGE
             for kind, parts in ((EXPECTED, pending.expected), (CACHED, pending.cached)):
                 if parts and room:
@@ -231,6 +227,26 @@
             is_cached_due = is_cached_due and bool(pending.cached)
             self._broadcast(message)
 
+    def _take_target_updates(self, pending: _PendingUpdates) -> list[list[Any]]:
+        """Take a batch of each kind of update on the work and the pace of targets."""
+        updates: list[list[Any]] = []
+        if pending.loads:
+            names = list(pending.loads)[:PARTS_PER_MESSAGE]
+            updates.append([LOAD, [[name, pending.loads.pop(name)] for name in names]])
+        if pending.paces:
+            names = list(pending.paces)[:PARTS_PER_MESSAGE]
+            updates.append([PACE, [[name, pending.paces.pop(name)] for name in names]])
+        if pending.pending_prompts:
+            names = list(pending.pending_prompts)[:PARTS_PER_MESSAGE]
+            rows = [[name, pending.pending_prompts.pop(name)] for name in names]
+            updates.append([PENDING, [self.router, rows]])
+        if pending.prefill_work:
+            keys = list(pending.prefill_work)[:PARTS_PER_MESSAGE]
+            updates.append(
+                [PREFILL_WORK, [[*key, round(pending.prefill_work.pop(key), 4)] for key in keys]]
+            )
+        return updates
+
     def _flush_begun(self, begun: dict[StreamBuild, list[bytes]]) -> None:
         for stream, keys in begun.items():
             for start in range(0, len(keys), STREAMS_PER_MESSAGE):
--- a/coltsfootfront/direct/gossipfields.py
+++ b/coltsfootfront/direct/gossipfields.py
@@ -51,6 +51,12 @@
     return read_text(name), read_number(percent)
 
 
+def decode_pending(row: Any) -> tuple[str, list[int]]:
+    """Decode a target's name, and the tokens by priority that a router's prompts wait for there."""
+    name, totals = read_list(row)
+    return read_text(name), [read_integer(tokens) for tokens in read_list(totals)]
+
+
 def decode_start(fields: Any) -> tuple[str, int]:
     """Decode a target's name and the Unix time of its start in milliseconds."""
     name, started_ms = read_list(fields)
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -12,12 +12,13 @@
 from coltsfootfront import __version__
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
-from coltsfootfront.common.decoding import decode_each, read_list
+from coltsfootfront.common.decoding import decode_each, read_list, read_text
 from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.pause import PauseDetector
 from coltsfootfront.common.runtime import Program
 from coltsfootfront.common.supervisor import Supervisor
+from coltsfootfront.costs.model import CostModel
 from coltsfootfront.direct import admission, gossip
 from coltsfootfront.direct.cachediscovery import CacheDiscovery, CachedPartReader
 from coltsfootfront.direct.cacheindex import CacheIndex
@@ -34,6 +35,7 @@
     decode_loading,
     decode_location,
     decode_pace,
+    decode_pending,
     decode_position,
     decode_prefill_work,
     decode_start,
@@ -64,6 +66,7 @@
 from coltsfootfront.direct.takeups import TakeUps
 from coltsfootfront.direct.targetclient import TargetClient
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
+from coltsfootfront.direct.targetwork import TargetWorkRecorder
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.leases import LeaseLock
 from coltsfootfront.quotas.quotas import Quotas
@@ -210,6 +213,8 @@
         )
         self._peers = Peers(router, settings.seed_addresses, generator)
         self._gossip = Gossip(self._handle_message, settings.region, generator)
+        self._gossip.router = settings.name
+        self._costs = CostModel()
         self._directory = Directory(clock, settings.regions)
         self._versions = WeightVersions(clock, self._directory, bounds.version_s, bounds.stable_s)
         self._cache_index = CacheIndex(clock)
@@ -366,6 +371,7 @@
         supervisor.add("permits", self._permits.run)
         supervisor.add("roster", self._drop_routers)
         supervisor.add("gossip", self._gossip.flush)
+        supervisor.add("pending_work", self._target_work.repeat)
         supervisor.add("revision", self._announce_revision)
         supervisor.add("registration", self._registration.run)
         supervisor.add("orders", self._orders.run)
@@ -463,6 +469,7 @@
         self._forwarder.routing_config = config
         self._builds.set_services(config.resumable_timeouts_s())
         self._quotas.set_quotas(config.quotas())
+        self._costs.has_quotas = bool(config.quotas())
         if self._caller_server is not None:
             self._caller_server.set_limits(config.limits)
         metrics.REVISION.set({}, config.number)
@@ -496,8 +503,11 @@
     def _build_forwarder(self) -> Forwarder:
         settings = self._settings
         prefill_rates = PrefillRates()
+        self._target_work = TargetWorkRecorder(
+            self._clock, self._directory, self._gossip, prefill_rates, self._costs
+        )
         plain = PlainTargetSelector(
-            self._clock, settings.data_centre, settings.region, self._generator
+            self._clock, settings.data_centre, settings.region, self._generator, self._costs
         )
         self._cache_planner = CachePlanner(
             self._clock, settings.regions, self._cache_index, self._versions
@@ -508,7 +518,12 @@
             self._target_client,
             plain,
             PromptTargetSelector(
-                self._clock, settings.region, self._cache_planner, self._versions, prefill_rates
+                self._clock,
+                settings.region,
+                self._cache_planner,
+                self._versions,
+                prefill_rates,
+                self._costs,
             ),
             self._cache_index,
             self._versions,
@@ -521,6 +536,7 @@
             self._crash_observer,
             self._take_ups,
             self._quotas,
+            self._target_work,
             self._generator,
         )
 
@@ -588,6 +604,7 @@
             gossip.PREFILL_WORK: self._handle_prefill_work,
             gossip.LOAD: self._handle_loads,
             gossip.PACE: self._handle_paces,
+            gossip.PENDING: self._handle_pending,
             gossip.DRAINING: lambda found: self._handle_draining(*decode_start(found)),
             gossip.UNREACHABLE: lambda found: self._directory.suspect(*decode_start(found)),
             gossip.WEIGHTS_LOADING: lambda found: self._handle_loading(
@@ -659,6 +676,14 @@
             if target is not None:
                 target.pace.record_sample(percent, self._clock.monotonic_s())
 
+    def _handle_pending(self, fields: list[Any]) -> None:
+        router, rows = read_list(fields)
+        router = read_text(router)
+        for name, totals in decode_each(gossip.PENDING, read_list(rows), decode_pending):
+            target = self._directory.get(name)
+            if target is not None:
+                target.pending.record_peer(router, totals, self._clock.monotonic_s())
+
     def _handle_loading(self, kind: str, name: str, model: str, version: int, for_s: float) -> None:
         target = self._directory.get(name)
         if target is None:
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -11,6 +11,7 @@
 from coltsfootfront.direct.events import StreamValidator
 from coltsfootfront.direct.routingconfig import Customer, RetryPolicy, Route
 from coltsfootfront.direct.targetselection import Placement, WaitReason
+from coltsfootfront.direct.targetwork import AttemptWork
 
 # ``Retry-After`` of a refusal: long enough for a target to finish loading weights.
 RETRY_AFTER_S = 0.5
@@ -42,6 +43,7 @@
     :param replacement: reserved for the next attempt, with a retry of the budget, None if nothing
         is reserved.
     :param is_counted: it counts against the quota of its customer.
+    :param work: work of the current attempt at its target, None before the first.
     :param build: build at which the stream has to go on, empty before it has begun.
     :param owed_retry: reason of a retry that the budget must allow first, empty if there is none.
     :param silent: targets that were given up for being silent while the caller read their answer.
@@ -74,6 +76,7 @@
     owed_retry: str = ""
     build: str = ""
     is_counted: bool = False
+    work: AttemptWork | None = None
 
     def may_serve(self, target: Target) -> bool:
         """Whether a target may serve the request, as it is by now."""
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -96,6 +96,8 @@
             if len(body) > MAX_BUFFERED_BYTES:
                 break
         is_buffered = len(body) <= MAX_BUFFERED_BYTES
+        if state.work is not None and response.status < MIN_SERVER_ERROR_STATUS:
+            state.work.record_response()
         self._record_answer(state)
         if response.status >= MIN_SERVER_ERROR_STATUS and state.may_retry and is_buffered:
             can_retry = len(state.attempted) < state.route.max_attempts
@@ -159,6 +161,8 @@
             if is_first_event:
                 is_first_event = False
                 state.answer_begun_s = now_s
+                if state.work is not None:
+                    state.work.record_first_event()
                 self._record_cached_parts(state, placement)
                 self._record_prefill_rate(state, placement, now_s)
                 self._record_build(state, placement)
@@ -254,10 +258,8 @@
             return
         prefill_rate = self._prefill_rates.get(placement.target.entry.service)
         ahead_tokens = placement.begin_s * prefill_rate.tokens_per_s
-        # Counted in tokens at the usual pace, so that fast and slow engines share one rate.
-        own_tokens = placement.prefill_tokens * placement.target.pace.lasting
         sent_s = state.request.received_s + state.placed_s
-        prefill_rate.add_sample(ahead_tokens + own_tokens, now_s - sent_s)
+        prefill_rate.add_sample(ahead_tokens + placement.prefill_tokens, now_s - sent_s)
 
     def _record_cached_parts(self, state: RequestState, placement: Placement) -> None:
         name = placement.target.name
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -13,10 +13,20 @@
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.rendezvous import rank
+from coltsfootfront.costs.callcost import CallCost
+from coltsfootfront.costs.model import CostModel
+from coltsfootfront.costs.promptcost import PromptCost
 from coltsfootfront.direct.backlog import PRIORITIES
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
+from coltsfootfront.direct.firstevent import (
+    DUPLICATE_PREFILL_FACTOR,
+    BacklogEstimator,
+    FirstEventEstimator,
+    LearnedEstimator,
+    PromptAtTarget,
+)
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.routingconfig import EngineProperties, KeptCache
 from coltsfootfront.direct.versions import WeightVersions
@@ -27,23 +37,15 @@
 
 # Round trip to another region, with an allowance for the price of the traffic.
 OTHER_REGION_PENALTY_S = 0.06
+# Round trip to another data centre of the region, with an allowance for the price of the traffic.
+OTHER_DATA_CENTRE_PENALTY_S = 0.004
 # Added for all targets but the first in the rendezvous order, so that routers send prompts with the
 # same shared part to the same target without coordination.
 AFFINITY_PENALTY_S = 0.03
-# Weight of the prefill of a part that another target has cached: the work is redundant and delays
-# the other requests at the target.
-DUPLICATE_PREFILL_FACTOR = 3.0
 # A shared part whose prefill ends within this time is not waited for.
 MIN_PREFILL_WAIT_S = 0.01
 # Added for a target with outdated weights, whose responses are worth less.
 OUTDATED_WEIGHTS_PENALTY_S = 0.15
-# Added per running request: it indicates work at the engine that no router's estimate includes, and
-# it is itself delayed by the prefill of a new prompt.
-RUNNING_REQUEST_PENALTY_S = 0.005
-# Share by which each running request slows prefill down, as decode steps run in between.
-PREFILL_SLOWDOWN_PER_REQUEST = 0.05
-# Added per request beyond the slots, which waits until a running request ends.
-EXCESS_REQUEST_PENALTY_S = 0.05
 # Prefill lengths at which the next priority class begins; each is twice the one before.
 PRIORITY_BOUNDS_TOKENS = (800, 1600, 3200, 6400)
 
@@ -65,6 +67,8 @@
     :param begin_s: expected time until the target begins the prefill.
     :param expected_s: expected time until the first event, with the penalties.
     :param load: estimated load of the target when it was chosen.
+    :param prompt_cost: learned estimate for a prompt, None if it was not used.
+    :param call_cost: learned estimate for a plain call, None if it was not used.
     """
 
     target: Target
@@ -79,6 +83,8 @@
     begin_s: float = 0.0
     expected_s: float = 0.0
     load: int = 0
+    prompt_cost: PromptCost | None = None
+    call_cost: CallCost | None = None
 
 
 class WaitReason(Enum):
@@ -151,30 +157,63 @@
     :param clock: time source.
     :param data_centre: data centre of this router.
     :param region: region of this router.
+    :param costs: what has been learned of the cost of calls.
     """
 
     def __init__(
-        self, clock: Clock, data_centre: str, region: str, generator: random.Random
+        self,
+        clock: Clock,
+        data_centre: str,
+        region: str,
+        generator: random.Random,
+        costs: CostModel | None = None,
     ) -> None:
+        self._costs = costs or CostModel()
         self._clock = clock
         self._data_centre = data_centre
         self._region = region
         self._generator = generator
 
-    def choose(self, targets: list[Target]) -> Placement | None:
-        """Choose the target with the lowest load in proportion to its slots."""
+    def choose(self, targets: list[Target], route: str = "") -> Placement | None:
+        """Choose the target with the lowest expected time, or the lowest load per slot.
+
+        :param route: name of the route, which tells how much work the call is.
+        """
         now_s = self._clock.monotonic_s()
         usable = [target for target in targets if target.is_usable()]
         if not usable:
             return None
-        return Placement(
-            min(healthy_targets(usable, now_s), key=lambda item: self._cost(item, now_s))
-        )
+        healthy = healthy_targets(usable, now_s)
+        if self._costs.applies(target.pace for target in usable):
+            return self._choose_by_cost(healthy, route, now_s)
+        return Placement(min(healthy, key=lambda item: self._cost(item, now_s)))
+
+    def _choose_by_cost(self, targets: list[Target], route: str, now_s: float) -> Placement:
+        model = self._costs.calls(targets[0].entry.service)
+        placements = [
+            Placement(
+                target,
+                load=load,
+                expected_s=cost.total_s + self._distance_s(target),
+                call_cost=cost,
+            )
+            for target in targets
+            for load in (target.load(now_s),)
+            for cost in (
+                model.estimate(route, target.calls, load, target.entry.slots, target.pace, now_s),
+            )
+        ]
+        return min(placements, key=lambda item: (item.expected_s, self._generator.random()))
+
+    def _distance_s(self, target: Target) -> float:
+        if target.region != self._region:
+            return OTHER_REGION_PENALTY_S
+        if target.entry.data_centre != self._data_centre:
+            return OTHER_DATA_CENTRE_PENALTY_S
+        return 0.0
 
     def _cost(self, target: Target, now_s: float) -> tuple[float, float]:
         cost = target.load(now_s) / max(1, target.entry.slots)
-        if target.pace.is_told:
-            cost = (cost + 1 / max(1, target.entry.slots)) * target.pace.factor(now_s)
         if target.region != self._region:
             cost += OTHER_REGION_PENALTY_LOAD
         elif target.entry.data_centre != self._data_centre:
@@ -190,6 +229,7 @@
     :param cache_planner: plans what a target reuses, fetches and saves.
     :param versions: published versions of the weights.
     :param prefill_rates: estimated prefill rates of the engines.
+    :param costs: what has been learned of the cost of prompts.
     """
 
     def __init__(
@@ -199,9 +239,12 @@
         cache_planner: CachePlanner,
         versions: WeightVersions,
         prefill_rates: PrefillRates,
+        costs: CostModel | None = None,
     ) -> None:
         self._clock = clock
-        self._prefill_rates = prefill_rates
+        self._costs = costs or CostModel()
+        self._backlog = BacklogEstimator(prefill_rates)
+        self._learned = LearnedEstimator(self._costs)
         self._region = region
         self._cache_planner = cache_planner
         self._versions = versions
@@ -232,6 +275,8 @@
             return None
         usable = healthy_targets(usable, now_s)
         preferred_name = self._affinity_target(request, cache_scope, usable)
+        is_by_cost = self._costs.applies(target.pace for target in usable)
+        estimator = self._learned if is_by_cost else self._backlog
         placements = [
             self._estimate_placement(
                 request,
@@ -241,6 +286,7 @@
                 engine_properties,
                 kept_caches,
                 rank_offset,
+                estimator,
             )
             for target in usable
         ]
@@ -279,9 +325,8 @@
         if ready_s <= now_s + MIN_PREFILL_WAIT_S:
             return placement
         # A longer wait would cost this request more than the redundant prefill costs all requests.
-        saved_s = placement.target.pace.lasting * self._prefill_rates.get(
-            placement.target.entry.service
-        ).prefill_time_s(placement.held_tokens)
+        estimator = self._learned if placement.prompt_cost is not None else self._backlog
+        saved_s = estimator.prefill_time_s(placement.held_tokens, placement.target, now_s)
         until_s = min(wait_until_s, now_s + DUPLICATE_PREFILL_FACTOR * saved_s)
         return Wait(ready_s, WaitReason.PREFILL) if ready_s <= until_s else placement
 
@@ -301,6 +346,7 @@
         engine_properties: EngineProperties | None,
         kept_caches: tuple[KeptCache, ...],
         rank_offset: int,
+        estimator: FirstEventEstimator,
     ) -> Placement:
         now_s = self._clock.monotonic_s()
         version = target.versions.get(request.model)
@@ -310,21 +356,11 @@
         plan = self._cache_planner.find(request, salt, target, engine_properties, kept_caches)
         prefill_tokens = max(0, request.prompt_tokens - plan.held_tokens - plan.fetched_tokens)
         priority = prefill_priority(prefill_tokens, rank_offset)
-        rate = self._prefill_rates.get(target.entry.service)
-        begin_s = target.wait_s(priority, now_s)
-        ready_s = self._cache_planner.ready_s(request, salt, target)
         load = target.load(now_s)
-        # The backlog is in seconds at the target's own lasting pace already.
-        pace = target.pace
-        prefill_s = rate.prefill_time_s(prefill_tokens) * pace.lasting
-        prefill_s *= 1 + PREFILL_SLOWDOWN_PER_REQUEST * load
-        begin_work_s = max(begin_s, ready_s - now_s)
-        cost_s = pace.time_s(begin_work_s + prefill_s, now_s)
-        cost_s += rate.prefill_time_s(plan.duplicate_tokens) * DUPLICATE_PREFILL_FACTOR
-        cost_s += plan.transfer_s
-        cost_s += RUNNING_REQUEST_PENALTY_S * load + EXCESS_REQUEST_PENALTY_S * max(
-            0, load - target.entry.slots
-        )
+        ready_s = self._cache_planner.ready_s(request, salt, target)
+        prompt = PromptAtTarget(target, plan, prefill_tokens, priority, ready_s, load)
+        estimate = estimator.estimate(prompt, now_s)
+        cost_s = estimate.cost_s
         if target.region != self._region:
             cost_s += OTHER_REGION_PENALTY_S
         if target.name != preferred_name:
@@ -341,7 +377,8 @@
             prefill_tokens=prefill_tokens,
             shared_tokens=sum(part.tokens for part in request.shared_parts),
             priority=priority,
-            begin_s=begin_s + plan.transfer_s,
+            begin_s=estimate.begin_s + plan.transfer_s,
             expected_s=cost_s,
             load=load,
+            prompt_cost=estimate.cost,
         )
--- /dev/null
+++ b/coltsfootfront/direct/targetwork.py
@@ -0,0 +1,175 @@
+"""Records the work that attempts put on their targets, and what it took.
+
+Prompts are pending at their target until their first event or the end of the attempt, plain calls
+until their response. Peers are told the totals of pending prompts.
+"""
+
+from abc import ABC, abstractmethod
+
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.costs.model import CostModel
+from coltsfootfront.costs.pending import REPEAT_INTERVAL_S
+from coltsfootfront.direct.directory import Directory, Target
+from coltsfootfront.direct.gossip import Gossip
+from coltsfootfront.direct.prefillrate import PrefillRates
+from coltsfootfront.direct.targetselection import Placement
+
+
+class AttemptWork(ABC):
+    """Work of one attempt at its target."""
+
+    @abstractmethod
+    def record_first_event(self) -> None:
+        """Record the first event of a stream."""
+
+    @abstractmethod
+    def record_response(self) -> None:
+        """Record a complete response that is not a stream."""
+
+    @abstractmethod
+    def end(self) -> None:
+        """Record the end of the attempt, whatever its outcome; further calls do nothing."""
+
+
+class PromptWork(AttemptWork):
+    """Work of a prompt, which waits at its target until the first event."""
+
+    __slots__ = ("_is_pending", "_placement", "_recorder", "_sent_s")
+
+    def __init__(self, recorder: "TargetWorkRecorder", placement: Placement, sent_s: float) -> None:
+        self._recorder = recorder
+        self._placement = placement
+        self._sent_s = sent_s
+        self._is_pending = True
+        recorder.add_pending(placement, placement.prefill_tokens)
+
+    def record_first_event(self) -> None:
+        if self._is_pending:
+            self._recorder.record_first_event(self._placement, self._sent_s)
+        self.end()
+
+    def record_response(self) -> None:
+        self.end()
+
+    def end(self) -> None:
+        if self._is_pending:
+            self._is_pending = False
+            self._recorder.add_pending(self._placement, -self._placement.prefill_tokens)
+
+
+class CallWork(AttemptWork):
+    """Work of a plain call."""
+
+    __slots__ = ("_placement", "_recorder", "_route", "_sent_s")
+
+    def __init__(
+        self, recorder: "TargetWorkRecorder", placement: Placement, route: str, sent_s: float
+    ) -> None:
+        self._recorder = recorder
+        self._placement = placement
+        self._route = route
+        self._sent_s = sent_s
+        recorder.begin_call(id(self), placement.target, route)
+
+    def record_first_event(self) -> None:
+        pass
+
+    def record_response(self) -> None:
+        self._recorder.record_call(self._placement, self._route, self._sent_s)
+
+    def end(self) -> None:
+        self._placement.target.calls.end(id(self))
+
+
+class TargetWorkRecorder:
+    """Keeps the pending work of targets up to date, and learns from outcomes.
+
+    :param clock: time source.
+    :param prefill_rates: estimated prefill rates, for targets that are not placed at by cost.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        directory: Directory,
+        gossip: Gossip,
+        prefill_rates: PrefillRates,
+        costs: CostModel,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._gossip = gossip
+        self._prefill_rates = prefill_rates
+        self._costs = costs
+
+    def begin(self, placement: Placement, route: str, has_prompt: bool) -> AttemptWork:
+        """Record that a request is sent to the target chosen for it."""
+        now_s = self._clock.monotonic_s()
+        if not has_prompt:
+            return CallWork(self, placement, route, now_s)
+        self._add_backlog(placement, now_s)
+        return PromptWork(self, placement, now_s)
+
+    def add_pending(self, placement: Placement, tokens: int) -> None:
+        """Add tokens that wait at the target of a placement, or take them off if negative."""
+        if tokens:
+            placement.target.pending.add(placement.priority, tokens)
+            self._tell_pending(placement.target)
+
+    def begin_call(self, key: int, target: Target, route: str) -> None:
+        """Record that a plain call is sent."""
+        work = self._costs.calls(target.entry.service).route(route)
+        target.calls.begin(key, work, self._clock.monotonic_s())
+
+    def record_first_event(self, placement: Placement, sent_s: float) -> None:
+        """Learn from the time to the first event of a prompt."""
+        cost = placement.prompt_cost
+        if cost is None:
+            return
+        now_s = self._clock.monotonic_s()
+        target = placement.target
+        self._costs.prompts(target.entry.service).record(cost, now_s - sent_s)
+        self._compare(target, cost.first_event_s, now_s - sent_s, now_s)
+
+    def record_call(self, placement: Placement, route: str, sent_s: float) -> None:
+        """Learn from the time of a plain call."""
+        cost = placement.call_cost
+        if cost is None:
+            return
+        now_s = self._clock.monotonic_s()
+        target = placement.target
+        pace = target.pace.expected(now_s)
+        self._costs.calls(target.entry.service).record(route, cost, now_s - sent_s, pace)
+        self._compare(target, cost.total_s, now_s - sent_s, now_s)
+
+    async def repeat(self) -> None:
+        """Run the loop that tells peers again what waits, and drops what they tell no more."""
+        while True:
+            await self._clock.sleep(REPEAT_INTERVAL_S)
+            now_s = self._clock.monotonic_s()
+            for target in self._directory.all():
+                target.pending.drop_unheard(now_s)
+                if target.pending.own_totals():
+                    self._tell_pending(target)
+
+    def _compare(self, target: Target, expected_s: float, took_s: float, now_s: float) -> None:
+        """Compare an outcome with those of the service's other targets."""
+        pace = target.pace
+        if pace.outcomes is None:
+            pace.outcomes = self._costs.outcomes(target.entry.service)
+        pace.record_outcome(expected_s / pace.learned(now_s), took_s, now_s)
+
+    def _add_backlog(self, placement: Placement, now_s: float) -> None:
+        target = placement.target
+        if not placement.prefill_tokens:
+            return
+        work_s = self._prefill_rates.get(target.entry.service).prefill_time_s(
+            placement.prefill_tokens
+        )
+        target.backlog.add(placement.priority, work_s, now_s)
+        if not self._costs.applies([target.pace]):
+            self._gossip.queue_prefill_work(target.name, placement.priority, work_s)
+
+    def _tell_pending(self, target: Target) -> None:
+        if self._costs.applies([target.pace]):
+            self._gossip.queue_pending(target.name, target.pending.own_totals())
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -6,6 +6,7 @@
 
 from coltsfootfront.common.clock import Clock, SystemClock
 from coltsfootfront.common.errors import Failure
+from coltsfootfront.costs.model import CostModel
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
@@ -39,6 +40,7 @@
     TargetResponse,
 )
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
+from coltsfootfront.direct.targetwork import TargetWorkRecorder
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.quotas.quotas import Quotas
 from coltsfootfront.tests.support import InMemoryStore
@@ -279,9 +281,10 @@
         self.permits = Permits(clock, self.directory, REGIONS, "own:1", NoPeers(), generator)
         self.client = FakeClient(responder)
         self.prefill_rates = PrefillRates()
+        self.costs = CostModel()
         cache_planner = CachePlanner(clock, REGIONS, self.cache_index, self.versions)
         self.selector = PromptTargetSelector(
-            clock, "east", cache_planner, self.versions, self.prefill_rates
+            clock, "east", cache_planner, self.versions, self.prefill_rates, self.costs
         )
         channel = Gossip(lambda kind, fields: None, "east", generator)
         self.crash_observer = CrashObserver(
@@ -310,11 +313,14 @@
         )
         self.take_ups = TakeUps(clock, self.builds, channel, NoPeerStreams())
         self.quotas = Quotas(clock, "10.0.0.1:1", True, generator)
+        self.target_work = TargetWorkRecorder(
+            clock, self.directory, channel, self.prefill_rates, self.costs
+        )
         self.forwarder = Forwarder(
             clock,
             self.directory,
             self.client,
-            PlainTargetSelector(clock, "a", "east", generator),
+            PlainTargetSelector(clock, "a", "east", generator, self.costs),
             self.selector,
             self.cache_index,
             self.versions,
@@ -327,6 +333,7 @@
             self.crash_observer,
             self.take_ups,
             self.quotas,
+            self.target_work,
             generator,
         )
 
--- a/coltsfootfront/tests/test_costs_pace.py
+++ b/coltsfootfront/tests/test_costs_pace.py
@@ -102,7 +102,9 @@
         """
         generator = random.Random(3)
         outcomes = ServiceOutcomes()
-        paces = [TargetPace(outcomes) for _ in range(6)]
+        paces = [TargetPace() for _ in range(6)]
+        for pace in paces:
+            pace.outcomes = outcomes
         now_s = 0.0
         for number in range(600):
             now_s += 0.02
@@ -116,8 +118,8 @@
 
     def test_few_outcomes_do_not_change_the_pace_much(self) -> None:
         """Guards against a target that is avoided since one request of it was large."""
-        outcomes = ServiceOutcomes()
-        pace = TargetPace(outcomes)
+        pace = TargetPace()
+        pace.outcomes = ServiceOutcomes()
         pace.record_outcome(0.1, 0.5, 1.0)
         self.assertLess(pace.factor(1.0), 1.25)
 
--- a/coltsfootfront/tests/test_direct_generating.py
+++ b/coltsfootfront/tests/test_direct_generating.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from unittest import mock
 
-from coltsfootfront.direct import targetselection
+from coltsfootfront.direct import firstevent
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.directory import Directory
@@ -233,7 +233,7 @@
         before, now = [], []
         for seed in range(4):
             with mock.patch.multiple(
-                targetselection, RUNNING_REQUEST_PENALTY_S=0.001, PREFILL_SLOWDOWN_PER_REQUEST=0.0
+                firstevent, RUNNING_REQUEST_PENALTY_S=0.001, PREFILL_SLOWDOWN_PER_REQUEST=0.0
             ):
                 before += self._simulate(is_load_shared=False, seed=seed)
             now += self._simulate(is_load_shared=True, seed=seed)
