--- a/coltsfootfront/direct/gossipfields.py
+++ b/coltsfootfront/direct/gossipfields.py
@@ -45,6 +45,18 @@
     return read_text(name), read_integer(load)
 
 
+def decode_pace(row: Any) -> tuple[str, float]:
+    """Decode a target's name and the pace that it has reported, in percent of the usual time."""
+    name, percent = read_list(row)
+    return read_text(name), read_number(percent)
+
+
+def decode_pending(row: Any) -> tuple[str, list[int]]:
+    """Decode a target's name, and the tokens by priority that a router's prompts wait for there."""
+    name, totals = read_list(row)
+    return read_text(name), [read_integer(tokens) for tokens in read_list(totals)]
+
+
 def decode_start(fields: Any) -> tuple[str, int]:
     """Decode a target's name and the Unix time of its start in milliseconds."""
     name, started_ms = read_list(fields)
