--- a/coltsfootfront/quotas/usage.py
+++ b/coltsfootfront/quotas/usage.py
@@ -4,11 +4,11 @@
 from typing import Any
 
 from coltsfootfront.common.decoding import (
+    decode_each,
     read_address,
     read_integer,
     read_list,
     read_number,
-    read_seconds,
     read_text,
 )
 
@@ -67,9 +67,9 @@
         return cls(
             read_address(router),
             read_integer(incarnation),
-            read_seconds(uptime_s),
+            read_number(uptime_s),
             tuple(read_address(address) for address in read_list(unheard)),
-            tuple(_decode_usage(row) for row in read_list(rows)),
+            tuple(decode_each("usage", read_list(rows), _decode_usage, router=router)),
         )
 
 
