--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -42,18 +42,28 @@
 # Time without a refusal after which a customer counts as within its quota again, for the log.
 QUIET_S = 1.0
 MAX_INCARNATION = 2**53 - 1
+# Former processes of a peer of which reports may still be under way.
+MAX_FORMER = 4
 
 
 class _Peer:
     """What is known of one peer."""
 
-    __slots__ = ("incarnation", "is_hearing")
+    __slots__ = ("former", "incarnation", "is_hearing", "uptime_s")
 
-    def __init__(self, incarnation: int) -> None:
+    def __init__(self, incarnation: int, former: tuple[int, ...] = ()) -> None:
         self.incarnation = incarnation
+        self.former = former
+        """Its earlier processes."""
+        self.uptime_s = 0.0
+        """Uptime of the process in its latest report."""
         self.is_hearing = True
         """Whether it has lately received the reports of this router."""
 
+    def successor(self, incarnation: int) -> "_Peer":
+        """The process that follows this one."""
+        return _Peer(incarnation, (self.incarnation, *self.former)[:MAX_FORMER])
+
 
 class _Refusals:
     """Refusals of one customer since it exceeded its quota."""
@@ -211,21 +221,26 @@
             return
         now_s = self._clock.monotonic_s()
         peer = self._peers.get(report.router)
-        is_new = peer is not None and peer.incarnation != report.incarnation
-        if peer is None or is_new:
+        if peer is None:
             peer = self._peers[report.router] = _Peer(report.incarnation)
+        elif report.incarnation in peer.former:
+            return
+        elif peer.incarnation != report.incarnation:
+            peer = self._peers[report.router] = peer.successor(report.incarnation)
         was_silent = report.router not in self._heard_s
         self._known_since_s[report.router] = self._heard_s[report.router] = now_s
         if was_silent:
             self._update_silent(now_s)
-        peer.is_hearing = self._address not in report.unheard
+        if report.uptime_s >= peer.uptime_s:
+            peer.uptime_s = report.uptime_s
+            peer.is_hearing = self._address not in report.unheard
         for usage in report.usages:
             bucket = self._buckets.get(usage.customer)
             if bucket is None:
                 continue
             if report.uptime_s >= SETTLED_AFTER_S:
                 bucket.learn_level(usage.level, now_s)
-            bucket.apply_report(report.router, is_new, usage.total, usage.rate_per_s, now_s)
+            bucket.apply_report(report.router, report.incarnation, report.uptime_s, usage, now_s)
 
     @property
     def _router_count(self) -> int:
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -11,6 +11,7 @@
 
 from coltsfootfront.quotas.bucket import TokenBucket
 from coltsfootfront.quotas.quota import Quota
+from coltsfootfront.quotas.usage import CustomerUsage
 
 # Half-life of a router's rate. Long enough for a rate of a few requests per second, short enough
 # that reports follow a burst within the time that the quota's burst covers.
@@ -75,11 +76,15 @@
     :param total: what it has reported, and what it was assumed to use while it was silent.
     :param rate_per_s: rate that it has reported last.
     :param reported_s: monotonic time of that report.
+    :param incarnation: process that has sent it; 0 if there is no report.
+    :param uptime_s: uptime of the process at that report.
     """
 
     total: float = 0.0
     rate_per_s: float = 0.0
     reported_s: float = -math.inf
+    incarnation: int = 0
+    uptime_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,22 +165,28 @@
         self._apply_silent_rates(now_s)
 
     def apply_report(
-        self, router: str, is_new: bool, total: float, rate_per_s: float, now_s: float
+        self, router: str, incarnation: int, uptime_s: float, usage: CustomerUsage, now_s: float
     ) -> None:
         """Take out what a peer has admitted since its last report.
 
-        :param is_new: the peer's process is not the one of its last report.
+        :param incarnation: process that has sent the report.
+        :param uptime_s: its uptime then. Reports that are overtaken by later ones are left out, as
+            an older total would give back what has been used since.
         """
-        peer = self._peers.get(router)
-        is_known = peer is not None and math.isfinite(peer.reported_s)
-        known = peer.total if peer is not None else 0.0
-        if is_new and is_known:
+        peer = self._peers.setdefault(router, _PeerUsage())
+        known = peer.total
+        if peer.incarnation == incarnation:
+            if uptime_s < peer.uptime_s:
+                return
+        elif peer.incarnation:
             known = 0.0
-        elif not is_known and not self._is_level_learned:
+        elif not self._is_level_learned:
             # What a peer admitted before this process has started is in the level that it reports.
-            known = total
-        self._bucket.take(total - known, now_s)
-        self._peers[router] = _PeerUsage(total, rate_per_s, now_s)
+            known = usage.total
+        self._bucket.take(usage.total - known, now_s)
+        self._peers[router] = _PeerUsage(
+            usage.total, usage.rate_per_s, now_s, incarnation, uptime_s
+        )
 
     def learn_level(self, level: float, now_s: float) -> None:
         """Take over the level from a peer that has known the bucket for longer."""
--- a/coltsfootfront/quotas/usage.py
+++ b/coltsfootfront/quotas/usage.py
@@ -41,7 +41,7 @@
 
     :param router: its address.
     :param incarnation: tells its process from an earlier one, whose totals have gone.
-    :param uptime_s: time since its process started.
+    :param uptime_s: time since its process started, which also tells reports that arrive late.
     :param unheard: routers whose reports it has been missing.
     """
 
@@ -54,7 +54,7 @@
     def to_fields(self) -> list[Any]:
         """Encode as the fields of a message."""
         rows = [usage.to_fields() for usage in self.usages]
-        uptime_s = round(self.uptime_s, 1)
+        uptime_s = round(self.uptime_s, 3)
         return [self.router, self.incarnation, uptime_s, list(self.unheard), rows]
 
     @classmethod
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -1,11 +1,52 @@
 """Tests of quotas that routers keep together, on a virtual clock and without a network."""
 
+import random
 import unittest
 
 import logbook
 
 from coltsfootfront.common.decoding import DecodingError
+from coltsfootfront.quotas.quotas import Quotas
+from coltsfootfront.quotas.sharedbucket import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
+from coltsfootfront.tests.quota_fleet import CUSTOMER, WINDOW_S, VirtualClock, make_quota
+
+RATE_PER_S = 100_000.0
+PEER = "10.0.0.2:80"
+
+
+class OneRouter:
+    """One router that tests send reports of scripted peers."""
+
+    def __init__(self, peers: int = 1, is_first_start: bool = True) -> None:
+        self.clock = VirtualClock()
+        self.quotas = Quotas(self.clock, "10.0.0.1:80", is_first_start, random.Random(1))
+        self.peers = [f"10.0.0.{number + 2}:80" for number in range(peers)]
+        self.quotas.set_routers({"10.0.0.1:80", *self.peers})
+        self.quotas.set_tolerance(Tolerance(140_000, WINDOW_S))
+        self.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+
+    @property
+    def level(self) -> float:
+        """Units that the router takes to be available."""
+        state = self.quotas.describe(CUSTOMER)
+        assert state is not None
+        return float(state["available"])
+
+    def hear(
+        self,
+        total: float | None,
+        uptime_s: float,
+        peer: str = PEER,
+        incarnation: int = 5,
+        rate_per_s: float = 0.0,
+        level: float = RATE_PER_S,
+        unheard: tuple[str, ...] = (),
+    ) -> None:
+        """Deliver a report; with no total, it has no row."""
+        rows = [CustomerUsage(CUSTOMER, total, rate_per_s, level)] if total is not None else []
+        report = UsageReport(peer, incarnation, uptime_s, unheard, tuple(rows))
+        self.quotas.handle_report(UsageReport.from_fields(report.to_fields()))
 
 
 class UsageReportTest(unittest.TestCase):
@@ -34,3 +75,51 @@
                 changed[position] = odd
                 with self.assertRaises(DecodingError):
                     UsageReport.from_fields(changed)
+
+
+class RunningTotalTest(unittest.TestCase):
+    def test_report_that_is_overtaken_gives_nothing_back(self) -> None:
+        """Guards against use that is counted off when an older report arrives after a newer."""
+        router = OneRouter()
+        router.hear(10_000, 1.0)
+        router.hear(50_000, 2.0)
+        self.assertAlmostEqual(50_000, router.level)
+        for _ in range(3):
+            router.hear(10_000, 1.0)
+            self.assertAlmostEqual(50_000, router.level)
+        router.hear(60_000, 3.0)
+        self.assertAlmostEqual(40_000, router.level)
+
+    def test_report_that_is_doubled_counts_once(self) -> None:
+        """Guards against use that is counted as often as its report arrives."""
+        router = OneRouter()
+        for _ in range(3):
+            router.hear(30_000, 1.0)
+        self.assertAlmostEqual(70_000, router.level)
+
+    def test_late_report_of_an_ended_process_counts_nothing(self) -> None:
+        """Guards against totals of two processes that are counted in turn, each as a new one."""
+        router = OneRouter()
+        router.hear(50_000, 20.0, incarnation=5)
+        router.hear(1_000, 0.1, incarnation=6)
+        self.assertAlmostEqual(49_000, router.level)
+        for uptime_s in (19.0, 20.1):
+            router.hear(50_000, uptime_s, incarnation=5)
+            router.hear(1_000, 0.2, incarnation=6)
+            self.assertAlmostEqual(49_000, router.level)
+
+    def test_total_that_refunds_lower_gives_back(self) -> None:
+        """Guards against refunds at peers that are taken for reports out of order."""
+        router = OneRouter()
+        router.hear(50_000, 1.0)
+        router.hear(20_000, 1.1)
+        self.assertAlmostEqual(80_000, router.level)
+
+    def test_word_that_it_is_unheard_is_not_taken_back_by_an_older_report(self) -> None:
+        """Guards against a router that leaves its restriction because of an old report."""
+        router = OneRouter()
+        router.hear(None, 2.0, unheard=("10.0.0.1:80",))
+        router.hear(None, 1.0)
+        state = router.quotas.describe(CUSTOMER)
+        assert state is not None
+        self.assertTrue(state["is_unheard"])
