--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -295,6 +295,7 @@
             bucket.own_total,
             bucket.rate_per_s(now_s),
             bucket.level(self._heard_s, now_s),
+            bucket.started_s - self._started_s,
         )
 
     def _is_unheard(self, now_s: float) -> bool:
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -25,6 +25,8 @@
 # Share of the tolerated excess of a window up to which a bucket may go into debt. Copies of a
 # bucket differ by a few requests, which are much of a small quota.
 DEBT_SHARE = 0.25
+# A running total that began within this time counts as a whole when it is first heard of.
+RECENT_TOTAL_S = 8.0
 # Share of the burst that is available after a start of which no peer has told the level. The
 # processes before may have used the whole burst; while none ran, the rate has gone unused.
 START_LEVEL_SHARE = 0.5
@@ -77,6 +79,7 @@
     :param rate_per_s: rate that it has reported last.
     :param reported_s: monotonic time of that report.
     :param incarnation: process that has sent it; 0 if there is no report.
+    :param since_s: uptime of the process from which the total counts.
     :param uptime_s: uptime of the process at that report.
     """
 
@@ -84,6 +87,7 @@
     rate_per_s: float = 0.0
     reported_s: float = -math.inf
     incarnation: int = 0
+    since_s: float = 0.0
     uptime_s: float = 0.0
 
 
@@ -115,6 +119,7 @@
         "_tolerance",
         "own_total",
         "quota",
+        "started_s",
     )
 
     def __init__(
@@ -131,6 +136,7 @@
         self._promised_s = now_s
         self._restricted: TokenBucket | None = None
         self.own_total = 0.0
+        self.started_s = now_s
 
     def set_quota(self, quota: Quota, now_s: float) -> None:
         """Change the limit."""
@@ -175,17 +181,22 @@
         """
         peer = self._peers.setdefault(router, _PeerUsage())
         known = peer.total
-        if peer.incarnation == incarnation:
-            if uptime_s < peer.uptime_s:
-                return
-        elif peer.incarnation:
-            known = 0.0
+        if peer.incarnation == incarnation and uptime_s < peer.uptime_s:
+            return
+        if peer.incarnation:
+            if (peer.incarnation, peer.since_s) != (incarnation, usage.since_s):
+                known = 0.0
         elif not self._is_level_learned:
             # What a peer admitted before this process has started is in the level that it reports.
             known = usage.total
+        elif uptime_s - usage.since_s > RECENT_TOTAL_S:
+            # Most of an old total has long become available again. The peer's level tells what
+            # remains of it.
+            known = usage.total
+            self._bucket.set_level(min(self._bucket.level(now_s), usage.level), now_s)
         self._bucket.take(usage.total - known, now_s)
         self._peers[router] = _PeerUsage(
-            usage.total, usage.rate_per_s, now_s, incarnation, uptime_s
+            usage.total, usage.rate_per_s, now_s, incarnation, usage.since_s, uptime_s
         )
 
     def learn_level(self, level: float, now_s: float) -> None:
--- a/coltsfootfront/quotas/usage.py
+++ b/coltsfootfront/quotas/usage.py
@@ -23,16 +23,25 @@
     :param total: units admitted by this process since it started, less those refunded.
     :param rate_per_s: recent rate of these.
     :param level: units that the router takes to be available in the whole fleet.
+    :param since_s: uptime of the process from which the total counts. It is later than the start
+        if the customer has got its quota later, or has lost it in between.
     """
 
     customer: str
     total: float
     rate_per_s: float
     level: float
+    since_s: float = 0.0
 
     def to_fields(self) -> list[Any]:
         """Encode as a row of a message."""
-        return [self.customer, round(self.total), round(self.rate_per_s), round(self.level)]
+        return [
+            self.customer,
+            round(self.total),
+            round(self.rate_per_s),
+            round(self.level),
+            round(self.since_s, 3),
+        ]
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,10 +83,11 @@
 
 
 def _decode_usage(row: Any) -> CustomerUsage:
-    customer, total, rate_per_s, level = read_list(row)
+    customer, total, rate_per_s, level, since_s = read_list(row)
     return CustomerUsage(
         read_text(customer),
         read_number(total, low=-MAX_LEVEL),
         read_number(rate_per_s),
         read_number(level, low=-MAX_LEVEL),
+        read_number(since_s),
     )
