--- /dev/null
+++ b/coltsfootfront/quotas/peer.py
@@ -0,0 +1,67 @@
+"""What a router knows of the process of one peer."""
+
+# Former processes of a peer of which reports may still be under way.
+MAX_FORMER = 4
+# Rate at which the offset between the clocks of two processes may grow unnoticed. Far more than
+# clocks drift, and too little to matter for a pause of some seconds.
+OFFSET_DRIFT = 1e-3
+# Reports that come this late for this long are not left over from a pause of this process. The
+# peer's clock stood still while its machine was suspended.
+LATE_S = 1.0
+LATE_FOR_S = 2.0
+
+
+class Peer:
+    """Process of one peer.
+
+    :param incarnation: tells it from other processes at its address.
+    :param former: earlier processes.
+    """
+
+    __slots__ = (
+        "_late_since_s",
+        "_offset_s",
+        "_received_s",
+        "former",
+        "incarnation",
+        "is_hearing",
+        "uptime_s",
+    )
+
+    def __init__(self, incarnation: int, former: tuple[int, ...] = ()) -> None:
+        self.incarnation = incarnation
+        self.former = former
+        self.uptime_s = 0.0
+        """Uptime of the process in its latest report."""
+        self.is_hearing = True
+        """Whether it has lately received the reports of this router."""
+        self._offset_s: float | None = None
+        self._received_s = 0.0
+        self._late_since_s: float | None = None
+
+    def successor(self, incarnation: int) -> "Peer":
+        """Return the process that follows this one."""
+        return Peer(incarnation, (self.incarnation, *self.former)[:MAX_FORMER])
+
+    def sent_s(self, uptime_s: float, now_s: float) -> float:
+        """Return about when a report was sent, on the clock of this router.
+
+        A process that was paused finds the reports of that time waiting. They say nothing about
+        the present. The report that took the least time tells how the two clocks differ.
+
+        :param uptime_s: uptime of the peer when it sent the report.
+        :param now_s: monotonic time at which it is read.
+        """
+        offset_s = now_s - uptime_s
+        if self._offset_s is None:
+            self._offset_s, self._received_s = offset_s, now_s
+        drift_s = OFFSET_DRIFT * (now_s - self._received_s)
+        self._received_s = now_s
+        self._offset_s = min(self._offset_s + drift_s, offset_s)
+        if offset_s - self._offset_s <= LATE_S:
+            self._late_since_s = None
+        elif self._late_since_s is None:
+            self._late_since_s = now_s
+        elif now_s - self._late_since_s > LATE_FOR_S:
+            self._offset_s, self._late_since_s = offset_s, None
+        return self._offset_s + uptime_s
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -17,6 +17,7 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
+from coltsfootfront.quotas.peer import Peer
 from coltsfootfront.quotas.quota import Quota
 from coltsfootfront.quotas.sharedbucket import SharedBucket, Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
@@ -42,27 +43,6 @@
 # Time without a refusal after which a customer counts as within its quota again, for the log.
 QUIET_S = 1.0
 MAX_INCARNATION = 2**53 - 1
-# Former processes of a peer of which reports may still be under way.
-MAX_FORMER = 4
-
-
-class _Peer:
-    """What is known of one peer."""
-
-    __slots__ = ("former", "incarnation", "is_hearing", "uptime_s")
-
-    def __init__(self, incarnation: int, former: tuple[int, ...] = ()) -> None:
-        self.incarnation = incarnation
-        self.former = former
-        """Its earlier processes."""
-        self.uptime_s = 0.0
-        """Uptime of the process in its latest report."""
-        self.is_hearing = True
-        """Whether it has lately received the reports of this router."""
-
-    def successor(self, incarnation: int) -> "_Peer":
-        """The process that follows this one."""
-        return _Peer(incarnation, (self.incarnation, *self.former)[:MAX_FORMER])
 
 
 class _Refusals:
@@ -95,7 +75,7 @@
         self._buckets: dict[str, SharedBucket] = {}
         self._used_s: dict[str, float] = {}
         self._changed: set[str] = set()
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, Peer] = {}
         self._known_since_s: dict[str, float] = {}
         """When each peer was last heard; one that never was, when it has become known."""
         self._heard_s: dict[str, float] = {}
@@ -222,15 +202,14 @@
         now_s = self._clock.monotonic_s()
         peer = self._peers.get(report.router)
         if peer is None:
-            peer = self._peers[report.router] = _Peer(report.incarnation)
+            peer = self._peers[report.router] = Peer(report.incarnation)
         elif report.incarnation in peer.former:
             return
         elif peer.incarnation != report.incarnation:
             peer = self._peers[report.router] = peer.successor(report.incarnation)
-        was_silent = report.router not in self._heard_s
-        self._known_since_s[report.router] = self._heard_s[report.router] = now_s
-        if was_silent:
-            self._update_silent(now_s)
+        sent_s = peer.sent_s(report.uptime_s, now_s)
+        if now_s - sent_s <= SILENT_AFTER_S:
+            self._record_heard(report.router, sent_s, now_s)
         if report.uptime_s >= peer.uptime_s:
             peer.uptime_s = report.uptime_s
             peer.is_hearing = self._address not in report.unheard
@@ -240,7 +219,14 @@
                 continue
             if report.uptime_s >= SETTLED_AFTER_S:
                 bucket.learn_level(usage.level, now_s)
-            bucket.apply_report(report.router, report.incarnation, report.uptime_s, usage, now_s)
+            bucket.apply_report(report, usage, sent_s, now_s)
+
+    def _record_heard(self, router: str, sent_s: float, now_s: float) -> None:
+        was_silent = router not in self._heard_s
+        self._heard_s[router] = max(sent_s, self._heard_s.get(router, sent_s))
+        self._known_since_s[router] = max(sent_s, self._known_since_s[router])
+        if was_silent:
+            self._update_silent(now_s)
 
     @property
     def _router_count(self) -> int:
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -11,7 +11,7 @@
 
 from coltsfootfront.quotas.bucket import TokenBucket
 from coltsfootfront.quotas.quota import Quota
-from coltsfootfront.quotas.usage import CustomerUsage
+from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 
 # Half-life of a router's rate. Long enough for a rate of a few requests per second, short enough
 # that reports follow a burst within the time that the quota's burst covers.
@@ -77,7 +77,7 @@
 
     :param total: what it has reported, and what it was assumed to use while it was silent.
     :param rate_per_s: rate that it has reported last.
-    :param reported_s: monotonic time of that report.
+    :param reported_s: monotonic time at which that report was sent.
     :param incarnation: process that has sent it; 0 if there is no report.
     :param since_s: uptime of the process from which the total counts.
     :param uptime_s: uptime of the process at that report.
@@ -171,15 +171,18 @@
         self._apply_silent_rates(now_s)
 
     def apply_report(
-        self, router: str, incarnation: int, uptime_s: float, usage: CustomerUsage, now_s: float
+        self, report: UsageReport, usage: CustomerUsage, sent_s: float, now_s: float
     ) -> None:
         """Take out what a peer has admitted since its last report.
 
-        :param incarnation: process that has sent the report.
-        :param uptime_s: its uptime then. Reports that are overtaken by later ones are left out, as
-            an older total would give back what has been used since.
+        Reports that are overtaken by later ones are left out, as an older total would give back
+        what has been used since.
+
+        :param usage: its row about this customer.
+        :param sent_s: monotonic time at which it was sent.
         """
-        peer = self._peers.setdefault(router, _PeerUsage())
+        incarnation, uptime_s = report.incarnation, report.uptime_s
+        peer = self._peers.setdefault(report.router, _PeerUsage())
         known = peer.total
         if peer.incarnation == incarnation and uptime_s < peer.uptime_s:
             return
@@ -195,8 +198,8 @@
             known = usage.total
             self._bucket.set_level(min(self._bucket.level(now_s), usage.level), now_s)
         self._bucket.take(usage.total - known, now_s)
-        self._peers[router] = _PeerUsage(
-            usage.total, usage.rate_per_s, now_s, incarnation, usage.since_s, uptime_s
+        self._peers[report.router] = _PeerUsage(
+            usage.total, usage.rate_per_s, sent_s, incarnation, usage.since_s, uptime_s
         )
 
     def learn_level(self, level: float, now_s: float) -> None:
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -33,6 +33,13 @@
         assert state is not None
         return float(state["available"])
 
+    @property
+    def is_unheard(self) -> bool:
+        """Whether the router keeps to what its peers take it to admit."""
+        state = self.quotas.describe(CUSTOMER)
+        assert state is not None
+        return bool(state["is_unheard"])
+
     def hear(
         self,
         total: float | None,
@@ -123,9 +130,7 @@
         router = OneRouter()
         router.hear(None, 2.0, unheard=("10.0.0.1:80",))
         router.hear(None, 1.0)
-        state = router.quotas.describe(CUSTOMER)
-        assert state is not None
-        self.assertTrue(state["is_unheard"])
+        self.assertTrue(router.is_unheard)
 
     def test_total_that_is_older_than_the_quota_here_is_no_debt(self) -> None:
         """Guards against hours without service after a quota is removed and set again."""
@@ -157,3 +162,42 @@
         router.quotas.set_routers({"10.0.0.1:80", *router.peers})
         router.hear(300_500_000, 3610.0, level=20_000)
         self.assertAlmostEqual(20_000, router.level)
+
+
+class PausedRouterTest(unittest.TestCase):
+    def test_reports_that_waited_during_a_pause_do_not_count_as_heard(self) -> None:
+        """Guards against a whole burst that a resumed router admits before it reads the news."""
+        router = OneRouter(peers=3)
+        for tick in range(100):
+            router.clock.now_s = 100 + tick / 10
+            for peer in router.peers:
+                router.hear(tick * 1000.0, tick / 10, peer)
+        self.assertFalse(router.is_unheard)
+        # The process is paused for 5 s, and then reads what has come meanwhile, oldest first.
+        router.clock.now_s += 5.0
+        self.assertTrue(router.is_unheard)
+        for tick in range(100, 135):
+            for peer in router.peers:
+                router.hear(tick * 1000.0, tick / 10, peer)
+        self.assertTrue(router.is_unheard)
+        for tick in range(135, 149):
+            for peer in router.peers:
+                router.hear(tick * 1000.0, tick / 10, peer)
+        self.assertFalse(router.is_unheard)
+
+    def test_peer_whose_clock_stood_still_is_heard_again(self) -> None:
+        """Guards against a peer that counts as silent for hours after a suspension of its VM."""
+        router = OneRouter()
+        for tick in range(130):
+            # Its VM is suspended for 60 s, without its clock going on.
+            router.clock.now_s = 100 + tick / 10 + (60 if tick >= 100 else 0)
+            router.hear(None, tick / 10)
+        self.assertFalse(router.is_unheard)
+
+    def test_clocks_that_drift_apart_do_not_silence_a_peer(self) -> None:
+        """Guards against peers that are taken for paused after hours, by the drift of clocks."""
+        router = OneRouter()
+        for tick in range(40_000):
+            router.clock.now_s = 100 + tick * 1.0001
+            router.hear(None, float(tick))
+        self.assertFalse(router.is_unheard)
