--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -80,7 +80,8 @@
         """When each peer was last heard; one that never was, when it has become known."""
         self._heard_s: dict[str, float] = {}
         """When each peer that is not silent was last heard."""
-        self._silent: set[str] = set()
+        self._silent: dict[str, float] = {}
+        """When each silent peer was last heard."""
         self._tolerance = Tolerance()
         self._refusals: dict[str, _Refusals] = {}
         self._reported_s = self._refreshed_s = self._started_s
@@ -101,7 +102,9 @@
                 # A customer of the first configuration may have used its quota through an earlier
                 # process; one that is added later has not.
                 is_new = self._is_first_start or bool(self._quotas)
-                self._buckets[customer] = SharedBucket(quota, self._tolerance, is_new, now_s)
+                bucket = SharedBucket(quota, self._tolerance, is_new, now_s)
+                bucket.set_silent(self._silent, self._router_count, now_s)
+                self._buckets[customer] = bucket
             elif bucket.quota != quota:
                 self._log_change(customer, bucket.quota, quota)
                 bucket.set_quota(quota, now_s)
@@ -119,6 +122,7 @@
             del self._known_since_s[address]
             self._peers.pop(address, None)
             self._heard_s.pop(address, None)
+            self._silent.pop(address, None)
         for address in peers - self._known_since_s.keys():
             self._known_since_s[address] = now_s
         for bucket in self._buckets.values():
@@ -241,8 +245,8 @@
         }
         for address in silent:
             self._heard_s.pop(address, None)
-        if silent.keys() != self._silent:
-            self._silent = set(silent)
+        if silent.keys() != self._silent.keys():
+            self._silent = silent
             for bucket in self._buckets.values():
                 bucket.set_silent(silent, self._router_count, now_s)
 
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -91,14 +91,6 @@
     uptime_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class _SilentUse:
-    """Assumed use of a silent peer."""
-
-    rate_per_s: float
-    since_s: float
-
-
 class SharedBucket:
     """Copy of one customer's bucket.
 
@@ -115,6 +107,7 @@
         "_peers",
         "_promised_s",
         "_restricted",
+        "_settled_s",
         "_silent",
         "_tolerance",
         "own_total",
@@ -132,7 +125,8 @@
         self._is_level_learned = is_first_start
         self._own_rate = UsageRate(now_s)
         self._peers: dict[str, _PeerUsage] = {}
-        self._silent: dict[str, _SilentUse] = {}
+        self._silent: dict[str, float] = {}
+        self._settled_s = now_s
         self._promised_s = now_s
         self._restricted: TokenBucket | None = None
         self.own_total = 0.0
@@ -140,8 +134,8 @@
 
     def set_quota(self, quota: Quota, now_s: float) -> None:
         """Change the limit."""
+        self._settle_silent(now_s)
         self.quota = quota
-        self._bucket.set_limit(quota.rate_per_s, quota.burst, now_s)
         self._apply_silent_rates(now_s)
         self._restricted = None
 
@@ -151,20 +145,23 @@
         :param silent: monotonic time at which each was last heard, or has become known.
         :param routers: number of routers that share the quota, this one included.
         """
+        self._settle_silent(now_s)
         for router in self._silent.keys() - silent.keys():
-            use = self._silent.pop(router)
-            self._peers[router].total += use.rate_per_s * (now_s - use.since_s)
+            del self._silent[router]
         for router in silent.keys() - self._silent.keys():
             peer = self._peers.setdefault(router, _PeerUsage())
-            rate_per_s = max(peer.rate_per_s, self._silent_rate_per_s(routers))
-            missed = rate_per_s * (now_s - silent[router])
+            rate_per_s = min(
+                max(peer.rate_per_s, self._silent_rate_per_s(routers)), self.quota.rate_per_s
+            )
+            missed = rate_per_s * (now_s - max(silent[router], self.started_s))
             peer.total += missed
             self._bucket.take(missed, now_s)
-            self._silent[router] = _SilentUse(rate_per_s, now_s)
+            self._silent[router] = rate_per_s
         self._apply_silent_rates(now_s)
 
     def set_peers(self, peers: set[str], now_s: float) -> None:
         """Forget the routers that have gone."""
+        self._settle_silent(now_s)
         for router in self._peers.keys() - peers:
             del self._peers[router]
             self._silent.pop(router, None)
@@ -270,12 +267,24 @@
 
     def _apply_silent_rates(self, now_s: float) -> None:
         """Let the bucket refill by what the silent peers leave of the rate."""
-        used_per_s = sum(use.rate_per_s for use in self._silent.values())
-        tolerated_per_s = (
-            SILENT_SHARE * self._tolerance.per_s * len(self._silent) / (len(self._peers) + 1)
-        )
-        rate_per_s = max(0.0, self.quota.rate_per_s + tolerated_per_s - used_per_s)
-        self._bucket.set_limit(rate_per_s, self.quota.burst, now_s)
+        rate_per_s = max(0.0, self.quota.rate_per_s - sum(self._silent.values()))
+        if self._silent:
+            tolerated_per_s = SILENT_SHARE * self._tolerance.per_s
+            rate_per_s += tolerated_per_s * len(self._silent) / (len(self._peers) + 1)
+        self._bucket.set_limit(min(rate_per_s, self.quota.rate_per_s), self.quota.burst, now_s)
+
+    def _settle_silent(self, now_s: float) -> None:
+        """Add to the totals of the silent peers what the bucket was not refilled with for them.
+
+        The next report of a peer gives back what it has not used. It must not give back more than
+        was withheld, which is less than the peers together may have used.
+        """
+        passed_s, self._settled_s = now_s - self._settled_s, now_s
+        assumed_per_s = sum(self._silent.values())
+        if assumed_per_s:
+            withheld_per_s = self.quota.rate_per_s - self._bucket.rate_per_s
+            for router, rate_per_s in self._silent.items():
+                self._peers[router].total += passed_s * withheld_per_s * rate_per_s / assumed_per_s
 
     def _enter_restriction(self, routers: int, now_s: float) -> TokenBucket:
         """Bucket of a router that the others count by its last reported rate."""
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -33,6 +33,11 @@
         assert state is not None
         return float(state["available"])
 
+    @property
+    def bucket_level(self) -> float:
+        """Units available without what peers have probably used since their reports."""
+        return self.quotas._buckets[CUSTOMER]._bucket.level(self.clock.now_s)
+
     @property
     def is_unheard(self) -> bool:
         """Whether the router keeps to what its peers take it to admit."""
@@ -201,3 +206,38 @@
             router.clock.now_s = 100 + tick * 1.0001
             router.hear(None, float(tick))
         self.assertFalse(router.is_unheard)
+
+
+class SilentPeerTest(unittest.TestCase):
+    def test_customer_that_is_added_while_a_peer_is_silent(self) -> None:
+        """Guards against a new quota that leaves out the routers that are not heard."""
+        router = OneRouter(peers=3)
+        for tick in range(30):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            for peer in router.peers[1:]:
+                router.hear(None, tick / 10, peer)
+        router.quotas.set_quotas({})
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+        self.assertTrue(router.quotas.admit(CUSTOMER, 100_000, 0) is None)
+        level = router.level
+        router.clock.now_s += 0.5
+        # An equal share is a quarter; the silent peer is taken to use half of one.
+        self.assertLess(router.level - level, 0.95 * 0.5 * RATE_PER_S)
+
+    def test_silent_peers_give_back_no_more_than_was_withheld(self) -> None:
+        """Guards against a burst that appears when routers return which together were counted
+        with several times the quota."""
+        router = OneRouter(peers=8)
+        for peer in router.peers:
+            router.hear(50_000, 1.0, peer, rate_per_s=RATE_PER_S)
+        self.assertAlmostEqual(-3 * RATE_PER_S, router.bucket_level)
+        for _ in range(20):
+            router.clock.now_s += 0.1
+            router.quotas.take_reports()
+        before = router.bucket_level
+        for peer in router.peers:
+            router.hear(50_000, 3.0, peer)
+        # Nothing was used for two seconds.
+        self.assertAlmostEqual(-RATE_PER_S, router.bucket_level, delta=1.0)
+        self.assertLess(before, -RATE_PER_S)
