--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -38,6 +38,9 @@
 # One peer alone may have lost its own link.
 MAX_UNHEARD_NAMED = 32
 UNHEARD_SHARE = 0.25
+# A process that has done nothing for this long was paused. The loop that sends reports runs at
+# least every 0.1 s.
+PAUSED_AFTER_S = 1.0
 # A peer that has run for this long knows the levels of the buckets.
 SETTLED_AFTER_S = 8.0
 # Time without a refusal after which a customer counts as within its quota again, for the log.
@@ -70,7 +73,7 @@
         self._address = address
         self._is_first_start = is_first_start
         self._incarnation = generator.randint(1, MAX_INCARNATION)
-        self._started_s = clock.monotonic_s()
+        self._started_s = self._active_s = clock.monotonic_s()
         self._quotas: dict[str, Quota] = {}
         self._buckets: dict[str, SharedBucket] = {}
         self._used_s: dict[str, float] = {}
@@ -136,7 +139,7 @@
         bucket = self._buckets.get(customer)
         if bucket is None:
             return None
-        now_s = self._clock.monotonic_s()
+        now_s = self._check_pause()
         units = bucket.quota.cost(prompt_tokens, output_tokens)
         is_unheard = self._is_unheard(now_s)
         if is_unheard:
@@ -178,7 +181,7 @@
         """Take the messages that are due for the peers, as their fields."""
         if not self._buckets or not self._known_since_s:
             return []
-        now_s = self._clock.monotonic_s()
+        now_s = self._check_pause()
         self._update_silent(now_s)
         if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
@@ -203,7 +206,7 @@
         """Apply the report of a peer."""
         if report.router not in self._known_since_s:
             return
-        now_s = self._clock.monotonic_s()
+        now_s = self._check_pause()
         peer = self._peers.get(report.router)
         if peer is None:
             peer = self._peers[report.router] = Peer(report.incarnation)
@@ -212,8 +215,10 @@
         elif peer.incarnation != report.incarnation:
             peer = self._peers[report.router] = peer.successor(report.incarnation)
         sent_s = peer.sent_s(report.uptime_s, now_s)
-        if now_s - sent_s <= SILENT_AFTER_S:
-            self._record_heard(report.router, sent_s, now_s)
+        if now_s - sent_s > SILENT_AFTER_S:
+            # Left over from a pause; the totals of the next report contain its own.
+            return
+        self._record_heard(report.router, sent_s, now_s)
         if report.uptime_s >= peer.uptime_s:
             peer.uptime_s = report.uptime_s
             peer.is_hearing = self._address not in report.unheard
@@ -222,9 +227,21 @@
             if bucket is None:
                 continue
             if report.uptime_s >= SETTLED_AFTER_S:
-                bucket.learn_level(usage.level, now_s)
+                bucket.learn_level(usage.level, sent_s, now_s)
             bucket.apply_report(report, usage, sent_s, now_s)
 
+    def _check_pause(self) -> float:
+        """Return the monotonic time; after a pause, begin to listen to the peers anew."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._active_s > PAUSED_AFTER_S and self._known_since_s:
+            self._heard_s.clear()
+            self._silent = {}
+            self._known_since_s = dict.fromkeys(self._known_since_s, now_s)
+            for bucket in self._buckets.values():
+                bucket.resume(now_s)
+        self._active_s = now_s
+        return now_s
+
     def _record_heard(self, router: str, sent_s: float, now_s: float) -> None:
         was_silent = router not in self._heard_s
         self._heard_s[router] = max(sent_s, self._heard_s.get(router, sent_s))
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -25,6 +25,9 @@
 # Share of the tolerated excess of a window up to which a bucket may go into debt. Copies of a
 # bucket differ by a few requests, which are much of a small quota.
 DEBT_SHARE = 0.25
+# Time after the start within which the level is learned from a peer. Later, the peer's level counts
+# most of what this router has admitted itself.
+LEARNING_S = 2.0
 # A running total that began within this time counts as a whole when it is first heard of.
 RECENT_TOTAL_S = 8.0
 # Share of the burst that is available after a start of which no peer has told the level. The
@@ -103,7 +106,9 @@
     __slots__ = (
         "_bucket",
         "_is_level_learned",
+        "_learning_since_s",
         "_own_rate",
+        "_own_total_before",
         "_peers",
         "_promised_s",
         "_restricted",
@@ -123,6 +128,8 @@
         self._bucket = TokenBucket(quota.rate_per_s, quota.burst, level, now_s)
         self._tolerance = tolerance
         self._is_level_learned = is_first_start
+        self._learning_since_s = now_s
+        self._own_total_before = 0.0
         self._own_rate = UsageRate(now_s)
         self._peers: dict[str, _PeerUsage] = {}
         self._silent: dict[str, float] = {}
@@ -139,6 +146,21 @@
         self._apply_silent_rates(now_s)
         self._restricted = None
 
+    def resume(self, now_s: float) -> None:
+        """Forget what the peers have used, after a pause of this process.
+
+        What they used meanwhile was as much as became available, not a debt.
+        """
+        for peer in self._peers.values():
+            peer.incarnation = 0
+        self._silent.clear()
+        self._settled_s = now_s
+        self._apply_silent_rates(now_s)
+        level = min(self._bucket.level(now_s), START_LEVEL_SHARE * self.quota.burst)
+        self._bucket.set_level(level, now_s)
+        self._is_level_learned = False
+        self._learning_since_s, self._own_total_before = now_s, self.own_total
+
     def set_silent(self, silent: Mapping[str, float], routers: int, now_s: float) -> None:
         """Set the peers whose reports are missing.
 
@@ -193,18 +215,24 @@
             # Most of an old total has long become available again. The peer's level tells what
             # remains of it.
             known = usage.total
-            self._bucket.set_level(min(self._bucket.level(now_s), usage.level), now_s)
+            level = self._refilled(usage.level, sent_s, now_s)
+            self._bucket.set_level(min(self._bucket.level(now_s), level), now_s)
         self._bucket.take(usage.total - known, now_s)
         self._peers[report.router] = _PeerUsage(
             usage.total, usage.rate_per_s, sent_s, incarnation, usage.since_s, uptime_s
         )
 
-    def learn_level(self, level: float, now_s: float) -> None:
-        """Take over the level from a peer that has known the bucket for longer."""
+    def learn_level(self, level: float, sent_s: float, now_s: float) -> None:
+        """Take over the level from a peer that has known the bucket for longer.
+
+        :param sent_s: monotonic time at which the peer sent it.
+        """
         if self._is_level_learned:
             return
         self._is_level_learned = True
-        self._bucket.set_level(level - self.own_total, now_s)
+        if now_s - self._learning_since_s <= LEARNING_S:
+            used = self.own_total - self._own_total_before
+            self._bucket.set_level(self._refilled(level, sent_s, now_s) - used, now_s)
 
     def level(self, heard_s: Mapping[str, float], now_s: float) -> float:
         """Units that are probably available in the whole fleet.
@@ -261,6 +289,10 @@
         self._promised_s = max(free_s, self._promised_s + units / own_per_s)
         return self._promised_s - now_s
 
+    def _refilled(self, level: float, since_s: float, now_s: float) -> float:
+        """Level now of a bucket that had a level at some time."""
+        return min(self.quota.burst, level + (now_s - since_s) * self._bucket.rate_per_s)
+
     def _silent_rate_per_s(self, routers: int) -> float:
         """Rate that a router which is not heard may use, however little it used before."""
         return SILENT_SHARE * (self.quota.rate_per_s + self._tolerance.per_s) / routers
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -153,8 +153,10 @@
     def test_total_that_begins_anew_is_counted_as_a_new_one(self) -> None:
         """Guards against a burst that is given away when only a peer has lost the quota."""
         router = OneRouter()
-        router.hear(300_000, 10.0)
-        router.clock.now_s += 10
+        router.hear(300_000, 10.0, level=RATE_PER_S)
+        for tick in range(1, 21):
+            router.clock.now_s += 0.5
+            router.hear(300_000, 10.0 + tick / 2)
         router.hear(40_000, 20.0, since_s=19.5)
         self.assertAlmostEqual(60_000, router.level)
 
@@ -190,6 +192,20 @@
                 router.hear(tick * 1000.0, tick / 10, peer)
         self.assertFalse(router.is_unheard)
 
+    def test_use_of_the_peers_during_a_pause_is_no_debt(self) -> None:
+        """Guards against seconds without service at a resumed router, although its peers have
+        used no more than the quota."""
+        router = OneRouter()
+        for tick in range(100):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            router.hear(tick * 10_000.0, tick / 10, rate_per_s=RATE_PER_S)
+        router.clock.now_s += 10.0
+        for tick in range(100, 200):
+            router.hear(tick * 10_000.0, tick / 10, rate_per_s=RATE_PER_S, level=0.0)
+        self.assertGreater(router.bucket_level, -0.5 * RATE_PER_S)
+        self.assertLess(router.bucket_level, 0.5 * RATE_PER_S)
+
     def test_peer_whose_clock_stood_still_is_heard_again(self) -> None:
         """Guards against a peer that counts as silent for hours after a suspension of its VM."""
         router = OneRouter()
@@ -208,6 +224,25 @@
         self.assertFalse(router.is_unheard)
 
 
+class StartTest(unittest.TestCase):
+    def test_level_is_not_learned_long_after_the_start(self) -> None:
+        """Guards against refusals 8 s after all routers have started, when the first of them knows
+        the level and the others take off what they have admitted since their start."""
+        router = OneRouter(is_first_start=False)
+        for tick in range(81):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            router.hear(tick * 4_000.0, tick / 10, level=80_000.0)
+            self.assertIsNone(router.quotas.admit(CUSTOMER, 4_000, 0), tick)
+        self.assertGreater(router.level, 0.5 * RATE_PER_S)
+
+    def test_level_is_learned_from_a_peer_that_has_run_for_longer(self) -> None:
+        """Guards against half a burst that each router gives away after it has started."""
+        router = OneRouter(is_first_start=False)
+        router.hear(1e9, 1000.0, level=-20_000.0)
+        self.assertAlmostEqual(-20_000.0, router.level)
+
+
 class SilentPeerTest(unittest.TestCase):
     def test_customer_that_is_added_while_a_peer_is_silent(self) -> None:
         """Guards against a new quota that leaves out the routers that are not heard."""
