--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -84,6 +84,7 @@
     :param incarnation: process that has sent it; 0 if there is no report.
     :param since_s: uptime of the process from which the total counts.
     :param uptime_s: uptime of the process at that report.
+    :param was_silent: it has been silent since that report.
     """
 
     total: float = 0.0
@@ -92,6 +93,7 @@
     incarnation: int = 0
     since_s: float = 0.0
     uptime_s: float = 0.0
+    was_silent: bool = False
 
 
 class SharedBucket:
@@ -170,6 +172,7 @@
         self._settle_silent(now_s)
         for router in self._silent.keys() - silent.keys():
             del self._silent[router]
+            self._peers[router].was_silent = True
         for router in silent.keys() - self._silent.keys():
             peer = self._peers.setdefault(router, _PeerUsage())
             rate_per_s = min(
@@ -200,26 +203,29 @@
         :param usage: its row about this customer.
         :param sent_s: monotonic time at which it was sent.
         """
-        incarnation, uptime_s = report.incarnation, report.uptime_s
         peer = self._peers.setdefault(report.router, _PeerUsage())
-        known = peer.total
-        if peer.incarnation == incarnation and uptime_s < peer.uptime_s:
+        is_same = (peer.incarnation, peer.since_s) == (report.incarnation, usage.since_s)
+        if peer.incarnation == report.incarnation and report.uptime_s < peer.uptime_s:
             return
-        if peer.incarnation:
-            if (peer.incarnation, peer.since_s) != (incarnation, usage.since_s):
-                known = 0.0
-        elif not self._is_level_learned:
+        is_old = report.uptime_s - usage.since_s > RECENT_TOTAL_S
+        used = usage.total - peer.total if is_same else usage.total
+        if not peer.incarnation and not self._is_level_learned:
             # What a peer admitted before this process has started is in the level that it reports.
-            known = usage.total
-        elif uptime_s - usage.since_s > RECENT_TOTAL_S:
-            # Most of an old total has long become available again. The peer's level tells what
-            # remains of it.
-            known = usage.total
+            used = 0.0
+        elif is_old and (not peer.incarnation or (used > 0 and peer.was_silent)):
+            # Most of what a peer used unheard has long become available again. Its level tells
+            # what remains of it.
+            used = 0.0
             level = self._refilled(usage.level, sent_s, now_s)
             self._bucket.set_level(min(self._bucket.level(now_s), level), now_s)
-        self._bucket.take(usage.total - known, now_s)
+        self._bucket.take(used, now_s)
         self._peers[report.router] = _PeerUsage(
-            usage.total, usage.rate_per_s, sent_s, incarnation, usage.since_s, uptime_s
+            usage.total,
+            usage.rate_per_s,
+            sent_s,
+            report.incarnation,
+            usage.since_s,
+            report.uptime_s,
         )
 
     def learn_level(self, level: float, sent_s: float, now_s: float) -> None:
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -276,3 +276,26 @@
         # Nothing was used for two seconds.
         self.assertAlmostEqual(-RATE_PER_S, router.bucket_level, delta=1.0)
         self.assertLess(before, -RATE_PER_S)
+
+    def test_use_of_a_peer_that_was_not_heard_is_no_debt(self) -> None:
+        """Guards against seconds without service at a router that could not hear its peers while
+        they used the quota and no more."""
+        router = OneRouter(peers=3)
+        for tick in range(200):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            if not 50 <= tick < 150:
+                for peer in router.peers:
+                    router.hear(max(0, tick - 50) * 3_333.0, tick / 10, peer, level=0.0)
+        self.assertGreater(router.bucket_level, -0.5 * RATE_PER_S)
+        self.assertLess(router.bucket_level, 0.5 * RATE_PER_S)
+
+    def test_successor_of_a_process_that_has_not_reported_since_a_pause(self) -> None:
+        """Guards against a burst given away for the total of a process that has ended."""
+        router = OneRouter()
+        router.hear(1e9, 1000.0, level=0.0)
+        router.clock.now_s += 5.0
+        router.hear(None, 1005.0)
+        router.quotas._buckets[CUSTOMER].learn_level(0.0, router.clock.now_s, router.clock.now_s)
+        router.hear(20_000, 0.5, incarnation=6)
+        self.assertAlmostEqual(-20_000, router.bucket_level)
