--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -282,6 +282,8 @@
 
     def _refresh(self, now_s: float) -> None:
         """Report all recent usage once more, and publish the levels."""
+        for bucket in self._buckets.values():
+            bucket.note_rate(now_s)
         for customer, used_s in list(self._used_s.items()):
             if now_s - used_s > RECENT_S:
                 del self._used_s[customer]
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -22,6 +22,9 @@
 # Share of an equal part of the quota that a router which is not heard may use although its rate was
 # lower. Most such routers have just ended, and the others get what they leave.
 SILENT_SHARE = 0.5
+# Burst of such a router, as a multiple of its part of the quota's burst. Callers that wait while it
+# is paused all arrive when it resumes, and the others have withheld its rate for it.
+RESTRICTED_BURST = 1.5
 # Share of the tolerated excess of a window up to which a bucket may go into debt. Copies of a
 # bucket differ by a few requests, which are much of a small quota.
 DEBT_SHARE = 0.25
@@ -109,6 +112,7 @@
         "_bucket",
         "_is_level_learned",
         "_learning_since_s",
+        "_noted_per_s",
         "_own_rate",
         "_own_total_before",
         "_peers",
@@ -133,6 +137,7 @@
         self._learning_since_s = now_s
         self._own_total_before = 0.0
         self._own_rate = UsageRate(now_s)
+        self._noted_per_s = (0.0, 0.0)
         self._peers: dict[str, _PeerUsage] = {}
         self._silent: dict[str, float] = {}
         self._settled_s = now_s
@@ -280,6 +285,10 @@
         self._own_rate.add(units, now_s)
         self.own_total += units
 
+    def note_rate(self, now_s: float) -> None:
+        """Keep the rate at which this router admits, at regular intervals."""
+        self._noted_per_s = (self._noted_per_s[1], self._own_rate.per_s(now_s))
+
     def room_after_s(self, units: float, heard_s: Mapping[str, float], now_s: float) -> float:
         """Time until a refused request finds room, after those that were told to return before."""
         if self._restricted is not None:
@@ -327,9 +336,15 @@
     def _enter_restriction(self, routers: int, now_s: float) -> TokenBucket:
         """Bucket of a router that the others count by its last reported rate."""
         if self._restricted is None:
-            rate_per_s = max(self._own_rate.per_s(now_s), self._silent_rate_per_s(routers))
-            burst = SILENT_SHARE * self.quota.burst / routers
-            self._restricted = TokenBucket(rate_per_s, burst, burst, now_s)
+            share_per_s = self._silent_rate_per_s(routers)
+            # What the peers have heard is as old as the restriction takes to be noticed.
+            rate_per_s = min(max(min(self._noted_per_s), share_per_s), self.quota.rate_per_s)
+            burst_s = self.quota.burst / self.quota.rate_per_s
+            burst = max(
+                RESTRICTED_BURST * rate_per_s * burst_s, SILENT_SHARE * self.quota.burst / routers
+            )
+            level = min(burst, max(0.0, self._bucket.level(now_s)))
+            self._restricted = TokenBucket(rate_per_s, burst, level, now_s)
         return self._restricted
 
     def _unreported(self, heard_s: Mapping[str, float], now_s: float) -> float:
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -299,3 +299,43 @@
         router.quotas._buckets[CUSTOMER].learn_level(0.0, router.clock.now_s, router.clock.now_s)
         router.hear(20_000, 0.5, incarnation=6)
         self.assertAlmostEqual(-20_000, router.bucket_level)
+
+
+class RestrictedRouterTest(unittest.TestCase):
+    def _send_all_here(self, router: OneRouter, for_s: float) -> float:
+        """Send four times the quota to a router that hears nobody; return what it admits."""
+        admitted = 0.0
+        for _ in range(round(for_s * 100)):
+            router.clock.now_s += 0.01
+            router.quotas.take_reports()
+            if router.quotas.admit(CUSTOMER, 4_000, 0) is None:
+                admitted += 4_000
+        return admitted
+
+    def _run_with_peers(self, router: OneRouter, for_s: float, units: int) -> None:
+        """Let a customer send units here 100 times a second, while the peers are heard."""
+        begin_s = router.clock.now_s
+        for tick in range(round(for_s * 100)):
+            router.clock.now_s = begin_s + tick / 100
+            router.quotas.take_reports()
+            self.assertIsNone(router.quotas.admit(CUSTOMER, units, 0))
+            for peer in router.peers if not tick % 10 else ():
+                router.hear(None, router.clock.now_s - 100, peer)
+
+    def test_customer_that_moves_to_a_router_as_it_is_cut_off(self) -> None:
+        """Guards against a router that goes on with a rate that its peers have not heard of."""
+        router = OneRouter(peers=3)
+        self._run_with_peers(router, 5.0, 10)
+        # It takes a second to notice.
+        self._send_all_here(router, 1.5)
+        self.assertTrue(router.is_unheard)
+        self.assertLess(self._send_all_here(router, 6.0), 6.0 * 0.3 * RATE_PER_S)
+
+    def test_limit_that_is_lowered_binds_a_router_that_is_not_heard(self) -> None:
+        """Guards against a router that keeps to its rate of before, above the whole new limit."""
+        router = OneRouter(peers=3)
+        self._run_with_peers(router, 5.0, 900)
+        self._send_all_here(router, 2.0)
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S / 10)})
+        admitted = self._send_all_here(router, 8.0)
+        self.assertLess(admitted, 9.9 * RATE_PER_S / 10)
