--- a/coltsfootfront/quotas/peer.py
+++ b/coltsfootfront/quotas/peer.py
@@ -1,5 +1,7 @@
 """What a router knows of the process of one peer."""
 
+import math
+
 # Former processes of a peer of which reports may still be under way.
 MAX_FORMER = 4
 # Rate at which the offset between the clocks of two processes may grow unnoticed. Far more than
@@ -9,6 +11,8 @@
 # peer's clock stood still while its machine was suspended.
 LATE_S = 1.0
 LATE_FOR_S = 2.0
+# Time within which a peer that misses many routers has named each of them once more.
+NAMED_FOR_S = 3.0
 
 
 class Peer:
@@ -20,11 +24,11 @@
 
     __slots__ = (
         "_late_since_s",
+        "_named_s",
         "_offset_s",
         "_received_s",
         "former",
         "incarnation",
-        "is_hearing",
         "uptime_s",
     )
 
@@ -33,8 +37,8 @@
         self.former = former
         self.uptime_s = 0.0
         """Uptime of the process in its latest report."""
-        self.is_hearing = True
-        """Whether it has lately received the reports of this router."""
+        self._named_s = -math.inf
+        """When it has named this router as unheard; negative infinity if it hears it."""
         self._offset_s: float | None = None
         self._received_s = 0.0
         self._late_since_s: float | None = None
@@ -43,6 +47,20 @@
         """Return the process that follows this one."""
         return Peer(incarnation, (self.incarnation, *self.former)[:MAX_FORMER])
 
+    def record_hearing(self, is_named: bool, is_complete: bool, now_s: float) -> None:
+        """Record whether a report names this router as unheard.
+
+        :param is_complete: the report names all that are unheard, not some of many.
+        """
+        if is_named:
+            self._named_s = now_s
+        elif is_complete:
+            self._named_s = -math.inf
+
+    def is_hearing(self, now_s: float) -> bool:
+        """Whether the peer has lately received the reports of this router."""
+        return now_s - self._named_s > NAMED_FOR_S
+
     def sent_s(self, uptime_s: float, now_s: float) -> float:
         """Return about when a report was sent, on the clock of this router.
 
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -34,7 +34,7 @@
 RECENT_S = 8.0
 # Customers in one message, about 40 bytes each.
 CUSTOMERS_PER_REPORT = 18
-# Routers that a report names as missing, and the share of the peers that have to name a router.
+# Routers that one report names as missing, and the share of the peers that have to name a router.
 # One peer alone may have lost its own link.
 MAX_UNHEARD_NAMED = 32
 UNHEARD_SHARE = 0.25
@@ -89,6 +89,8 @@
         self._refusals: dict[str, _Refusals] = {}
         self._reported_s = self._refreshed_s = self._started_s
         self._was_unheard = False
+        self._next_named = 0
+        """Position of the first peer to be named, if too many are missing for one report."""
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
         """Apply the quotas of a configuration, by customer."""
@@ -221,7 +223,8 @@
         self._record_heard(report.router, sent_s, now_s)
         if report.uptime_s >= peer.uptime_s:
             peer.uptime_s = report.uptime_s
-            peer.is_hearing = self._address not in report.unheard
+            is_complete = len(report.unheard) < MAX_UNHEARD_NAMED
+            peer.record_hearing(self._address in report.unheard, is_complete, now_s)
         for usage in report.usages:
             bucket = self._buckets.get(usage.customer)
             if bucket is None:
@@ -317,14 +320,19 @@
         ]
         if 2 * len(heard) < len(self._known_since_s):
             return True
-        missing = sum(not self._peers[address].is_hearing for address in heard)
+        missing = sum(not self._peers[address].is_hearing(now_s) for address in heard)
         return missing > UNHEARD_SHARE * len(heard)
 
     def _name_unheard(self) -> tuple[str, ...]:
         """Peers whose reports are missing; none if this router itself seems to be cut off."""
         if 2 * len(self._silent) > len(self._known_since_s):
             return ()
-        return tuple(sorted(self._silent)[:MAX_UNHEARD_NAMED])
+        names = sorted(self._silent)
+        if len(names) <= MAX_UNHEARD_NAMED:
+            return tuple(names)
+        first = self._next_named % len(names)
+        self._next_named = first + MAX_UNHEARD_NAMED
+        return tuple((names[first:] + names[:first])[:MAX_UNHEARD_NAMED])
 
     def _log_change(self, customer: str, before: Quota, quota: Quota) -> None:
         log.info(
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -339,3 +339,30 @@
         router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S / 10)})
         admitted = self._send_all_here(router, 8.0)
         self.assertLess(admitted, 9.9 * RATE_PER_S / 10)
+
+
+class NamedPeersTest(unittest.TestCase):
+    def test_each_of_many_routers_that_are_missed_learns_of_it(self) -> None:
+        """Guards against routers that go on as if heard, as too many are missing to name all."""
+        router = OneRouter(peers=200)
+        named: set[str] = set()
+        for tick in range(50):
+            router.clock.now_s = 100 + tick / 10
+            for peer in router.peers[90:]:
+                router.hear(None, tick / 10, peer)
+            for fields in router.quotas.take_reports():
+                named.update(UsageReport.from_fields(fields).unheard)
+        self.assertEqual(set(router.peers[:90]), named)
+
+    def test_router_that_is_named_by_turns_stays_restricted(self) -> None:
+        """Guards against a restriction that ends with the next report, which names others."""
+        router = OneRouter()
+        names = tuple(f"10.0.1.{number}:80" for number in range(32))
+        for tick in range(80):
+            router.clock.now_s = 100 + tick / 10
+            is_turn = tick % 20 == 0
+            unheard = (*names[1:], "10.0.0.1:80") if is_turn else names
+            router.hear(None, tick / 10, unheard=unheard)
+            self.assertTrue(router.is_unheard)
+        router.hear(None, 8.0)
+        self.assertFalse(router.is_unheard)
