--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -66,7 +66,7 @@
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.leases import LeaseLock
 from coltsfootfront.quotas.quotas import Quotas
-from coltsfootfront.quotas.sharedbucket import Tolerance
+from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import UsageReport
 
 log = logbook.Logger(__name__)
@@ -221,7 +221,9 @@
             -math.inf if settings.is_first_start else clock.monotonic_s(),
         )
         self._quotas = Quotas(clock, settings.peer_address, settings.is_first_start, generator)
-        self._quotas.set_tolerance(Tolerance(bounds.quota_tolerance_units, bounds.quota_window_s))
+        self._quotas.set_tolerance(
+            Tolerance(bounds.quota_tolerance_tokens, bounds.quota_overage, bounds.quota_window_s)
+        )
         self._gossip.take_usage_reports = self._quotas.take_reports
         self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
         self._roster = RouterRoster(clock, max(ISSUER_GRACE_S, bounds.retry_window_s))
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -17,8 +17,10 @@
         on older ones.
     :param config_apply_s: time after the acknowledgement of a configuration from which requests are
         handled as it says.
-    :param quota_tolerance_units: units that a customer may use beyond its quota within a window,
+    :param quota_tolerance_tokens: tokens that a customer may use beyond its quota within a window,
         over all routers.
+    :param quota_overage: what it may use beyond the quota as well, as a share of the quota's rate
+        times the window plus its burst.
     :param quota_window_s: length of that window.
     :param stable_s: time without a disruption after which these limits apply to a router.
     """
@@ -32,7 +34,8 @@
     config_apply_s: float
     stable_s: float
     targets_check_fencing: bool
-    quota_tolerance_units: float = 0.0
+    quota_tolerance_tokens: float = 0.0
+    quota_overage: float = 0.0
     quota_window_s: float = 1.0
 
 
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -19,7 +19,8 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.quotas.peer import Peer
 from coltsfootfront.quotas.quota import Quota
-from coltsfootfront.quotas.sharedbucket import SharedBucket, Tolerance
+from coltsfootfront.quotas.sharedbucket import SharedBucket
+from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 
 log = logbook.Logger(__name__)
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -11,6 +11,7 @@
 
 from coltsfootfront.quotas.bucket import TokenBucket
 from coltsfootfront.quotas.quota import Quota
+from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 
 # Half-life of a router's rate. Long enough for a rate of a few requests per second, short enough
@@ -60,23 +61,6 @@
         return self._rate_per_s
 
 
-@dataclass(frozen=True, slots=True)
-class Tolerance:
-    """Use beyond a quota that operators tolerate.
-
-    :param units: in one window, over all routers together.
-    :param window_s: length of the window in seconds.
-    """
-
-    units: float = 0.0
-    window_s: float = 1.0
-
-    @property
-    def per_s(self) -> float:
-        """Units per second."""
-        return self.units / self.window_s
-
-
 @dataclass(slots=True)
 class _PeerUsage:
     """What is known of one peer's use.
@@ -262,7 +246,7 @@
         :param heard_s: monotonic time at which each peer was last heard.
         """
         self._restricted = None
-        if self.level(heard_s, now_s) < -DEBT_SHARE * self._tolerance.units:
+        if self.level(heard_s, now_s) < -self._max_debt:
             return False
         self.charge(units, now_s)
         return True
@@ -295,7 +279,7 @@
             level, own_per_s = self._restricted.level(now_s), self._restricted.rate_per_s
             free_per_s = own_per_s
         else:
-            level = self.level(heard_s, now_s) + DEBT_SHARE * self._tolerance.units
+            level = self.level(heard_s, now_s) + self._max_debt
             free_per_s = self.quota.rate_per_s
             # The part of the rate that other routers use is not available to this one's callers.
             others_per_s = sum(peer.rate_per_s for peer in self._peers.values())
@@ -304,19 +288,27 @@
         self._promised_s = max(free_s, self._promised_s + units / own_per_s)
         return self._promised_s - now_s
 
+    @property
+    def _tolerated_per_s(self) -> float:
+        return self._tolerance.units_of(self.quota) / self._tolerance.window_s
+
+    @property
+    def _max_debt(self) -> float:
+        return DEBT_SHARE * self._tolerance.units_of(self.quota)
+
     def _refilled(self, level: float, since_s: float, now_s: float) -> float:
         """Level now of a bucket that had a level at some time."""
         return min(self.quota.burst, level + (now_s - since_s) * self._bucket.rate_per_s)
 
     def _silent_rate_per_s(self, routers: int) -> float:
         """Rate that a router which is not heard may use, however little it used before."""
-        return SILENT_SHARE * (self.quota.rate_per_s + self._tolerance.per_s) / routers
+        return SILENT_SHARE * (self.quota.rate_per_s + self._tolerated_per_s) / routers
 
     def _apply_silent_rates(self, now_s: float) -> None:
         """Let the bucket refill by what the silent peers leave of the rate."""
         rate_per_s = max(0.0, self.quota.rate_per_s - sum(self._silent.values()))
         if self._silent:
-            tolerated_per_s = SILENT_SHARE * self._tolerance.per_s
+            tolerated_per_s = SILENT_SHARE * self._tolerated_per_s
             rate_per_s += tolerated_per_s * len(self._silent) / (len(self._peers) + 1)
         self._bucket.set_limit(min(rate_per_s, self.quota.rate_per_s), self.quota.burst, now_s)
 
--- a/coltsfootfront/tests/quota_fleet.py
+++ b/coltsfootfront/tests/quota_fleet.py
@@ -10,11 +10,12 @@
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.quotas.quota import Quota, QuotaUnit
 from coltsfootfront.quotas.quotas import Quotas
-from coltsfootfront.quotas.sharedbucket import Tolerance
+from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import UsageReport
 
 CUSTOMER = "customer"
 WINDOW_S = 8.0
+TOLERANCE = Tolerance(140_000, 0.1, WINDOW_S)
 FLUSH_INTERVAL_S = 0.05
 MESSAGE_DELAY_S = (0.002, 0.06)
 
@@ -92,7 +93,7 @@
         """Start a router's process, in place of the one before."""
         quotas = Quotas(self.clock, self.address(number), is_first_start, self.generator)
         quotas.set_routers({self.address(other) for other in range(self.size)})
-        quotas.set_tolerance(Tolerance(140_000, WINDOW_S))
+        quotas.set_tolerance(TOLERANCE)
         quotas.set_quotas({CUSTOMER: self.quota})
         first_s = self.clock.now_s + self.generator.uniform(0, FLUSH_INTERVAL_S)
         self.members[number] = _Member(quotas, first_s)
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -6,10 +6,10 @@
 import logbook
 
 from coltsfootfront.common.decoding import DecodingError
+from coltsfootfront.quotas.quota import Quota, QuotaUnit
 from coltsfootfront.quotas.quotas import Quotas
-from coltsfootfront.quotas.sharedbucket import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
-from coltsfootfront.tests.quota_fleet import CUSTOMER, WINDOW_S, VirtualClock, make_quota
+from coltsfootfront.tests.quota_fleet import CUSTOMER, TOLERANCE, VirtualClock, make_quota
 
 RATE_PER_S = 100_000.0
 PEER = "10.0.0.2:80"
@@ -23,7 +23,7 @@
         self.quotas = Quotas(self.clock, "10.0.0.1:80", is_first_start, random.Random(1))
         self.peers = [f"10.0.0.{number + 2}:80" for number in range(peers)]
         self.quotas.set_routers({"10.0.0.1:80", *self.peers})
-        self.quotas.set_tolerance(Tolerance(140_000, WINDOW_S))
+        self.quotas.set_tolerance(TOLERANCE)
         self.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
 
     @property
@@ -366,3 +366,29 @@
             self.assertTrue(router.is_unheard)
         router.hear(None, 8.0)
         self.assertFalse(router.is_unheard)
+
+
+class RequestQuotaTest(unittest.TestCase):
+    def test_tolerated_tokens_are_not_requests(self) -> None:
+        """Guards against 35,000 requests above a quota of a few requests per second."""
+        router = OneRouter()
+        router.hear(None, 1.0)
+        router.quotas.set_quotas({CUSTOMER: Quota(5.0, 10.0)})
+        admitted = sum(router.quotas.admit(CUSTOMER, 500, 5) is None for _ in range(1000))
+        self.assertGreaterEqual(admitted, 10)
+        self.assertLessEqual(admitted, 13)
+
+    def test_burst_of_0_lets_the_rate_through(self) -> None:
+        """Guards against a customer that is never served, as its quota has no burst."""
+        router = OneRouter(peers=0)
+        for quota in (Quota(5.0, 0.0), Quota(5_000.0, 0.0, QuotaUnit.TOKENS)):
+            with self.subTest(quota):
+                router.quotas.set_quotas({})
+                router.quotas.set_quotas({CUSTOMER: quota})
+                admitted = 0
+                for _ in range(8000):
+                    router.clock.now_s += 0.01
+                    admitted += router.quotas.admit(CUSTOMER, 1000, 0) is None
+                tolerated = TOLERANCE.units_of(quota) / quota.cost(1000, 0)
+                self.assertGreaterEqual(admitted, 400)
+                self.assertLessEqual(admitted, 400 + tolerated + 1)
