--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -9,6 +9,7 @@
 miss its own, and takes itself for unheard while it hears fewer than half of its peers.
 """
 
+import math
 import random
 from collections.abc import Mapping
 
@@ -39,6 +40,10 @@
 # One peer alone may have lost its own link.
 MAX_UNHEARD_NAMED = 32
 UNHEARD_SHARE = 0.25
+# Longest time for which the sum over the peers is carried on for a level that is reported.
+REPORTED_LEVEL_AGE_S = 0.5
+# Interval at which a router checks whether it is heard.
+CHECK_INTERVAL_S = 0.02
 # A process that has done nothing for this long was paused. The loop that sends reports runs at
 # least every 0.1 s.
 PAUSED_AFTER_S = 1.0
@@ -89,7 +94,8 @@
         self._tolerance = Tolerance()
         self._refusals: dict[str, _Refusals] = {}
         self._reported_s = self._refreshed_s = self._started_s
-        self._was_unheard = False
+        self._was_unheard = self._is_restricted = False
+        self._checked_s = -math.inf
         self._next_named = 0
         """Position of the first peer to be named, if too many are missing for one report."""
 
@@ -241,6 +247,7 @@
             self._heard_s.clear()
             self._silent = {}
             self._known_since_s = dict.fromkeys(self._known_since_s, now_s)
+            self._checked_s = -math.inf
             for bucket in self._buckets.values():
                 bucket.resume(now_s)
         self._active_s = now_s
@@ -293,7 +300,7 @@
                 del self._used_s[customer]
             else:
                 self._changed.add(customer)
-            level = self._buckets[customer].level(self._heard_s, now_s)
+            level = self._buckets[customer].level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
             metrics.QUOTA_LEVEL.set({"customer": customer}, level)
         is_unheard = self._is_unheard(now_s)
         if is_unheard != self._was_unheard:
@@ -307,12 +314,18 @@
             customer,
             bucket.own_total,
             bucket.rate_per_s(now_s),
-            bucket.level(self._heard_s, now_s),
+            bucket.level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S),
             bucket.started_s - self._started_s,
         )
 
     def _is_unheard(self, now_s: float) -> bool:
         """Whether this router has to keep to what its peers take it to admit."""
+        if not 0 <= now_s - self._checked_s <= CHECK_INTERVAL_S:
+            self._checked_s = now_s
+            self._is_restricted = self._must_restrict(now_s)
+        return self._is_restricted
+
+    def _must_restrict(self, now_s: float) -> bool:
         # Also right after a pause of the process, before any message is read.
         heard = [
             address
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -12,14 +12,9 @@
 from coltsfootfront.quotas.bucket import TokenBucket
 from coltsfootfront.quotas.quota import Quota
 from coltsfootfront.quotas.tolerance import Tolerance
+from coltsfootfront.quotas.unreported import MAX_AGE_S, RATE_HALF_LIFE_S, UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 
-# Half-life of a router's rate. Long enough for a rate of a few requests per second, short enough
-# that reports follow a burst within the time that the quota's burst covers.
-RATE_HALF_LIFE_S = 0.7
-# Time from an admission until a peer has read of it: a batch of gossip and the way to another
-# region.
-REPORT_DELAY_S = 0.06
 # Share of an equal part of the quota that a router which is not heard may use although its rate was
 # lower. Most such routers have just ended, and the others get what they leave.
 SILENT_SHARE = 0.5
@@ -105,6 +100,7 @@
         "_settled_s",
         "_silent",
         "_tolerance",
+        "_unreported",
         "own_total",
         "quota",
         "started_s",
@@ -123,6 +119,7 @@
         self._own_rate = UsageRate(now_s)
         self._noted_per_s = (0.0, 0.0)
         self._peers: dict[str, _PeerUsage] = {}
+        self._unreported = UnreportedUse()
         self._silent: dict[str, float] = {}
         self._settled_s = now_s
         self._promised_s = now_s
@@ -178,6 +175,7 @@
         self._settle_silent(now_s)
         for router in self._peers.keys() - peers:
             del self._peers[router]
+            self._unreported.forget(router)
             self._silent.pop(router, None)
         self._apply_silent_rates(now_s)
 
@@ -208,6 +206,7 @@
             level = self._refilled(usage.level, sent_s, now_s)
             self._bucket.set_level(min(self._bucket.level(now_s), level), now_s)
         self._bucket.take(used, now_s)
+        self._unreported.record(report.router, usage.rate_per_s, sent_s, now_s)
         self._peers[report.router] = _PeerUsage(
             usage.total,
             usage.rate_per_s,
@@ -229,12 +228,16 @@
             used = self.own_total - self._own_total_before
             self._bucket.set_level(self._refilled(level, sent_s, now_s) - used, now_s)
 
-    def level(self, heard_s: Mapping[str, float], now_s: float) -> float:
+    def level(
+        self, heard_s: Mapping[str, float], now_s: float, max_age_s: float = MAX_AGE_S
+    ) -> float:
         """Units that are probably available in the whole fleet.
 
         :param heard_s: monotonic time at which each peer was last heard.
+        :param max_age_s: longest time for which the sum over the peers may be carried on.
         """
-        return self._bucket.level(now_s) - self._unreported(heard_s, now_s)
+        missing = self._unreported.units(heard_s, self._silent, now_s, max_age_s)
+        return self._bucket.level(now_s) - missing
 
     def rate_per_s(self, now_s: float) -> float:
         """Rate of what this router has admitted."""
@@ -306,6 +309,7 @@
 
     def _apply_silent_rates(self, now_s: float) -> None:
         """Let the bucket refill by what the silent peers leave of the rate."""
+        self._unreported.recompute()
         rate_per_s = max(0.0, self.quota.rate_per_s - sum(self._silent.values()))
         if self._silent:
             tolerated_per_s = SILENT_SHARE * self._tolerated_per_s
@@ -338,14 +342,3 @@
             level = min(burst, max(0.0, self._bucket.level(now_s)))
             self._restricted = TokenBucket(rate_per_s, burst, level, now_s)
         return self._restricted
-
-    def _unreported(self, heard_s: Mapping[str, float], now_s: float) -> float:
-        """Units that the peers have probably admitted since they were last heard."""
-        units = 0.0
-        for router, peer in self._peers.items():
-            if not peer.rate_per_s or router in self._silent:
-                continue
-            weight = 0.5 ** ((now_s - peer.reported_s) / RATE_HALF_LIFE_S)
-            missing_s = now_s - heard_s.get(router, now_s) + REPORT_DELAY_S
-            units += peer.rate_per_s * weight * missing_s
-        return units
--- a/coltsfootfront/quotas/usage.py
+++ b/coltsfootfront/quotas/usage.py
@@ -40,7 +40,7 @@
             round(self.total),
             round(self.rate_per_s),
             round(self.level),
-            round(self.since_s, 3),
+            round(self.since_s * 1000),
         ]
 
 
@@ -83,11 +83,11 @@
 
 
 def _decode_usage(row: Any) -> CustomerUsage:
-    customer, total, rate_per_s, level, since_s = read_list(row)
+    customer, total, rate_per_s, level, since_ms = read_list(row)
     return CustomerUsage(
         read_text(customer),
         read_number(total, low=-MAX_LEVEL),
         read_number(rate_per_s),
         read_number(level, low=-MAX_LEVEL),
-        read_number(since_s),
+        read_integer(since_ms) / 1000,
     )
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -2,12 +2,14 @@
 
 import random
 import unittest
+from unittest import mock
 
 import logbook
 
 from coltsfootfront.common.decoding import DecodingError
 from coltsfootfront.quotas.quota import Quota, QuotaUnit
 from coltsfootfront.quotas.quotas import Quotas
+from coltsfootfront.quotas.unreported import UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 from coltsfootfront.tests.quota_fleet import CUSTOMER, TOLERANCE, VirtualClock, make_quota
 
@@ -190,6 +192,7 @@
         for tick in range(135, 149):
             for peer in router.peers:
                 router.hear(tick * 1000.0, tick / 10, peer)
+        router.clock.now_s += 0.05
         self.assertFalse(router.is_unheard)
 
     def test_use_of_the_peers_during_a_pause_is_no_debt(self) -> None:
@@ -365,9 +368,45 @@
             router.hear(None, tick / 10, unheard=unheard)
             self.assertTrue(router.is_unheard)
         router.hear(None, 8.0)
+        router.clock.now_s += 0.05
         self.assertFalse(router.is_unheard)
 
 
+class CostOfDecisionTest(unittest.TestCase):
+    def test_decision_does_not_walk_all_peers(self) -> None:
+        """Guards against 94 microseconds per request, and 10 ms per report, among 300 routers."""
+        router = OneRouter(peers=250)
+        names = [f"customer-{number}" for number in range(140)]
+        router.quotas.set_quotas({name: make_quota(1e9) for name in names})
+        for peer in router.peers:
+            rows = tuple(CustomerUsage(name, 1000, 300, 1e9) for name in names)
+            router.quotas.handle_report(UsageReport(peer, 5, 1.0, (), rows))
+        with mock.patch.object(
+            UnreportedUse, "_compute", autospec=True, side_effect=UnreportedUse._compute
+        ) as compute:
+            for _ in range(20):
+                router.clock.now_s += 0.002
+                for name in names:
+                    self.assertIsNone(router.quotas.admit(name, 100, 10))
+            self.assertEqual(len(names), compute.call_count)
+
+    def test_sum_that_is_carried_on_equals_the_one_that_is_computed(self) -> None:
+        """Guards against a level that drifts from what the peers have reported."""
+        generator = random.Random(3)
+        use = UnreportedUse()
+        now_s = 100.0
+        heard_s: dict[str, float] = {}
+        for _ in range(500):
+            now_s += generator.uniform(0, 0.004)
+            peer = f"10.0.0.{generator.randrange(2, 12)}:80"
+            heard_s[peer] = now_s
+            use.record(peer, generator.choice((0.0, 100.0, 5000.0)), now_s, now_s)
+            carried = use.units(heard_s, (), now_s)
+            use.recompute()
+            computed = use.units(heard_s, (), now_s)
+            self.assertAlmostEqual(computed, carried, delta=0.02 * computed + 1e-6)
+
+
 class RequestQuotaTest(unittest.TestCase):
     def test_tolerated_tokens_are_not_requests(self) -> None:
         """Guards against 35,000 requests above a quota of a few requests per second."""
