--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -36,6 +36,8 @@
 RECENT_S = 8.0
 # Customers in one message, about 40 bytes each.
 CUSTOMERS_PER_REPORT = 18
+# Messages at a time. Running totals can wait, and each message goes to all routers.
+MAX_REPORTS = 2
 # Routers that one report names as missing, and the share of the peers that have to name a router.
 # One peer alone may have lost its own link.
 MAX_UNHEARD_NAMED = 32
@@ -83,7 +85,8 @@
         self._quotas: dict[str, Quota] = {}
         self._buckets: dict[str, SharedBucket] = {}
         self._used_s: dict[str, float] = {}
-        self._changed: set[str] = set()
+        self._changed: dict[str, None] = {}
+        """Customers to be reported, those first that have waited for longest."""
         self._peers: dict[str, Peer] = {}
         self._known_since_s: dict[str, float] = {}
         """When each peer was last heard; one that never was, when it has become known."""
@@ -107,7 +110,7 @@
             self._used_s.pop(customer, None)
             self._refusals.pop(customer, None)
             metrics.QUOTA_LEVEL.values.pop({"customer": customer}, None)
-        self._changed &= quotas.keys()
+        self._changed = {name: None for name in self._changed if name in quotas}
         for customer, quota in quotas.items():
             bucket = self._buckets.get(customer)
             if bucket is None:
@@ -198,7 +201,9 @@
         if not self._changed and now_s - self._reported_s < KEEPALIVE_INTERVAL_S:
             return []
         self._reported_s = now_s
-        customers, self._changed = sorted(self._changed), set()
+        customers = list(self._changed)[: MAX_REPORTS * CUSTOMERS_PER_REPORT]
+        for customer in customers:
+            del self._changed[customer]
         unheard = self._name_unheard()
         uptime_s = now_s - self._started_s
         reports: list[list[object]] = []
@@ -289,7 +294,7 @@
 
     def _record_use(self, customer: str, now_s: float) -> None:
         self._used_s[customer] = now_s
-        self._changed.add(customer)
+        self._changed[customer] = None
 
     def _refresh(self, now_s: float) -> None:
         """Report all recent usage once more, and publish the levels."""
@@ -299,7 +304,7 @@
             if now_s - used_s > RECENT_S:
                 del self._used_s[customer]
             else:
-                self._changed.add(customer)
+                self._changed[customer] = None
             level = self._buckets[customer].level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
             metrics.QUOTA_LEVEL.set({"customer": customer}, level)
         is_unheard = self._is_unheard(now_s)
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -406,6 +406,23 @@
             computed = use.units(heard_s, (), now_s)
             self.assertAlmostEqual(computed, carried, delta=0.02 * computed + 1e-6)
 
+    def test_reports_are_few_and_leave_nobody_out(self) -> None:
+        """Guards against 80 messages per second from each of 300 routers to each other one."""
+        router = OneRouter()
+        names = [f"customer-{number}" for number in range(140)]
+        router.quotas.set_quotas({name: make_quota(1e9) for name in names})
+        reported: set[str] = set()
+        for _ in range(5):
+            for name in names:
+                router.quotas.admit(name, 100, 10)
+            router.clock.now_s += 0.1
+            reports = router.quotas.take_reports()
+            self.assertLessEqual(len(reports), 2)
+            for fields in reports:
+                usages = UsageReport.from_fields(fields).usages
+                reported.update(usage.customer for usage in usages)
+        self.assertEqual(set(names), reported)
+
 
 class RequestQuotaTest(unittest.TestCase):
     def test_tolerated_tokens_are_not_requests(self) -> None:
