--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -21,6 +21,8 @@
 # Burst of such a router, as a multiple of its part of the quota's burst. Callers that wait while it
 # is paused all arrive when it resumes, and the others have withheld its rate for it.
 RESTRICTED_BURST = 1.5
+# Time over which callers that are refused are spread after the next room.
+MAX_PROMISE_S = 8.0
 # Share of the tolerated excess of a window up to which a bucket may go into debt. Copies of a
 # bucket differ by a few requests, which are much of a small quota.
 DEBT_SHARE = 0.25
@@ -277,7 +279,11 @@
         self._noted_per_s = (self._noted_per_s[1], self._own_rate.per_s(now_s))
 
     def room_after_s(self, units: float, heard_s: Mapping[str, float], now_s: float) -> float:
-        """Time until a refused request finds room, after those that were told to return before."""
+        """Time until a refused request finds room, after those that were told to return before.
+
+        Most refused callers do not return. Those that were told times further ahead than
+        MAX_PROMISE_S leave the room that they were promised, and the next ones get it.
+        """
         if self._restricted is not None:
             level, own_per_s = self._restricted.level(now_s), self._restricted.rate_per_s
             free_per_s = own_per_s
@@ -288,8 +294,11 @@
             others_per_s = sum(peer.rate_per_s for peer in self._peers.values())
             own_per_s = max(free_per_s - others_per_s, free_per_s / (len(heard_s) + 1))
         free_s = now_s + max(0.0, -level) / free_per_s
-        self._promised_s = max(free_s, self._promised_s + units / own_per_s)
-        return self._promised_s - now_s
+        promised_s = self._promised_s + units / own_per_s
+        if not free_s <= promised_s <= free_s + MAX_PROMISE_S:
+            promised_s = free_s
+        self._promised_s = promised_s
+        return promised_s - now_s
 
     @property
     def _tolerated_per_s(self) -> float:
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -448,3 +448,21 @@
                 tolerated = TOLERANCE.units_of(quota) / quota.cost(1000, 0)
                 self.assertGreaterEqual(admitted, 400)
                 self.assertLessEqual(admitted, 400 + tolerated + 1)
+
+
+class RefusedCallerTest(unittest.TestCase):
+    def test_time_of_the_next_room_stays_near(self) -> None:
+        """Guards against callers that are told to return in an hour, as each refused one before
+        them counts although most do not return."""
+        router = OneRouter(peers=0)
+        waits_s: list[float] = []
+        for _ in range(60_000):
+            router.clock.now_s += 0.01
+            wait_s = router.quotas.admit(CUSTOMER, 4_000, 0)
+            if wait_s is not None:
+                waits_s.append(wait_s)
+        self.assertGreater(min(waits_s), 0.0)
+        self.assertLess(max(waits_s), 9.0)
+        # They are spread, so that those who return do not all come at once.
+        early = sum(wait_s < 2.0 for wait_s in waits_s) / len(waits_s)
+        self.assertTrue(0.1 < early < 0.4, early)
