--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -51,8 +51,9 @@
 PAUSED_AFTER_S = 1.0
 # A peer that has run for this long knows the levels of the buckets.
 SETTLED_AFTER_S = 8.0
-# Time without a refusal after which a customer counts as within its quota again, for the log.
-QUIET_S = 1.0
+# Time without a refusal after which a customer counts as within its quota again, for the log. One
+# that stays near its quota is refused every few seconds, and must not be logged each time.
+QUIET_S = 10.0
 MAX_INCARNATION = 2**53 - 1
 
 
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -466,3 +466,16 @@
         # They are spread, so that those who return do not all come at once.
         early = sum(wait_s < 2.0 for wait_s in waits_s) / len(waits_s)
         self.assertTrue(0.1 < early < 0.4, early)
+
+    def test_log_of_a_customer_near_its_quota_is_bounded(self) -> None:
+        """Guards against two log lines per second for each customer that stays near its quota."""
+        router = OneRouter(peers=0)
+        with logbook.TestHandler().applicationbound() as records:
+            for _ in range(600):
+                router.clock.now_s += 0.1
+                if not router.quotas.admit(CUSTOMER, 300_000, 0):
+                    router.quotas.refund(CUSTOMER, 300_000, 0)
+                router.clock.now_s += 1.1
+                router.quotas.admit(CUSTOMER, 400_000, 0)
+                router.quotas.admit(CUSTOMER, 400_000, 0)
+        self.assertLess(len(records.records), 20)
