--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -81,6 +81,7 @@
         self._clock = clock
         self._address = address
         self._is_first_start = is_first_start
+        self._generator = generator
         self._incarnation = generator.randint(1, MAX_INCARNATION)
         self._started_s = self._active_s = clock.monotonic_s()
         self._quotas: dict[str, Quota] = {}
@@ -118,7 +119,7 @@
                 # A customer of the first configuration may have used its quota through an earlier
                 # process; one that is added later has not.
                 is_new = self._is_first_start or bool(self._quotas)
-                bucket = SharedBucket(quota, self._tolerance, is_new, now_s)
+                bucket = SharedBucket(quota, self._tolerance, is_new, self._generator, now_s)
                 bucket.set_silent(self._silent, self._router_count, now_s)
                 self._buckets[customer] = bucket
             elif bucket.quota != quota:
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -6,14 +6,16 @@
 """
 
 import math
+import random
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from coltsfootfront.quotas.bucket import TokenBucket
 from coltsfootfront.quotas.quota import Quota
 from coltsfootfront.quotas.tolerance import Tolerance
-from coltsfootfront.quotas.unreported import MAX_AGE_S, RATE_HALF_LIFE_S, UnreportedUse
+from coltsfootfront.quotas.unreported import MAX_AGE_S, UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
+from coltsfootfront.quotas.usagerate import RequestSize, UsageRate
 
 # Share of an equal part of the quota that a router which is not heard may use although its rate was
 # lower. Most such routers have just ended, and the others get what they leave.
@@ -36,28 +38,6 @@
 START_LEVEL_SHARE = 0.5
 
 
-class UsageRate:
-    """Rate at which units have been used lately."""
-
-    __slots__ = ("_rate_per_s", "_updated_s")
-
-    def __init__(self, now_s: float) -> None:
-        self._rate_per_s = 0.0
-        self._updated_s = now_s
-
-    def add(self, units: float, now_s: float) -> None:
-        """Add units that were used."""
-        # The integral of the decaying weight is the half-life over ln 2.
-        self._rate_per_s = max(0.0, self.per_s(now_s) + units * 0.6931 / RATE_HALF_LIFE_S)
-
-    def per_s(self, now_s: float) -> float:
-        """Units per second."""
-        weight: float = 0.5 ** (max(0.0, now_s - self._updated_s) / RATE_HALF_LIFE_S)
-        self._updated_s = max(now_s, self._updated_s)
-        self._rate_per_s *= weight
-        return self._rate_per_s
-
-
 @dataclass(slots=True)
 class _PeerUsage:
     """What is known of one peer's use.
@@ -86,11 +66,13 @@
     :param quota: limit of the customer over all routers.
     :param tolerance: what all routers together may use beyond the quota in a window.
     :param is_first_start: no process has admitted anything before.
+    :param generator: source of the level at which a restriction begins.
     :param now_s: monotonic time.
     """
 
     __slots__ = (
         "_bucket",
+        "_generator",
         "_is_level_learned",
         "_learning_since_s",
         "_noted_per_s",
@@ -98,6 +80,7 @@
         "_own_total_before",
         "_peers",
         "_promised_s",
+        "_request_size",
         "_restricted",
         "_settled_s",
         "_silent",
@@ -109,9 +92,15 @@
     )
 
     def __init__(
-        self, quota: Quota, tolerance: Tolerance, is_first_start: bool, now_s: float
+        self,
+        quota: Quota,
+        tolerance: Tolerance,
+        is_first_start: bool,
+        generator: random.Random,
+        now_s: float,
     ) -> None:
         self.quota = quota
+        self._generator = generator
         level = quota.burst if is_first_start else START_LEVEL_SHARE * quota.burst
         self._bucket = TokenBucket(quota.rate_per_s, quota.burst, level, now_s)
         self._tolerance = tolerance
@@ -119,6 +108,7 @@
         self._learning_since_s = now_s
         self._own_total_before = 0.0
         self._own_rate = UsageRate(now_s)
+        self._request_size = RequestSize()
         self._noted_per_s = (0.0, 0.0)
         self._peers: dict[str, _PeerUsage] = {}
         self._unreported = UnreportedUse()
@@ -251,6 +241,7 @@
         :param heard_s: monotonic time at which each peer was last heard.
         """
         self._restricted = None
+        self._request_size.add(units)
         if self.level(heard_s, now_s) < -self._max_debt:
             return False
         self.charge(units, now_s)
@@ -261,6 +252,7 @@
 
         :param routers: number of routers that share the quota, this one included.
         """
+        self._request_size.add(units)
         restricted = self._enter_restriction(routers, now_s)
         if restricted.level(now_s) < 0:
             return False
@@ -291,8 +283,9 @@
             level = self.level(heard_s, now_s) + self._max_debt
             free_per_s = self.quota.rate_per_s
             # The part of the rate that other routers use is not available to this one's callers.
-            others_per_s = sum(peer.rate_per_s for peer in self._peers.values())
-            own_per_s = max(free_per_s - others_per_s, free_per_s / (len(heard_s) + 1))
+            own_per_s = max(
+                free_per_s - self._unreported.rate_per_s, free_per_s / (len(heard_s) + 1)
+            )
         free_s = now_s + max(0.0, -level) / free_per_s
         promised_s = self._promised_s + units / own_per_s
         if not free_s <= promised_s <= free_s + MAX_PROMISE_S:
@@ -349,5 +342,8 @@
                 RESTRICTED_BURST * rate_per_s * burst_s, SILENT_SHARE * self.quota.burst / routers
             )
             level = min(burst, max(0.0, self._bucket.level(now_s)))
+            # A bucket goes into debt for a request that is larger than its level. If all routers
+            # began at 0, each would admit a large request at once, whatever its share is.
+            level -= self._generator.random() * self._request_size.units
             self._restricted = TokenBucket(rate_per_s, burst, level, now_s)
         return self._restricted
--- a/coltsfootfront/quotas/unreported.py
+++ b/coltsfootfront/quotas/unreported.py
@@ -62,6 +62,11 @@
         self._units += units
         self._growth_per_s += rate_per_s
 
+    @property
+    def rate_per_s(self) -> float:
+        """Recent rate of all peers that are heard, as of the last computation."""
+        return max(0.0, self._growth_per_s)
+
     def forget(self, router: str) -> None:
         """Leave out a peer that has gone."""
         self.record(router, 0.0, 0.0, 0.0)
--- /dev/null
+++ b/coltsfootfront/quotas/usagerate.py
@@ -0,0 +1,48 @@
+"""Rate at which a router uses a quota, and the size of the requests that use it."""
+
+from coltsfootfront.quotas.unreported import RATE_HALF_LIFE_S
+
+# Weight of a request in the mean size; some tens of requests tell a customer's mix.
+SIZE_WEIGHT = 0.05
+
+
+class UsageRate:
+    """Rate at which units have been used lately."""
+
+    __slots__ = ("_rate_per_s", "_updated_s")
+
+    def __init__(self, now_s: float) -> None:
+        self._rate_per_s = 0.0
+        self._updated_s = now_s
+
+    def add(self, units: float, now_s: float) -> None:
+        """Add units that were used."""
+        # The integral of the decaying weight is the half-life over ln 2.
+        self._rate_per_s = max(0.0, self.per_s(now_s) + units * 0.6931 / RATE_HALF_LIFE_S)
+
+    def per_s(self, now_s: float) -> float:
+        """Units per second."""
+        weight: float = 0.5 ** (max(0.0, now_s - self._updated_s) / RATE_HALF_LIFE_S)
+        self._updated_s = max(now_s, self._updated_s)
+        self._rate_per_s *= weight
+        return self._rate_per_s
+
+
+class RequestSize:
+    """Units of the request to which a unit belongs, on average over all units."""
+
+    __slots__ = ("_mean", "_mean_square")
+
+    def __init__(self) -> None:
+        self._mean = self._mean_square = 0.0
+
+    def add(self, units: float) -> None:
+        """Add a request."""
+        weight = SIZE_WEIGHT if self._mean else 1.0
+        self._mean += weight * (units - self._mean)
+        self._mean_square += weight * (units**2 - self._mean_square)
+
+    @property
+    def units(self) -> float:
+        """Mean size of a request, weighted by size."""
+        return self._mean_square / self._mean if self._mean else 0.0
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -11,12 +11,23 @@
 from coltsfootfront.quotas.quotas import Quotas
 from coltsfootfront.quotas.unreported import UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
-from coltsfootfront.tests.quota_fleet import CUSTOMER, TOLERANCE, VirtualClock, make_quota
+from coltsfootfront.tests.quota_fleet import (
+    CUSTOMER,
+    TOLERANCE,
+    QuotaFleet,
+    VirtualClock,
+    make_quota,
+)
 
 RATE_PER_S = 100_000.0
 PEER = "10.0.0.2:80"
 
 
+def mixed_units(generator: random.Random) -> int:
+    """Units of a request, from a quick check to a long analysis."""
+    return int(200 * 270 ** generator.random())
+
+
 class OneRouter:
     """One router that tests send reports of scripted peers."""
 
@@ -343,6 +354,15 @@
         admitted = self._send_all_here(router, 8.0)
         self.assertLess(admitted, 9.9 * RATE_PER_S / 10)
 
+    def test_requests_larger_than_the_shares_of_routers_that_hear_nobody(self) -> None:
+        """Guards against a large request that each of many unheard routers admits at once, for a
+        customer whose quota in a second is less than one of them."""
+        fleet = QuotaFleet(23, make_quota(36_000))
+        fleet.run(5.0, 4 * 36_000, lambda: mixed_units(fleet.generator))
+        fleet.cuts = {(a, b) for a in range(23) for b in range(23)}
+        fleet.run(12.0, 4 * 36_000, lambda: mixed_units(fleet.generator))
+        self.assertLess(fleet.most_used(), fleet.allowed)
+
 
 class NamedPeersTest(unittest.TestCase):
     def test_each_of_many_routers_that_are_missed_learns_of_it(self) -> None:
