--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -20,7 +20,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.quotas.peer import Peer
 from coltsfootfront.quotas.quota import Quota
-from coltsfootfront.quotas.sharedbucket import SharedBucket
+from coltsfootfront.quotas.sharedbucket import REPORTED_LEVEL_AGE_S, SharedBucket
 from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 
@@ -42,15 +42,11 @@
 # One peer alone may have lost its own link.
 MAX_UNHEARD_NAMED = 32
 UNHEARD_SHARE = 0.25
-# Longest time for which the sum over the peers is carried on for a level that is reported.
-REPORTED_LEVEL_AGE_S = 0.5
 # Interval at which a router checks whether it is heard.
 CHECK_INTERVAL_S = 0.02
 # A process that has done nothing for this long was paused. The loop that sends reports runs at
 # least every 0.1 s.
 PAUSED_AFTER_S = 1.0
-# A peer that has run for this long knows the levels of the buckets.
-SETTLED_AFTER_S = 8.0
 # Time without a refusal after which a customer counts as within its quota again, for the log. One
 # that stays near its quota is refused every few seconds, and must not be logged each time.
 QUIET_S = 10.0
@@ -243,8 +239,6 @@
             bucket = self._buckets.get(usage.customer)
             if bucket is None:
                 continue
-            if report.uptime_s >= SETTLED_AFTER_S:
-                bucket.learn_level(usage.level, sent_s, now_s)
             bucket.apply_report(report, usage, sent_s, now_s)
 
     def _check_pause(self) -> float:
@@ -321,7 +315,7 @@
             customer,
             bucket.own_total,
             bucket.rate_per_s(now_s),
-            bucket.level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S),
+            bucket.known_level(self._heard_s, now_s),
             bucket.started_s - self._started_s,
         )
 
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -31,6 +31,8 @@
 # Time after the start within which the level is learned from a peer. Later, the peer's level counts
 # most of what this router has admitted itself.
 LEARNING_S = 2.0
+# Longest time for which the sum over the peers is carried on for a level that is reported.
+REPORTED_LEVEL_AGE_S = 0.5
 # A running total that began within this time counts as a whole when it is first heard of.
 RECENT_TOTAL_S = 8.0
 # Share of the burst that is available after a start of which no peer has told the level. The
@@ -188,15 +190,18 @@
             return
         is_old = report.uptime_s - usage.since_s > RECENT_TOTAL_S
         used = usage.total - peer.total if is_same else usage.total
-        if not peer.incarnation and not self._is_level_learned:
+        if self._learn_level(usage.level, sent_s, now_s):
+            used = 0.0
+        elif not peer.incarnation and not self._is_level_learned:
             # What a peer admitted before this process has started is in the level that it reports.
             used = 0.0
         elif is_old and (not peer.incarnation or (used > 0 and peer.was_silent)):
             # Most of what a peer used unheard has long become available again. Its level tells
             # what remains of it.
             used = 0.0
-            level = self._refilled(usage.level, sent_s, now_s)
-            self._bucket.set_level(min(self._bucket.level(now_s), level), now_s)
+            if usage.level is not None:
+                level = self._refilled(usage.level, sent_s, now_s)
+                self._bucket.set_level(min(self._bucket.level(now_s), level), now_s)
         self._bucket.take(used, now_s)
         self._unreported.record(report.router, usage.rate_per_s, sent_s, now_s)
         self._peers[report.router] = _PeerUsage(
@@ -208,17 +213,19 @@
             report.uptime_s,
         )
 
-    def learn_level(self, level: float, sent_s: float, now_s: float) -> None:
-        """Take over the level from a peer that has known the bucket for longer.
+    def _learn_level(self, level: float | None, sent_s: float, now_s: float) -> bool:
+        """Take over the level from a peer that has known the bucket for longer, if it is needed.
 
         :param sent_s: monotonic time at which the peer sent it.
         """
-        if self._is_level_learned:
-            return
+        if self._is_level_learned or level is None:
+            return False
         self._is_level_learned = True
-        if now_s - self._learning_since_s <= LEARNING_S:
-            used = self.own_total - self._own_total_before
-            self._bucket.set_level(self._refilled(level, sent_s, now_s) - used, now_s)
+        if now_s - self._learning_since_s > LEARNING_S:
+            return False
+        used = self.own_total - self._own_total_before
+        self._bucket.set_level(self._refilled(level, sent_s, now_s) - used, now_s)
+        return True
 
     def level(
         self, heard_s: Mapping[str, float], now_s: float, max_age_s: float = MAX_AGE_S
@@ -231,6 +238,12 @@
         missing = self._unreported.units(heard_s, self._silent, now_s, max_age_s)
         return self._bucket.level(now_s) - missing
 
+    def known_level(self, heard_s: Mapping[str, float], now_s: float) -> float | None:
+        """Level to be reported; None if this router has neither learned it nor seen a window."""
+        if not self._is_level_learned and now_s - self._learning_since_s < RECENT_TOTAL_S:
+            return None
+        return self.level(heard_s, now_s, REPORTED_LEVEL_AGE_S)
+
     def rate_per_s(self, now_s: float) -> float:
         """Rate of what this router has admitted."""
         return self._own_rate.per_s(now_s)
--- a/coltsfootfront/quotas/usage.py
+++ b/coltsfootfront/quotas/usage.py
@@ -22,7 +22,8 @@
 
     :param total: units admitted by this process since it started, less those refunded.
     :param rate_per_s: recent rate of these.
-    :param level: units that the router takes to be available in the whole fleet.
+    :param level: units that the router takes to be available in the whole fleet; None while it
+        does not know, as it has started lately.
     :param since_s: uptime of the process from which the total counts. It is later than the start
         if the customer has got its quota later, or has lost it in between.
     """
@@ -30,7 +31,7 @@
     customer: str
     total: float
     rate_per_s: float
-    level: float
+    level: float | None
     since_s: float = 0.0
 
     def to_fields(self) -> list[Any]:
@@ -39,7 +40,7 @@
             self.customer,
             round(self.total),
             round(self.rate_per_s),
-            round(self.level),
+            None if self.level is None else round(self.level),
             round(self.since_s * 1000),
         ]
 
@@ -88,6 +89,6 @@
         read_text(customer),
         read_number(total, low=-MAX_LEVEL),
         read_number(rate_per_s),
-        read_number(level, low=-MAX_LEVEL),
+        None if level is None else read_number(level, low=-MAX_LEVEL),
         read_integer(since_ms) / 1000,
     )
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -65,7 +65,7 @@
         peer: str = PEER,
         incarnation: int = 5,
         rate_per_s: float = 0.0,
-        level: float = RATE_PER_S,
+        level: float | None = RATE_PER_S,
         unheard: tuple[str, ...] = (),
         since_s: float = 0.0,
     ) -> None:
@@ -246,7 +246,7 @@
         for tick in range(81):
             router.clock.now_s = 100 + tick / 10
             router.quotas.take_reports()
-            router.hear(tick * 4_000.0, tick / 10, level=80_000.0)
+            router.hear(tick * 4_000.0, tick / 10, level=80_000.0 if tick == 80 else None)
             self.assertIsNone(router.quotas.admit(CUSTOMER, 4_000, 0), tick)
         self.assertGreater(router.level, 0.5 * RATE_PER_S)
 
@@ -256,6 +256,29 @@
         router.hear(1e9, 1000.0, level=-20_000.0)
         self.assertAlmostEqual(-20_000.0, router.level)
 
+    def test_level_is_learned_from_a_peer_that_has_learned_it(self) -> None:
+        """Guards against half a burst given away at each of many restarts, as no peer has run for
+        long."""
+        router = OneRouter(is_first_start=False)
+        router.hear(1_000.0, 3.0, level=None)
+        self.assertGreater(router.level, 0.0)
+        router.hear(2_000.0, 3.1, level=-20_000.0)
+        self.assertAlmostEqual(-20_000.0, router.level, delta=100.0)
+
+    def test_router_that_has_just_started_tells_no_level(self) -> None:
+        """Guards against a level that is guessed and then learned from by others."""
+        router = OneRouter(is_first_start=False)
+        router.quotas.charge(CUSTOMER, 100, 0)
+        levels = []
+        for tick in range(90):
+            router.clock.now_s = 100 + tick / 10
+            if not tick % 10:
+                router.quotas.charge(CUSTOMER, 100, 0)
+            for fields in router.quotas.take_reports():
+                levels += [row.level for row in UsageReport.from_fields(fields).usages]
+        self.assertEqual({None}, set(levels[:8]))
+        self.assertIsNotNone(levels[-1])
+
 
 class SilentPeerTest(unittest.TestCase):
     def test_customer_that_is_added_while_a_peer_is_silent(self) -> None:
@@ -306,11 +329,11 @@
 
     def test_successor_of_a_process_that_has_not_reported_since_a_pause(self) -> None:
         """Guards against a burst given away for the total of a process that has ended."""
-        router = OneRouter()
+        router = OneRouter(peers=2)
         router.hear(1e9, 1000.0, level=0.0)
         router.clock.now_s += 5.0
         router.hear(None, 1005.0)
-        router.quotas._buckets[CUSTOMER].learn_level(0.0, router.clock.now_s, router.clock.now_s)
+        router.hear(5.0, 1000.0, router.peers[1], level=0.0)
         router.hear(20_000, 0.5, incarnation=6)
         self.assertAlmostEqual(-20_000, router.bucket_level)
 
