--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -9,6 +9,7 @@
 miss its own, and takes itself for unheard while it hears fewer than half of its peers.
 """
 
+import math
 import random
 from collections.abc import Mapping
 
@@ -17,8 +18,10 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
+from coltsfootfront.quotas.peer import Peer
 from coltsfootfront.quotas.quota import Quota
-from coltsfootfront.quotas.sharedbucket import SharedBucket, Tolerance
+from coltsfootfront.quotas.sharedbucket import REPORTED_LEVEL_AGE_S, SharedBucket
+from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 
 log = logbook.Logger(__name__)
@@ -33,28 +36,23 @@
 RECENT_S = 8.0
 # Customers in one message, about 40 bytes each.
 CUSTOMERS_PER_REPORT = 18
-# Routers that a report names as missing, and the share of the peers that have to name a router.
+# Messages at a time. Running totals can wait, and each message goes to all routers.
+MAX_REPORTS = 2
+# Routers that one report names as missing, and the share of the peers that have to name a router.
 # One peer alone may have lost its own link.
 MAX_UNHEARD_NAMED = 32
 UNHEARD_SHARE = 0.25
-# A peer that has run for this long knows the levels of the buckets.
-SETTLED_AFTER_S = 8.0
-# Time without a refusal after which a customer counts as within its quota again, for the log.
-QUIET_S = 1.0
+# Interval at which a router checks whether it is heard.
+CHECK_INTERVAL_S = 0.02
+# A process that has done nothing for this long was paused. The loop that sends reports runs at
+# least every 0.1 s.
+PAUSED_AFTER_S = 1.0
+# Time without a refusal after which a customer counts as within its quota again, for the log. One
+# that stays near its quota is refused every few seconds, and must not be logged each time.
+QUIET_S = 10.0
 MAX_INCARNATION = 2**53 - 1
 
 
-class _Peer:
-    """What is known of one peer."""
-
-    __slots__ = ("incarnation", "is_hearing")
-
-    def __init__(self, incarnation: int) -> None:
-        self.incarnation = incarnation
-        self.is_hearing = True
-        """Whether it has lately received the reports of this router."""
-
-
 class _Refusals:
     """Refusals of one customer since it exceeded its quota."""
 
@@ -79,22 +77,28 @@
         self._clock = clock
         self._address = address
         self._is_first_start = is_first_start
+        self._generator = generator
         self._incarnation = generator.randint(1, MAX_INCARNATION)
-        self._started_s = clock.monotonic_s()
+        self._started_s = self._active_s = clock.monotonic_s()
         self._quotas: dict[str, Quota] = {}
         self._buckets: dict[str, SharedBucket] = {}
         self._used_s: dict[str, float] = {}
-        self._changed: set[str] = set()
-        self._peers: dict[str, _Peer] = {}
+        self._changed: dict[str, None] = {}
+        """Customers to be reported, those first that have waited for longest."""
+        self._peers: dict[str, Peer] = {}
         self._known_since_s: dict[str, float] = {}
         """When each peer was last heard; one that never was, when it has become known."""
         self._heard_s: dict[str, float] = {}
         """When each peer that is not silent was last heard."""
-        self._silent: set[str] = set()
+        self._silent: dict[str, float] = {}
+        """When each silent peer was last heard."""
         self._tolerance = Tolerance()
         self._refusals: dict[str, _Refusals] = {}
         self._reported_s = self._refreshed_s = self._started_s
-        self._was_unheard = False
+        self._was_unheard = self._is_restricted = False
+        self._checked_s = -math.inf
+        self._next_named = 0
+        """Position of the first peer to be named, if too many are missing for one report."""
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
         """Apply the quotas of a configuration, by customer."""
@@ -104,14 +108,16 @@
             self._used_s.pop(customer, None)
             self._refusals.pop(customer, None)
             metrics.QUOTA_LEVEL.values.pop({"customer": customer}, None)
-        self._changed &= quotas.keys()
+        self._changed = {name: None for name in self._changed if name in quotas}
         for customer, quota in quotas.items():
             bucket = self._buckets.get(customer)
             if bucket is None:
                 # A customer of the first configuration may have used its quota through an earlier
                 # process; one that is added later has not.
                 is_new = self._is_first_start or bool(self._quotas)
-                self._buckets[customer] = SharedBucket(quota, self._tolerance, is_new, now_s)
+                bucket = SharedBucket(quota, self._tolerance, is_new, self._generator, now_s)
+                bucket.set_silent(self._silent, self._router_count, now_s)
+                self._buckets[customer] = bucket
             elif bucket.quota != quota:
                 self._log_change(customer, bucket.quota, quota)
                 bucket.set_quota(quota, now_s)
@@ -129,6 +135,7 @@
             del self._known_since_s[address]
             self._peers.pop(address, None)
             self._heard_s.pop(address, None)
+            self._silent.pop(address, None)
         for address in peers - self._known_since_s.keys():
             self._known_since_s[address] = now_s
         for bucket in self._buckets.values():
@@ -142,7 +149,7 @@
         bucket = self._buckets.get(customer)
         if bucket is None:
             return None
-        now_s = self._clock.monotonic_s()
+        now_s = self._check_pause()
         units = bucket.quota.cost(prompt_tokens, output_tokens)
         is_unheard = self._is_unheard(now_s)
         if is_unheard:
@@ -184,7 +191,7 @@
         """Take the messages that are due for the peers, as their fields."""
         if not self._buckets or not self._known_since_s:
             return []
-        now_s = self._clock.monotonic_s()
+        now_s = self._check_pause()
         self._update_silent(now_s)
         if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
@@ -192,7 +199,9 @@
         if not self._changed and now_s - self._reported_s < KEEPALIVE_INTERVAL_S:
             return []
         self._reported_s = now_s
-        customers, self._changed = sorted(self._changed), set()
+        customers = list(self._changed)[: MAX_REPORTS * CUSTOMERS_PER_REPORT]
+        for customer in customers:
+            del self._changed[customer]
         unheard = self._name_unheard()
         uptime_s = now_s - self._started_s
         reports: list[list[object]] = []
@@ -209,23 +218,48 @@
         """Apply the report of a peer."""
         if report.router not in self._known_since_s:
             return
-        now_s = self._clock.monotonic_s()
+        now_s = self._check_pause()
         peer = self._peers.get(report.router)
-        is_new = peer is not None and peer.incarnation != report.incarnation
-        if peer is None or is_new:
-            peer = self._peers[report.router] = _Peer(report.incarnation)
-        was_silent = report.router not in self._heard_s
-        self._known_since_s[report.router] = self._heard_s[report.router] = now_s
-        if was_silent:
-            self._update_silent(now_s)
-        peer.is_hearing = self._address not in report.unheard
+        if peer is None:
+            peer = self._peers[report.router] = Peer(report.incarnation)
+        elif report.incarnation in peer.former:
+            return
+        elif peer.incarnation != report.incarnation:
+            peer = self._peers[report.router] = peer.successor(report.incarnation)
+        sent_s = peer.sent_s(report.uptime_s, now_s)
+        if now_s - sent_s > SILENT_AFTER_S:
+            # Left over from a pause; the totals of the next report contain its own.
+            return
+        self._record_heard(report.router, sent_s, now_s)
+        if report.uptime_s >= peer.uptime_s:
+            peer.uptime_s = report.uptime_s
+            is_complete = len(report.unheard) < MAX_UNHEARD_NAMED
+            peer.record_hearing(self._address in report.unheard, is_complete, now_s)
         for usage in report.usages:
             bucket = self._buckets.get(usage.customer)
             if bucket is None:
                 continue
-            if report.uptime_s >= SETTLED_AFTER_S:
-                bucket.learn_level(usage.level, now_s)
-            bucket.apply_report(report.router, is_new, usage.total, usage.rate_per_s, now_s)
+            bucket.apply_report(report, usage, sent_s, now_s)
+
+    def _check_pause(self) -> float:
+        """Return the monotonic time; after a pause, begin to listen to the peers anew."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._active_s > PAUSED_AFTER_S and self._known_since_s:
+            self._heard_s.clear()
+            self._silent = {}
+            self._known_since_s = dict.fromkeys(self._known_since_s, now_s)
+            self._checked_s = -math.inf
+            for bucket in self._buckets.values():
+                bucket.resume(now_s)
+        self._active_s = now_s
+        return now_s
+
+    def _record_heard(self, router: str, sent_s: float, now_s: float) -> None:
+        was_silent = router not in self._heard_s
+        self._heard_s[router] = max(sent_s, self._heard_s.get(router, sent_s))
+        self._known_since_s[router] = max(sent_s, self._known_since_s[router])
+        if was_silent:
+            self._update_silent(now_s)
 
     @property
     def _router_count(self) -> int:
@@ -240,8 +274,8 @@
         }
         for address in silent:
             self._heard_s.pop(address, None)
-        if silent.keys() != self._silent:
-            self._silent = set(silent)
+        if silent.keys() != self._silent.keys():
+            self._silent = silent
             for bucket in self._buckets.values():
                 bucket.set_silent(silent, self._router_count, now_s)
 
@@ -256,16 +290,18 @@
 
     def _record_use(self, customer: str, now_s: float) -> None:
         self._used_s[customer] = now_s
-        self._changed.add(customer)
+        self._changed[customer] = None
 
     def _refresh(self, now_s: float) -> None:
         """Report all recent usage once more, and publish the levels."""
+        for bucket in self._buckets.values():
+            bucket.note_rate(now_s)
         for customer, used_s in list(self._used_s.items()):
             if now_s - used_s > RECENT_S:
                 del self._used_s[customer]
             else:
-                self._changed.add(customer)
-            level = self._buckets[customer].level(self._heard_s, now_s)
+                self._changed[customer] = None
+            level = self._buckets[customer].level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
             metrics.QUOTA_LEVEL.set({"customer": customer}, level)
         is_unheard = self._is_unheard(now_s)
         if is_unheard != self._was_unheard:
@@ -279,11 +315,18 @@
             customer,
             bucket.own_total,
             bucket.rate_per_s(now_s),
-            bucket.level(self._heard_s, now_s),
+            bucket.known_level(self._heard_s, now_s),
+            bucket.started_s - self._started_s,
         )
 
     def _is_unheard(self, now_s: float) -> bool:
         """Whether this router has to keep to what its peers take it to admit."""
+        if not 0 <= now_s - self._checked_s <= CHECK_INTERVAL_S:
+            self._checked_s = now_s
+            self._is_restricted = self._must_restrict(now_s)
+        return self._is_restricted
+
+    def _must_restrict(self, now_s: float) -> bool:
         # Also right after a pause of the process, before any message is read.
         heard = [
             address
@@ -292,14 +335,19 @@
         ]
         if 2 * len(heard) < len(self._known_since_s):
             return True
-        missing = sum(not self._peers[address].is_hearing for address in heard)
+        missing = sum(not self._peers[address].is_hearing(now_s) for address in heard)
         return missing > UNHEARD_SHARE * len(heard)
 
     def _name_unheard(self) -> tuple[str, ...]:
         """Peers whose reports are missing; none if this router itself seems to be cut off."""
         if 2 * len(self._silent) > len(self._known_since_s):
             return ()
-        return tuple(sorted(self._silent)[:MAX_UNHEARD_NAMED])
+        names = sorted(self._silent)
+        if len(names) <= MAX_UNHEARD_NAMED:
+            return tuple(names)
+        first = self._next_named % len(names)
+        self._next_named = first + MAX_UNHEARD_NAMED
+        return tuple((names[first:] + names[:first])[:MAX_UNHEARD_NAMED])
 
     def _log_change(self, customer: str, before: Quota, quota: Quota) -> None:
         log.info(
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -6,88 +6,60 @@
 """
 
 import math
+import random
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from coltsfootfront.quotas.bucket import TokenBucket
 from coltsfootfront.quotas.quota import Quota
+from coltsfootfront.quotas.tolerance import Tolerance
+from coltsfootfront.quotas.unreported import MAX_AGE_S, UnreportedUse
+from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
+from coltsfootfront.quotas.usagerate import RequestSize, UsageRate
 
-# Half-life of a router's rate. Long enough for a rate of a few requests per second, short enough
-# that reports follow a burst within the time that the quota's burst covers.
-RATE_HALF_LIFE_S = 0.7
-# Time from an admission until a peer has read of it: a batch of gossip and the way to another
-# region.
-REPORT_DELAY_S = 0.06
 # Share of an equal part of the quota that a router which is not heard may use although its rate was
 # lower. Most such routers have just ended, and the others get what they leave.
 SILENT_SHARE = 0.5
+# Burst of such a router, as a multiple of its part of the quota's burst. Callers that wait while it
+# is paused all arrive when it resumes, and the others have withheld its rate for it.
+RESTRICTED_BURST = 1.5
+# Time over which callers that are refused are spread after the next room.
+MAX_PROMISE_S = 8.0
 # Share of the tolerated excess of a window up to which a bucket may go into debt. Copies of a
 # bucket differ by a few requests, which are much of a small quota.
 DEBT_SHARE = 0.25
+# Time after the start within which the level is learned from a peer. Later, the peer's level counts
+# most of what this router has admitted itself.
+LEARNING_S = 2.0
+# Longest time for which the sum over the peers is carried on for a level that is reported.
+REPORTED_LEVEL_AGE_S = 0.5
+# A running total that began within this time counts as a whole when it is first heard of.
+RECENT_TOTAL_S = 8.0
 # Share of the burst that is available after a start of which no peer has told the level. The
 # processes before may have used the whole burst; while none ran, the rate has gone unused.
 START_LEVEL_SHARE = 0.5
 
 
-class UsageRate:
-    """Rate at which units have been used lately."""
-
-    __slots__ = ("_rate_per_s", "_updated_s")
-
-    def __init__(self, now_s: float) -> None:
-        self._rate_per_s = 0.0
-        self._updated_s = now_s
-
-    def add(self, units: float, now_s: float) -> None:
-        """Add units that were used."""
-        # The integral of the decaying weight is the half-life over ln 2.
-        self._rate_per_s = max(0.0, self.per_s(now_s) + units * 0.6931 / RATE_HALF_LIFE_S)
-
-    def per_s(self, now_s: float) -> float:
-        """Units per second."""
-        weight: float = 0.5 ** (max(0.0, now_s - self._updated_s) / RATE_HALF_LIFE_S)
-        self._updated_s = max(now_s, self._updated_s)
-        self._rate_per_s *= weight
-        return self._rate_per_s
-
-
-@dataclass(frozen=True, slots=True)
-class Tolerance:
-    """Use beyond a quota that operators tolerate.
-
-    :param units: in one window, over all routers together.
-    :param window_s: length of the window in seconds.
-    """
-
-    units: float = 0.0
-    window_s: float = 1.0
-
-    @property
-    def per_s(self) -> float:
-        """Units per second."""
-        return self.units / self.window_s
-
-
 @dataclass(slots=True)
 class _PeerUsage:
     """What is known of one peer's use.
 
     :param total: what it has reported, and what it was assumed to use while it was silent.
     :param rate_per_s: rate that it has reported last.
-    :param reported_s: monotonic time of that report.
+    :param reported_s: monotonic time at which that report was sent.
+    :param incarnation: process that has sent it; 0 if there is no report.
+    :param since_s: uptime of the process from which the total counts.
+    :param uptime_s: uptime of the process at that report.
+    :param was_silent: it has been silent since that report.
     """
 
     total: float = 0.0
     rate_per_s: float = 0.0
     reported_s: float = -math.inf
-
-
-@dataclass(frozen=True, slots=True)
-class _SilentUse:
-    """Assumed use of a silent peer."""
-
-    rate_per_s: float
-    since_s: float
+    incarnation: int = 0
+    since_s: float = 0.0
+    uptime_s: float = 0.0
+    was_silent: bool = False
 
 
 class SharedBucket:
@@ -96,100 +68,181 @@
     :param quota: limit of the customer over all routers.
     :param tolerance: what all routers together may use beyond the quota in a window.
     :param is_first_start: no process has admitted anything before.
+    :param generator: source of the level at which a restriction begins.
     :param now_s: monotonic time.
     """
 
     __slots__ = (
         "_bucket",
+        "_generator",
         "_is_level_learned",
+        "_learning_since_s",
+        "_noted_per_s",
         "_own_rate",
+        "_own_total_before",
         "_peers",
         "_promised_s",
+        "_request_size",
         "_restricted",
+        "_settled_s",
         "_silent",
         "_tolerance",
+        "_unreported",
         "own_total",
         "quota",
+        "started_s",
     )
 
     def __init__(
-        self, quota: Quota, tolerance: Tolerance, is_first_start: bool, now_s: float
+        self,
+        quota: Quota,
+        tolerance: Tolerance,
+        is_first_start: bool,
+        generator: random.Random,
+        now_s: float,
     ) -> None:
         self.quota = quota
+        self._generator = generator
         level = quota.burst if is_first_start else START_LEVEL_SHARE * quota.burst
         self._bucket = TokenBucket(quota.rate_per_s, quota.burst, level, now_s)
         self._tolerance = tolerance
         self._is_level_learned = is_first_start
+        self._learning_since_s = now_s
+        self._own_total_before = 0.0
         self._own_rate = UsageRate(now_s)
+        self._request_size = RequestSize()
+        self._noted_per_s = (0.0, 0.0)
         self._peers: dict[str, _PeerUsage] = {}
-        self._silent: dict[str, _SilentUse] = {}
+        self._unreported = UnreportedUse()
+        self._silent: dict[str, float] = {}
+        self._settled_s = now_s
         self._promised_s = now_s
         self._restricted: TokenBucket | None = None
         self.own_total = 0.0
+        self.started_s = now_s
 
     def set_quota(self, quota: Quota, now_s: float) -> None:
         """Change the limit."""
+        self._settle_silent(now_s)
         self.quota = quota
-        self._bucket.set_limit(quota.rate_per_s, quota.burst, now_s)
         self._apply_silent_rates(now_s)
         self._restricted = None
 
+    def resume(self, now_s: float) -> None:
+        """Forget what the peers have used, after a pause of this process.
+
+        What they used meanwhile was as much as became available, not a debt.
+        """
+        for peer in self._peers.values():
+            peer.incarnation = 0
+        self._silent.clear()
+        self._settled_s = now_s
+        self._apply_silent_rates(now_s)
+        level = min(self._bucket.level(now_s), START_LEVEL_SHARE * self.quota.burst)
+        self._bucket.set_level(level, now_s)
+        self._is_level_learned = False
+        self._learning_since_s, self._own_total_before = now_s, self.own_total
+
     def set_silent(self, silent: Mapping[str, float], routers: int, now_s: float) -> None:
         """Set the peers whose reports are missing.
 
         :param silent: monotonic time at which each was last heard, or has become known.
         :param routers: number of routers that share the quota, this one included.
         """
+        self._settle_silent(now_s)
         for router in self._silent.keys() - silent.keys():
-            use = self._silent.pop(router)
-            self._peers[router].total += use.rate_per_s * (now_s - use.since_s)
+            del self._silent[router]
+            self._peers[router].was_silent = True
         for router in silent.keys() - self._silent.keys():
             peer = self._peers.setdefault(router, _PeerUsage())
-            rate_per_s = max(peer.rate_per_s, self._silent_rate_per_s(routers))
-            missed = rate_per_s * (now_s - silent[router])
+            rate_per_s = min(
+                max(peer.rate_per_s, self._silent_rate_per_s(routers)), self.quota.rate_per_s
+            )
+            missed = rate_per_s * (now_s - max(silent[router], self.started_s))
             peer.total += missed
             self._bucket.take(missed, now_s)
-            self._silent[router] = _SilentUse(rate_per_s, now_s)
+            self._silent[router] = rate_per_s
         self._apply_silent_rates(now_s)
 
     def set_peers(self, peers: set[str], now_s: float) -> None:
         """Forget the routers that have gone."""
+        self._settle_silent(now_s)
         for router in self._peers.keys() - peers:
             del self._peers[router]
+            self._unreported.forget(router)
             self._silent.pop(router, None)
         self._apply_silent_rates(now_s)
 
     def apply_report(
-        self, router: str, is_new: bool, total: float, rate_per_s: float, now_s: float
+        self, report: UsageReport, usage: CustomerUsage, sent_s: float, now_s: float
     ) -> None:
         """Take out what a peer has admitted since its last report.
 
-        :param is_new: the peer's process is not the one of its last report.
+        Reports that are overtaken by later ones are left out, as an older total would give back
+        what has been used since.
+
+        :param usage: its row about this customer.
+        :param sent_s: monotonic time at which it was sent.
         """
-        peer = self._peers.get(router)
-        is_known = peer is not None and math.isfinite(peer.reported_s)
-        known = peer.total if peer is not None else 0.0
-        if is_new and is_known:
-            known = 0.0
-        elif not is_known and not self._is_level_learned:
+        peer = self._peers.setdefault(report.router, _PeerUsage())
+        is_same = (peer.incarnation, peer.since_s) == (report.incarnation, usage.since_s)
+        if peer.incarnation == report.incarnation and report.uptime_s < peer.uptime_s:
+            return
+        is_old = report.uptime_s - usage.since_s > RECENT_TOTAL_S
+        used = usage.total - peer.total if is_same else usage.total
+        if self._learn_level(usage.level, sent_s, now_s):
+            used = 0.0
+        elif not peer.incarnation and not self._is_level_learned:
             # What a peer admitted before this process has started is in the level that it reports.
-            known = total
-        self._bucket.take(total - known, now_s)
-        self._peers[router] = _PeerUsage(total, rate_per_s, now_s)
+            used = 0.0
+        elif is_old and (not peer.incarnation or (used > 0 and peer.was_silent)):
+            # Most of what a peer used unheard has long become available again. Its level tells
+            # what remains of it.
+            used = 0.0
+            if usage.level is not None:
+                level = self._refilled(usage.level, sent_s, now_s)
+                self._bucket.set_level(min(self._bucket.level(now_s), level), now_s)
+        self._bucket.take(used, now_s)
+        self._unreported.record(report.router, usage.rate_per_s, sent_s, now_s)
+        self._peers[report.router] = _PeerUsage(
+            usage.total,
+            usage.rate_per_s,
+            sent_s,
+            report.incarnation,
+            usage.since_s,
+            report.uptime_s,
+        )
 
-    def learn_level(self, level: float, now_s: float) -> None:
-        """Take over the level from a peer that has known the bucket for longer."""
-        if self._is_level_learned:
-            return
+    def _learn_level(self, level: float | None, sent_s: float, now_s: float) -> bool:
+        """Take over the level from a peer that has known the bucket for longer, if it is needed.
+
+        :param sent_s: monotonic time at which the peer sent it.
+        """
+        if self._is_level_learned or level is None:
+            return False
         self._is_level_learned = True
-        self._bucket.set_level(level - self.own_total, now_s)
+        if now_s - self._learning_since_s > LEARNING_S:
+            return False
+        used = self.own_total - self._own_total_before
+        self._bucket.set_level(self._refilled(level, sent_s, now_s) - used, now_s)
+        return True
 
-    def level(self, heard_s: Mapping[str, float], now_s: float) -> float:
+    def level(
+        self, heard_s: Mapping[str, float], now_s: float, max_age_s: float = MAX_AGE_S
+    ) -> float:
         """Units that are probably available in the whole fleet.
 
         :param heard_s: monotonic time at which each peer was last heard.
+        :param max_age_s: longest time for which the sum over the peers may be carried on.
         """
-        return self._bucket.level(now_s) - self._unreported(heard_s, now_s)
+        missing = self._unreported.units(heard_s, self._silent, now_s, max_age_s)
+        return self._bucket.level(now_s) - missing
+
+    def known_level(self, heard_s: Mapping[str, float], now_s: float) -> float | None:
+        """Level to be reported; None if this router has neither learned it nor seen a window."""
+        if not self._is_level_learned and now_s - self._learning_since_s < RECENT_TOTAL_S:
+            return None
+        return self.level(heard_s, now_s, REPORTED_LEVEL_AGE_S)
 
     def rate_per_s(self, now_s: float) -> float:
         """Rate of what this router has admitted."""
@@ -201,7 +254,8 @@
         :param heard_s: monotonic time at which each peer was last heard.
         """
         self._restricted = None
-        if self.level(heard_s, now_s) < -DEBT_SHARE * self._tolerance.units:
+        self._request_size.add(units)
+        if self.level(heard_s, now_s) < -self._max_debt:
             return False
         self.charge(units, now_s)
         return True
@@ -211,6 +265,7 @@
 
         :param routers: number of routers that share the quota, this one included.
         """
+        self._request_size.add(units)
         restricted = self._enter_restriction(routers, now_s)
         if restricted.level(now_s) < 0:
             return False
@@ -224,49 +279,84 @@
         self._own_rate.add(units, now_s)
         self.own_total += units
 
+    def note_rate(self, now_s: float) -> None:
+        """Keep the rate at which this router admits, at regular intervals."""
+        self._noted_per_s = (self._noted_per_s[1], self._own_rate.per_s(now_s))
+
     def room_after_s(self, units: float, heard_s: Mapping[str, float], now_s: float) -> float:
-        """Time until a refused request finds room, after those that were told to return before."""
+        """Time until a refused request finds room, after those that were told to return before.
+
+        Most refused callers do not return. Those that were told times further ahead than
+        MAX_PROMISE_S leave the room that they were promised, and the next ones get it.
+        """
         if self._restricted is not None:
             level, own_per_s = self._restricted.level(now_s), self._restricted.rate_per_s
             free_per_s = own_per_s
         else:
-            level = self.level(heard_s, now_s) + DEBT_SHARE * self._tolerance.units
+            level = self.level(heard_s, now_s) + self._max_debt
             free_per_s = self.quota.rate_per_s
             # The part of the rate that other routers use is not available to this one's callers.
-            others_per_s = sum(peer.rate_per_s for peer in self._peers.values())
-            own_per_s = max(free_per_s - others_per_s, free_per_s / (len(heard_s) + 1))
+            own_per_s = max(
+                free_per_s - self._unreported.rate_per_s, free_per_s / (len(heard_s) + 1)
+            )
         free_s = now_s + max(0.0, -level) / free_per_s
-        self._promised_s = max(free_s, self._promised_s + units / own_per_s)
-        return self._promised_s - now_s
+        promised_s = self._promised_s + units / own_per_s
+        if not free_s <= promised_s <= free_s + MAX_PROMISE_S:
+            promised_s = free_s
+        self._promised_s = promised_s
+        return promised_s - now_s
+
+    @property
+    def _tolerated_per_s(self) -> float:
+        return self._tolerance.units_of(self.quota) / self._tolerance.window_s
+
+    @property
+    def _max_debt(self) -> float:
+        return DEBT_SHARE * self._tolerance.units_of(self.quota)
+
+    def _refilled(self, level: float, since_s: float, now_s: float) -> float:
+        """Level now of a bucket that had a level at some time."""
+        return min(self.quota.burst, level + (now_s - since_s) * self._bucket.rate_per_s)
 
     def _silent_rate_per_s(self, routers: int) -> float:
         """Rate that a router which is not heard may use, however little it used before."""
-        return SILENT_SHARE * (self.quota.rate_per_s + self._tolerance.per_s) / routers
+        return SILENT_SHARE * (self.quota.rate_per_s + self._tolerated_per_s) / routers
 
     def _apply_silent_rates(self, now_s: float) -> None:
         """Let the bucket refill by what the silent peers leave of the rate."""
-        used_per_s = sum(use.rate_per_s for use in self._silent.values())
-        tolerated_per_s = (
-            SILENT_SHARE * self._tolerance.per_s * len(self._silent) / (len(self._peers) + 1)
-        )
-        rate_per_s = max(0.0, self.quota.rate_per_s + tolerated_per_s - used_per_s)
-        self._bucket.set_limit(rate_per_s, self.quota.burst, now_s)
+        self._unreported.recompute()
+        rate_per_s = max(0.0, self.quota.rate_per_s - sum(self._silent.values()))
+        if self._silent:
+            tolerated_per_s = SILENT_SHARE * self._tolerated_per_s
+            rate_per_s += tolerated_per_s * len(self._silent) / (len(self._peers) + 1)
+        self._bucket.set_limit(min(rate_per_s, self.quota.rate_per_s), self.quota.burst, now_s)
+
+    def _settle_silent(self, now_s: float) -> None:
+        """Add to the totals of the silent peers what the bucket was not refilled with for them.
+
+        The next report of a peer gives back what it has not used. It must not give back more than
+        was withheld, which is less than the peers together may have used.
+        """
+        passed_s, self._settled_s = now_s - self._settled_s, now_s
+        assumed_per_s = sum(self._silent.values())
+        if assumed_per_s:
+            withheld_per_s = self.quota.rate_per_s - self._bucket.rate_per_s
+            for router, rate_per_s in self._silent.items():
+                self._peers[router].total += passed_s * withheld_per_s * rate_per_s / assumed_per_s
 
     def _enter_restriction(self, routers: int, now_s: float) -> TokenBucket:
         """Bucket of a router that the others count by its last reported rate."""
         if self._restricted is None:
-            rate_per_s = max(self._own_rate.per_s(now_s), self._silent_rate_per_s(routers))
-            burst = SILENT_SHARE * self.quota.burst / routers
-            self._restricted = TokenBucket(rate_per_s, burst, burst, now_s)
+            share_per_s = self._silent_rate_per_s(routers)
+            # What the peers have heard is as old as the restriction takes to be noticed.
+            rate_per_s = min(max(min(self._noted_per_s), share_per_s), self.quota.rate_per_s)
+            burst_s = self.quota.burst / self.quota.rate_per_s
+            burst = max(
+                RESTRICTED_BURST * rate_per_s * burst_s, SILENT_SHARE * self.quota.burst / routers
+            )
+            level = min(burst, max(0.0, self._bucket.level(now_s)))
+            # A bucket goes into debt for a request that is larger than its level. If all routers
+            # began at 0, each would admit a large request at once, whatever its share is.
+            level -= self._generator.random() * self._request_size.units
+            self._restricted = TokenBucket(rate_per_s, burst, level, now_s)
         return self._restricted
-
-    def _unreported(self, heard_s: Mapping[str, float], now_s: float) -> float:
-        """Units that the peers have probably admitted since they were last heard."""
-        units = 0.0
-        for router, peer in self._peers.items():
-            if not peer.rate_per_s or router in self._silent:
-                continue
-            weight = 0.5 ** ((now_s - peer.reported_s) / RATE_HALF_LIFE_S)
-            missing_s = now_s - heard_s.get(router, now_s) + REPORT_DELAY_S
-            units += peer.rate_per_s * weight * missing_s
-        return units
--- /dev/null
+++ b/coltsfootfront/tests/test_quotas.py
@@ -0,0 +1,524 @@
+"""Tests of quotas that routers keep together, on a virtual clock and without a network."""
+
+import random
+import unittest
+from unittest import mock
+
+import logbook
+
+from coltsfootfront.common.decoding import DecodingError
+from coltsfootfront.quotas.quota import Quota, QuotaUnit
+from coltsfootfront.quotas.quotas import Quotas
+from coltsfootfront.quotas.unreported import UnreportedUse
+from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
+from coltsfootfront.tests.quota_fleet import (
+    CUSTOMER,
+    TOLERANCE,
+    QuotaFleet,
+    VirtualClock,
+    make_quota,
+)
+
+RATE_PER_S = 100_000.0
+PEER = "10.0.0.2:80"
+
+
+def mixed_units(generator: random.Random) -> int:
+    """Units of a request, from a quick check to a long analysis."""
+    return int(200 * 270 ** generator.random())
+
+
+class OneRouter:
+    """One router that tests send reports of scripted peers."""
+
+    def __init__(self, peers: int = 1, is_first_start: bool = True) -> None:
+        self.clock = VirtualClock()
+        self.quotas = Quotas(self.clock, "10.0.0.1:80", is_first_start, random.Random(1))
+        self.peers = [f"10.0.0.{number + 2}:80" for number in range(peers)]
+        self.quotas.set_routers({"10.0.0.1:80", *self.peers})
+        self.quotas.set_tolerance(TOLERANCE)
+        self.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+
+    @property
+    def level(self) -> float:
+        """Units that the router takes to be available."""
+        state = self.quotas.describe(CUSTOMER)
+        assert state is not None
+        return float(state["available"])
+
+    @property
+    def bucket_level(self) -> float:
+        """Units available without what peers have probably used since their reports."""
+        return self.quotas._buckets[CUSTOMER]._bucket.level(self.clock.now_s)
+
+    @property
+    def is_unheard(self) -> bool:
+        """Whether the router keeps to what its peers take it to admit."""
+        state = self.quotas.describe(CUSTOMER)
+        assert state is not None
+        return bool(state["is_unheard"])
+
+    def hear(
+        self,
+        total: float | None,
+        uptime_s: float,
+        peer: str = PEER,
+        incarnation: int = 5,
+        rate_per_s: float = 0.0,
+        level: float | None = RATE_PER_S,
+        unheard: tuple[str, ...] = (),
+        since_s: float = 0.0,
+    ) -> None:
+        """Deliver a report; with no total, it has no row."""
+        rows: tuple[CustomerUsage, ...] = ()
+        if total is not None:
+            rows = (CustomerUsage(CUSTOMER, total, rate_per_s, level, since_s),)
+        report = UsageReport(peer, incarnation, uptime_s, unheard, rows)
+        self.quotas.handle_report(UsageReport.from_fields(report.to_fields()))
+
+
+class UsageReportTest(unittest.TestCase):
+    def test_report_of_a_router_that_has_run_for_weeks_is_read(self) -> None:
+        """Guards against routers that nobody hears any more 11.6 days after their start."""
+        report = UsageReport("10.0.0.1:80", 5, 90 * 86400.0, (), (CustomerUsage("a", 9, 8, -7),))
+        self.assertEqual(report, UsageReport.from_fields(report.to_fields()))
+
+    def test_row_that_is_malformed_does_not_keep_the_others_back(self) -> None:
+        """Guards against the loss of 17 customers' usage because of one odd row."""
+        report = UsageReport("10.0.0.1:80", 5, 1.0, (), (CustomerUsage("a", 9, 8, -7),))
+        for odd in (None, [], ["b", 1], ["b", "1", 1, 1], ["b", float("nan"), 1, 1]):
+            with self.subTest(odd):
+                fields = report.to_fields()
+                fields[4].insert(0, odd)
+                with logbook.TestHandler().applicationbound() as records:
+                    self.assertEqual(report, UsageReport.from_fields(fields))
+                self.assertEqual(1, len(records.records))
+
+    def test_report_without_its_router_is_refused(self) -> None:
+        """Guards against usage that is applied to no router or to the wrong process."""
+        fields = UsageReport("10.0.0.1:80", 5, 1.0).to_fields()
+        for position, odd in ((0, None), (1, -1), (1, 2**64), (2, "1"), (3, 7), (4, {})):
+            with self.subTest(position=position, odd=odd):
+                changed = list(fields)
+                changed[position] = odd
+                with self.assertRaises(DecodingError):
+                    UsageReport.from_fields(changed)
+
+
+class RunningTotalTest(unittest.TestCase):
+    def test_report_that_is_overtaken_gives_nothing_back(self) -> None:
+        """Guards against use that is counted off when an older report arrives after a newer."""
+        router = OneRouter()
+        router.hear(10_000, 1.0)
+        router.hear(50_000, 2.0)
+        self.assertAlmostEqual(50_000, router.level)
+        for _ in range(3):
+            router.hear(10_000, 1.0)
+            self.assertAlmostEqual(50_000, router.level)
+        router.hear(60_000, 3.0)
+        self.assertAlmostEqual(40_000, router.level)
+
+    def test_report_that_is_doubled_counts_once(self) -> None:
+        """Guards against use that is counted as often as its report arrives."""
+        router = OneRouter()
+        for _ in range(3):
+            router.hear(30_000, 1.0)
+        self.assertAlmostEqual(70_000, router.level)
+
+    def test_late_report_of_an_ended_process_counts_nothing(self) -> None:
+        """Guards against totals of two processes that are counted in turn, each as a new one."""
+        router = OneRouter()
+        router.hear(50_000, 2.0, incarnation=5)
+        router.hear(1_000, 0.1, incarnation=6)
+        self.assertAlmostEqual(49_000, router.level)
+        for uptime_s in (1.9, 2.1):
+            router.hear(50_000, uptime_s, incarnation=5)
+            router.hear(1_000, 0.2, incarnation=6)
+            self.assertAlmostEqual(49_000, router.level)
+
+    def test_total_that_refunds_lower_gives_back(self) -> None:
+        """Guards against refunds at peers that are taken for reports out of order."""
+        router = OneRouter()
+        router.hear(50_000, 1.0)
+        router.hear(20_000, 1.1)
+        self.assertAlmostEqual(80_000, router.level)
+
+    def test_word_that_it_is_unheard_is_not_taken_back_by_an_older_report(self) -> None:
+        """Guards against a router that leaves its restriction because of an old report."""
+        router = OneRouter()
+        router.hear(None, 2.0, unheard=("10.0.0.1:80",))
+        router.hear(None, 1.0)
+        self.assertTrue(router.is_unheard)
+
+    def test_total_that_is_older_than_the_quota_here_is_no_debt(self) -> None:
+        """Guards against hours without service after a quota is removed and set again."""
+        router = OneRouter()
+        router.hear(50_000, 1.0)
+        router.quotas.set_quotas({})
+        router.clock.now_s += 3600
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+        # The peer has skipped the configuration without the quota.
+        router.hear(300_000_000, 3601.0, level=60_000)
+        self.assertAlmostEqual(60_000, router.level)
+        router.hear(300_010_000, 3601.1, level=60_000)
+        self.assertAlmostEqual(50_000, router.level)
+
+    def test_total_that_begins_anew_is_counted_as_a_new_one(self) -> None:
+        """Guards against a burst that is given away when only a peer has lost the quota."""
+        router = OneRouter()
+        router.hear(300_000, 10.0, level=RATE_PER_S)
+        for tick in range(1, 21):
+            router.clock.now_s += 0.5
+            router.hear(300_000, 10.0 + tick / 2)
+        router.hear(40_000, 20.0, since_s=19.5)
+        self.assertAlmostEqual(60_000, router.level)
+
+    def test_total_of_a_router_that_comes_back_is_no_debt(self) -> None:
+        """Guards against refusals for minutes when a router's entry was away for some seconds."""
+        router = OneRouter()
+        router.hear(300_000_000, 3600.0)
+        router.quotas.set_routers({"10.0.0.1:80"})
+        router.clock.now_s += 10
+        router.quotas.set_routers({"10.0.0.1:80", *router.peers})
+        router.hear(300_500_000, 3610.0, level=20_000)
+        self.assertAlmostEqual(20_000, router.level)
+
+
+class PausedRouterTest(unittest.TestCase):
+    def test_reports_that_waited_during_a_pause_do_not_count_as_heard(self) -> None:
+        """Guards against a whole burst that a resumed router admits before it reads the news."""
+        router = OneRouter(peers=3)
+        for tick in range(100):
+            router.clock.now_s = 100 + tick / 10
+            for peer in router.peers:
+                router.hear(tick * 1000.0, tick / 10, peer)
+        self.assertFalse(router.is_unheard)
+        # The process is paused for 5 s, and then reads what has come meanwhile, oldest first.
+        router.clock.now_s += 5.0
+        self.assertTrue(router.is_unheard)
+        for tick in range(100, 135):
+            for peer in router.peers:
+                router.hear(tick * 1000.0, tick / 10, peer)
+        self.assertTrue(router.is_unheard)
+        for tick in range(135, 149):
+            for peer in router.peers:
+                router.hear(tick * 1000.0, tick / 10, peer)
+        router.clock.now_s += 0.05
+        self.assertFalse(router.is_unheard)
+
+    def test_use_of_the_peers_during_a_pause_is_no_debt(self) -> None:
+        """Guards against seconds without service at a resumed router, although its peers have
+        used no more than the quota."""
+        router = OneRouter()
+        for tick in range(100):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            router.hear(tick * 10_000.0, tick / 10, rate_per_s=RATE_PER_S)
+        router.clock.now_s += 10.0
+        for tick in range(100, 200):
+            router.hear(tick * 10_000.0, tick / 10, rate_per_s=RATE_PER_S, level=0.0)
+        self.assertGreater(router.bucket_level, -0.5 * RATE_PER_S)
+        self.assertLess(router.bucket_level, 0.5 * RATE_PER_S)
+
+    def test_peer_whose_clock_stood_still_is_heard_again(self) -> None:
+        """Guards against a peer that counts as silent for hours after a suspension of its VM."""
+        router = OneRouter()
+        for tick in range(130):
+            # Its VM is suspended for 60 s, without its clock going on.
+            router.clock.now_s = 100 + tick / 10 + (60 if tick >= 100 else 0)
+            router.hear(None, tick / 10)
+        self.assertFalse(router.is_unheard)
+
+    def test_clocks_that_drift_apart_do_not_silence_a_peer(self) -> None:
+        """Guards against peers that are taken for paused after hours, by the drift of clocks."""
+        router = OneRouter()
+        for tick in range(40_000):
+            router.clock.now_s = 100 + tick * 1.0001
+            router.hear(None, float(tick))
+        self.assertFalse(router.is_unheard)
+
+
+class StartTest(unittest.TestCase):
+    def test_level_is_not_learned_long_after_the_start(self) -> None:
+        """Guards against refusals 8 s after all routers have started, when the first of them knows
+        the level and the others take off what they have admitted since their start."""
+        router = OneRouter(is_first_start=False)
+        for tick in range(81):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            router.hear(tick * 4_000.0, tick / 10, level=80_000.0 if tick == 80 else None)
+            self.assertIsNone(router.quotas.admit(CUSTOMER, 4_000, 0), tick)
+        self.assertGreater(router.level, 0.5 * RATE_PER_S)
+
+    def test_level_is_learned_from_a_peer_that_has_run_for_longer(self) -> None:
+        """Guards against half a burst that each router gives away after it has started."""
+        router = OneRouter(is_first_start=False)
+        router.hear(1e9, 1000.0, level=-20_000.0)
+        self.assertAlmostEqual(-20_000.0, router.level)
+
+    def test_level_is_learned_from_a_peer_that_has_learned_it(self) -> None:
+        """Guards against half a burst given away at each of many restarts, as no peer has run for
+        long."""
+        router = OneRouter(is_first_start=False)
+        router.hear(1_000.0, 3.0, level=None)
+        self.assertGreater(router.level, 0.0)
+        router.hear(2_000.0, 3.1, level=-20_000.0)
+        self.assertAlmostEqual(-20_000.0, router.level, delta=100.0)
+
+    def test_router_that_has_just_started_tells_no_level(self) -> None:
+        """Guards against a level that is guessed and then learned from by others."""
+        router = OneRouter(is_first_start=False)
+        router.quotas.charge(CUSTOMER, 100, 0)
+        levels = []
+        for tick in range(90):
+            router.clock.now_s = 100 + tick / 10
+            if not tick % 10:
+                router.quotas.charge(CUSTOMER, 100, 0)
+            for fields in router.quotas.take_reports():
+                levels += [row.level for row in UsageReport.from_fields(fields).usages]
+        self.assertEqual({None}, set(levels[:8]))
+        self.assertIsNotNone(levels[-1])
+
+
+class SilentPeerTest(unittest.TestCase):
+    def test_customer_that_is_added_while_a_peer_is_silent(self) -> None:
+        """Guards against a new quota that leaves out the routers that are not heard."""
+        router = OneRouter(peers=3)
+        for tick in range(30):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            for peer in router.peers[1:]:
+                router.hear(None, tick / 10, peer)
+        router.quotas.set_quotas({})
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+        self.assertTrue(router.quotas.admit(CUSTOMER, 100_000, 0) is None)
+        level = router.level
+        router.clock.now_s += 0.5
+        # An equal share is a quarter; the silent peer is taken to use half of one.
+        self.assertLess(router.level - level, 0.95 * 0.5 * RATE_PER_S)
+
+    def test_silent_peers_give_back_no_more_than_was_withheld(self) -> None:
+        """Guards against a burst that appears when routers return which together were counted
+        with several times the quota."""
+        router = OneRouter(peers=8)
+        for peer in router.peers:
+            router.hear(50_000, 1.0, peer, rate_per_s=RATE_PER_S)
+        self.assertAlmostEqual(-3 * RATE_PER_S, router.bucket_level)
+        for _ in range(20):
+            router.clock.now_s += 0.1
+            router.quotas.take_reports()
+        before = router.bucket_level
+        for peer in router.peers:
+            router.hear(50_000, 3.0, peer)
+        # Nothing was used for two seconds.
+        self.assertAlmostEqual(-RATE_PER_S, router.bucket_level, delta=1.0)
+        self.assertLess(before, -RATE_PER_S)
+
+    def test_use_of_a_peer_that_was_not_heard_is_no_debt(self) -> None:
+        """Guards against seconds without service at a router that could not hear its peers while
+        they used the quota and no more."""
+        router = OneRouter(peers=3)
+        for tick in range(200):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            if not 50 <= tick < 150:
+                for peer in router.peers:
+                    router.hear(max(0, tick - 50) * 3_333.0, tick / 10, peer, level=0.0)
+        self.assertGreater(router.bucket_level, -0.5 * RATE_PER_S)
+        self.assertLess(router.bucket_level, 0.5 * RATE_PER_S)
+
+    def test_successor_of_a_process_that_has_not_reported_since_a_pause(self) -> None:
+        """Guards against a burst given away for the total of a process that has ended."""
+        router = OneRouter(peers=2)
+        router.hear(1e9, 1000.0, level=0.0)
+        router.clock.now_s += 5.0
+        router.hear(None, 1005.0)
+        router.hear(5.0, 1000.0, router.peers[1], level=0.0)
+        router.hear(20_000, 0.5, incarnation=6)
+        self.assertAlmostEqual(-20_000, router.bucket_level)
+
+
+class RestrictedRouterTest(unittest.TestCase):
+    def _send_all_here(self, router: OneRouter, for_s: float) -> float:
+        """Send four times the quota to a router that hears nobody; return what it admits."""
+        admitted = 0.0
+        for _ in range(round(for_s * 100)):
+            router.clock.now_s += 0.01
+            router.quotas.take_reports()
+            if router.quotas.admit(CUSTOMER, 4_000, 0) is None:
+                admitted += 4_000
+        return admitted
+
+    def _run_with_peers(self, router: OneRouter, for_s: float, units: int) -> None:
+        """Let a customer send units here 100 times a second, while the peers are heard."""
+        begin_s = router.clock.now_s
+        for tick in range(round(for_s * 100)):
+            router.clock.now_s = begin_s + tick / 100
+            router.quotas.take_reports()
+            self.assertIsNone(router.quotas.admit(CUSTOMER, units, 0))
+            for peer in router.peers if not tick % 10 else ():
+                router.hear(None, router.clock.now_s - 100, peer)
+
+    def test_customer_that_moves_to_a_router_as_it_is_cut_off(self) -> None:
+        """Guards against a router that goes on with a rate that its peers have not heard of."""
+        router = OneRouter(peers=3)
+        self._run_with_peers(router, 5.0, 10)
+        # It takes a second to notice.
+        self._send_all_here(router, 1.5)
+        self.assertTrue(router.is_unheard)
+        self.assertLess(self._send_all_here(router, 6.0), 6.0 * 0.3 * RATE_PER_S)
+
+    def test_limit_that_is_lowered_binds_a_router_that_is_not_heard(self) -> None:
+        """Guards against a router that keeps to its rate of before, above the whole new limit."""
+        router = OneRouter(peers=3)
+        self._run_with_peers(router, 5.0, 900)
+        self._send_all_here(router, 2.0)
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S / 10)})
+        admitted = self._send_all_here(router, 8.0)
+        self.assertLess(admitted, 9.9 * RATE_PER_S / 10)
+
+    def test_requests_larger_than_the_shares_of_routers_that_hear_nobody(self) -> None:
+        """Guards against a large request that each of many unheard routers admits at once, for a
+        customer whose quota in a second is less than one of them."""
+        fleet = QuotaFleet(23, make_quota(36_000))
+        fleet.run(5.0, 4 * 36_000, lambda: mixed_units(fleet.generator))
+        fleet.cuts = {(a, b) for a in range(23) for b in range(23)}
+        fleet.run(12.0, 4 * 36_000, lambda: mixed_units(fleet.generator))
+        self.assertLess(fleet.most_used(), fleet.allowed)
+
+
+class NamedPeersTest(unittest.TestCase):
+    def test_each_of_many_routers_that_are_missed_learns_of_it(self) -> None:
+        """Guards against routers that go on as if heard, as too many are missing to name all."""
+        router = OneRouter(peers=200)
+        named: set[str] = set()
+        for tick in range(50):
+            router.clock.now_s = 100 + tick / 10
+            for peer in router.peers[90:]:
+                router.hear(None, tick / 10, peer)
+            for fields in router.quotas.take_reports():
+                named.update(UsageReport.from_fields(fields).unheard)
+        self.assertEqual(set(router.peers[:90]), named)
+
+    def test_router_that_is_named_by_turns_stays_restricted(self) -> None:
+        """Guards against a restriction that ends with the next report, which names others."""
+        router = OneRouter()
+        names = tuple(f"10.0.1.{number}:80" for number in range(32))
+        for tick in range(80):
+            router.clock.now_s = 100 + tick / 10
+            is_turn = tick % 20 == 0
+            unheard = (*names[1:], "10.0.0.1:80") if is_turn else names
+            router.hear(None, tick / 10, unheard=unheard)
+            self.assertTrue(router.is_unheard)
+        router.hear(None, 8.0)
+        router.clock.now_s += 0.05
+        self.assertFalse(router.is_unheard)
+
+
+class CostOfDecisionTest(unittest.TestCase):
+    def test_decision_does_not_walk_all_peers(self) -> None:
+        """Guards against 94 microseconds per request, and 10 ms per report, among 300 routers."""
+        router = OneRouter(peers=250)
+        names = [f"customer-{number}" for number in range(140)]
+        router.quotas.set_quotas({name: make_quota(1e9) for name in names})
+        for peer in router.peers:
+            rows = tuple(CustomerUsage(name, 1000, 300, 1e9) for name in names)
+            router.quotas.handle_report(UsageReport(peer, 5, 1.0, (), rows))
+        with mock.patch.object(
+            UnreportedUse, "_compute", autospec=True, side_effect=UnreportedUse._compute
+        ) as compute:
+            for _ in range(20):
+                router.clock.now_s += 0.002
+                for name in names:
+                    self.assertIsNone(router.quotas.admit(name, 100, 10))
+            self.assertEqual(len(names), compute.call_count)
+
+    def test_sum_that_is_carried_on_equals_the_one_that_is_computed(self) -> None:
+        """Guards against a level that drifts from what the peers have reported."""
+        generator = random.Random(3)
+        use = UnreportedUse()
+        now_s = 100.0
+        heard_s: dict[str, float] = {}
+        for _ in range(500):
+            now_s += generator.uniform(0, 0.004)
+            peer = f"10.0.0.{generator.randrange(2, 12)}:80"
+            heard_s[peer] = now_s
+            use.record(peer, generator.choice((0.0, 100.0, 5000.0)), now_s, now_s)
+            carried = use.units(heard_s, (), now_s)
+            use.recompute()
+            computed = use.units(heard_s, (), now_s)
+            self.assertAlmostEqual(computed, carried, delta=0.02 * computed + 1e-6)
+
+    def test_reports_are_few_and_leave_nobody_out(self) -> None:
+        """Guards against 80 messages per second from each of 300 routers to each other one."""
+        router = OneRouter()
+        names = [f"customer-{number}" for number in range(140)]
+        router.quotas.set_quotas({name: make_quota(1e9) for name in names})
+        reported: set[str] = set()
+        for _ in range(5):
+            for name in names:
+                router.quotas.admit(name, 100, 10)
+            router.clock.now_s += 0.1
+            reports = router.quotas.take_reports()
+            self.assertLessEqual(len(reports), 2)
+            for fields in reports:
+                usages = UsageReport.from_fields(fields).usages
+                reported.update(usage.customer for usage in usages)
+        self.assertEqual(set(names), reported)
+
+
+class RequestQuotaTest(unittest.TestCase):
+    def test_tolerated_tokens_are_not_requests(self) -> None:
+        """Guards against 35,000 requests above a quota of a few requests per second."""
+        router = OneRouter()
+        router.hear(None, 1.0)
+        router.quotas.set_quotas({CUSTOMER: Quota(5.0, 10.0)})
+        admitted = sum(router.quotas.admit(CUSTOMER, 500, 5) is None for _ in range(1000))
+        self.assertGreaterEqual(admitted, 10)
+        self.assertLessEqual(admitted, 13)
+
+    def test_burst_of_0_lets_the_rate_through(self) -> None:
+        """Guards against a customer that is never served, as its quota has no burst."""
+        router = OneRouter(peers=0)
+        for quota in (Quota(5.0, 0.0), Quota(5_000.0, 0.0, QuotaUnit.TOKENS)):
+            with self.subTest(quota):
+                router.quotas.set_quotas({})
+                router.quotas.set_quotas({CUSTOMER: quota})
+                admitted = 0
+                for _ in range(8000):
+                    router.clock.now_s += 0.01
+                    admitted += router.quotas.admit(CUSTOMER, 1000, 0) is None
+                tolerated = TOLERANCE.units_of(quota) / quota.cost(1000, 0)
+                self.assertGreaterEqual(admitted, 400)
+                self.assertLessEqual(admitted, 400 + tolerated + 1)
+
+
+class RefusedCallerTest(unittest.TestCase):
+    def test_time_of_the_next_room_stays_near(self) -> None:
+        """Guards against callers that are told to return in an hour, as each refused one before
+        them counts although most do not return."""
+        router = OneRouter(peers=0)
+        waits_s: list[float] = []
+        for _ in range(60_000):
+            router.clock.now_s += 0.01
+            wait_s = router.quotas.admit(CUSTOMER, 4_000, 0)
+            if wait_s is not None:
+                waits_s.append(wait_s)
+        self.assertGreater(min(waits_s), 0.0)
+        self.assertLess(max(waits_s), 9.0)
+        # They are spread, so that those who return do not all come at once.
+        early = sum(wait_s < 2.0 for wait_s in waits_s) / len(waits_s)
+        self.assertTrue(0.1 < early < 0.4, early)
+
+    def test_log_of_a_customer_near_its_quota_is_bounded(self) -> None:
+        """Guards against two log lines per second for each customer that stays near its quota."""
+        router = OneRouter(peers=0)
+        with logbook.TestHandler().applicationbound() as records:
+            for _ in range(600):
+                router.clock.now_s += 0.1
+                if not router.quotas.admit(CUSTOMER, 300_000, 0):
+                    router.quotas.refund(CUSTOMER, 300_000, 0)
+                router.clock.now_s += 1.1
+                router.quotas.admit(CUSTOMER, 400_000, 0)
+                router.quotas.admit(CUSTOMER, 400_000, 0)
+        self.assertLess(len(records.records), 20)
