--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -39,6 +39,14 @@
     "Difference between the expected and the measured time to the first event.",
     buckets=TIME_BUCKETS_S,
 )
+HELD_REQUESTS = Gauge(
+    "coltsfootfront_held_requests", "Prompts that wait at this router until a target has room."
+)
+HOLD_DURATION_S = Histogram(
+    "coltsfootfront_hold_seconds",
+    "Time for which prompts waited until a target had room.",
+    buckets=TIME_BUCKETS_S,
+)
 QUOTA_REQUESTS = Counter(
     "coltsfootfront_quota_requests_total", "Requests of customers with a quota, by outcome."
 )
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -21,6 +21,7 @@
 from coltsfootfront.direct import admission, gossip
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
+from coltsfootfront.direct.capacitywait import CapacityWait, NoCapacityError
 from coltsfootfront.direct.crashobserver import CrashObserver
 from coltsfootfront.direct.directory import Directory, MovableExchange, Target
 from coltsfootfront.direct.events import StreamBrokenError
@@ -136,8 +137,10 @@
         take_ups: TakeUps,
         quotas: Quotas,
         target_work: TargetWorkRecorder,
+        capacity_wait: CapacityWait,
         generator: random.Random,
     ) -> None:
+        self._capacity_wait = capacity_wait
         self._clock = clock
         self._target_work = target_work
         self._prefill_rates = prefill_rates
@@ -347,7 +350,7 @@
             await self._await_budget(state)
             state.placement = await self._take_replacement(state)
             if state.placement is None:
-                state.placement = await self._wait_for_target(state)
+                state.placement = await self._wait_for_room(state)
             state.placed_s = self._clock.monotonic_s() - state.request.received_s
             # Its parts may have been quarantined since it arrived or since it was last sent.
             self._check_quarantine(state)
@@ -419,8 +422,14 @@
         crashes = self._quarantine.count_crashes(state.request.digest, lost_at)
         return crashes + (lost_at is not None) >= MAX_CRASHES_BY_ATTEMPTS
 
-    async def _wait_for_target(self, state: RequestState) -> Placement:
+    async def _wait_for_room(self, state: RequestState) -> Placement:
         wait_until_s = _placement_deadline_s(state)
+        try:
+            return await self._capacity_wait.place(state, wait_until_s, self._wait_for_target)
+        except NoCapacityError as error:
+            raise self._refusal(state, str(error), error.room_after_s) from None
+
+    async def _wait_for_target(self, state: RequestState, wait_until_s: float) -> Placement:
         while True:
             self._check_stop(state)
             now_s = self._clock.monotonic_s()
@@ -536,9 +545,6 @@
             return self._plain_selector.choose(targets, state.route.name)
         service = self.routing_config.services.get(state.service)
         engine_properties = service.engine if service else None
-        rank_offset = state.route.priority
-        if state.customer is not None and state.customer.priority is not None:
-            rank_offset = state.customer.priority
         return self._prompt_selector.choose(
             state.request,
             self.routing_config.cache_scope(state.customer),
@@ -546,7 +552,7 @@
             wait_until_s,
             engine_properties,
             self.routing_config.kept_caches(),
-            rank_offset,
+            state.urgency,
         )
 
     def _refusal(
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -24,6 +24,7 @@
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
+from coltsfootfront.direct.capacitywait import CapacityWait
 from coltsfootfront.direct.crashobserver import CrashObserver
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.forwarder import Forwarder
@@ -72,6 +73,7 @@
 from coltsfootfront.quotas.quotas import Quotas
 from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import UsageReport
+from coltsfootfront.scheduling.dispatchqueue import DispatchQueue
 
 log = logbook.Logger(__name__)
 
@@ -215,6 +217,7 @@
         self._gossip = Gossip(self._handle_message, settings.region, generator)
         self._gossip.router = settings.name
         self._costs = CostModel()
+        self._dispatch_queue = DispatchQueue(clock)
         self._directory = Directory(clock, settings.regions)
         self._versions = WeightVersions(clock, self._directory, bounds.version_s, bounds.stable_s)
         self._cache_index = CacheIndex(clock)
@@ -370,6 +373,7 @@
         supervisor.add("quarantine_writes", self._quarantine.run_writes)
         supervisor.add("builds", self._builds.run)
         supervisor.add("limits", self._limits.run)
+        supervisor.add("dispatch_queue", self._dispatch_queue.run)
         supervisor.add("permits", self._permits.run)
         supervisor.add("roster", self._drop_routers)
         supervisor.add("gossip", self._gossip.flush)
@@ -539,6 +543,7 @@
             self._take_ups,
             self._quotas,
             self._target_work,
+            CapacityWait(self._clock, self._dispatch_queue),
             self._generator,
         )
 
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -78,6 +78,13 @@
     is_counted: bool = False
     work: AttemptWork | None = None
 
+    @property
+    def urgency(self) -> int:
+        """Urgency of the request, 0 is the highest; the customer's goes before the route's."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
     def may_serve(self, target: Target) -> bool:
         """Whether a target may serve the request, as it is by now."""
         return not self.build or (target.entry.build_key == self.build and target.is_usable())
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -96,6 +96,8 @@
     """The target is prefilling a shared part for another request."""
     PAUSE = "pause"
     """Every target has asked this router to send no requests for a while."""
+    CAPACITY = "capacity"
+    """No target would begin the prefill soon."""
     LIMIT = "limit"
     """The limits of all targets admit no request now."""
 
--- /dev/null
+++ b/coltsfootfront/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which requests go to targets first when capacity is short."""
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -10,6 +10,7 @@
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
+from coltsfootfront.direct.capacitywait import CapacityWait
 from coltsfootfront.direct.crashobserver import CrashObserver
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
 from coltsfootfront.direct.forwarder import Forwarder
@@ -43,6 +44,7 @@
 from coltsfootfront.direct.targetwork import TargetWorkRecorder
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.quotas.quotas import Quotas
+from coltsfootfront.scheduling.dispatchqueue import DispatchQueue
 from coltsfootfront.tests.support import InMemoryStore
 
 REGIONS = {"a": "east", "b": "east", "c": "west"}
@@ -316,6 +318,7 @@
         self.target_work = TargetWorkRecorder(
             clock, self.directory, channel, self.prefill_rates, self.costs
         )
+        self.dispatch_queue = DispatchQueue(clock)
         self.forwarder = Forwarder(
             clock,
             self.directory,
@@ -334,6 +337,7 @@
             self.take_ups,
             self.quotas,
             self.target_work,
+            CapacityWait(clock, self.dispatch_queue),
             generator,
         )
 
