--- a/coltsfootfront/scheduling/dispatchqueue.py
+++ b/coltsfootfront/scheduling/dispatchqueue.py
@@ -7,7 +7,7 @@
 
 Order: the more urgent first; then those that can still meet their objective, as an answer in time
 is worth more than one that is late in any case; then by fair shares of the work between customers.
-A request that was passed over for long comes first, so that none waits without end.
+None waits without end: :mod:`coltsfootfront.scheduling.holding` limits the time.
 """
 
 import asyncio
@@ -23,8 +23,6 @@
 # Requests that may be sent in one interval, and of those that find no room before it ends.
 MAX_SENT_PER_INTERVAL = 4
 MAX_FAILED_PER_INTERVAL = 2
-# Turns for which a request is passed over at most.
-MAX_PASSED_OVER = 40
 # Half-life of the measured rate at which work leaves the queue.
 RATE_HALF_LIFE_S = 1.0
 # A rate that was measured over less than this time is not relied on.
@@ -47,13 +45,11 @@
     work_s: float
     virtual_start: float
     entered_s: float
-    passed_over: int = 0
     turn: asyncio.Event = field(default_factory=asyncio.Event)
 
-    def rank(self, now_s: float) -> tuple[bool, int, bool, float]:
+    def rank(self, now_s: float) -> tuple[int, bool, float]:
         """Sort key; the lowest comes first."""
-        is_late = now_s > self.objective_at_s
-        return self.passed_over < MAX_PASSED_OVER, self.urgency, is_late, self.virtual_start
+        return self.urgency, now_s > self.objective_at_s, self.virtual_start
 
 
 class DispatchQueue:
@@ -185,9 +181,6 @@
         if not candidates:
             return
         first = min(candidates, key=lambda request: request.rank(now_s))
-        for request in candidates:
-            request.passed_over += request is not first and request.entered_s < first.entered_s
-        first.passed_over = 0
         self._is_turn_out = True
         first.turn.set()
 
