--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -443,7 +443,8 @@
             if isinstance(choice, Wait) and now_s < wait_until_s:
                 state.waited_for = choice.reason
                 wait_s = min(choice.until_s, wait_until_s) - now_s
-                await self._directory.wait_for_change(max(wait_s, 0.005))
+                with self._target_work.reserve(choice.placement):
+                    await self._directory.wait_for_change(max(wait_s, 0.005))
                 continue
             unavailable = _unavailable_targets(untried, now_s)
             if state.has_response_begun and untried and now_s < wait_until_s:
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -105,10 +105,12 @@
     """The request should wait and be placed again later.
 
     :param until_s: monotonic time at which the reason for the wait is expected to end.
+    :param placement: where the request would go then, None if that is open.
     """
 
     until_s: float
     reason: WaitReason
+    placement: Placement | None = None
 
 
 def compute_cache_salt(model: str, version: int, cache_scope: str) -> str:
@@ -302,7 +304,7 @@
         if not best.target.is_loading(now_s):
             return self._wait_for_prefill(request, best, wait_until_s)
         if best.target.loading_until_s <= wait_until_s or not ready:
-            return Wait(best.target.loading_until_s, WaitReason.WEIGHTS)
+            return Wait(best.target.loading_until_s, WaitReason.WEIGHTS, best)
         return self._wait_for_prefill(
             request, min(ready, key=lambda placement: placement.expected_s), wait_until_s
         )
@@ -328,7 +330,7 @@
         estimator = self._learned if placement.prompt_cost is not None else self._backlog
         saved_s = estimator.prefill_time_s(placement.held_tokens, placement.target, now_s)
         until_s = min(wait_until_s, now_s + DUPLICATE_PREFILL_FACTOR * saved_s)
-        return Wait(ready_s, WaitReason.PREFILL) if ready_s <= until_s else placement
+        return Wait(ready_s, WaitReason.PREFILL, placement) if ready_s <= until_s else placement
 
     def _affinity_target(
         self, request: CallerRequest, cache_scope: str, targets: list[Target]
--- a/coltsfootfront/direct/targetwork.py
+++ b/coltsfootfront/direct/targetwork.py
@@ -5,6 +5,8 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.costs.model import CostModel
@@ -116,6 +118,23 @@
             placement.target.pending.add(placement.priority, tokens)
             self._tell_pending(placement.target)
 
+    @contextmanager
+    def reserve(self, placement: Placement | None) -> Iterator[None]:
+        """Count a prompt as pending at the target that it waits for.
+
+        Without this, all prompts that wait for a target to load weights take it for idle, and are
+        sent to it in the same moment: on a recorded day, these were 98% of the squared error of the
+        estimates.
+        """
+        if placement is None or placement.prompt_cost is None:
+            yield
+            return
+        self.add_pending(placement, placement.prefill_tokens)
+        try:
+            yield
+        finally:
+            self.add_pending(placement, -placement.prefill_tokens)
+
     def begin_call(self, key: int, target: Target, route: str) -> None:
         """Record that a plain call is sent."""
         work = self._costs.calls(target.entry.service).route(route)
--- a/coltsfootfront/tests/test_costs_load.py
+++ b/coltsfootfront/tests/test_costs_load.py
@@ -29,7 +29,11 @@
 GOSSIP_DELAY_S = 0.05
 TOKENS_PER_S = 90_000.0
 ROUTERS = 3
+# Engines prefill in chunks, and choose the next one by priority.
+CHUNK_S = 1024 / TOKENS_PER_S
 Pace = Callable[[str, float], float]
+# Priority, number, work in seconds, and what is called at its end.
+_Work = tuple[int, int, float, Callable[[], None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +53,7 @@
 
     slots: int
     running: int = 0
-    waiting: list[tuple[int, int, float, Callable[[], None]]] = field(default_factory=list)
+    waiting: list[_Work] = field(default_factory=list)
 
 
 class _Channel(Gossip):
@@ -184,14 +188,22 @@
     def _start(self, name: str) -> None:
         server = self._servers[name]
         while server.waiting and server.running < server.slots:
-            _, _, work_s, finish = heapq.heappop(server.waiting)
+            priority, number, work_s, finish = heapq.heappop(server.waiting)
             server.running += 1
             pace = self._pace(name, self.clock.monotonic_s())
+            if server.slots == 1 and work_s > CHUNK_S:
+                rest = (priority, number, work_s - CHUNK_S, finish)
+                self.after(CHUNK_S * pace, lambda rest=rest: self._end(name, rest[3], rest))  # type: ignore[misc]
+                continue
             self.after(work_s * pace, lambda finish=finish: self._end(name, finish))  # type: ignore[misc]
 
-    def _end(self, name: str, finish: Callable[[], None]) -> None:
-        finish()
-        self._servers[name].running -= 1
+    def _end(self, name: str, finish: Callable[[], None], rest: _Work | None = None) -> None:
+        server = self._servers[name]
+        if rest is None:
+            finish()
+        else:
+            heapq.heappush(server.waiting, rest)
+        server.running -= 1
         self._start(name)
 
     def _report(self, router: _Router, target: Target, now_s: float) -> None:
