--- a/coltsfootfront/costs/pending.py
+++ b/coltsfootfront/costs/pending.py
@@ -40,6 +40,10 @@
         """
         return sum(self._totals[: priority + 1])
 
+    def behind_tokens(self, priority: int) -> int:
+        """Tokens of less urgent prompts, which a further prompt of a priority overtakes."""
+        return sum(self._totals[priority + 1 :])
+
     def own_totals(self) -> list[int]:
         """Tokens of this router's prompts by priority, without trailing zeros."""
         totals = list(self._own)
--- a/coltsfootfront/direct/firstevent.py
+++ b/coltsfootfront/direct/firstevent.py
@@ -23,6 +23,9 @@
 PREFILL_SLOWDOWN_PER_REQUEST = 0.05
 # Added per request beyond the slots, which waits until a running request ends.
 EXCESS_REQUEST_PENALTY_S = 0.05
+# Length of a usual prompt that others overtake. A prompt delays each that it overtakes by its own
+# prefill, and this counts like its own delay.
+OVERTAKEN_PROMPT_TOKENS = 8_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +129,8 @@
             plan.duplicate_tokens, target.pace, now_s
         )
         cost_s += EXCESS_REQUEST_PENALTY_S * max(0, prompt.load - target.entry.slots)
+        overtaken = target.pending.behind_tokens(prompt.priority) / OVERTAKEN_PROMPT_TOKENS
+        cost_s += overtaken * model.prefill_s(prompt.prefill_tokens, target.pace, now_s)
         return FirstEventEstimate(begin_s, cost_s, cost)
 
     def prefill_time_s(self, tokens: float, target: Target, now_s: float) -> float:
