--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -280,8 +280,16 @@
         self.own_total += units
 
     def note_rate(self, now_s: float) -> None:
-        """Keep the rate at which this router admits, at regular intervals."""
-        self._noted_per_s = (self._noted_per_s[1], self._own_rate.per_s(now_s))
+        """Keep the rate at which this router admits, at regular intervals.
+
+        While a burst is used, all routers together admit more than the quota's rate, which must
+        not go on if they are cut off from each other then.
+        """
+        own_per_s = self._own_rate.per_s(now_s)
+        all_per_s = own_per_s + self._unreported.rate_per_s
+        if all_per_s > self.quota.rate_per_s:
+            own_per_s *= self.quota.rate_per_s / all_per_s
+        self._noted_per_s = (self._noted_per_s[1], own_per_s)
 
     def room_after_s(self, units: float, heard_s: Mapping[str, float], now_s: float) -> float:
         """Time until a refused request finds room, after those that were told to return before.
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -14,6 +14,7 @@
 from coltsfootfront.tests.quota_fleet import (
     CUSTOMER,
     TOLERANCE,
+    WINDOW_S,
     QuotaFleet,
     VirtualClock,
     make_quota,
@@ -522,3 +523,18 @@
                 router.quotas.admit(CUSTOMER, 400_000, 0)
                 router.quotas.admit(CUSTOMER, 400_000, 0)
         self.assertLess(len(records.records), 20)
+
+
+class CutOffRoutersTest(unittest.TestCase):
+    def test_routers_that_are_cut_off_while_a_burst_is_used(self) -> None:
+        """Guards against rates of a burst that routers keep to for as long as they are cut off."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fleet = QuotaFleet(2, make_quota(400_000), seed)
+                fleet.run(5.0, 0.2 * 400_000, lambda: mixed_units(fleet.generator))
+                fleet.run(2.2, 1.7 * 400_000, lambda: mixed_units(fleet.generator))
+                fleet.isolate([0])
+                fleet.run(2.0, 6 * 400_000, lambda: mixed_units(fleet.generator))
+                since_s = fleet.clock.now_s
+                fleet.run(10.0, 6 * 400_000, lambda: mixed_units(fleet.generator))
+                self.assertLess(fleet.most_used(since_s), 1.1 * WINDOW_S * 400_000)
