--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -203,6 +203,8 @@
                 level = self._refilled(usage.level, sent_s, now_s)
                 self._bucket.set_level(min(self._bucket.level(now_s), level), now_s)
         self._bucket.take(used, now_s)
+        if self._silent and usage.level is not None:
+            self._compare_level(usage.level, sent_s, now_s)
         self._unreported.record(report.router, usage.rate_per_s, sent_s, now_s)
         self._peers[report.router] = _PeerUsage(
             usage.total,
@@ -213,6 +215,15 @@
             report.uptime_s,
         )
 
+    def _compare_level(self, reported: float, sent_s: float, now_s: float) -> None:
+        """Come down to the level of a peer that may hear those who are silent here.
+
+        Two routers that do not hear each other would both use the whole quota, if all requests go
+        to them. Levels differ by some requests at any time, which is left alone.
+        """
+        limit = self._refilled(reported, sent_s, now_s) + self._max_debt
+        self._bucket.set_level(min(self._bucket.level(now_s), limit), now_s)
+
     def _learn_level(self, level: float | None, sent_s: float, now_s: float) -> bool:
         """Take over the level from a peer that has known the bucket for longer, if it is needed.
 
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -538,3 +538,16 @@
                 since_s = fleet.clock.now_s
                 fleet.run(10.0, 6 * 400_000, lambda: mixed_units(fleet.generator))
                 self.assertLess(fleet.most_used(since_s), 1.1 * WINDOW_S * 400_000)
+
+    def test_two_routers_that_do_not_hear_each_other(self) -> None:
+        """Guards against two routers that each let the whole quota through, as only the others
+        hear both of them."""
+        fleet = QuotaFleet(5, make_quota(400_000))
+        fleet.cuts = {(1, 4), (4, 1)}
+        fleet.run(
+            15.0,
+            4 * 400_000,
+            lambda: mixed_units(fleet.generator),
+            lambda: fleet.generator.choice((1, 4)),
+        )
+        self.assertLess(fleet.most_used(), fleet.allowed)
