--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -42,6 +42,10 @@
 # One peer alone may have lost its own link.
 MAX_UNHEARD_NAMED = 32
 UNHEARD_SHARE = 0.25
+# Time for which levels are reported to routers that miss others, and the share of a burst below
+# which a level is worth it.
+MISSED_FOR_S = 3.0
+LOW_LEVEL_SHARE = 0.25
 # Interval at which a router checks whether it is heard.
 CHECK_INTERVAL_S = 0.02
 # A process that has done nothing for this long was paused. The loop that sends reports runs at
@@ -94,9 +98,9 @@
         """When each silent peer was last heard."""
         self._tolerance = Tolerance()
         self._refusals: dict[str, _Refusals] = {}
-        self._reported_s = self._refreshed_s = self._started_s
+        self._reported_s = self._refreshed_s = self._low_s = self._started_s
         self._was_unheard = self._is_restricted = False
-        self._checked_s = -math.inf
+        self._checked_s = self._missed_s = -math.inf
         self._next_named = 0
         """Position of the first peer to be named, if too many are missing for one report."""
 
@@ -196,6 +200,7 @@
         if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
             self._refresh(now_s)
+        self._add_low_levels(now_s)
         if not self._changed and now_s - self._reported_s < KEEPALIVE_INTERVAL_S:
             return []
         self._reported_s = now_s
@@ -233,6 +238,8 @@
         self._record_heard(report.router, sent_s, now_s)
         if report.uptime_s >= peer.uptime_s:
             peer.uptime_s = report.uptime_s
+            if report.unheard:
+                self._missed_s = now_s
             is_complete = len(report.unheard) < MAX_UNHEARD_NAMED
             peer.record_hearing(self._address in report.unheard, is_complete, now_s)
         for usage in report.usages:
@@ -294,21 +301,29 @@
 
     def _refresh(self, now_s: float) -> None:
         """Report all recent usage once more, and publish the levels."""
-        for bucket in self._buckets.values():
+        for customer, bucket in self._buckets.items():
             bucket.note_rate(now_s)
-        for customer, used_s in list(self._used_s.items()):
-            if now_s - used_s > RECENT_S:
-                del self._used_s[customer]
-            else:
-                self._changed[customer] = None
-            level = self._buckets[customer].level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
+            level = bucket.level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
             metrics.QUOTA_LEVEL.set({"customer": customer}, level)
+            if now_s - self._used_s.get(customer, -math.inf) <= RECENT_S:
+                self._changed[customer] = None
         is_unheard = self._is_unheard(now_s)
         if is_unheard != self._was_unheard:
             self._was_unheard = is_unheard
             name = "quotas_unheard" if is_unheard else "quotas_heard"
             log.info(event(name, peers=len(self._known_since_s), heard=len(self._heard_s)))
 
+    def _add_low_levels(self, now_s: float) -> None:
+        """Report low levels, whoever has used them, while some routers do not hear each other."""
+        is_any_missed = bool(self._silent) or now_s - self._missed_s <= MISSED_FOR_S
+        if not is_any_missed or now_s - self._low_s < KEEPALIVE_INTERVAL_S:
+            return
+        self._low_s = now_s
+        for customer, bucket in self._buckets.items():
+            level = bucket.level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
+            if level < LOW_LEVEL_SHARE * bucket.quota.burst:
+                self._changed[customer] = None
+
     def _usage(self, customer: str, now_s: float) -> CustomerUsage:
         bucket = self._buckets[customer]
         return CustomerUsage(
--- a/coltsfootfront/tests/quota_fleet.py
+++ b/coltsfootfront/tests/quota_fleet.py
@@ -139,10 +139,15 @@
         self,
         for_s: float,
         demand_per_s: float,
-        units: Callable[[], int],
         choose_router: Callable[[], int] | None = None,
+        units: Callable[[], int] | None = None,
     ) -> None:
-        """Play some seconds of demand, in units per second."""
+        """Play some seconds of demand, in units per second.
+
+        :param choose_router: number of the router of the next request; None for any of them.
+        :param units: units of the next request; None for :meth:`mixed_units`.
+        """
+        units = units or self.mixed_units
         end_s = self.clock.now_s + for_s
         gap_s = sum(units() for _ in range(2000)) / 2000 / demand_per_s
         next_s = self.clock.now_s + self.generator.expovariate(1 / gap_s)
@@ -157,6 +162,10 @@
             next_s += self.generator.expovariate(1 / gap_s)
         self.clock.now_s = end_s
 
+    def mixed_units(self) -> int:
+        """Units of a request, from a quick check to a long analysis."""
+        return int(200 * 270 ** self.generator.random())
+
     def most_used(self, since_s: float = 0.0) -> float:
         """Largest use in any window that begins after a time."""
         admitted = [item for item in self.arrivals if item.is_admitted and item.at_s >= since_s]
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -24,11 +24,6 @@
 PEER = "10.0.0.2:80"
 
 
-def mixed_units(generator: random.Random) -> int:
-    """Units of a request, from a quick check to a long analysis."""
-    return int(200 * 270 ** generator.random())
-
-
 class OneRouter:
     """One router that tests send reports of scripted peers."""
 
@@ -382,9 +377,9 @@
         """Guards against a large request that each of many unheard routers admits at once, for a
         customer whose quota in a second is less than one of them."""
         fleet = QuotaFleet(23, make_quota(36_000))
-        fleet.run(5.0, 4 * 36_000, lambda: mixed_units(fleet.generator))
+        fleet.run(5.0, 4 * 36_000)
         fleet.cuts = {(a, b) for a in range(23) for b in range(23)}
-        fleet.run(12.0, 4 * 36_000, lambda: mixed_units(fleet.generator))
+        fleet.run(12.0, 4 * 36_000)
         self.assertLess(fleet.most_used(), fleet.allowed)
 
 
@@ -531,12 +526,12 @@
         for seed in range(3):
             with self.subTest(seed=seed):
                 fleet = QuotaFleet(2, make_quota(400_000), seed)
-                fleet.run(5.0, 0.2 * 400_000, lambda: mixed_units(fleet.generator))
-                fleet.run(2.2, 1.7 * 400_000, lambda: mixed_units(fleet.generator))
+                fleet.run(5.0, 0.2 * 400_000)
+                fleet.run(2.2, 1.7 * 400_000)
                 fleet.isolate([0])
-                fleet.run(2.0, 6 * 400_000, lambda: mixed_units(fleet.generator))
+                fleet.run(2.0, 6 * 400_000)
                 since_s = fleet.clock.now_s
-                fleet.run(10.0, 6 * 400_000, lambda: mixed_units(fleet.generator))
+                fleet.run(10.0, 6 * 400_000)
                 self.assertLess(fleet.most_used(since_s), 1.1 * WINDOW_S * 400_000)
 
     def test_two_routers_that_do_not_hear_each_other(self) -> None:
@@ -544,10 +539,5 @@
         hear both of them."""
         fleet = QuotaFleet(5, make_quota(400_000))
         fleet.cuts = {(1, 4), (4, 1)}
-        fleet.run(
-            15.0,
-            4 * 400_000,
-            lambda: mixed_units(fleet.generator),
-            lambda: fleet.generator.choice((1, 4)),
-        )
+        fleet.run(15.0, 4 * 400_000, lambda: fleet.generator.choice((1, 4)))
         self.assertLess(fleet.most_used(), fleet.allowed)
