--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -125,6 +125,9 @@
             elif bucket.quota != quota:
                 self._log_change(customer, bucket.quota, quota)
                 bucket.set_quota(quota, now_s)
+        if quotas and not self._quotas:
+            # The peers wait for reports before they leave their restriction.
+            self._reported_s = -math.inf
         self._quotas = dict(quotas)
 
     def set_tolerance(self, tolerance: Tolerance) -> None:
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -235,6 +235,12 @@
 
 
 class StartTest(unittest.TestCase):
+    def test_customers_below_their_quotas_when_the_first_configuration_comes(self) -> None:
+        """Guards against refusals until routers that have just got quotas hear of each other."""
+        fleet = QuotaFleet(23, make_quota(344_000), seed=2)
+        fleet.run(2.0, 0.6 * 344_000, lambda: fleet.generator.randrange(5))
+        self.assertEqual(0.0, fleet.wrongly_refused())
+
     def test_level_is_not_learned_long_after_the_start(self) -> None:
         """Guards against refusals 8 s after all routers have started, when the first of them knows
         the level and the others take off what they have admitted since their start."""
