--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -137,6 +137,8 @@
     def set_routers(self, addresses: set[str]) -> None:
         """Set the routers that share the quotas, this one included."""
         peers = addresses - {self._address}
+        if peers == self._known_since_s.keys():
+            return
         now_s = self._clock.monotonic_s()
         for address in self._known_since_s.keys() - peers:
             del self._known_since_s[address]
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -9,6 +9,7 @@
 from coltsfootfront.common.decoding import DecodingError
 from coltsfootfront.quotas.quota import Quota, QuotaUnit
 from coltsfootfront.quotas.quotas import Quotas
+from coltsfootfront.quotas.sharedbucket import SharedBucket
 from coltsfootfront.quotas.unreported import UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 from coltsfootfront.tests.quota_fleet import (
@@ -435,6 +436,15 @@
                     self.assertIsNone(router.quotas.admit(name, 100, 10))
             self.assertEqual(len(names), compute.call_count)
 
+    def test_routers_that_have_not_changed_cost_nothing(self) -> None:
+        """Guards against a walk over all customers and routers whenever an entry is renewed."""
+        router = OneRouter(peers=3)
+        with mock.patch.object(SharedBucket, "set_peers") as set_peers:
+            router.quotas.set_routers({"10.0.0.1:80", *router.peers})
+            set_peers.assert_not_called()
+            router.quotas.set_routers({"10.0.0.1:80", *router.peers[1:]})
+            set_peers.assert_called_once()
+
     def test_sum_that_is_carried_on_equals_the_one_that_is_computed(self) -> None:
         """Guards against a level that drifts from what the peers have reported."""
         generator = random.Random(3)
