Keep why a target's connection ended until its answer has been relayed

A caller got a part of an answer as a complete one: a target answered a long upload early with a 200 without a length, sent 600 kB and reset the connection while the upload was still being written. It happened when the router had not relayed all it had received by then, because the caller read slowly or the stream was paced.

Cause: the response asked aiohttp's connection for its error after the last byte. With a body writer under way, aiohttp cancels the writer at the end of the body and then closes the connection, which clears that error. The connection now keeps its own record.

Ruled out: the length and chunked framings, whose parsers notice the missing bytes; interim ends that are read before the close.

--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -1,4 +1,4 @@
-"""Limits the bytes that a target may send outside a response body.
+"""Limits what a target may send outside a response body, and keeps how its connection ends.
 
 A faulty target may send an endless head, endless chunk framing, or data after the response. Each
 of these is limited in bytes; the request's deadline limits them in time.
@@ -42,6 +42,15 @@
         self._interim_responses = 0
         self._body: Any = None
         self._received_bytes = 0
+        self.end_error: BaseException | None = None
+        """Why the connection did not end in order. aiohttp forgets its own record when it closes
+        the connection, which may be before the end of the body has been read."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record the error that ended the connection."""
+        if exc is not None:
+            self.end_error = exc
+        super().connection_lost(exc)
 
     def is_connected(self) -> bool:
         """Whether a request may be sent on this connection.
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -15,7 +15,7 @@
 from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
-from coltsfootfront.direct.responselimits import use_bounded_handler
+from coltsfootfront.direct.responselimits import BoundedResponseHandler, use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.targetclient import (
     Directive,
@@ -140,14 +140,16 @@
         if body is not None:
             body.finish()
         connection_handler = self._response.connection_handler
-        connection_error = (
-            connection_handler.exception() if connection_handler is not None else None
-        )
+        if self.length_bytes is not None or not isinstance(
+            connection_handler, BoundedResponseHandler
+        ):
+            return
         # A body without a length ends when the connection closes; after a reset it is truncated.
-        if self.length_bytes is None and isinstance(connection_error, aiohttp.ClientOSError):
+        connection_error = connection_handler.end_error
+        if isinstance(connection_error, Exception):
             raise ExchangeError(
                 ExchangeFailure.INVALID_RESPONSE,
-                f"the response was reset: {_describe_error(connection_error)}",
+                f"the response was cut off: {_describe_error(connection_error)}",
             )
 
     def close(self) -> None:
--- /dev/null
+++ b/coltsfootfront/tests/test_early_answers.py
@@ -0,0 +1,168 @@
+"""Tests of answers that a target begins before it has read the whole request, as raw bytes."""
+
+import itertools
+import unittest
+
+from coltsfootfront.platform.callerserver import PlatformCallerServer
+from coltsfootfront_dev.rawcaller import Reply
+from coltsfootfront_dev.rawseries import CallerRequestPlan, Outcome, Path, RawHarness
+from coltsfootfront_dev.scriptedtarget import AnswerScript, Ending, Framing, Script
+
+# Within max-body-bytes, and beyond what the sockets' buffers take.
+UPLOAD_BYTES = 4_000_000
+# A target's buffer for what it has not read.
+RECEIVE_BUFFER_BYTES = 16_384
+DEADLINE_MS = 2500
+SILENCE_DEADLINE_MS = 600
+# Answers up to this size are buffered before they are relayed; see responserelay.
+SHORT_BODY_BYTES = 40_000
+LONG_BODY_BYTES = 600_000
+# Time between the last byte of an answer and the end of its connection, in which the router reads.
+BEFORE_END_S = 0.05
+PATHS = (Path.FILE, Path.LONG, Path.ASK)
+
+
+class EarlyAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A router before one scripted target of each service, whose uploads do not fit the buffers."""
+
+    async def asyncSetUp(self) -> None:
+        self.harness = RawHarness(1, RECEIVE_BUFFER_BYTES)
+        await self.harness.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.harness.close()
+
+    async def _exchange(
+        self, path: Path, script: Script, upload_bytes: int = UPLOAD_BYTES
+    ) -> Outcome:
+        deadline_ms = SILENCE_DEADLINE_MS if script.ending is Ending.STALL else DEADLINE_MS
+        plan = CallerRequestPlan(path, [script], deadline_ms=deadline_ms, upload_bytes=upload_bytes)
+        return await self.harness.exchange(plan)
+
+    def _assert_no_success(self, reply: Reply) -> None:
+        """Check that a caller cannot take an answer for a complete one of the target."""
+        answer = reply.answer
+        is_complete = answer is not None and answer.is_complete and answer.status < 300
+        detail = f"{answer.status}, {len(answer.body)} bytes" if answer is not None else ""
+        self.assertFalse(is_complete, detail)
+
+    async def test_part_of_an_answer_without_a_length(self) -> None:
+        """Guards against a part of an early answer that reaches a caller as a complete one."""
+        for path, ending, body_bytes in itertools.product(
+            PATHS,
+            (Ending.RST, Ending.FIN, Ending.HALF, Ending.STALL),
+            (SHORT_BODY_BYTES, LONG_BODY_BYTES),
+        ):
+            answer = AnswerScript(
+                framing=Framing.CONNECTION, body_bytes=body_bytes, event_count=body_bytes // 200
+            )
+            for pause_s in (0.0, BEFORE_END_S):
+                script = Script(answer, is_early=True, ending=ending, pause_s=pause_s)
+                with self.subTest(path=path, ending=ending, bytes=body_bytes, pause_s=pause_s):
+                    outcome = await self._exchange(path, script)
+                    self.assertEqual([], [str(finding) for finding in outcome.findings])
+                    self._assert_no_success(outcome.reply)
+
+    async def test_part_of_an_answer_with_its_own_end(self) -> None:
+        """Guards against a part of an early answer that reaches a caller as a complete one."""
+        for path, framing, ending in itertools.product(
+            PATHS,
+            (Framing.LENGTH, Framing.CHUNKED),
+            (Ending.RST, Ending.FIN, Ending.HALF, Ending.STALL),
+        ):
+            answer = AnswerScript(framing=framing, body_bytes=2000, event_count=40)
+            script = Script(
+                answer, is_early=True, ending=ending, pause_s=BEFORE_END_S, break_offset=500
+            )
+            with self.subTest(path=path, framing=framing, ending=ending):
+                outcome = await self._exchange(path, script)
+                self.assertEqual([], [str(finding) for finding in outcome.findings])
+                self._assert_no_success(outcome.reply)
+
+    async def test_whole_answer_with_its_own_end(self) -> None:
+        """Guards against a sound early answer that is lost as its connection ends."""
+        for path, framing, ending in itertools.product(
+            PATHS, (Framing.LENGTH, Framing.CHUNKED), (Ending.RST, Ending.FIN, Ending.HALF)
+        ):
+            answer = AnswerScript(framing=framing)
+            script = Script(answer, is_early=True, ending=ending, pause_s=BEFORE_END_S)
+            with self.subTest(path=path, framing=framing, ending=ending):
+                outcome = await self._exchange(path, script)
+                self.assertEqual([], [str(finding) for finding in outcome.findings])
+                reply = outcome.reply.answer
+                assert reply is not None
+                self.assertEqual((200, True), (reply.status, reply.is_complete))
+
+    async def test_answer_to_a_whole_upload_without_a_length(self) -> None:
+        """Guards against a sound answer that is lost because its upload was long."""
+        for path, body_bytes in itertools.product(PATHS, (SHORT_BODY_BYTES, LONG_BODY_BYTES)):
+            answer = AnswerScript(
+                framing=Framing.CONNECTION, body_bytes=body_bytes, event_count=body_bytes // 200
+            )
+            with self.subTest(path=path, bytes=body_bytes):
+                outcome = await self._exchange(path, Script(answer, ending=Ending.FIN))
+                self.assertEqual([], [str(finding) for finding in outcome.findings])
+                reply = outcome.reply.answer
+                assert reply is not None
+                self.assertEqual((200, True), (reply.status, reply.is_complete))
+
+    async def test_reset_while_the_caller_reads_slowly(self) -> None:
+        """Guards against a reset that is forgotten before the end of the answer is relayed."""
+        for path, ending in itertools.product(PATHS, (Ending.RST, Ending.FIN, Ending.HALF)):
+            answer = AnswerScript(
+                framing=Framing.CONNECTION, body_bytes=LONG_BODY_BYTES, event_count=3000
+            )
+            script = Script(
+                answer, is_early=True, ending=ending, pause_s=BEFORE_END_S, splits=(1500,)
+            )
+            with self.subTest(path=path, ending=ending):
+                self._assert_no_success(await self._read_slowly(path, script, UPLOAD_BYTES))
+
+    async def test_answer_that_has_no_body_before_a_reset(self) -> None:
+        """Guards against an answer that is complete with its head, and lost to a later reset."""
+        for path, status in itertools.product(PATHS, (204, 304)):
+            for pause_s in (0.0, BEFORE_END_S):
+                answer = AnswerScript(status=status, framing=Framing.CONNECTION)
+                script = Script(answer, ending=Ending.RST, pause_s=pause_s)
+                with self.subTest(path=path, status=status, pause_s=pause_s):
+                    outcome = await self._exchange(path, script, 0)
+                    self.assertEqual([], [str(finding) for finding in outcome.findings])
+                    reply = outcome.reply.answer
+                    assert reply is not None
+                    self.assertEqual((status, True), (reply.status, reply.is_complete))
+
+    async def test_reset_of_a_read_upload_while_the_caller_reads_slowly(self) -> None:
+        """Guards against a reset that is forgotten before the end of the answer is relayed."""
+        for path, upload_bytes in itertools.product(PATHS, (0, UPLOAD_BYTES)):
+            answer = AnswerScript(
+                framing=Framing.CONNECTION, body_bytes=LONG_BODY_BYTES, event_count=3000
+            )
+            script = Script(answer, ending=Ending.RST, pause_s=BEFORE_END_S, splits=(1500,))
+            with self.subTest(path=path, upload_bytes=upload_bytes):
+                self._assert_no_success(await self._read_slowly(path, script, upload_bytes))
+
+    async def _read_slowly(self, path: Path, script: Script, upload_bytes: int) -> Reply:
+        """Send a request whose caller reads nothing until the target's connection has ended."""
+        harness = self.harness
+        harness.caller.close()
+        await harness.caller.start()
+        server = harness.node._caller_server
+        assert isinstance(server, PlatformCallerServer)
+        await harness.until(lambda: len(server.connections) == 1)
+        (connection,) = server.connections
+        # The transport calls this when the caller reads more slowly than the router writes.
+        connection.pause_writing()
+        plan = CallerRequestPlan(path, [script], deadline_ms=DEADLINE_MS, upload_bytes=upload_bytes)
+        request_id = f"slow-{path.name}-{script.ending.name}-{upload_bytes}"
+        harness.book.scripts[request_id] = [script]
+        harness._make_targets_usable()
+        harness.caller.send(b"".join(harness.encode_request(plan, request_id)))
+        await harness.book.wait_for_arrival(request_id)
+        await harness.until(
+            lambda: not any(target._connections for target in harness.targets)
+            or harness.book.sent.get(request_id) is not None
+        )
+        await harness.node._clock.sleep(4 * BEFORE_END_S)
+        if connection.writing_paused:
+            connection.resume_writing()
+        return await harness.caller.read_answer(request_id, DEADLINE_MS / 1000 + 1)
--- a/coltsfootfront_dev/rawseries.py
+++ b/coltsfootfront_dev/rawseries.py
@@ -103,6 +103,7 @@
 
     :param scripts: what the targets do with it, for its first arrival, its second and so on.
     :param resume_after: number of the last event that the caller has; None to get all.
+    :param upload_bytes: size of the body; 0 for a short one.
     """
 
     path: Path
@@ -110,6 +111,7 @@
     manner: Manner = Manner.PLAIN
     deadline_ms: int = DEADLINE_MS
     resume_after: int | None = None
+    upload_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -137,13 +139,14 @@
     """A router before scripted targets, and one raw connection of a caller to it.
 
     :param target_count: scripted targets of each service.
+    :param receive_buffer_bytes: see :class:`ScriptedTarget`.
     """
 
-    def __init__(self, target_count: int = 2) -> None:
+    def __init__(self, target_count: int = 2, receive_buffer_bytes: int = 0) -> None:
         self.book = ScriptBook()
         self.fleet = PlatformFleet(0, 0)
         self.targets = [
-            ScriptedTarget(f"{kind}{number}", service, self.book, version)
+            ScriptedTarget(f"{kind}{number}", service, self.book, version, receive_buffer_bytes)
             for kind, service, version in (("p", PLAIN_SERVICE, None), ("e", ENGINE_SERVICE, 1))
             for number in range(target_count)
         ]
@@ -205,6 +208,8 @@
             f"Authorization: Token {API_KEY}",
         ]
         body = b"" if plan.path is Path.LOOK else b"body of " + request_id.encode()
+        if plan.upload_bytes:
+            body = (body * (plan.upload_bytes // len(body) + 1))[: plan.upload_bytes]
         if plan.path.is_stream:
             lines += ["X-Model: m", "X-Token-Usage: 700,10", f"X-Prompt-Prefix: {request_id}:100"]
         if plan.resume_after is not None:
--- a/coltsfootfront_dev/scriptedtarget.py
+++ b/coltsfootfront_dev/scriptedtarget.py
@@ -23,6 +23,11 @@
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 ID_OF_NO_REQUEST = "ffffffffffffffff"
 MODEL_SERVER_PATHS = ("/v1/", "/health")
+# A target that answers before it reads a body has at most this much of it in its process: twice
+# the limit of asyncio's reader.
+MAX_READ_AHEAD_BYTES = 131_072
+# Limit on the wait for a router to end a connection that the target has half closed.
+HALF_CLOSED_S = 5.0
 
 
 class Framing(Enum):
@@ -39,6 +44,8 @@
 
     KEEP = "keep"
     FIN = "FIN"
+    HALF = "FIN, while the rest of the request stays unread"
+    LINGER = "FIN, then the rest of the request is read"
     RST = "RST"
     STALL = "nothing more is sent"
     CRASH = "all connections are reset and the port is closed"
@@ -167,6 +174,11 @@
         """Its ID."""
         return self.headers.get("x-request-id", "")
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of its body."""
+        return int(self.headers.get("content-length", "0"))
+
     @property
     def is_stream(self) -> bool:
         """Whether it asks for a stream."""
@@ -267,6 +279,7 @@
         on; a request without one is answered well.
     :param runs: how often each request has run.
     :param sent: what was sent for each request, in whole or in part.
+    :param bodies: bodies of the requests that were read to their end.
     """
 
     scripts: dict[str, list[Script]] = field(default_factory=dict)
@@ -274,6 +287,7 @@
     runs: dict[str, int] = field(default_factory=dict)
     sent: dict[str, list[SentAnswer]] = field(default_factory=dict)
     targets: dict[str, list[str]] = field(default_factory=dict)
+    bodies: dict[str, bytes] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     """Set at each arrival of a request."""
 
@@ -362,7 +376,8 @@
         return is_kept
 
     async def _read_body(self, request: TargetRequest) -> None:
-        await self.reader.readexactly(int(request.headers.get("content-length", "0")))
+        body = await self.reader.readexactly(request.body_bytes)
+        self.target.book.bodies[request.request_id] = body
 
     async def _serve_model_server_call(self, request: TargetRequest) -> bool:
         await self._read_body(request)
@@ -391,13 +406,14 @@
             data, sent, body_offset = encoder.encode()
             has_body = script.answer.status not in STATUSES_WITHOUT_BODY
             has_end = has_body and script.answer.framing is Framing.CONNECTION
+            is_cut = script.is_early and request.body_bytes > MAX_READ_AHEAD_BYTES
             if script.break_offset is not None and script.break_offset < len(data):
                 data = data[: script.break_offset]
                 if has_body:
-                    sent.is_complete = has_end and script.ending is Ending.FIN
+                    sent.is_complete = has_end and script.ending is Ending.FIN and not is_cut
                 sent.body = data[body_offset:] if has_end else sent.body
             elif has_end:
-                sent.is_complete = script.ending is Ending.FIN
+                sent.is_complete = script.ending is Ending.FIN and not is_cut
             self.target.book.record_sent(request.request_id, sent)
         data = script.interim + self._insert_second(script, request, data)
         await self._write_segments(script, data)
@@ -434,6 +450,12 @@
                 await self.writer.drain()
                 self.writer.close()
                 await self.writer.wait_closed()
+            case Ending.HALF:
+                self.writer.write_eof()
+                await self._until_end()
+            case Ending.LINGER:
+                self.writer.write_eof()
+                await self.reader.read(-1)
             case Ending.RST:
                 self.reset()
             case Ending.CRASH:
@@ -449,6 +471,12 @@
                 return True
         return False
 
+    async def _until_end(self) -> None:
+        """Wait for the router to end the connection, without reading from it."""
+        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        async with asyncio.timeout(HALF_CLOSED_S):
+            await self.writer.wait_closed()
+
     def reset(self) -> None:
         """End the connection with a reset."""
         connection_socket = self.writer.get_extra_info("socket")
@@ -466,20 +494,32 @@
 
     :param name: instance ID of the target.
     :param version: version of its weights; None for a plain service.
+    :param receive_buffer_bytes: size of the sockets' buffers for what it has not read; 0 leaves it
+        to the system.
     """
 
     def __init__(
-        self, name: str, service: str, book: ScriptBook, version: int | None = None
+        self,
+        name: str,
+        service: str,
+        book: ScriptBook,
+        version: int | None = None,
+        receive_buffer_bytes: int = 0,
     ) -> None:
         super().__init__(name, service, version)
         self.book = book
+        self._receive_buffer_bytes = receive_buffer_bytes
         self.on_scripted_crash: Callable[[ScriptedTarget], None] = lambda target: None
         self._server: asyncio.Server | None = None
         self._connections: dict[_Connection, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
         """Start listening on loopback."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        listener = socket.create_server(("127.0.0.1", 0))
+        if self._receive_buffer_bytes:
+            # Accepted sockets inherit it.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes)
+        self._server = await asyncio.start_server(self._accept, sock=listener)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
