Don't take an answer for complete whose target had not received the request

A caller got an early answer without a length as a complete one when the target ended the connection in order while the rest of the upload was still unread.

Cause: only a reset counted as a broken end, and an orderly end of the connection is the end of such a body. The router now looks at that moment at what its transport and its socket have not delivered (TIOCOUTQ). The target's end acknowledges all that it has received, so that a target which has read the request leaves nothing. The rest of the upload is dropped with the connection.

Ruled out: answers with a length or chunks, which are complete by themselves and are still relayed; answers without a length to uploads of 4 MB that were read.

--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
+import fcntl
 import functools
+import struct
+import termios
 from typing import Any
 
 import aiohttp
@@ -24,6 +27,7 @@
 MAX_FRAMING_BYTES = 65_536
 FRAMING_PER_BODY_BYTE = 16
 
+INTEGER = struct.Struct("i")
 HEAD_END = b"\r\n\r\n"
 _INTERIM_STATUSES = range(100, 200)
 _SWITCHING_PROTOCOLS = 101
@@ -42,10 +46,32 @@
         self._interim_responses = 0
         self._body: Any = None
         self._received_bytes = 0
+        self._connection: asyncio.Transport | None = None
         self.end_error: BaseException | None = None
         """Why the connection did not end in order. aiohttp forgets its own record when it closes
         the connection, which may be before the end of the body has been read."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, which aiohttp gives up as soon as it closes the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._connection = transport
+        super().connection_made(transport)
+
+    def eof_received(self) -> None:
+        """End the connection if the target has not received the whole request.
+
+        It ends its response without knowing the request, so a body that ends with the connection
+        is not complete.
+        """
+        super().eof_received()
+        connection = self._connection
+        if connection is None or not count_unsent_bytes(connection):
+            return
+        self.end_error = aiohttp.ClientPayloadError(
+            "the target ended the connection before it had received the request"
+        )
+        connection.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the error that ended the connection."""
         if exc is not None:
@@ -144,6 +170,18 @@
             self.transport.abort()
 
 
+def count_unsent_bytes(connection: asyncio.Transport) -> int:
+    """Count the bytes that were written to a connection and not acknowledged by its peer."""
+    buffered_bytes = connection.get_write_buffer_size()
+    connection_socket = connection.get_extra_info("socket")
+    if connection_socket is None or connection_socket.fileno() < 0:
+        return buffered_bytes
+    # The peer's end of the connection acknowledges all that it has received.
+    answer = fcntl.ioctl(connection_socket.fileno(), termios.TIOCOUTQ, b"\0" * INTEGER.size)
+    queued_bytes: int = INTEGER.unpack(answer)[0]
+    return buffered_bytes + queued_bytes
+
+
 def use_bounded_handler(connector: aiohttp.TCPConnector) -> aiohttp.TCPConnector:
     """Apply the limits of this module to all connections of a connector."""
     # aiohttp has no public way to set the protocol class of its connections.
