Relay a complete chunked answer whose connection is reset afterwards

A caller lost the end of an answer that its target had sent to the last chunk, if the connection was reset before the router had relayed it.

Cause: the check for a reset applied to every answer without a length, chunked ones included, whose end is in their framing.

--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -140,9 +140,7 @@
         if body is not None:
             body.finish()
         connection_handler = self._response.connection_handler
-        if self.length_bytes is not None or not isinstance(
-            connection_handler, BoundedResponseHandler
-        ):
+        if self._is_delimited or not isinstance(connection_handler, BoundedResponseHandler):
             return
         # A body without a length ends when the connection closes; after a reset it is truncated.
         connection_error = connection_handler.end_error
