Guard against invalid statuses, interim answers and cut heads as answers

No fault was found: 000 and other statuses that are none, interim answers followed by the end of the connection, a reset or silence, a switched protocol and cut heads all give the router's own 502 or 504, for plain requests and streams. The next request after an early answer gets its own answer, and the target reads no other bytes within the rest of the upload.

--- a/coltsfootfront/tests/test_early_answers.py
+++ b/coltsfootfront/tests/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Tests of answers that a target begins before it has read the whole request, as raw bytes."""
+"""Tests of invalid and of early answers of targets, as raw bytes."""
 
 import itertools
 import unittest
@@ -21,6 +21,17 @@
 LONG_BODY_BYTES = 600_000
 # Time between the last byte of an answer and the end of its connection, in which the router reads.
 BEFORE_END_S = 0.05
+# Bytes in the place of a status that is none.
+INVALID_STATUSES = (
+    *(b"000", b"099", b"99", b"1000", b"0200", b"600", b"999", b"1", b"20", b"101", b"199"),
+    *(b"abc", b"2OO", b"", b"2 0", b" 200", b"+20", b"-20", b"+200", b"-200", b"20.", b"2e2"),
+    *(b"0x1", b"2_0", b"20\x00", b"200\x00", b"200\t", b"200,", b"\xb2\xb2\xb2", b"2\xff0"),
+    # Digits of other scripts, which int() would accept.
+    *("\N{FULLWIDTH DIGIT TWO}00".encode(), "\N{ARABIC-INDIC DIGIT TWO}00".encode()),
+)
+INTERIM = b"HTTP/1.1 %d X\r\nX-A: b\r\n\r\n"
+BAD_GATEWAY = 502
+DEADLINE_EXCEEDED = 504
 PATHS = (Path.FILE, Path.LONG, Path.ASK)
 
 
@@ -169,6 +180,30 @@
             with self.subTest(path=path, upload_bytes=upload_bytes):
                 self._assert_no_success(await self._read_slowly(path, script, upload_bytes))
 
+    async def test_next_request_after_an_early_answer(self) -> None:
+        """Guards against bytes of another request within the rest of an upload."""
+        for path, framing, upload_bytes in itertools.product(
+            PATHS,
+            (Framing.LENGTH, Framing.CHUNKED),
+            (40, 20_000, 100_000, BUFFERED_UPLOAD_BYTES, UPLOAD_BYTES),
+        ):
+            # The target reads the rest of the upload, then the next request if there is one.
+            script = Script(AnswerScript(framing=framing), is_early=True)
+            with self.subTest(path=path, framing=framing, bytes=upload_bytes):
+                first = await self._exchange(path, script, upload_bytes)
+                second = await self._exchange(path, Script(), 0)
+                findings = first.findings + second.findings
+                self.assertEqual([], [str(finding) for finding in findings])
+                plan = first.plan
+                _, sent = self.harness.encode_request(plan, first.request_id)
+                read = self.harness.book.bodies.get(first.request_id, b"")
+                self.assertTrue(not read or read == sent)
+                answers = [first.reply.answer, second.reply.answer]
+                for answer in answers:
+                    assert answer is not None
+                    self.assertEqual((200, True), (answer.status, answer.is_complete))
+        self.assertEqual([], [str(finding) for finding in await self.harness.check_end()])
+
     async def _read_slowly(self, path: Path, script: Script, upload_bytes: int) -> Reply:
         """Send a request whose caller reads nothing until the target's connection has ended."""
         harness = self.harness
@@ -194,3 +229,71 @@
         if connection.writing_paused:
             connection.resume_writing()
         return await harness.caller.read_answer(request_id, DEADLINE_MS / 1000 + 1)
+
+
+class InvalidHeadTest(unittest.IsolatedAsyncioTestCase):
+    """A router before one scripted target of each service."""
+
+    async def asyncSetUp(self) -> None:
+        self.harness = RawHarness(1)
+        await self.harness.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.harness.close()
+
+    async def _check_failed(self, path: Path, script: Script, deadline_ms: int) -> None:
+        """Check that a caller gets the router's own error."""
+        plan = CallerRequestPlan(path, [script], deadline_ms=deadline_ms)
+        outcome = await self.harness.exchange(plan)
+        self.assertEqual([], [str(finding) for finding in outcome.findings])
+        reply = outcome.reply.answer
+        assert reply is not None
+        self.assertIn(reply.status, (BAD_GATEWAY, DEADLINE_EXCEEDED))
+        self.assertTrue(reply.is_complete)
+
+    async def test_statuses_that_are_none(self) -> None:
+        """Guards against an answer whose status is none in the protocol, as the target's answer."""
+        for path, framing, status in itertools.product(
+            (*PATHS, Path.LOOK), (Framing.LENGTH, Framing.CONNECTION), INVALID_STATUSES
+        ):
+            ending = Ending.FIN if framing is Framing.CONNECTION else Ending.KEEP
+            answer = AnswerScript(framing=framing, status_text=status)
+            with self.subTest(path=path, framing=framing, status=status):
+                await self._check_failed(path, Script(answer, ending=ending), DEADLINE_MS)
+        self.assertEqual([], [str(finding) for finding in await self.harness.check_end()])
+
+    async def test_interim_answer_and_nothing_more(self) -> None:
+        """Guards against an interim answer that reaches a caller as the final one."""
+        for path, status, ending in itertools.product(
+            (*PATHS, Path.LOOK),
+            (100, 102, 103, 199),
+            (Ending.FIN, Ending.RST, Ending.HALF, Ending.STALL),
+        ):
+            script = Script(None, interim=INTERIM % status, ending=ending, pause_s=0.01)
+            is_silent = ending is Ending.STALL
+            with self.subTest(path=path, status=status, ending=ending):
+                await self._check_failed(
+                    path, script, SILENCE_DEADLINE_MS if is_silent else DEADLINE_MS
+                )
+
+    async def test_switched_protocol(self) -> None:
+        """Guards against the bytes of another protocol as an answer."""
+        interim = (
+            b"HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: 0\r\nConnection: Upgrade\r\n"
+            b"Upgrade: h2c\r\n\r\n"
+        )
+        for path in (*PATHS, Path.LOOK):
+            script = Script(AnswerScript(), interim=interim)
+            with self.subTest(path):
+                await self._check_failed(path, script, DEADLINE_MS)
+                outcome = await self.harness.exchange(CallerRequestPlan(path))
+                self.assertEqual([], [str(finding) for finding in outcome.findings])
+
+    async def test_head_that_is_cut_off(self) -> None:
+        """Guards against a part of a head as an answer."""
+        for path, ending, offset in itertools.product(
+            PATHS, (Ending.FIN, Ending.RST, Ending.HALF), (1, 9, 12, 17, 30, 60, 90)
+        ):
+            script = Script(AnswerScript(), break_offset=offset, ending=ending, pause_s=0.01)
+            with self.subTest(path=path, ending=ending, offset=offset):
+                await self._check_failed(path, script, DEADLINE_MS)
--- a/coltsfootfront_dev/scriptedtarget.py
+++ b/coltsfootfront_dev/scriptedtarget.py
@@ -21,6 +21,7 @@
 HEAD_END = b"\r\n\r\n"
 OK = 200
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+STATUS_OF_NO_ANSWER = 0
 ID_OF_NO_REQUEST = "ffffffffffffffff"
 MODEL_SERVER_PATHS = ("/v1/", "/health")
 # A target that answers before it reads a body has at most this much of it in its process: twice
@@ -81,6 +82,7 @@
     :param lines: further header lines, as bytes without their end.
     :param trailers: lines after the last chunk.
     :param chunk_bytes: size of the chunks; 0 for one for each event.
+    :param status_text: bytes in the place of the status, which make the answer invalid.
     """
 
     status: int = OK
@@ -97,6 +99,7 @@
     has_request_id: bool = True
     is_not_executed: bool = False
     version: bytes = b"HTTP/1.1"
+    status_text: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,9 +212,12 @@
         body = b"".join(pieces)
         lines = list(self._lines(len(body)))
         reason = _reason(script.status)
-        head = b"\r\n".join([b"%s %d %s" % (script.version, script.status, reason), *lines])
+        status_text = b"%d" % script.status if script.status_text is None else script.status_text
+        head = b"\r\n".join([b"%s %s %s" % (script.version, status_text, reason), *lines])
         head += HEAD_END
         sent = SentAnswer(script.status, body, True, self._is_stream)
+        if script.status_text is not None:
+            sent.status = STATUS_OF_NO_ANSWER
         if script.status in STATUSES_WITHOUT_BODY:
             sent.body = b""
             return head, sent, len(head)
