Bound what is held for a caller that does not read its answer

A caller that stopped reading a long answer took 6.3 MB of a router: 3.9 MB of the caller's socket and transport, 0.8 MB read ahead from the target and 1.6 MB in the target's socket. What was left in the transport at the end of an answer was kept for as long as the caller held its connection open: aiohttp closes an idle connection by waiting for its last byte, and gives up its transport.

The sockets' buffers and the read-ahead now have limits, and a connection whose caller takes nothing of an answer for idle-timeout-ms is ended.

Ruled out: a target that cuts off an answer which stays unread; its caller gets no complete answer with any framing (the test passed before). A slow but steady caller is not ended (test).

--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -5,10 +5,7 @@
 """
 
 import asyncio
-import fcntl
 import functools
-import struct
-import termios
 from typing import Any
 
 import aiohttp
@@ -17,6 +14,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from coltsfootfront.common import metrics
+from coltsfootfront.direct.sockets import count_unsent_bytes
 
 # Normal response heads are below 4 KiB. One read from the socket, at most 256 KiB, may contain a
 # head and its whole body, so the limit applies only while the head is incomplete.
@@ -27,7 +25,6 @@
 MAX_FRAMING_BYTES = 65_536
 FRAMING_PER_BODY_BYTE = 16
 
-INTEGER = struct.Struct("i")
 HEAD_END = b"\r\n\r\n"
 _INTERIM_STATUSES = range(100, 200)
 _SWITCHING_PROTOCOLS = 101
@@ -170,18 +167,6 @@
             self.transport.abort()
 
 
-def count_unsent_bytes(connection: asyncio.Transport) -> int:
-    """Count the bytes that were written to a connection and not acknowledged by its peer."""
-    buffered_bytes = connection.get_write_buffer_size()
-    connection_socket = connection.get_extra_info("socket")
-    if connection_socket is None or connection_socket.fileno() < 0:
-        return buffered_bytes
-    # The peer's end of the connection acknowledges all that it has received.
-    answer = fcntl.ioctl(connection_socket.fileno(), termios.TIOCOUTQ, b"\0" * INTEGER.size)
-    queued_bytes: int = INTEGER.unpack(answer)[0]
-    return buffered_bytes + queued_bytes
-
-
 def use_bounded_handler(connector: aiohttp.TCPConnector) -> aiohttp.TCPConnector:
     """Apply the limits of this module to all connections of a connector."""
     # aiohttp has no public way to set the protocol class of its connections.
--- a/coltsfootfront/direct/sockets.py
+++ b/coltsfootfront/direct/sockets.py
@@ -1,6 +1,10 @@
-"""TCP options of outgoing connections that detect unresponsive peers."""
+"""TCP options of connections, and what waits in them."""
 
+import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 from aiohappyeyeballs import AddrInfoType
 
@@ -9,6 +13,7 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+INTEGER = struct.Struct("i")
 
 
 def create_socket(address: AddrInfoType) -> socket.socket:
@@ -22,3 +27,15 @@
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     return created
+
+
+def count_unsent_bytes(connection: asyncio.Transport) -> int:
+    """Count the bytes that were written to a connection and not acknowledged by its peer."""
+    buffered_bytes = connection.get_write_buffer_size()
+    connection_socket = connection.get_extra_info("socket")
+    if connection_socket is None or connection_socket.fileno() < 0:
+        return buffered_bytes
+    # The peer's end of the connection acknowledges all that it has received.
+    answer = fcntl.ioctl(connection_socket.fileno(), termios.TIOCOUTQ, b"\0" * INTEGER.size)
+    queued_bytes: int = INTEGER.unpack(answer)[0]
+    return buffered_bytes + queued_bytes
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -15,10 +15,12 @@
 from coltsfootfront.common.decoding import read_integer, read_seconds, read_text
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.direct import admission
 from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart, ResponseWriter
 from coltsfootfront.direct.node import CallerServer, Serve
 from coltsfootfront.direct.routingconfig import CallerLimits
+from coltsfootfront.direct.unreadresponses import UnreadResponses, limit_send_buffer
 from coltsfootfront.platform import headers
 
 # For a request without a deadline header; the route's timeout bounds it further.
@@ -133,6 +135,14 @@
 class _CallerConnection(web.RequestHandler):
     """Connection of one caller."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        limit_send_buffer(transport)
+        assert isinstance(transport, asyncio.Transport)
+        # aiohttp gives up its own reference when it closes a connection, before the rest of a
+        # response has been taken.
+        self.caller_transport = transport
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         # A connection counts as active from a request's first byte, before its handler runs.
         server = self._manager
@@ -201,15 +211,22 @@
         self.is_draining = False
         """Whether responses close their connections."""
         self.body_memory = admission.BodyMemory()
+        self.unread_responses = UnreadResponses(
+            clock, self._list_transports, lambda: self._limits.idle_s
+        )
+        self._supervisor = Supervisor("callers", clock)
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self, host, int(port), backlog=LISTEN_BACKLOG)
+        self._supervisor.add("unread_responses", self.unread_responses.run)
+        await self._supervisor.start()
 
     async def close(self) -> None:
         if self._server is not None:
             self._server.close()
+        await self._supervisor.close()
         await self.shutdown(timeout=0.1)
 
     def set_limits(self, limits: CallerLimits) -> None:
@@ -236,6 +253,13 @@
             if protocol not in self._active_connections and protocol.transport is not None:
                 protocol.transport.close()
 
+    def _list_transports(self) -> list[asyncio.Transport]:
+        return [
+            protocol.caller_transport
+            for protocol in self.connections
+            if isinstance(protocol, _CallerConnection)
+        ]
+
     def count_connections(self) -> int:
         return len(self.connections)
 
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -2,11 +2,13 @@
 
 import math
 import re
+import socket
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import aiohttp
 import logbook
+from aiohappyeyeballs import AddrInfoType
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from yarl import URL
@@ -35,6 +37,12 @@
 # one. On a connection that the target is closing, its outcome would be unknown.
 NON_IDEMPOTENT_KEEPALIVE_S = 1.0
 MAX_HEADER_BYTES = 65536
+# What is read from a target ahead of its relay, so that little is held for a caller that reads
+# slowly: aiohttp reads up to twice this and one more read of at most 256 KiB.
+READ_BUFFER_BYTES = 65_536
+# Buffer of a target's socket, which the kernel doubles; by itself it grows to 6 MB or more. A link
+# of 100 Mbit/s has 250 kB under way within the 20 ms to another region.
+RECEIVE_BUFFER_BYTES = 262_144
 # Headers that aiohttp would add. With its Accept-Encoding, a target could choose a content encoding
 # that the caller does not accept.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -224,12 +232,19 @@
         return target_response
 
 
+def _create_target_socket(address: AddrInfoType) -> socket.socket:
+    created = create_socket(address)
+    # Before the connection opens, since the range of its window depends on it.
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return created
+
+
 def _create_session(keepalive_s: float) -> aiohttp.ClientSession:
     connector = use_bounded_handler(
         _TargetConnector(
             limit=0,
             keepalive_timeout=keepalive_s,
-            socket_factory=create_socket,
+            socket_factory=_create_target_socket,
             use_dns_cache=False,
         )
     )
@@ -238,6 +253,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
         response_class=_Response,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
--- a/coltsfootfront_dev/scriptedtarget.py
+++ b/coltsfootfront_dev/scriptedtarget.py
@@ -127,6 +127,8 @@
     :param pause_s: time between two segments, and between two events.
     :param break_offset: offset in the bytes from which nothing more is sent; None for all.
     :param is_early: it answers once the head of the request is read.
+    :param unread_limit_s: time after which it resets the connection if a part of its answer is
+        not taken; None for no limit.
     """
 
     answer: AnswerScript | None = AnswerScript()
@@ -137,6 +139,7 @@
     break_offset: int | None = None
     ending: Ending = Ending.KEEP
     is_early: bool = False
+    unread_limit_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -422,7 +425,14 @@
                 sent.is_complete = script.ending is Ending.FIN and not is_cut
             self.target.book.record_sent(request.request_id, sent)
         data = script.interim + self._insert_second(script, request, data)
-        await self._write_segments(script, data)
+        try:
+            async with asyncio.timeout(script.unread_limit_s):
+                await self._write_segments(script, data)
+        except TimeoutError:
+            for sent in self.target.book.sent[request.request_id]:
+                sent.is_complete = False
+            self.reset()
+            return False
         return await self._end(script, request)
 
     def _insert_second(self, script: Script, request: TargetRequest, data: bytes) -> bytes:
