--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -77,11 +77,13 @@
     :param token_bytes: size of one token's KV cache in bytes.
     :param link_bytes_per_s: rate at which an engine transfers KV cache.
     :param models: names of the models that the engines serve.
+    :param capacity_tokens: tokens that fit into the memory of an engine, 0 when not set.
     """
 
     token_bytes: int
     link_bytes_per_s: float
     models: tuple[str, ...]
+    capacity_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -172,6 +172,7 @@
             token_bytes=read_integer(engine["kv-token-bytes"]),
             link_bytes_per_s=_link_bytes_per_s(engine),
             models=tuple(read_text(model["name"]) for model in read_list(engine.get("models", []))),
+            capacity_tokens=_read_engine_capacity(engine.get("kv-capacity")),
         )
     kept_cache = None
     if item.get("kv-store-addr"):
@@ -185,6 +186,20 @@
     return Service(name=read_text(item["name"]), engine=engine_properties, kept_cache=kept_cache)
 
 
+def _read_engine_capacity(value: Any) -> int:
+    """Tokens that fit into an engine's memory, 0 if that is not set or cannot be read.
+
+    Configurations were in force with any value here before it was read.
+    """
+    if value is None:
+        return 0
+    try:
+        return read_integer(value)
+    except DecodingError as error:
+        log.warning(event("engine_capacity_ignored", reason=str(error)))
+        return 0
+
+
 def _link_bytes_per_s(item: Json) -> float:
     return read_number(item.get("link-mbps", 0)) * 1e6 / 8
 
--- /dev/null
+++ b/coltsfootfront/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which work runs when capacity is short; nothing here uses a network."""
--- a/coltsfootfront/tests/test_routing_config.py
+++ b/coltsfootfront/tests/test_routing_config.py
@@ -7,7 +7,9 @@
 from pathlib import Path
 
 from coltsfootfront.direct.routingconfig import RoutingConfig
+from coltsfootfront.platform.decoder import decode_config
 from coltsfootfront.tests.direct_support import make_route
+from coltsfootfront_dev.platformfleet import ENGINE_SERVICE, configuration
 
 ROOT = Path(__file__).resolve().parents[2]
 # Prints the processor time to decode 4,200 routes, and to look 1,000 paths up, in seconds.
@@ -101,3 +103,16 @@
         decode_s, find_s = json.loads(measured.stdout)
         self.assertLess(decode_s, ACCEPTED_PAUSE_S)
         self.assertLess(find_s, ACCEPTED_PAUSE_S)
+
+    def test_capacity_of_engines(self) -> None:
+        """Guards against a configuration that is lost for a capacity that cannot be read."""
+        cases = ((449_952, 449_952), (0, 0), (None, 0), ("many", 0), (-1, 0), (1.5, 0), (True, 0))
+        for value, capacity_tokens in cases:
+            document = configuration(1)
+            (engine,) = (item["engine"] for item in document["services"] if "engine" in item)
+            engine["kv-capacity"] = value
+            with self.subTest(value):
+                config = decode_config(json.dumps(document).encode()).unwrap()
+                properties = config.services[ENGINE_SERVICE].engine
+                assert properties is not None
+                self.assertEqual(capacity_tokens, properties.capacity_tokens)
