--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -1,4 +1,4 @@
-"""Limits the bytes that a target may send outside a response body.
+"""Limits what a target may send outside a response body, and keeps how its connection ends.
 
 A faulty target may send an endless head, endless chunk framing, or data after the response. Each
 of these is limited in bytes; the request's deadline limits them in time.
@@ -9,11 +9,14 @@
 from typing import Any
 
 import aiohttp
+import logbook
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import _EXC_SENTINEL
 from aiohttp.http_exceptions import HttpProcessingError
 
 from coltsfootfront.common import metrics
+from coltsfootfront.common.logs import event
+from coltsfootfront.direct.sockets import count_unsent_bytes
 
 # Normal response heads are below 4 KiB. One read from the socket, at most 256 KiB, may contain a
 # head and its whole body, so the limit applies only while the head is incomplete.
@@ -24,11 +27,19 @@
 MAX_FRAMING_BYTES = 65_536
 FRAMING_PER_BODY_BYTE = 16
 
+# Time for which the rest of a request is still written after its connection has been closed. A
+# target that has answered early may go on reading; one that reads slowly would otherwise keep the
+# rest in the router's memory after the account of the request has been settled.
+FLUSH_LIMIT_S = 2.0
+
 HEAD_END = b"\r\n\r\n"
 _INTERIM_STATUSES = range(100, 200)
 _SWITCHING_PROTOCOLS = 101
 
 
+log = logbook.Logger(__name__)
+
+
 class ResponseLimitError(aiohttp.ClientPayloadError):
     """A target exceeded a limit on response heads, interim responses or framing."""
 
@@ -42,6 +53,54 @@
         self._interim_responses = 0
         self._body: Any = None
         self._received_bytes = 0
+        self._connection: asyncio.Transport | None = None
+        self.end_error: BaseException | None = None
+        """Why the connection did not end in order. aiohttp forgets its own record when it closes
+        the connection, which may be before the end of the body has been read."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, which aiohttp gives up as soon as it closes the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._connection = transport
+        super().connection_made(transport)
+
+    def eof_received(self) -> None:
+        """End the connection if the target has not received the whole request.
+
+        It ends its response without knowing the request, so a body that ends with the connection
+        is not complete.
+        """
+        super().eof_received()
+        connection = self._connection
+        if connection is None or not count_unsent_bytes(connection):
+            return
+        self.end_error = aiohttp.ClientPayloadError(
+            "the target ended the connection before it had received the request"
+        )
+        connection.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record the error that ended the connection."""
+        if exc is not None:
+            self.end_error = exc
+        super().connection_lost(exc)
+
+    def close(self) -> None:
+        """Close the connection, and give up what the target has not taken after a while."""
+        connection = self._connection
+        super().close()
+        if connection is not None and connection.get_write_buffer_size():
+            self._loop.call_later(FLUSH_LIMIT_S, self._abort_flush, connection)
+
+    @staticmethod
+    def _abort_flush(connection: asyncio.Transport) -> None:
+        unsent_bytes = connection.get_write_buffer_size()
+        if unsent_bytes:
+            metrics.CONNECTION_EVENTS.inc({"event": "target_not_reading"})
+            log.warning(
+                event("target_not_reading", unsent_bytes=unsent_bytes, limit_s=FLUSH_LIMIT_S)
+            )
+            connection.abort()
 
     def is_connected(self) -> bool:
         """Whether a request may be sent on this connection.
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -2,11 +2,13 @@
 
 import math
 import re
+import socket
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import aiohttp
 import logbook
+from aiohappyeyeballs import AddrInfoType
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from yarl import URL
@@ -16,7 +18,7 @@
 from coltsfootfront.costs.pace import MAX_PERCENT, MIN_PERCENT
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
-from coltsfootfront.direct.responselimits import use_bounded_handler
+from coltsfootfront.direct.responselimits import BoundedResponseHandler, use_bounded_handler
 from coltsfootfront.direct.sockets import create_socket
 from coltsfootfront.direct.targetclient import (
     Directive,
@@ -36,6 +38,12 @@
 # one. On a connection that the target is closing, its outcome would be unknown.
 NON_IDEMPOTENT_KEEPALIVE_S = 1.0
 MAX_HEADER_BYTES = 65536
+# What is read from a target ahead of its relay, so that little is held for a caller that reads
+# slowly: aiohttp reads up to twice this and one more read of at most 256 KiB.
+READ_BUFFER_BYTES = 65_536
+# Buffer of a target's socket, which the kernel doubles; by itself it grows to 6 MB or more. A link
+# of 100 Mbit/s has 250 kB under way within the 20 ms to another region.
+RECEIVE_BUFFER_BYTES = 262_144
 # Headers that aiohttp would add. With its Accept-Encoding, a target could choose a content encoding
 # that the caller does not accept.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -147,14 +155,14 @@
         if body is not None:
             body.finish()
         connection_handler = self._response.connection_handler
-        connection_error = (
-            connection_handler.exception() if connection_handler is not None else None
-        )
+        if self._is_delimited or not isinstance(connection_handler, BoundedResponseHandler):
+            return
         # A body without a length ends when the connection closes; after a reset it is truncated.
-        if self.length_bytes is None and isinstance(connection_error, aiohttp.ClientOSError):
+        connection_error = connection_handler.end_error
+        if isinstance(connection_error, Exception):
             raise ExchangeError(
                 ExchangeFailure.INVALID_RESPONSE,
-                f"the response was reset: {_describe_error(connection_error)}",
+                f"the response was cut off: {_describe_error(connection_error)}",
             )
 
     def close(self) -> None:
@@ -231,12 +239,19 @@
         return target_response
 
 
+def _create_target_socket(address: AddrInfoType) -> socket.socket:
+    created = create_socket(address)
+    # Before the connection opens, since the range of its window depends on it.
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return created
+
+
 def _create_session(keepalive_s: float) -> aiohttp.ClientSession:
     connector = use_bounded_handler(
         _TargetConnector(
             limit=0,
             keepalive_timeout=keepalive_s,
-            socket_factory=create_socket,
+            socket_factory=_create_target_socket,
             use_dns_cache=False,
         )
     )
@@ -245,6 +260,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
         response_class=_Response,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
--- a/coltsfootfront/scheduling/__init__.py
+++ b/coltsfootfront/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Decides which requests go to targets first when capacity is short."""
+"""Decides which requests go to targets when capacity is short."""
--- a/coltsfootfront_dev/scriptedtarget.py
+++ b/coltsfootfront_dev/scriptedtarget.py
@@ -21,8 +21,14 @@
 HEAD_END = b"\r\n\r\n"
 OK = 200
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+STATUS_OF_NO_ANSWER = 0
 ID_OF_NO_REQUEST = "ffffffffffffffff"
 MODEL_SERVER_PATHS = ("/v1/", "/health")
+# A target that answers before it reads a body has at most this much of it in its process: twice
+# the limit of asyncio's reader.
+MAX_READ_AHEAD_BYTES = 131_072
+# Limit on the wait for a router to end a connection that the target has half closed.
+HALF_CLOSED_S = 5.0
 
 
 class Framing(Enum):
@@ -39,6 +45,8 @@
 
     KEEP = "keep"
     FIN = "FIN"
+    HALF = "FIN, while the rest of the request stays unread"
+    LINGER = "FIN, then the rest of the request is read"
     RST = "RST"
     STALL = "nothing more is sent"
     CRASH = "all connections are reset and the port is closed"
@@ -74,6 +82,7 @@
     :param lines: further header lines, as bytes without their end.
     :param trailers: lines after the last chunk.
     :param chunk_bytes: size of the chunks; 0 for one for each event.
+    :param status_text: bytes in the place of the status, which make the answer invalid.
     """
 
     status: int = OK
@@ -90,6 +99,7 @@
     has_request_id: bool = True
     is_not_executed: bool = False
     version: bytes = b"HTTP/1.1"
+    status_text: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +127,8 @@
     :param pause_s: time between two segments, and between two events.
     :param break_offset: offset in the bytes from which nothing more is sent; None for all.
     :param is_early: it answers once the head of the request is read.
+    :param unread_limit_s: time after which it resets the connection if a part of its answer is
+        not taken; None for no limit.
     """
 
     answer: AnswerScript | None = AnswerScript()
@@ -127,6 +139,7 @@
     break_offset: int | None = None
     ending: Ending = Ending.KEEP
     is_early: bool = False
+    unread_limit_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -167,6 +180,11 @@
         """Its ID."""
         return self.headers.get("x-request-id", "")
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of its body."""
+        return int(self.headers.get("content-length", "0"))
+
     @property
     def is_stream(self) -> bool:
         """Whether it asks for a stream."""
@@ -197,9 +215,12 @@
         body = b"".join(pieces)
         lines = list(self._lines(len(body)))
         reason = _reason(script.status)
-        head = b"\r\n".join([b"%s %d %s" % (script.version, script.status, reason), *lines])
+        status_text = b"%d" % script.status if script.status_text is None else script.status_text
+        head = b"\r\n".join([b"%s %s %s" % (script.version, status_text, reason), *lines])
         head += HEAD_END
         sent = SentAnswer(script.status, body, True, self._is_stream)
+        if script.status_text is not None:
+            sent.status = STATUS_OF_NO_ANSWER
         if script.status in STATUSES_WITHOUT_BODY:
             sent.body = b""
             return head, sent, len(head)
@@ -267,6 +288,7 @@
         on; a request without one is answered well.
     :param runs: how often each request has run.
     :param sent: what was sent for each request, in whole or in part.
+    :param bodies: bodies of the requests that were read to their end.
     """
 
     scripts: dict[str, list[Script]] = field(default_factory=dict)
@@ -274,6 +296,7 @@
     runs: dict[str, int] = field(default_factory=dict)
     sent: dict[str, list[SentAnswer]] = field(default_factory=dict)
     targets: dict[str, list[str]] = field(default_factory=dict)
+    bodies: dict[str, bytes] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     """Set at each arrival of a request."""
 
@@ -362,7 +385,8 @@
         return is_kept
 
     async def _read_body(self, request: TargetRequest) -> None:
-        await self.reader.readexactly(int(request.headers.get("content-length", "0")))
+        body = await self.reader.readexactly(request.body_bytes)
+        self.target.book.bodies[request.request_id] = body
 
     async def _serve_model_server_call(self, request: TargetRequest) -> bool:
         await self._read_body(request)
@@ -391,16 +415,24 @@
             data, sent, body_offset = encoder.encode()
             has_body = script.answer.status not in STATUSES_WITHOUT_BODY
             has_end = has_body and script.answer.framing is Framing.CONNECTION
+            is_cut = script.is_early and request.body_bytes > MAX_READ_AHEAD_BYTES
             if script.break_offset is not None and script.break_offset < len(data):
                 data = data[: script.break_offset]
                 if has_body:
-                    sent.is_complete = has_end and script.ending is Ending.FIN
+                    sent.is_complete = has_end and script.ending is Ending.FIN and not is_cut
                 sent.body = data[body_offset:] if has_end else sent.body
             elif has_end:
-                sent.is_complete = script.ending is Ending.FIN
+                sent.is_complete = script.ending is Ending.FIN and not is_cut
             self.target.book.record_sent(request.request_id, sent)
         data = script.interim + self._insert_second(script, request, data)
-        await self._write_segments(script, data)
+        try:
+            async with asyncio.timeout(script.unread_limit_s):
+                await self._write_segments(script, data)
+        except TimeoutError:
+            for sent in self.target.book.sent[request.request_id]:
+                sent.is_complete = False
+            self.reset()
+            return False
         return await self._end(script, request)
 
     def _insert_second(self, script: Script, request: TargetRequest, data: bytes) -> bytes:
@@ -434,6 +466,12 @@
                 await self.writer.drain()
                 self.writer.close()
                 await self.writer.wait_closed()
+            case Ending.HALF:
+                self.writer.write_eof()
+                await self._until_end()
+            case Ending.LINGER:
+                self.writer.write_eof()
+                await self.reader.read(-1)
             case Ending.RST:
                 self.reset()
             case Ending.CRASH:
@@ -449,6 +487,12 @@
                 return True
         return False
 
+    async def _until_end(self) -> None:
+        """Wait for the router to end the connection, without reading from it."""
+        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        async with asyncio.timeout(HALF_CLOSED_S):
+            await self.writer.wait_closed()
+
     def reset(self) -> None:
         """End the connection with a reset."""
         connection_socket = self.writer.get_extra_info("socket")
@@ -466,20 +510,32 @@
 
     :param name: instance ID of the target.
     :param version: version of its weights; None for a plain service.
+    :param receive_buffer_bytes: size of the sockets' buffers for what it has not read; 0 leaves it
+        to the system.
     """
 
     def __init__(
-        self, name: str, service: str, book: ScriptBook, version: int | None = None
+        self,
+        name: str,
+        service: str,
+        book: ScriptBook,
+        version: int | None = None,
+        receive_buffer_bytes: int = 0,
     ) -> None:
         super().__init__(name, service, version)
         self.book = book
+        self._receive_buffer_bytes = receive_buffer_bytes
         self.on_scripted_crash: Callable[[ScriptedTarget], None] = lambda target: None
         self._server: asyncio.Server | None = None
         self._connections: dict[_Connection, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
         """Start listening on loopback."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        listener = socket.create_server(("127.0.0.1", 0))
+        if self._receive_buffer_bytes:
+            # Accepted sockets inherit it.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes)
+        self._server = await asyncio.start_server(self._accept, sock=listener)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
