--- a/coltsfootfront/direct/capacitywait.py
+++ b/coltsfootfront/direct/capacitywait.py
@@ -1,4 +1,7 @@
-"""Lets long prompts wait at the router until a target has room for them."""
+"""Lets long prompts wait at the router until a target has room for them.
+
+The most urgent routes are not held: their prompts come before the others at the engines anyway.
+"""
 
 from collections.abc import Awaitable, Callable
 
@@ -50,6 +53,7 @@
         :raises NoCapacityError: if there will be none in time.
         """
         placement = await choose_target(state, wait_until_s)
+        self._check_first_event(state, placement)
         if not self._must_hold(state, placement, None):
             return placement
         customer = state.customer.name if state.customer else ""
@@ -81,10 +85,25 @@
                 return placement
             self._queue.postpone(queued)
 
+    def _check_first_event(self, state: RequestState, placement: Placement) -> None:
+        """Refuse a prompt at once that would have no first event before its deadline.
+
+        :raises NoCapacityError: if even the best target is expected to be too late.
+        """
+        cost = placement.prompt_cost
+        if cost is None or state.has_response_begun:
+            return
+        left_s = state.deadline_s - self._clock.monotonic_s()
+        if cost.first_event_s > left_s:
+            raise NoCapacityError(
+                holding.room_after_s(cost.begin_s, state.route.latency_objective_s)
+            )
+
     def _must_hold(
         self, state: RequestState, placement: Placement, queued: QueuedRequest | None
     ) -> bool:
-        if placement.prompt_cost is None or state.has_response_begun:
+        is_most_urgent = not state.route.priority
+        if placement.prompt_cost is None or state.has_response_begun or is_most_urgent:
             return False
         hold_until_s = holding.hold_until_s(state.request.received_s, state.deadline_s)
         if self._clock.monotonic_s() >= hold_until_s:
--- a/coltsfootfront/scheduling/holding.py
+++ b/coltsfootfront/scheduling/holding.py
@@ -9,9 +9,11 @@
 MIN_HELD_PREFILL_TOKENS = 1_600
 # Share of the objective for which a prompt may wait at the engine.
 MAX_WAIT_SHARE = 0.25
+# Shortest time after which a refused caller is told to return; the estimate is no more precise.
+MIN_ROOM_AFTER_S = 0.1
 # Share of the time until its deadline for which a prompt waits at the router at most. It is sent
 # then whatever waits at the engine, as its answer takes some seconds as well.
-MAX_HOLD_SHARE = 0.4
+MAX_HOLD_SHARE = 0.12
 # A prompt whose expected wait is longer than this share of the time until its deadline is refused.
 MAX_EXPECTED_WAIT_SHARE = 0.6
 
@@ -38,6 +40,14 @@
         return self.prefill_tokens >= MIN_HELD_PREFILL_TOKENS
 
 
+def room_after_s(begin_s: float, objective_s: float) -> float:
+    """Time after which a target would begin a further prompt soon.
+
+    :param begin_s: expected time until it would begin one that is sent now.
+    """
+    return max(MIN_ROOM_AFTER_S, begin_s - MAX_WAIT_SHARE * objective_s)
+
+
 def hold_until_s(received_s: float, deadline_s: float) -> float:
     """Monotonic time until which a prompt waits at the router at most."""
     return received_s + MAX_HOLD_SHARE * (deadline_s - received_s)
--- a/coltsfootfront/tests/test_capacity_wait.py
+++ b/coltsfootfront/tests/test_capacity_wait.py
@@ -25,6 +25,7 @@
         self.queue = DispatchQueue(self.clock)
         self.wait = CapacityWait(self.clock, self.queue)
         self.begin_s = 5.0
+        self.priority = 2
         self.placement = Placement(
             Target(make_entry("t1"), "east"), prefill_tokens=8000, expected_s=0.1, prompt_cost=COST
         )
@@ -32,6 +33,7 @@
     def _state(self, deadline_s: float = 10.0, customer: str = "c") -> RequestState:
         request = make_request(parts=(("p", 8000),), deadline_s=deadline_s)
         route = make_route(service="engines", aim_s=OBJECTIVE_S, timeout_s=deadline_s)
+        route = replace(route, priority=self.priority)
         return RequestState(request, route, "engines", Customer(customer), request.deadline_s)
 
     async def _choose(self, state: RequestState, wait_until_s: float) -> Placement:
@@ -87,6 +89,18 @@
         await asyncio.gather(placing, return_exceptions=True)
         self.assertFalse(len(self.queue))
 
+    async def test_prompts_of_the_most_urgent_route_are_not_held(self) -> None:
+        """Guards against quick checks that wait at the router behind long prompts."""
+        self.priority = 0
+        self.assertEqual((await self._place(self._state())).begin_s, self.begin_s)
+
+    async def test_a_prompt_without_a_first_event_in_time_is_refused_at_once(self) -> None:
+        """Guards against sending what its caller will not wait for, which delays the others."""
+        self.placement = replace(self.placement, prompt_cost=PromptCost(4.0, 12.0, (1.0,)))
+        with self.assertRaises(NoCapacityError) as refused:
+            await self._place(self._state(deadline_s=10.0))
+        self.assertAlmostEqual(refused.exception.room_after_s, 4.0 - 0.25 * OBJECTIVE_S)
+
     async def test_prompts_are_sent_at_once_where_their_cost_is_not_learned(self) -> None:
         """Guards against a change for deployments that do not call for holding."""
         self.placement = replace(self.placement, prompt_cost=None)
