--- a/coltsfootfront/costs/callcost.py
+++ b/coltsfootfront/costs/callcost.py
@@ -2,7 +2,7 @@
 
 Answers calls of varying work at targets with few slots: on two recorded days the time of a call
 varied by a factor of four to six within a route and fifty between routes, while customers of a
-route did not differ. Mean and spread are therefore learned by route.
+route hardly differed. Mean and spread are therefore learned by route.
 """
 
 import math
--- a/coltsfootfront/costs/model.py
+++ b/coltsfootfront/costs/model.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from coltsfootfront.costs.callcost import CallModel
+from coltsfootfront.costs.outputlength import OutputLengths
 from coltsfootfront.costs.pace import ServiceOutcomes, TargetPace
 from coltsfootfront.costs.promptcost import FirstEventModel
 
@@ -14,13 +15,14 @@
 class CostModel:
     """Cost models of all services."""
 
-    __slots__ = ("_calls", "_outcomes", "_prompts", "has_quotas")
+    __slots__ = ("_calls", "_outcomes", "_outputs", "_prompts", "has_quotas")
 
     def __init__(self) -> None:
         self.has_quotas = False
         """Whether customers of the configuration in force have quotas."""
         self._prompts: dict[str, FirstEventModel] = {}
         self._calls: dict[str, CallModel] = {}
+        self._outputs: dict[str, OutputLengths] = {}
         self._outcomes: dict[str, ServiceOutcomes] = {}
 
     def applies(self, paces: Iterable[TargetPace]) -> bool:
@@ -40,6 +42,11 @@
         model = self._calls.get(service)
         return model if model is not None else self._calls.setdefault(service, CallModel())
 
+    def outputs(self, service: str) -> OutputLengths:
+        """Lengths of the answers of a service."""
+        found = self._outputs.get(service)
+        return found if found is not None else self._outputs.setdefault(service, OutputLengths())
+
     def outcomes(self, service: str) -> ServiceOutcomes:
         """Outcomes with which those of each target of a service are compared."""
         found = self._outcomes.get(service)
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -171,6 +171,8 @@
             await writer.write(events)
             state.stream_validator.check()
         state.stream_validator.finish()
+        if state.work is not None and state.sends == 1 and state.request.resume_after is None:
+            state.work.record_stream(state.stream_validator.event_count)
         self._record_answer(state)
         if not state.has_response_begun:
             await self._begin_stream(state, response, writer)
--- a/coltsfootfront/direct/targetwork.py
+++ b/coltsfootfront/direct/targetwork.py
@@ -28,6 +28,10 @@
     def record_response(self) -> None:
         """Record a complete response that is not a stream."""
 
+    @abstractmethod
+    def record_stream(self, events: int) -> None:
+        """Record a stream that this attempt has brought whole."""
+
     @abstractmethod
     def end(self) -> None:
         """Record the end of the attempt, whatever its outcome; further calls do nothing."""
@@ -36,10 +40,13 @@
 class PromptWork(AttemptWork):
     """Work of a prompt, which waits at its target until the first event."""
 
-    __slots__ = ("_is_pending", "_placement", "_recorder", "_sent_s")
+    __slots__ = ("_is_pending", "_placement", "_recorder", "_route", "_sent_s")
 
-    def __init__(self, recorder: "TargetWorkRecorder", placement: Placement, sent_s: float) -> None:
+    def __init__(
+        self, recorder: "TargetWorkRecorder", placement: Placement, route: str, sent_s: float
+    ) -> None:
         self._recorder = recorder
+        self._route = route
         self._placement = placement
         self._sent_s = sent_s
         self._is_pending = True
@@ -53,6 +60,9 @@
     def record_response(self) -> None:
         self.end()
 
+    def record_stream(self, events: int) -> None:
+        self._recorder.record_length(self._placement.target, self._route, events)
+
     def end(self) -> None:
         if self._is_pending:
             self._is_pending = False
@@ -79,6 +89,9 @@
     def record_response(self) -> None:
         self._recorder.record_call(self._placement, self._route, self._sent_s)
 
+    def record_stream(self, events: int) -> None:
+        pass
+
     def end(self) -> None:
         self._placement.target.calls.end(id(self))
 
@@ -110,7 +123,7 @@
         if not has_prompt:
             return CallWork(self, placement, route, now_s)
         self._add_backlog(placement, now_s)
-        return PromptWork(self, placement, now_s)
+        return PromptWork(self, placement, route, now_s)
 
     def add_pending(self, placement: Placement, tokens: int) -> None:
         """Add tokens that wait at the target of a placement, or take them off if negative."""
@@ -161,6 +174,10 @@
         self._costs.calls(target.entry.service).record(route, cost, now_s - sent_s, pace)
         self._compare(target, cost.total_s, now_s - sent_s, now_s)
 
+    def record_length(self, target: Target, route: str, events: int) -> None:
+        """Learn from the length of an answer; routers are not told the hints of callers."""
+        self._costs.outputs(target.entry.service).record(route, None, events)
+
     async def repeat(self) -> None:
         """Run the loop that tells peers again what waits, and drops what they tell no more."""
         while True:
--- a/coltsfootfront/tests/test_costs_models.py
+++ b/coltsfootfront/tests/test_costs_models.py
@@ -10,6 +10,7 @@
 from coltsfootfront.costs.callcost import CallModel, PendingCalls, RouteWork
 from coltsfootfront.costs.fitting import MAX_FACTOR, MIN_FACTOR, TimeRegression
 from coltsfootfront.costs.model import CostModel
+from coltsfootfront.costs.outputlength import OutputLengths
 from coltsfootfront.costs.pace import TargetPace
 from coltsfootfront.costs.pending import PEER_TTL_S, PRIORITIES, PendingWork
 from coltsfootfront.costs.promptcost import PRIOR, FirstEventModel
@@ -182,6 +183,30 @@
         self.assertIs(self.model.route("other1"), self.model.route("other2"))
 
 
+class OutputLengthsTest(unittest.TestCase):
+    def test_length_is_learned_from_the_hint(self) -> None:
+        """Guards against hints, of which an event covers several, that are taken for lengths."""
+        generator = random.Random(3)
+        lengths = OutputLengths()
+        for _ in range(300):
+            hint = round(generator.lognormvariate(5.0, 0.8))
+            lengths.record("r", hint, round(hint / 6 * generator.lognormvariate(0.0, 0.4)))
+        for hint in (60, 150, 400):
+            with self.subTest(hint=hint):
+                self.assertAlmostEqual(1.0, lengths.estimate("r", hint, 0) / (hint / 6), delta=0.3)
+        self.assertEqual(20.0, lengths.estimate("r", 4000, 20))
+
+    def test_length_without_hint_is_the_mean_of_the_route(self) -> None:
+        """Guards against long routes that count like short ones where callers give no hint."""
+        lengths = OutputLengths()
+        for _ in range(200):
+            lengths.record("long", None, 60)
+            lengths.record("short", None, 2)
+        self.assertAlmostEqual(60.0, lengths.estimate("long", None, 0), delta=6.0)
+        self.assertAlmostEqual(2.0, lengths.estimate("short", None, 0), delta=0.3)
+        self.assertGreater(lengths.estimate("unknown", None, 0), 2.0)
+
+
 class CostPlacementTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -317,6 +342,8 @@
         with mock.patch.object(Gossip, "queue_pending") as queue_pending:
             await fixture.forwarder.serve(make_request(parts=(("own", 900),)), writer)
         self.assertEqual({0}, set(pending))
+        expected = fixture.costs.outputs("engines").estimate(make_route().name, None, 0)
+        self.assertLess(expected, OutputLengths().estimate("", None, 0))
         totals = [call.args for call in queue_pending.call_args_list]
         self.assertEqual([("e1", [0, 900]), ("e1", [])], totals)
 
