--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -119,17 +119,24 @@
                 # A customer of the first configuration may have used its quota through an earlier
                 # process; one that is added later has not.
                 is_new = self._is_first_start or bool(self._quotas)
-                bucket = SharedBucket(quota, self._tolerance, is_new, self._generator, now_s)
-                bucket.set_silent(self._silent, self._router_count, now_s)
-                self._buckets[customer] = bucket
+                self._add_bucket(customer, quota, is_new, now_s)
             elif bucket.quota != quota:
                 self._log_change(customer, bucket.quota, quota)
-                bucket.set_quota(quota, now_s)
+                if bucket.quota.unit is quota.unit:
+                    bucket.set_quota(quota, now_s)
+                else:
+                    # Tokens and requests cannot be added up.
+                    self._add_bucket(customer, quota, True, now_s)
         if quotas and not self._quotas:
             # The peers wait for reports before they leave their restriction.
             self._reported_s = -math.inf
         self._quotas = dict(quotas)
 
+    def _add_bucket(self, customer: str, quota: Quota, is_new: bool, now_s: float) -> None:
+        bucket = SharedBucket(quota, self._tolerance, is_new, self._generator, now_s)
+        bucket.set_silent(self._silent, self._router_count, now_s)
+        self._buckets[customer] = bucket
+
     def set_tolerance(self, tolerance: Tolerance) -> None:
         """Set the use beyond each quota that is tolerated; it holds for quotas set afterwards."""
         self._tolerance = tolerance
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -489,6 +489,19 @@
         self.assertGreaterEqual(admitted, 10)
         self.assertLessEqual(admitted, 13)
 
+    def test_quota_that_counts_other_units_than_before(self) -> None:
+        """Guards against tokens that are taken for requests, and hours without service."""
+        router = OneRouter()
+        router.hear(50_000, 1.0)
+        self.assertIsNone(router.quotas.admit(CUSTOMER, 90_000, 0))
+        router.quotas.set_quotas({CUSTOMER: Quota(5.0, 10.0)})
+        self.assertAlmostEqual(10.0, router.level)
+        router.clock.now_s += 0.5
+        router.hear(3, 1.5, since_s=1.4)
+        self.assertAlmostEqual(7.0, router.level)
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+        self.assertAlmostEqual(RATE_PER_S, router.level)
+
     def test_burst_of_0_lets_the_rate_through(self) -> None:
         """Guards against a customer that is never served, as its quota has no burst."""
         router = OneRouter(peers=0)
