--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -1,10 +1,15 @@
 """Tests of quotas that routers keep together, on a virtual clock and without a network."""
 
+import itertools
 import random
 import unittest
+from collections.abc import Callable
+from dataclasses import dataclass
 from unittest import mock
 
 import logbook
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from coltsfootfront.common.decoding import DecodingError
 from coltsfootfront.quotas.quota import Quota, QuotaUnit
@@ -570,3 +575,115 @@
         fleet.cuts = {(1, 4), (4, 1)}
         fleet.run(15.0, 4 * 400_000, lambda: fleet.generator.choice((1, 4)))
         self.assertLess(fleet.most_used(), fleet.allowed)
+
+
+RATES_PER_S = st.sampled_from((36_000, 100_000, 250_000, 730_000))
+
+
+def choices(fleet: QuotaFleet, pattern: str) -> Callable[[], int]:
+    """Return a function that chooses the routers of a customer's requests."""
+    generator, size = fleet.generator, fleet.size
+
+    def skewed() -> int:
+        return min(int(generator.expovariate(8 / size)), size - 1)
+
+    def moving() -> int:
+        return (int(fleet.clock.now_s / 2.5) * 7 + generator.randrange(1 + size // 4)) % size
+
+    def even() -> int:
+        return generator.randrange(size)
+
+    return {"even": even, "skewed": skewed, "moving": moving}[pattern]
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A failure that lasts for some time.
+
+    :param routers: numbers of those that fail, modulo the size of the fleet.
+    """
+
+    kind: str
+    routers: frozenset[int]
+    after_s: float
+    for_s: float
+
+    def begin(self, fleet: QuotaFleet) -> None:
+        """Let it happen."""
+        numbers = sorted({number % fleet.size for number in self.routers})
+        for number in numbers:
+            if self.kind == "pause":
+                fleet.pause(number)
+            elif self.kind == "kill":
+                fleet.kill(number)
+        if self.kind == "group":
+            fleet.isolate(numbers)
+        elif self.kind == "deaf":
+            fleet.cuts |= {(a, b) for a in range(fleet.size) for b in numbers}
+        elif self.kind == "mute":
+            fleet.cuts |= {(a, b) for a in numbers for b in range(fleet.size)}
+        elif self.kind == "links":
+            fleet.cuts |= set(itertools.permutations(numbers, 2))
+        elif self.kind == "one_way":
+            fleet.cuts |= set(itertools.combinations(numbers, 2))
+
+    def end(self, fleet: QuotaFleet) -> None:
+        """Let it be over."""
+        for number in sorted({number % fleet.size for number in self.routers}):
+            if self.kind == "pause":
+                fleet.resume(number)
+            elif self.kind == "kill":
+                fleet.start(number)
+        fleet.cuts.clear()
+
+
+FAULTS = st.lists(
+    st.builds(
+        Fault,
+        st.sampled_from(("pause", "kill", "group", "deaf", "mute", "links", "one_way")),
+        st.frozensets(st.integers(0, 11), min_size=1, max_size=6),
+        st.floats(0.1, 4.0),
+        st.floats(0.2, 9.0),
+    ),
+    max_size=4,
+)
+
+
+class SumTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=120, database=None)
+    @given(
+        st.integers(1, 12),
+        RATES_PER_S,
+        st.sampled_from((0.9, 1.5, 4.0)),
+        st.sampled_from(("even", "skewed", "moving")),
+        st.sampled_from((0.0, 0.1, 0.3)),
+        st.sampled_from((0.0, 0.2)),
+        st.sampled_from((0.04, 0.3, 1.5)),
+        FAULTS,
+        st.integers(0, 2**16),
+    )
+    def test_all_routers_together_stay_within_what_is_allowed(
+        self,
+        size: int,
+        rate_per_s: int,
+        demand: float,
+        pattern: str,
+        loss: float,
+        doubled: float,
+        longest_delay_s: float,
+        faults: list[Fault],
+        seed: int,
+    ) -> None:
+        """Guards against a customer that gets more than its quota while routers restart or pause,
+        while messages are lost, doubled, late or out of order, and while links are cut."""
+        fleet = QuotaFleet(size, make_quota(rate_per_s), seed, loss, doubled)
+        fleet.delay_s = (0.001, longest_delay_s)
+        choose = choices(fleet, pattern)
+        fleet.run(2.0, demand * rate_per_s, choose)
+        for fault in faults:
+            fleet.run(fault.after_s, demand * rate_per_s, choose)
+            fault.begin(fleet)
+            fleet.run(fault.for_s, demand * rate_per_s, choose)
+            fault.end(fleet)
+        fleet.run(3.0, demand * rate_per_s, choose)
+        self.assertLessEqual(fleet.most_used(), fleet.allowed)
