Explain where a request would go now, on the platform's routers

Operators could only tell from the logs of later requests why a target got nothing. It answers from its state with the route, the customer, the candidates with their estimates, why others are passed over, and why the request would be refused; nothing is sent and nothing changes.

The selectors list what they weigh with a method of their own, which the choice of prompt targets uses as well.

--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -25,6 +25,12 @@
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
 from coltsfootfront.direct.crashobserver import CrashObserver
 from coltsfootfront.direct.directory import Directory, Target, TargetEntry
+from coltsfootfront.direct.explanation import (
+    EXPLAIN_PATH,
+    Explainer,
+    ExplanationHandler,
+    Occupancy,
+)
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.gossipfields import (
@@ -346,7 +352,7 @@
         await self._peers.start()
         await self._gossip.start(settings.ip, settings.gossip_port)
         await self._listen(settings.ready_address, self._answer_ready)
-        await self._listen(f"{settings.ip}:{settings.metrics_port}", metrics.handle_metrics)
+        await self._listen(f"{settings.ip}:{settings.metrics_port}", self._answer_operator)
         supervisor = self._supervisor
         supervisor.add("follow_store", self._follower.follow_store)
         supervisor.add("follow_peers", self._follower.follow_peers)
@@ -494,14 +500,28 @@
         self._cache_planner = CachePlanner(
             self._clock, settings.regions, self._cache_index, self._versions
         )
+        prompt = PromptTargetSelector(
+            self._clock, settings.region, self._cache_planner, self._versions, prefill_rates
+        )
+        self._explanations = ExplanationHandler(
+            Explainer(
+                self._clock,
+                self._directory,
+                plain,
+                prompt,
+                self._versions,
+                self._quarantine,
+                lambda: self._forwarder.routing_config,
+                self._occupancy,
+                self._take_ups.may_begin,
+            )
+        )
         return Forwarder(
             self._clock,
             self._directory,
             self._target_client,
             plain,
-            PromptTargetSelector(
-                self._clock, settings.region, self._cache_planner, self._versions, prefill_rates
-            ),
+            prompt,
             self._cache_index,
             self._versions,
             self._gossip,
@@ -692,6 +712,17 @@
             self._cache_index.remove_holder(target.name)
         self._directory.notify()
 
+    def _occupancy(self) -> Occupancy:
+        forwarder = self._forwarder
+        max_in_progress = forwarder.max_in_progress - forwarder.body_memory.held_requests
+        return Occupancy(forwarder.in_progress, max_in_progress, forwarder.stop)
+
+    async def _answer_operator(self, request: Any) -> web.Response:
+        """Answer on the metrics address."""
+        if request.path == EXPLAIN_PATH:
+            return await self._explanations.handle(request)
+        return await metrics.handle_metrics(request)
+
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.is_ready else 503)
 
--- a/coltsfootfront/direct/quarantinekeeper.py
+++ b/coltsfootfront/direct/quarantinekeeper.py
@@ -116,6 +116,11 @@
         metrics.QUARANTINE.inc({"event": "held_back"})
         return max(TRIAL_RETRY_S, record.left_s(self._clock.monotonic_s()))
 
+    def quarantined_for_s(self, parts: Parts) -> float | None:
+        """Like :meth:`held_for_s`, for a request that is not held back, and counts as none."""
+        record = self._quarantine.find(parts)
+        return record.left_s(self._clock.monotonic_s()) if record is not None else None
+
     async def may_try(self, parts: Parts) -> bool:
         """Whether a request with quarantined parts is sent as a trial."""
         record = self._quarantine.find(parts)
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -171,13 +171,21 @@
             min(healthy_targets(usable, now_s), key=lambda item: self._cost(item, now_s))
         )
 
+    def weigh(self, targets: list[Target]) -> list[tuple[Target, float]]:
+        """Estimate the cost of a request at each target, without choosing one."""
+        now_s = self._clock.monotonic_s()
+        return [(target, self._load_cost(target, now_s)) for target in targets]
+
     def _cost(self, target: Target, now_s: float) -> tuple[float, float]:
+        return self._load_cost(target, now_s), self._generator.random()
+
+    def _load_cost(self, target: Target, now_s: float) -> float:
         cost = target.load(now_s) / max(1, target.entry.slots)
         if target.region != self._region:
             cost += OTHER_REGION_PENALTY_LOAD
         elif target.entry.data_centre != self._data_centre:
             cost += OTHER_DATA_CENTRE_PENALTY_LOAD
-        return cost, self._generator.random()
+        return cost
 
 
 class PromptTargetSelector:
@@ -229,22 +237,11 @@
         if not usable:
             return None
         usable = healthy_targets(usable, now_s)
-        preferred_name = self._affinity_target(request, cache_scope, usable)
-        placements = [
-            self._estimate_placement(
-                request,
-                cache_scope,
-                target,
-                preferred_name,
-                engine_properties,
-                kept_caches,
-                rank_offset,
-            )
-            for target in usable
-        ]
         placements = [
             placement
-            for placement in placements
+            for placement in self.weigh(
+                request, cache_scope, usable, engine_properties, kept_caches, rank_offset
+            )
             if self._versions.allows(request.model, placement.target, placement.expected_s)
         ]
         if not placements:
@@ -259,6 +256,34 @@
             request, min(ready, key=lambda placement: placement.expected_s), wait_until_s
         )
 
+    def weigh(
+        self,
+        request: CallerRequest,
+        cache_scope: str,
+        targets: list[Target],
+        engine_properties: EngineProperties | None,
+        kept_caches: tuple[KeptCache, ...],
+        rank_offset: int,
+    ) -> list[Placement]:
+        """Estimate the placement of a request at each target, without choosing one.
+
+        :param targets: targets among which the request would be placed; parameters as in
+            :meth:`choose`.
+        """
+        preferred_name = self._affinity_target(request, cache_scope, targets)
+        return [
+            self._estimate_placement(
+                request,
+                cache_scope,
+                target,
+                preferred_name,
+                engine_properties,
+                kept_caches,
+                rank_offset,
+            )
+            for target in targets
+        ]
+
     def record_placement(self, request: CallerRequest, placement: Placement) -> None:
         """Record that a request was sent to the target chosen for it."""
         if placement.save_to is not None:
--- a/coltsfootfront/operation/cli.py
+++ b/coltsfootfront/operation/cli.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import Iterable
 from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import chain
 from pathlib import Path
 from typing import Annotated, Any
@@ -133,11 +133,24 @@
 class Explain:
     """Show how a request would be placed."""
 
-    customer: Annotated[str, cappa.Arg(long=True, help="Customer name.")]
-    model: Annotated[str, cappa.Arg(long=True, help="Model, or model:adapter.")]
+    customer: Annotated[str, cappa.Arg(long=True, help="Customer name.")] = ""
+    model: Annotated[str, cappa.Arg(long=True, help="Model, or model:adapter.")] = ""
     prompt_file: Annotated[
         Path | None, cappa.Arg(long="--prompt-file", help="Prompt in UTF-8; empty without it.")
     ] = None
+    router: Annotated[
+        str,
+        cappa.Arg(long=True, help="Metrics address of a router without agents, which is asked."),
+    ] = ""
+    host: Annotated[str, cappa.Arg(long=True, help="With --router: host of the request.")] = ""
+    path: Annotated[str, cappa.Arg(long=True, help="With --router: path of the request.")] = "/"
+    prompt_tokens: Annotated[
+        int, cappa.Arg(long="--prompt-tokens", help="With --router: length of the prompt.")
+    ] = 0
+    part: Annotated[
+        list[str],
+        cappa.Arg(long=True, help="With --router: KEY:TOKENS of a part of the prompt, in order."),
+    ] = field(default_factory=list)
 
 
 @cappa.command
@@ -296,6 +309,10 @@
             return [f"{command.file}: valid"]
         case Losses():
             return _losses(command)
+        case Explain() if command.router:
+            # The key is for the administration API alone.
+            router = replace(settings, admin_url=f"http://{command.router}", key="")
+            return await _explain_at_router(AdminClient(router, clock), command)
         case _:
             return await _call_api(command, AdminClient(settings, clock))
 
@@ -394,7 +411,27 @@
     return [f"{command.target} {state} with revision {answer['revision']}"]
 
 
+async def _explain_at_router(api: AdminClient, command: Explain) -> list[str]:
+    parts = []
+    for text in command.part:
+        key, _, tokens = text.rpartition(":")
+        if not key or not tokens.isdecimal():
+            raise CommandError(f"--part {text}: allowed: KEY:TOKENS", EXIT_BAD_INPUT)
+        parts.append([key, int(tokens)])
+    body = {
+        "host": command.host,
+        "path": command.path,
+        "customer": command.customer,
+        "model": command.model,
+        "prompt_tokens": command.prompt_tokens,
+        "parts": parts,
+    }
+    return [json.dumps(await api.post("/explain", body), indent=2)]
+
+
 async def _explain(api: AdminClient, command: Explain) -> list[str]:
+    if not command.customer or not command.model:
+        raise CommandError("explain: --customer and --model are required", EXIT_BAD_INPUT)
     prompt = ""
     if command.prompt_file is not None:
         try:
