--- a/coltsfootfront/tests/test_early_answers.py
+++ b/coltsfootfront/tests/test_early_answers.py
@@ -6,7 +6,7 @@
 from coltsfootfront.platform.callerserver import PlatformCallerServer
 from coltsfootfront_dev.rawcaller import Reply
 from coltsfootfront_dev.rawseries import CallerRequestPlan, Outcome, Path, RawHarness
-from coltsfootfront_dev.scriptedtarget import AnswerScript, Ending, Framing, Script
+from coltsfootfront_dev.scriptedtarget import AnswerScript, Ending, Framing, Script, body_digest
 
 # Within max-body-bytes, and beyond what the sockets' buffers take.
 UPLOAD_BYTES = 4_000_000
@@ -196,8 +196,8 @@
                 self.assertEqual([], [str(finding) for finding in findings])
                 plan = first.plan
                 _, sent = self.harness.encode_request(plan, first.request_id)
-                read = self.harness.book.bodies.get(first.request_id, b"")
-                self.assertTrue(not read or read == sent)
+                read = self.harness.book.body_digests.get(first.request_id)
+                self.assertIn(read, (None, body_digest(sent)))
                 answers = [first.reply.answer, second.reply.answer]
                 for answer in answers:
                     assert answer is not None
--- a/coltsfootfront_dev/scriptedtarget.py
+++ b/coltsfootfront_dev/scriptedtarget.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import hashlib
 import json
 import socket
 import struct
@@ -167,6 +168,11 @@
     return (unit * (size // len(unit) + 1))[:size]
 
 
+def body_digest(body: bytes) -> str:
+    """Return what tells the body of a request from others."""
+    return hashlib.blake2b(body, digest_size=16).hexdigest()
+
+
 @dataclass(slots=True)
 class TargetRequest:
     """Head of a request that a target has read."""
@@ -288,7 +294,7 @@
         on; a request without one is answered well.
     :param runs: how often each request has run.
     :param sent: what was sent for each request, in whole or in part.
-    :param bodies: bodies of the requests that were read to their end.
+    :param body_digests: digests of the requests' bodies that were read to their end.
     """
 
     scripts: dict[str, list[Script]] = field(default_factory=dict)
@@ -296,7 +302,7 @@
     runs: dict[str, int] = field(default_factory=dict)
     sent: dict[str, list[SentAnswer]] = field(default_factory=dict)
     targets: dict[str, list[str]] = field(default_factory=dict)
-    bodies: dict[str, bytes] = field(default_factory=dict)
+    body_digests: dict[str, str] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     """Set at each arrival of a request."""
 
@@ -386,7 +392,7 @@
 
     async def _read_body(self, request: TargetRequest) -> None:
         body = await self.reader.readexactly(request.body_bytes)
-        self.target.book.bodies[request.request_id] = body
+        self.target.book.body_digests[request.request_id] = body_digest(body)
 
     async def _serve_model_server_call(self, request: TargetRequest) -> bool:
         await self._read_body(request)
