--- a/coltsfootfront/direct/explanation.py
+++ b/coltsfootfront/direct/explanation.py
@@ -142,7 +142,9 @@
         """Explain where a request would go now."""
         config = self._get_config()
         route = config.find_route(question.host, question.path)
-        customer = config.customers.get(question.customer)
+        customer = None
+        if route is not None and config.requires_keys and not route.allows_anonymous:
+            customer = config.customers.get(question.customer)
         answer: Json = {
             "configuration": config.number,
             "route": _describe_route(route) if route is not None else None,
@@ -177,10 +179,8 @@
             return "no configuration is known yet"
         if route is None:
             return "no route for this host and path"
-        if customer is None and question.customer:
-            return "unknown customer"
         if customer is None and config.requires_keys and not route.allows_anonymous:
-            return "the route requires an API key"
+            return "unknown customer" if question.customer else "the route requires an API key"
         now_s = self._clock.monotonic_s()
         if not occupancy.stop.may_pass_on(route, now_s + route.timeout_s, now_s):
             return "the router is stopping"
--- a/coltsfootfront/tests/test_explanation.py
+++ b/coltsfootfront/tests/test_explanation.py
@@ -235,6 +235,13 @@
         self.assertEqual("customer", answer["customer"]["name"])
         self.assertNotIn('"key"', json.dumps(answer))
 
+    def test_route_without_keys(self) -> None:
+        """Guards against priority and quota of a customer whom the router cannot know."""
+        self.config.requires_keys = False
+        answer = self._explain(PLAIN)
+        self.assertEqual((None, None), (answer["customer"], answer["refusal"]))
+        self.assertIsNone(self._explain(Question("h", "/plain/x", "other"))["refusal"])
+
     def test_malformed_questions(self) -> None:
         """Guards against an unexpected error for a question that cannot be read."""
         for data in (
