--- a/coltsfootfront/tests/test_slow_readers.py
+++ b/coltsfootfront/tests/test_slow_readers.py
@@ -17,6 +17,7 @@
 from coltsfootfront.direct.routingconfig import CallerLimits
 from coltsfootfront.direct.sockets import count_unsent_bytes
 from coltsfootfront.direct.targetclient import Directive
+from coltsfootfront.direct.unreadresponses import Progress
 from coltsfootfront.platform.callerserver import PlatformCallerServer
 from coltsfootfront.platform.targets import PlatformTargetClient, PlatformTargetResponse
 from coltsfootfront.tests import direct_support
@@ -43,6 +44,33 @@
 UNREAD_LIMIT_S = 0.4
 
 
+class ProgressTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.progress: Progress[str] = Progress()
+
+    def _find(self, now_s: float, **taken_bytes: int) -> list[str]:
+        return self.progress.find_stalled(taken_bytes, now_s, 2.0)
+
+    def test_caller_that_takes_nothing(self) -> None:
+        """Guards against a connection that is never ended, or ended more than once."""
+        self.assertEqual([], self._find(0.0, a=10, b=5))
+        self.assertEqual([], self._find(1.9, a=10, b=6))
+        self.assertEqual(["a"], self._find(2.0, a=10, b=6))
+        self.assertEqual(["b"], self._find(3.9, b=6))
+        self.assertEqual([], self._find(4.0))
+
+    def test_caller_that_takes_a_little(self) -> None:
+        """Guards against a slow caller that is taken for one that has stopped."""
+        for number in range(20):
+            self.assertEqual([], self._find(number * 1.5, a=number))
+
+    def test_connection_without_unread_bytes_in_between(self) -> None:
+        """Guards against the time between two responses that counts as a time without progress."""
+        self.assertEqual([], self._find(0.0, a=10))
+        self.assertEqual([], self._find(1.0))
+        self.assertEqual([], self._find(5.0, a=10))
+
+
 class _SlowCaller:
     """Caller that reads only when it is told to."""
 
