--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -189,12 +189,13 @@
             return None
         healthy = healthy_targets(usable, now_s)
         if self._costs.applies(target.pace for target in usable):
-            return self._choose_by_cost(healthy, route, now_s)
+            placements = self._estimate_calls(healthy, route, now_s)
+            return min(placements, key=lambda item: (item.expected_s, self._generator.random()))
         return Placement(min(healthy, key=lambda item: self._cost(item, now_s)))
 
-    def _choose_by_cost(self, targets: list[Target], route: str, now_s: float) -> Placement:
+    def _estimate_calls(self, targets: list[Target], route: str, now_s: float) -> list[Placement]:
         model = self._costs.calls(targets[0].entry.service)
-        placements = [
+        return [
             Placement(
                 target,
                 load=load,
@@ -207,7 +208,6 @@
                 model.estimate(route, target.calls, load, target.entry.slots, target.pace, now_s),
             )
         ]
-        return min(placements, key=lambda item: (item.expected_s, self._generator.random()))
 
     def _distance_s(self, target: Target) -> float:
         if target.region != self._region:
@@ -216,13 +216,28 @@
             return OTHER_DATA_CENTRE_PENALTY_S
         return 0.0
 
+    def weigh(self, targets: list[Target], route: str) -> list[tuple[Target, float]]:
+        """Estimate the cost of a request at each target, without choosing one.
+
+        :param route: name of its route.
+        :returns: times in seconds where calls are placed by their cost, else loads per slot.
+        """
+        now_s = self._clock.monotonic_s()
+        if targets and self._costs.applies(target.pace for target in targets):
+            placements = self._estimate_calls(targets, route, now_s)
+            return [(placement.target, placement.expected_s) for placement in placements]
+        return [(target, self._load_cost(target, now_s)) for target in targets]
+
     def _cost(self, target: Target, now_s: float) -> tuple[float, float]:
+        return self._load_cost(target, now_s), self._generator.random()
+
+    def _load_cost(self, target: Target, now_s: float) -> float:
         cost = target.load(now_s) / max(1, target.entry.slots)
         if target.region != self._region:
             cost += OTHER_REGION_PENALTY_LOAD
         elif target.entry.data_centre != self._data_centre:
             cost += OTHER_DATA_CENTRE_PENALTY_LOAD
-        return cost, self._generator.random()
+        return cost
 
 
 class PromptTargetSelector:
@@ -278,25 +293,11 @@
         if not usable:
             return None
         usable = healthy_targets(usable, now_s)
-        preferred_name = self._affinity_target(request, cache_scope, usable)
-        is_by_cost = self._costs.applies(target.pace for target in usable)
-        estimator = self._learned if is_by_cost else self._backlog
-        placements = [
-            self._estimate_placement(
-                request,
-                cache_scope,
-                target,
-                preferred_name,
-                engine_properties,
-                kept_caches,
-                rank_offset,
-                estimator,
-            )
-            for target in usable
-        ]
         placements = [
             placement
-            for placement in placements
+            for placement in self.weigh(
+                request, cache_scope, usable, engine_properties, kept_caches, rank_offset
+            )
             if self._versions.allows(request.model, placement.target, placement.expected_s)
         ]
         if not placements:
@@ -311,6 +312,37 @@
             request, min(ready, key=lambda placement: placement.expected_s), wait_until_s
         )
 
+    def weigh(
+        self,
+        request: CallerRequest,
+        cache_scope: str,
+        targets: list[Target],
+        engine_properties: EngineProperties | None,
+        kept_caches: tuple[KeptCache, ...],
+        rank_offset: int,
+    ) -> list[Placement]:
+        """Estimate the placement of a request at each target, without choosing one.
+
+        :param targets: targets among which the request would be placed; parameters as in
+            :meth:`choose`.
+        """
+        preferred_name = self._affinity_target(request, cache_scope, targets)
+        is_by_cost = self._costs.applies(target.pace for target in targets)
+        estimator = self._learned if is_by_cost else self._backlog
+        return [
+            self._estimate_placement(
+                request,
+                cache_scope,
+                target,
+                preferred_name,
+                engine_properties,
+                kept_caches,
+                rank_offset,
+                estimator,
+            )
+            for target in targets
+        ]
+
     def record_placement(self, request: CallerRequest, placement: Placement) -> None:
         """Record that a request was sent to the target chosen for it."""
         if placement.save_to is not None:
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -226,6 +226,8 @@
     def _state_headers(self) -> dict[str, str]:
         """Headers with which every response reports the target's state."""
         state = {"Server-Leaving": "1"} if self.faults.is_leaving else {}
+        if self.load_header:
+            headers["X-Server-Load"] = self.load_header
         return state | ({"Server-Limit": self.faults.limit} if self.faults.limit else {})
 
     def _rejection_response(self, request: web.BaseRequest) -> web.Response | None:
@@ -278,8 +280,6 @@
             self.on_crash(self)
             await asyncio.Event().wait()
         headers = {"X-Request-Id": request_id, SIGNATURE_HEADER: f"{self.name}.{request_id}"}
-        if self.load_header:
-            headers["X-Server-Load"] = self.load_header
         if self.faults.crosses:
             headers["X-Request-Id"] = "another"
         headers |= self._state_headers()
