--- /dev/null
+++ b/coltsfootfront/tests/test_system_caller_memory.py
@@ -0,0 +1,281 @@
+"""Tests of a router's memory and descriptors under crowds of callers that keep to no limit.
+
+A crowd is bounded by what it sends. Only the process, its resident memory, its open descriptors and
+one ordinary request are checked: nothing that depends on the speed of the machine.
+"""
+
+import asyncio
+import itertools
+import os
+import re
+import socket
+import tempfile
+import unittest
+from collections.abc import Iterable, Iterator
+from contextlib import suppress
+from pathlib import Path
+
+import aiohttp
+
+from coltsfootfront_dev.platformfleet import API_KEY, HOST, PlatformFleet, configuration
+from coltsfootfront_dev.platformrouters import RouterProcess, RouterProcesses
+
+# A VM's memory and descriptors. The smallest VMs of the platform have 160 MB and 1,638 descriptors.
+MEMORY_MB = 128
+MAX_DESCRIPTORS = 1024
+DESCRIPTORS_FOR_FILES = 200
+MAX_CONNECTIONS = 500
+MAX_BODY_BYTES = 4_194_304
+# Below this size the router reserved no memory for a body.
+SMALL_BODY_BYTES = 71_900
+LARGE_CROWD = 400
+SLOW_CROWD = 240
+SMALL_CROWD = 1_500
+# Time for which a crowd may go on sending, and for which an ordinary request may be tried again.
+# Both bound the duration of the test; neither is checked.
+CROWD_S = 10.0
+ORDINARY_S = 60.0
+SAMPLE_INTERVAL_S = 0.02
+PIECE_BYTES = 32_768
+
+
+def head(path: str = "/look/a", method: str = "GET", *fields: str) -> bytes:
+    """Encode the head of a request with the fields of an ordinary one."""
+    lines = (
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        "X-Request-Id: crowd",
+        "X-Deadline-Ms: 60000",
+        f"Authorization: Token {API_KEY}",
+        *fields,
+    )
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def sized_body(size_bytes: int, missing_bytes: int = 0) -> list[bytes]:
+    """Encode a request with a length, of whose body the last bytes may be missing."""
+    fields = head("/file/a", "POST", f"Content-Length: {size_bytes}")
+    return [fields, bytes(size_bytes - missing_bytes)]
+
+
+def in_pieces(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Split the parts of a request into small pieces."""
+    data = b"".join(parts)
+    for begin in range(0, len(data), PIECE_BYTES):
+        yield data[begin : begin + PIECE_BYTES]
+
+
+def chunked_body(chunk_bytes: int, chunks: int, is_complete: bool) -> list[bytes]:
+    """Encode a request with a chunked body, of which the last chunk may be missing."""
+    fields = head("/file/a", "POST", "Transfer-Encoding: chunked")
+    chunk = b"%x\r\n%s\r\n" % (chunk_bytes, bytes(chunk_bytes))
+    return [fields, chunk * chunks, b"0\r\n\r\n" if is_complete else b""]
+
+
+class CallerMemoryTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.fleet = PlatformFleet()
+        await self.fleet.start()
+        self.config = configuration(2, timeout_ms=60_000)
+        for service in self.config["services"]:
+            service["max-conns"] = MAX_CONNECTIONS
+        self.fleet.store.put_json("op/config", self.config)
+        self.processes = RouterProcesses(Path(self.folder.name), self.fleet.store.address)
+        self.router: RouterProcess = await self.processes.add()
+        self.router.settings["limits"] |= {"memory-mb": MEMORY_MB, "max-fds": MAX_DESCRIPTORS}
+        self.router.start()
+        await self.router.wait_ready()
+        self.pid = int(re.findall(r"pid (\d+)", self.router.state())[0])
+        self.sockets: list[socket.socket] = []
+        self.most_descriptors = 0
+        self._sampler = asyncio.create_task(self._sample_descriptors())
+
+    async def asyncTearDown(self) -> None:
+        self._sampler.cancel()
+        for connection in self.sockets:
+            connection.close()
+        await self.processes.close()
+        await self.fleet.close()
+        self.folder.cleanup()
+
+    async def _sample_descriptors(self) -> None:
+        while True:
+            with suppress(OSError):
+                count = len(os.listdir(f"/proc/{self.pid}/fd"))
+                self.most_descriptors = max(self.most_descriptors, count)
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    def _memory_mb(self, field: str) -> float:
+        status = Path(f"/proc/{self.pid}/status").read_text(encoding="utf-8")
+        return int(re.findall(rf"{field}:\s+(\d+)", status)[0]) / 1024
+
+    async def _send(self, pieces: Iterable[bytes], reads: bool = False) -> None:
+        """Send on a new connection, which stays open; the router may close it at any time."""
+        loop = asyncio.get_running_loop()
+        connection = socket.socket()
+        connection.setblocking(False)
+        self.sockets.append(connection)
+        host, _, port = self.router.settings["listen"]["front"].rpartition(":")
+        with suppress(OSError):
+            await loop.sock_connect(connection, (host, int(port)))
+            for piece in pieces:
+                await loop.sock_sendall(connection, piece)
+                await asyncio.sleep(0)
+            while reads and await loop.sock_recv(connection, PIECE_BYTES):
+                pass
+
+    async def _run_crowd(self, crowd: Iterable[Iterable[bytes]], reads: bool = False) -> None:
+        """Send all requests of a crowd at once."""
+        tasks = [asyncio.create_task(self._send(pieces, reads)) for pieces in crowd]
+        _, pending = await asyncio.wait(tasks, timeout=CROWD_S)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _send_ordinary(self) -> bool:
+        """Send an ordinary request until it is answered, as its caller would after a refusal."""
+        url = f"http://{self.router.settings['listen']['front']}/look/a"
+        headers = {"Host": HOST, "X-Request-Id": "o", "Authorization": f"Token {API_KEY}"}
+        with suppress(TimeoutError):
+            async with asyncio.timeout(ORDINARY_S):
+                while self.router.is_running():
+                    with suppress(aiohttp.ClientError):
+                        async with (
+                            aiohttp.ClientSession() as session,
+                            session.get(url, headers=headers) as response,
+                        ):
+                            if response.status == 200:
+                                return True
+                    await asyncio.sleep(0.1)
+        return False
+
+    async def _check(self) -> None:
+        """Check the process while the connections of its crowd are open."""
+        self.assertTrue(self.router.is_running(), self.router.state())
+        for target in self.fleet.targets:
+            target.faults.endless = ""
+            target.faults.hangs = target.faults.floods = False
+        is_answered = await self._send_ordinary()
+        self.assertTrue(self.router.is_running(), self.router.state())
+        peak_mb, resident_mb = self._memory_mb("VmHWM"), self._memory_mb("VmRSS")
+        seen = (
+            f"peak {peak_mb:.0f} MB, resident {resident_mb:.0f} MB, descriptors "
+            f"{self.most_descriptors}, ordinary request answered: {is_answered}"
+        )
+        print(f"{self.id().rpartition('.')[2]}: {seen}")
+        self.assertIn(f"pid {self.pid},", self.router.state())
+        self.assertTrue(is_answered, seen)
+        self.assertLess(peak_mb, MEMORY_MB, seen)
+        self.assertLessEqual(self.most_descriptors, MAX_DESCRIPTORS - DESCRIPTORS_FOR_FILES, seen)
+
+    async def test_large_bodies_sent_whole(self) -> None:
+        """Guards against many complete bodies that together exceed the memory."""
+        await self._run_crowd([sized_body(MAX_BODY_BYTES)] * LARGE_CROWD, reads=True)
+        await self._check()
+
+    async def test_large_bodies_sent_piece_by_piece(self) -> None:
+        """Guards against many bodies that grow side by side beyond the memory."""
+        crowd = [list(in_pieces(sized_body(MAX_BODY_BYTES)))] * LARGE_CROWD
+        await self._run_crowd(crowd, reads=True)
+        await self._check()
+
+    async def test_large_bodies_that_stop_short(self) -> None:
+        """Guards against callers that take all memory for bodies and never end them."""
+        await self._run_crowd([sized_body(MAX_BODY_BYTES, 1)] * LARGE_CROWD)
+        await self._check()
+
+    async def test_small_bodies_sent_whole(self) -> None:
+        """Guards against complete bodies that are too small to be counted."""
+        await self._run_crowd([sized_body(SMALL_BODY_BYTES)] * SMALL_CROWD, reads=True)
+        await self._check()
+
+    async def test_small_bodies_sent_piece_by_piece(self) -> None:
+        """Guards against growing bodies that are too small to be counted."""
+        crowd = [list(in_pieces(sized_body(SMALL_BODY_BYTES)))] * SMALL_CROWD
+        await self._run_crowd(crowd, reads=True)
+        await self._check()
+
+    async def test_small_bodies_that_stop_short(self) -> None:
+        """Guards against bodies that are too small to be counted and never end."""
+        await self._run_crowd([sized_body(SMALL_BODY_BYTES, 1)] * SMALL_CROWD)
+        await self._check()
+
+    async def test_large_chunks(self) -> None:
+        """Guards against bodies of unknown length in large chunks, most of which never end."""
+        kinds = [chunked_body(262_144, 15, number == 0) for number in range(10)]
+        await self._run_crowd(kinds * (LARGE_CROWD // 10))
+        await self._check()
+
+    async def test_small_chunks(self) -> None:
+        """Guards against chunks that take far more memory than their bytes."""
+        kinds = [chunked_body(1, 20_000, number == 0) for number in range(10)]
+        await self._run_crowd(kinds * (SLOW_CROWD // 10))
+        await self._check()
+
+    async def test_heads_that_do_not_end(self) -> None:
+        """Guards against heads whose fields keep to their limit and whose number does not."""
+        fields = [f"X-{number}: {'x' * 8_000}\r\n".encode() for number in range(190)]
+        begin = head().removesuffix(b"\r\n")
+        await self._run_crowd([[begin, *fields]] * SLOW_CROWD)
+        await self._check()
+
+    async def test_pipelined_requests(self) -> None:
+        """Guards against requests that wait behind one that is being served."""
+        for target in self.fleet.targets:
+            target.faults.hangs = True
+        waiting = head("/look/a", "GET", f"X-Filler: {'x' * 12_000}")
+        await self._run_crowd([[head(), waiting * 40]] * SLOW_CROWD)
+        await self._check()
+
+    async def test_streams_that_are_not_read(self) -> None:
+        """Guards against events that were written and are not read."""
+        for target in self.fleet.engine_targets:
+            target.faults.floods = True
+        fields = ("X-Model: m", "X-Token-Usage: 10,10", "X-Prompt-Prefix: a:10")
+        request = head("/long/a", "GET", *fields)
+        await self._run_crowd([[request]] * SLOW_CROWD)
+        await asyncio.sleep(CROWD_S)
+        await self._check()
+
+    async def test_long_responses_that_are_not_read(self) -> None:
+        """Guards against long response bodies that were written and are not read."""
+        for target in self.fleet.plain_targets:
+            target.faults.endless = "chunks"
+        await self._run_crowd([[head()]] * SLOW_CROWD)
+        await asyncio.sleep(CROWD_S)
+        await self._check()
+
+    async def test_connections_that_send_nothing(self) -> None:
+        """Guards against idle connections that take all descriptors."""
+        await self._run_crowd([[]] * (2 * SMALL_CROWD))
+        await self._check()
+
+    async def test_connections_that_open_and_drop(self) -> None:
+        """Guards against connections of which something is left when they are dropped."""
+        for _ in range(20):
+            await self._run_crowd(
+                [[], [head()], [head()[:40]], sized_body(SMALL_BODY_BYTES, 1)] * 50
+            )
+            for connection in self.sockets:
+                connection.close()
+            self.sockets.clear()
+        await self._check()
+
+    async def test_crowd_while_the_limits_change(self) -> None:
+        """Guards against an account that loses count when the configured limits change."""
+
+        async def change_limits() -> None:
+            sizes = itertools.cycle((65_536, MAX_BODY_BYTES, 1_048_576))
+            for version in itertools.count(3):
+                limits = {"max-body-bytes": next(sizes), "idle-timeout-ms": 15_000}
+                changed = self.config | {"version": version, "limits": limits}
+                self.fleet.store.put_json("op/config", changed)
+                await asyncio.sleep(0.2)
+
+        changes = asyncio.create_task(change_limits())
+        large = list(in_pieces(sized_body(MAX_BODY_BYTES, 1)))
+        chunked = list(in_pieces(chunked_body(4_096, 900, False)))
+        await self._run_crowd([large, chunked] * (LARGE_CROWD // 2))
+        changes.cancel()
+        await self._check()
