--- a/coltsfootfront/common/errors.py
+++ b/coltsfootfront/common/errors.py
@@ -32,6 +32,7 @@
     CONFLICT = "conflict"
     IN_PROGRESS = "in_progress"
     KEY_REUSED = "key_reused"
+    REQUEST_TIMEOUT = "request_timeout"
     RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
@@ -78,6 +79,7 @@
     ErrorKind.CONFLICT: ErrorResponse(409),
     ErrorKind.IN_PROGRESS: ErrorResponse(409, retry_after_s=1.0),
     ErrorKind.KEY_REUSED: ErrorResponse(422),
+    ErrorKind.REQUEST_TIMEOUT: ErrorResponse(408),
     ErrorKind.RATE_LIMITED: ErrorResponse(429, retry_after_s=1.0),
     ErrorKind.OVERLOADED: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
     ErrorKind.QUARANTINED: ErrorResponse(503, retry_after_s=1.0),
--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -55,6 +55,14 @@
     "coltsfootfront_quarantine_total",
     "Crashes of targets, prompt parts quarantined and released, requests held back and tried.",
 )
+MEMORY_LIMITS = Counter(
+    "coltsfootfront_memory_limits_total",
+    "Connections closed and requests refused for want of memory or descriptors, or as they were "
+    "too slow or too large, by group and reason.",
+)
+CALLER_MEMORY_BYTES = Gauge(
+    "coltsfootfront_caller_memory_bytes", "Memory that is charged to callers' connections."
+)
 STORE_ERA = Gauge(
     "coltsfootfront_store_era", "Era of the key-value service, which rises when it is restored."
 )
--- a/coltsfootfront/direct/callerrequest.py
+++ b/coltsfootfront/direct/callerrequest.py
@@ -101,6 +101,9 @@
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body."""
 
+    def hold(self, size_bytes: int) -> None:  # noqa: B027 - writers may keep no account
+        """Record the size of what is kept of the response before it is written."""
+
     @abstractmethod
     async def end(self) -> None:
         """Complete the response."""
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -18,7 +17,7 @@
 from coltsfootfront.common.errors import ErrorKind, ExecutionState, Failure
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.timeouts import ReadTimeout
-from coltsfootfront.direct import admission, gossip
+from coltsfootfront.direct import gossip
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
 from coltsfootfront.direct.crashobserver import CrashObserver
@@ -165,10 +164,6 @@
         self._unanswered: dict[ReadTimeout, RequestState] = {}
         self.confirm_configuration: Callable[[], Awaitable[bool]] = _is_always_current
         """Brings an old configuration up to date; False if nobody confirms it."""
-        self.max_in_progress = math.inf
-        """Limit on concurrent requests, derived from the memory of the VM."""
-        self.body_memory = admission.BodyMemory()
-        """Memory of the bodies of the requests under way."""
 
     async def serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
         """Serve one request and write the response or a refusal."""
@@ -259,10 +254,6 @@
         ) from None
 
     def _admit(self, request: CallerRequest) -> RequestState:
-        if self.in_progress > self.max_in_progress - self.body_memory.held_requests:
-            message = f"{self.in_progress} requests are under way"
-            failure = Failure(ErrorKind.OVERLOADED, message, retry_after_s=admission.RETRY_AFTER_S)
-            raise RefusedError(failure)
         config = self.routing_config
         if not config.number:
             raise RefusedError(Failure(ErrorKind.NO_TARGET, "no configuration is known yet"))
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -18,7 +18,7 @@
 from coltsfootfront.common.pause import PauseDetector
 from coltsfootfront.common.runtime import Program
 from coltsfootfront.common.supervisor import Supervisor
-from coltsfootfront.direct import admission, gossip
+from coltsfootfront.direct import gossip
 from coltsfootfront.direct.cachediscovery import CacheDiscovery, CachedPartReader
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
@@ -65,6 +65,10 @@
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.leases import LeaseLock
+from coltsfootfront.memory.account import Account
+from coltsfootfront.memory.budget import caller_budget, service_budget
+from coltsfootfront.memory.limits import LimitReport
+from coltsfootfront.memory.server import ChargedServer
 
 log = logbook.Logger(__name__)
 
@@ -129,8 +133,8 @@
     """Server for callers' connections."""
 
     is_draining: bool
-    body_memory: admission.BodyMemory
-    """Memory that is reserved for a body before it is read."""
+    account: Account
+    """What the connections of callers are charged to."""
 
     @abstractmethod
     def set_limits(self, limits: CallerLimits) -> None:
@@ -204,7 +208,15 @@
             settings.region,
             settings.link_mbit_per_s,
         )
-        self._peers = Peers(router, settings.seed_addresses, generator)
+        self._caller_account = Account(
+            caller_budget(settings.memory_bytes, settings.max_descriptors),
+            clock,
+            LimitReport("callers", clock).count,
+        )
+        self._service_account = Account(
+            service_budget(settings.max_descriptors), clock, LimitReport("services", clock).count
+        )
+        self._peers = Peers(router, settings.seed_addresses, generator, self._service_account)
         self._gossip = Gossip(self._handle_message, settings.region, generator)
         self._directory = Directory(clock, settings.regions)
         self._versions = WeightVersions(clock, self._directory, bounds.version_s, bounds.stable_s)
@@ -261,9 +273,6 @@
         self._builds.max_copy_age_s = bounds.config_apply_s
         self._take_ups = TakeUps(clock, self._builds, self._gossip, self._peers)
         self._forwarder = self._build_forwarder()
-        max_requests = admission.max_requests_for_memory(settings.memory_bytes)
-        self._forwarder.max_in_progress = max_requests
-        self._forwarder.body_memory = admission.BodyMemory(max_requests)
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
         self._follower.apply_limit_s = bounds.config_apply_s
         self._forwarder.confirm_configuration = self._confirm_configuration
@@ -367,7 +376,7 @@
         supervisor.add("settings", self._watch_settings)
         await supervisor.start()
         self._caller_server = self._make_caller_server(self.serve)
-        self._caller_server.body_memory = self._forwarder.body_memory
+        self._caller_server.account = self._caller_account
         self._caller_server.set_limits(self._forwarder.routing_config.limits)
         await self._caller_server.start(settings.caller_address)
 
@@ -696,7 +705,7 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     async def _listen(self, address: str, handler: Any) -> None:
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        runner = web.ServerRunner(ChargedServer(handler, self._service_account))
         await runner.setup()
         self._runners.append(runner)
         host, _, port = address.rpartition(":")
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -13,6 +13,7 @@
 from aiohttp import hdrs, web
 
 from coltsfootfront.common import metrics
+from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.decoding import (
     DecodingError,
     decode_each,
@@ -41,6 +42,9 @@
     create_session,
     receive,
 )
+from coltsfootfront.memory.account import Account
+from coltsfootfront.memory.budget import service_budget
+from coltsfootfront.memory.server import ChargedServer
 
 log = logbook.Logger(__name__)
 
@@ -110,11 +114,17 @@
 
     :param own: this router.
     :param seed_addresses: peer addresses from the settings, which may be stale.
+    :param account: what the connections of other routers are charged to.
     """
 
     def __init__(
-        self, own: RouterEntry, seed_addresses: list[str], generator: random.Random
+        self,
+        own: RouterEntry,
+        seed_addresses: list[str],
+        generator: random.Random,
+        account: Account | None = None,
     ) -> None:
+        self._account = account or Account(service_budget(None), SystemClock())
         self._own = own
         self._own_address = own.address
         self.seed_addresses = seed_addresses
@@ -136,7 +146,7 @@
     async def start(self) -> None:
         """Start the HTTP client, and the server for other routers."""
         self._session = create_session(TIMEOUTS)
-        self._runner = web.ServerRunner(web.Server(self._handle_request, access_log=None))
+        self._runner = web.ServerRunner(ChargedServer(self._handle_request, self._account))
         await self._runner.setup()
         host, _, port = self._own_address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -14,8 +14,9 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from coltsfootfront.common import metrics
+from coltsfootfront.memory.connection import READ_BYTES
 
-# Normal response heads are below 4 KiB. One read from the socket, at most 256 KiB, may contain a
+# Normal response heads are below 4 KiB. One read from the socket, at most READ_BYTES, may contain a
 # head and its whole body, so the limit applies only while the head is incomplete.
 MAX_HEAD_BYTES = 65_536
 # Limit on interim responses (status 1xx) before the final one; a normal target sends at most one.
@@ -43,6 +44,12 @@
         self._body: Any = None
         self._received_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit the bytes that are read at once; the account of callers counts on it."""
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
     def is_connected(self) -> bool:
         """Whether a request may be sent on this connection.
 
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -34,6 +34,8 @@
 # A response up to this size is buffered before it is relayed, so that the request can be retried if
 # the response breaks off.
 MAX_BUFFERED_BYTES = 262144
+# What is kept of a shorter response is part of the memory of each request.
+MIN_HELD_BYTES = 32768
 # A response that is not a stream is treated as endless and cut off beyond this size.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Events after which a target has not crashed at the beginning of its answer.
@@ -93,6 +95,8 @@
         async for chunk in chunks:
             placement.target.record_heard(self._clock.monotonic_s())
             body += chunk
+            if len(body) > MIN_HELD_BYTES:
+                writer.hold(len(body))
             if len(body) > MAX_BUFFERED_BYTES:
                 break
         is_buffered = len(body) <= MAX_BUFFERED_BYTES
--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -133,11 +133,13 @@
     :param header_bytes: largest head of a request.
     :param body_bytes: largest body of a request.
     :param idle_s: time after which an idle connection is closed, in seconds.
+    :param header_s: time in which the head of a request arrives, in seconds.
     """
 
     header_bytes: int = 16384
     body_bytes: int = 4194304
     idle_s: float = 15.0
+    header_s: float = 3.0
 
 
 class HostRoutes:
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -55,6 +55,7 @@
     :param metrics_port: port that serves the metrics.
     :param link_mbit_per_s: capacity of the VM's link; None if the settings do not tell it.
     :param memory_bytes: memory of the VM; the platform kills a process that exceeds it.
+    :param max_descriptors: descriptors of the VM; None if the settings do not tell them.
     :param seed_addresses: peer addresses of a few routers, which may be stale.
     :param is_first_start: no router of this deployment has run before.
     """
@@ -74,4 +75,5 @@
     seed_addresses: list[str]
     store: StoreSettings
     bounds: Bounds
+    max_descriptors: int | None = None
     is_first_start: bool = False
--- /dev/null
+++ b/coltsfootfront/memory/account.py
@@ -0,0 +1,249 @@
+"""Decides which connections may take up more memory, and which are closed when it is short.
+
+Answers a load of callers that open connections, send and do not read without regard to others. As
+long as the budget lasts, nobody is closed. When it is short, idle connections are closed first,
+then those that have stalled, those that are slow, and those that hold the most; a request that is
+being served and whose response is read is never closed for others.
+"""
+
+import enum
+import math
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from coltsfootfront.common.clock import Clock
+from coltsfootfront.memory.budget import CONNECTION_BYTES, Budget
+
+# In a shortage, a connection without progress for this time is closed for others.
+STALL_S = 1.0
+# In a shortage, a request that has arrived more slowly is closed for others.
+SLOW_BYTES_PER_S = 16_384
+# In a shortage, a connection is closed for one that holds at most this share of its memory.
+GREEDY_SHARE = 0.5
+# Part of the budget that is free after connections have been closed, so that the next charge does
+# not search again.
+FREED_SHARE = 0.02
+# Time for which a search that has found nothing is not repeated.
+SEARCH_INTERVAL_S = 0.1
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = "idle"
+    RECEIVING = "receiving"
+    """The head or the body of a request is incomplete, or discarded."""
+    SERVING = "serving"
+    WRITING = "writing"
+    """The response is not read, or further requests wait behind the one that is served."""
+
+
+class Holder:
+    """One connection, and what it holds.
+
+    :param address: address of the other side, without its port.
+    :param close: closes the connection at once; called with the reason.
+    """
+
+    __slots__ = (
+        "_close",
+        "address",
+        "began_s",
+        "customer",
+        "descriptors",
+        "held_bytes",
+        "is_open",
+        "phase",
+        "progress_s",
+        "received_bytes",
+    )
+
+    def __init__(self, address: str, close: Callable[[str], None], now_s: float) -> None:
+        self.address = address
+        self.customer = ""
+        self.held_bytes = 0
+        self.descriptors = 0
+        self.phase = Phase.IDLE
+        self.began_s = now_s
+        """Time at which the request began to arrive."""
+        self.progress_s = now_s
+        """Time of the last byte that was received or read, or of the last change of the phase."""
+        self.received_bytes = 0
+        """Bytes of the request that have arrived."""
+        self.is_open = True
+        self._close = close
+
+    def enter(self, phase: Phase, now_s: float) -> None:
+        """Record what the connection does from now on."""
+        if phase is not self.phase:
+            if phase is Phase.RECEIVING:
+                self.began_s, self.received_bytes = now_s, 0
+            self.phase = phase
+            self.progress_s = now_s
+
+    def close(self, reason: str) -> None:
+        """Close the connection."""
+        self.is_open = False
+        self._close(reason)
+
+    def rate(self, now_s: float) -> float:
+        """Bytes per second at which its request has arrived, infinite at its beginning."""
+        passed_s = now_s - self.began_s
+        return self.received_bytes / passed_s if passed_s >= STALL_S else math.inf
+
+
+class Account:
+    """What the connections of one group hold, and its bound.
+
+    :param budget: bound of the group.
+    :param on_closed: told of each connection closed for others and of each refusal, with the
+        reason.
+    """
+
+    def __init__(
+        self, budget: Budget, clock: Clock, on_closed: Callable[[str], None] = lambda reason: None
+    ) -> None:
+        self._budget = budget
+        self._clock = clock
+        self._on_closed = on_closed
+        self._holders: set[Holder] = set()
+        self.held_bytes = 0
+        self.descriptors = 0
+        self._other_descriptors = 0
+        self._searched_s = -math.inf
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._holders)
+
+    def now_s(self) -> float:
+        """Monotonic time."""
+        return self._clock.monotonic_s()
+
+    def set_other_descriptors(self, count: int) -> None:
+        """Set how many descriptors others have taken beyond those kept for them."""
+        self._other_descriptors = count
+
+    def open(self, address: str, close: Callable[[str], None]) -> Holder | None:
+        """Charge a new connection.
+
+        :returns: None if there is no room for it.
+        """
+        holder = Holder(address, close, self._clock.monotonic_s())
+        if not self._make_room(holder, CONNECTION_BYTES, 1):
+            self._on_closed("no_room")
+            return None
+        self._holders.add(holder)
+        self._set(holder, CONNECTION_BYTES, 1)
+        return holder
+
+    def change(self, holder: Holder, held_bytes: int, descriptors: int) -> bool:
+        """Change what a connection holds.
+
+        :returns: False if there is no room for it; then nothing has changed.
+        """
+        if not holder.is_open:
+            return False
+        more_bytes = held_bytes - holder.held_bytes
+        more_descriptors = descriptors - holder.descriptors
+        if (more_bytes > 0 or more_descriptors > 0) and not self._make_room(
+            holder, more_bytes, more_descriptors
+        ):
+            self._on_closed("no_room")
+            return False
+        self._set(holder, held_bytes, descriptors)
+        return True
+
+    def remove(self, holder: Holder) -> None:
+        """Release what a connection holds."""
+        holder.is_open = False
+        if holder in self._holders:
+            self._holders.remove(holder)
+            self._set(holder, 0, 0)
+
+    def _set(self, holder: Holder, held_bytes: int, descriptors: int) -> None:
+        self.held_bytes += held_bytes - holder.held_bytes
+        self.descriptors += descriptors - holder.descriptors
+        holder.held_bytes, holder.descriptors = held_bytes, descriptors
+
+    def _missing(self, more_bytes: int, more_descriptors: int) -> tuple[int, int]:
+        free_bytes = self._budget.memory_bytes - self.held_bytes
+        free_descriptors = self._budget.descriptors - self._other_descriptors - self.descriptors
+        return (
+            more_bytes - free_bytes if more_bytes > 0 else 0,
+            more_descriptors - free_descriptors if more_descriptors > 0 else 0,
+        )
+
+    def _make_room(self, requester: Holder, more_bytes: int, more_descriptors: int) -> bool:
+        missing_bytes, missing_descriptors = self._missing(more_bytes, more_descriptors)
+        if missing_bytes <= 0 and missing_descriptors <= 0:
+            return True
+        now_s = self._clock.monotonic_s()
+        if now_s - self._searched_s < SEARCH_INTERVAL_S:
+            return False
+        freed_bytes = freed_descriptors = 0
+        if missing_bytes > 0:
+            freed_bytes = int(FREED_SHARE * self._budget.memory_bytes)
+        if missing_descriptors > 0:
+            freed_descriptors = int(FREED_SHARE * self._budget.descriptors)
+        for holder, reason in self._candidates(requester, more_bytes, now_s):
+            missing = self._missing(more_bytes + freed_bytes, more_descriptors + freed_descriptors)
+            if max(missing) <= 0:
+                return True
+            self.remove(holder)
+            holder.close(reason)
+            self._on_closed(reason)
+        self._searched_s = now_s
+        return max(self._missing(more_bytes, more_descriptors)) <= 0
+
+    def _candidates(
+        self, requester: Holder, more_bytes: int, now_s: float
+    ) -> Iterator[tuple[Holder, str]]:
+        """Connections that may be closed for a requester, in their order."""
+        others = [holder for holder in self._holders if holder is not requester]
+        idle = [holder for holder in others if holder.phase is Phase.IDLE]
+        for holder in sorted(idle, key=lambda holder: holder.progress_s):
+            yield holder, "idle"
+        active = [holder for holder in others if holder.phase in (Phase.RECEIVING, Phase.WRITING)]
+        stalled = [holder for holder in active if now_s - holder.progress_s >= STALL_S]
+        for holder in sorted(stalled, key=lambda holder: holder.progress_s):
+            yield holder, "stalled"
+        slow = [
+            holder
+            for holder in active
+            if holder.is_open
+            and holder.phase is Phase.RECEIVING
+            and holder.rate(now_s) < SLOW_BYTES_PER_S
+        ]
+        for holder in sorted(slow, key=lambda holder: holder.rate(now_s)):
+            yield holder, "slow"
+        group_bytes = self._group_bytes()
+        wanted_bytes = requester.held_bytes + more_bytes
+        wanted_group_bytes = _group_of(requester, group_bytes) + more_bytes
+        greedy = [
+            holder
+            for holder in active
+            if holder.is_open
+            and (
+                wanted_bytes <= GREEDY_SHARE * holder.held_bytes
+                or wanted_group_bytes <= GREEDY_SHARE * _group_of(holder, group_bytes)
+            )
+        ]
+        greedy.sort(key=lambda holder: (_group_of(holder, group_bytes), holder.held_bytes))
+        for holder in reversed(greedy):
+            yield holder, "greedy"
+
+    def _group_bytes(self) -> Counter[tuple[str, str]]:
+        """What all connections of each address and of each customer hold together."""
+        held: Counter[tuple[str, str]] = Counter()
+        for holder in self._holders:
+            held["address", holder.address] += holder.held_bytes
+            if holder.customer:
+                held["customer", holder.customer] += holder.held_bytes
+        return held
+
+
+def _group_of(holder: Holder, group_bytes: Counter[tuple[str, str]]) -> int:
+    """Bytes that the connections of the same address or the same customer hold, the larger one."""
+    return max(group_bytes["address", holder.address], group_bytes["customer", holder.customer])
--- /dev/null
+++ b/coltsfootfront/memory/connection.py
@@ -0,0 +1,277 @@
+"""Server connection that charges an account with all that the other side makes it hold.
+
+Answers heads that do not end, bodies and chunks that arrive faster than they are used, pipelined
+requests, and responses that are not read. What has arrived is charged after it has been parsed, so
+that the account may be exceeded by one read from the socket, which is therefore limited.
+"""
+
+import asyncio
+import math
+from typing import Any
+
+from aiohttp import web
+
+from coltsfootfront.memory.account import Account, Holder, Phase
+from coltsfootfront.memory.budget import CONNECTION_BYTES, REQUEST_BYTES, body_memory_bytes
+
+# Largest read from the socket, and the size from which aiohttp's reader of a body stops reading at
+# twice as much. With 256 KiB, as asyncio and aiohttp have it, each connection could hold 768 KiB.
+READ_BYTES = 65_536
+# Memory of one chunk of a body: its bytes object, its place in the queue and its offset.
+CHUNK_BYTES = 96
+# Memory of the head of a request as a multiple of its size: raw and decoded fields.
+HEAD_FACTOR = 3
+# Memory of a body that is discarded.
+DISCARDED_BYTES = READ_BYTES
+# What a response may leave unread before the next pipelined request is begun.
+MAX_UNREAD_BYTES = 262_144
+
+REQUEST_TIMEOUT_HEAD = b"HTTP/1.1 408 Request Timeout\r\n"
+HEAD_TOO_LARGE_HEAD = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+OVERLOADED_HEAD = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.50\r\n"
+CLOSING_FIELDS = b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+class ChargedConnection(web.RequestHandler):
+    """Connection whose memory is charged to an account.
+
+    :param account: what it is charged to.
+    :param max_head_bytes: largest incomplete head.
+    """
+
+    REQUEST_DESCRIPTORS = 0
+    """Further descriptors of a request that is being served."""
+    UNREAD_FACTOR = 1
+    """Memory of a response that is not read, as a multiple of what waits at the socket."""
+    UNREAD_BYTES = 0
+    """Further memory of a response that is not read."""
+
+    def __init__(self, manager: Any, account: Account, max_head_bytes: int, **options: Any) -> None:
+        super().__init__(manager, read_bufsize=READ_BYTES, **options)
+        self._account = account
+        self._max_head_bytes = max_head_bytes
+        self.holder: Holder | None = None
+        self._last_body: Any = None
+        """Body of the last request whose head is complete."""
+        self._head_bytes = 0
+        self._queued_bytes = 0
+        self._declared_bytes = 0
+        self._is_serving = False
+        self._is_discarding = False
+        self._is_body_refused = False
+        self._unread_bytes = 0
+        self.head_began_s = math.inf
+        """Time of the first byte of a head that is incomplete, infinite if there is none."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        peer = transport.get_extra_info("peername")
+        address = str(peer[0]) if peer else ""
+        assert isinstance(transport, asyncio.Transport)
+        self.holder = self._account.open(address, lambda reason: transport.abort())
+        if self.holder is None:
+            transport.abort()
+        # Not a public option of asyncio; without it, reads are larger than the account allows for.
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        super().connection_lost(exc)
+        if self.holder is not None:
+            self._account.remove(self.holder)
+
+    def data_received(self, data: bytes) -> None:
+        holder = self.holder
+        if holder is None or not holder.is_open:
+            return
+        was_in_body = self._is_receiving_body()
+        messages = len(self._messages)
+        super().data_received(data)
+        if not data or self.transport is None:
+            return
+        now_s = self._account.now_s()
+        if len(self._messages) > messages:
+            self._last_body = self._messages[-1][1]
+            self._queued_bytes += self._head_bytes + len(data)
+            self._head_bytes, self.head_began_s = 0, math.inf
+        elif self._messages:
+            self._queued_bytes += len(data)
+        elif not was_in_body:
+            self._head_bytes += len(data)
+            self.head_began_s = min(self.head_began_s, now_s)
+        self._record_received(holder, len(data), now_s)
+        if self._head_bytes > self._max_head_bytes:
+            self.refuse_head(HEAD_TOO_LARGE_HEAD)
+        elif not self._update():
+            self._refuse_received()
+
+    def _record_received(self, holder: Holder, size_bytes: int, now_s: float) -> None:
+        if not self._is_serving or self._is_receiving_body():
+            holder.enter(Phase.RECEIVING, now_s)
+            holder.progress_s = now_s
+            holder.received_bytes += size_bytes
+        elif self._messages or self._head_bytes:
+            holder.enter(Phase.WRITING, now_s)
+
+    def _is_receiving_body(self) -> bool:
+        """Whether the last request whose head is complete lacks the end of its body."""
+        return self._last_body is not None and not self._last_body.is_eof()
+
+    def _held_bytes(self) -> int:
+        held = (REQUEST_BYTES if self._is_serving else CONNECTION_BYTES) + self._unread_bytes
+        held += HEAD_FACTOR * (self._head_bytes + self._queued_bytes)
+        if self._is_discarding:
+            return held + DISCARDED_BYTES
+        body = self._current_request.content if self._current_request is not None else None
+        if body is not None:
+            held += body_memory_bytes(max(self._declared_bytes, body.total_bytes))
+            # The body of a request without one has no such attribute.
+            chunks = getattr(body, "_http_chunk_splits", None)
+            if chunks:
+                held += CHUNK_BYTES * len(chunks)
+        return held
+
+    def _update(self) -> bool:
+        """Charge what the connection holds now; False if there is no room for it."""
+        holder = self.holder
+        if holder is None:
+            return False
+        held_bytes = self._held_bytes()
+        descriptors = 1 + (self.REQUEST_DESCRIPTORS if self._is_serving else 0)
+        if held_bytes == holder.held_bytes and descriptors == holder.descriptors:
+            return holder.is_open
+        return self._account.change(holder, held_bytes, descriptors)
+
+    def _refuse_received(self) -> None:
+        """Refuse what has just arrived and has no room."""
+        if self._is_serving and self._is_receiving_body() and not self._messages:
+            # The handler refuses the request, and what is left of the body is discarded.
+            self._is_body_refused = True
+            self.discard_body()
+        elif self._is_serving:
+            self._abort()
+        else:
+            self.refuse_head(OVERLOADED_HEAD)
+
+    def refuse_head(self, status_head: bytes) -> None:
+        """Answer a request that has not begun, and close the connection.
+
+        :param status_head: status line, and fields that belong to it.
+        """
+        if self.transport is None:
+            return
+        if self._is_serving or self._messages:
+            self._abort()
+            return
+        self.transport.write(status_head + CLOSING_FIELDS)
+        self.force_close()
+
+    def _abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def begin_request(self, declared_bytes: int, customer: str = "") -> bool:
+        """Charge a request whose head is complete.
+
+        :param declared_bytes: length of its body, as far as it is known.
+        :param customer: what its customer is told by, empty if there is none.
+        :returns: False if there is no room for it.
+        """
+        holder = self.holder
+        if holder is None or not holder.is_open:
+            return False
+        if not self._messages:
+            self._queued_bytes = 0
+        self._is_serving, self._declared_bytes = True, declared_bytes
+        self._is_discarding = self._is_body_refused = False
+        holder.customer = customer
+        if not self._update():
+            self._is_serving, self._declared_bytes = False, 0
+            return False
+        if not self._is_receiving_body():
+            self.record_body_end()
+        return True
+
+    @property
+    def is_body_refused(self) -> bool:
+        """Whether the body that is being received has no room."""
+        return self._is_body_refused
+
+    def record_body_end(self) -> None:
+        """Record that the request is complete."""
+        if self.holder is not None:
+            self._enter_served(self.holder)
+
+    def _enter_served(self, holder: Holder) -> None:
+        has_more = bool(self._messages or self._head_bytes or self._unread_bytes)
+        holder.enter(Phase.WRITING if has_more else Phase.SERVING, self._account.now_s())
+
+    def discard_body(self) -> None:
+        """Record that the rest of the body is discarded as it arrives."""
+        self._is_discarding = True
+        self._update()
+
+    def end_request(self) -> None:
+        """Record that the request has been answered or refused."""
+        self._is_serving, self._declared_bytes = False, 0
+        self._is_discarding = self._is_receiving_body()
+        self._count_unread()
+        holder = self.holder
+        if holder is None or not holder.is_open:
+            return
+        if not self._update():
+            self._abort()
+        elif self._is_receiving_body() or self._messages or self._head_bytes:
+            holder.enter(Phase.RECEIVING, self._account.now_s())
+        elif self._unread_bytes:
+            holder.enter(Phase.WRITING, self._account.now_s())
+        else:
+            holder.enter(Phase.IDLE, self._account.now_s())
+
+    async def wait_until_read(self) -> None:
+        """Wait while the responses to earlier requests fill the memory of the connection."""
+        transport = self.transport
+        if transport is not None and transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
+            await self._drain_helper()
+
+    def hold(self, size_bytes: int) -> None:
+        """Charge a part of a response that is kept before it is written.
+
+        The connection is closed if there is no room for it.
+        """
+        self._unread_bytes = self.UNREAD_FACTOR * size_bytes
+        if not self._update():
+            self._abort()
+
+    def refresh_unread(self) -> None:
+        """Charge what waits at the socket now, after a response that was too short to wait for."""
+        if self._unread_bytes and not self.writing_paused and not self._is_serving:
+            self._count_unread()
+            self._update()
+
+    def _count_unread(self) -> None:
+        transport = self.transport
+        waiting_bytes = transport.get_write_buffer_size() if transport is not None else 0
+        if self.writing_paused:
+            self._unread_bytes = self.UNREAD_FACTOR * waiting_bytes + self.UNREAD_BYTES
+        else:
+            self._unread_bytes = waiting_bytes
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self._count_unread()
+        if self.holder is not None:
+            self.holder.enter(Phase.WRITING, self._account.now_s())
+        if not self._update():
+            self._abort()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._unread_bytes = 0
+        holder = self.holder
+        if holder is None or not holder.is_open:
+            return
+        self._update()
+        holder.progress_s = self._account.now_s()
+        if self._is_serving and not self._is_receiving_body():
+            self._enter_served(holder)
--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -120,6 +120,7 @@
         header_bytes=read_integer(item.get("max-header-bytes", defaults.header_bytes)),
         body_bytes=read_integer(item.get("max-body-bytes", defaults.body_bytes)),
         idle_s=read_number(item.get("idle-timeout-ms", defaults.idle_s * 1000)) / 1000,
+        header_s=read_number(item.get("header-timeout-ms", defaults.header_s * 1000)) / 1000,
     )
 
 
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -62,6 +62,7 @@
             stable_s=reader.number("bounds.stable-ms") / 1000,
             targets_check_fencing=reader.boolean("bounds.require-fence"),
         ),
+        max_descriptors=reader.optional_integer("limits.max-fds"),
         is_first_start=fields.get("bootstrap") is True,
     )
 
@@ -113,6 +114,13 @@
         """A number of 0 or more, None if the field is missing."""
         return None if self._find_optional(name) is None else self.number(name)
 
+    def optional_integer(self, name: str) -> int | None:
+        """An integer of 0 or more, None if the field is missing."""
+        value = self.optional_number(name)
+        if value is not None and not value.is_integer():
+            raise self._invalid(name, value, "an integer")
+        return None if value is None else int(value)
+
     def boolean(self, name: str) -> bool:
         """A Boolean value."""
         value = self._find(name)
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -24,6 +24,7 @@
     TargetClient,
     TargetResponse,
 )
+from coltsfootfront.memory.connection import READ_BYTES
 from coltsfootfront.platform import headers
 from coltsfootfront.platform.responsechecks import UndelimitedBody, check_head
 
@@ -239,6 +240,7 @@
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
         response_class=_Response,
+        read_bufsize=READ_BYTES,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
