--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -68,7 +68,7 @@
 from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.budget import caller_budget, service_budget
 from coltsfootfront.memory.limits import LimitReport
-from coltsfootfront.memory.server import ChargedServer
+from coltsfootfront.memory.server import ChargedServer, listen
 
 log = logbook.Logger(__name__)
 
@@ -708,5 +708,4 @@
         runner = web.ServerRunner(ChargedServer(handler, self._service_account))
         await runner.setup()
         self._runners.append(runner)
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port)).start()
+        await listen(runner, address)
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -44,7 +44,7 @@
 )
 from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.budget import service_budget
-from coltsfootfront.memory.server import ChargedServer
+from coltsfootfront.memory.server import ChargedServer, listen
 
 log = logbook.Logger(__name__)
 
@@ -148,8 +148,7 @@
         self._session = create_session(TIMEOUTS)
         self._runner = web.ServerRunner(ChargedServer(self._handle_request, self._account))
         await self._runner.setup()
-        host, _, port = self._own_address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        await listen(self._runner, self._own_address)
 
     async def close(self) -> None:
         """Close the client and the server."""
--- a/coltsfootfront/memory/budget.py
+++ b/coltsfootfront/memory/budget.py
@@ -27,6 +27,11 @@
 # Descriptors kept for the store, peers, listeners and idle connections to targets, of which more
 # are kept while more are open.
 OWN_DESCRIPTORS = 64
+# Connections that asyncio accepts before the account is asked, in one round of the event loop; with
+# its backlog, as asyncio has it, it would be 1,024.
+ACCEPTS_PER_ROUND = 16
+# Descriptors of such connections, and of those that were closed and are gone only in a later round.
+ACCEPT_DESCRIPTORS = 4 * ACCEPTS_PER_ROUND
 MIN_DESCRIPTORS = 64
 # Share of the peer, metrics and readiness ports. Its memory is part of BASE_BYTES. Copies of the
 # store, at most 8 MiB each, wait there for peers with slow links.
@@ -54,7 +59,10 @@
     """
     return Budget(
         max(MIN_MEMORY_BYTES, memory_bytes - BASE_BYTES),
-        max(MIN_DESCRIPTORS, _usable_descriptors(max_descriptors) - OWN_DESCRIPTORS),
+        max(
+            MIN_DESCRIPTORS,
+            _usable_descriptors(max_descriptors) - OWN_DESCRIPTORS - ACCEPT_DESCRIPTORS,
+        ),
     )
 
 
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -19,8 +19,9 @@
 READ_BYTES = 65_536
 # Memory of one chunk of a body: its bytes object, its place in the queue and its offset.
 CHUNK_BYTES = 96
-# Memory of the head of a request as a multiple of its size: raw and decoded fields.
-HEAD_FACTOR = 3
+# Memory of the head of a request as a multiple of its size: raw and decoded fields, and what the
+# allocator cannot reuse at once.
+HEAD_FACTOR = 4
 # Memory of a body that is discarded.
 DISCARDED_BYTES = READ_BYTES
 # What a response may leave unread before the next pipelined request is begun.
@@ -123,7 +124,7 @@
         if self._is_discarding:
             return held + DISCARDED_BYTES
         body = self._current_request.content if self._current_request is not None else None
-        if body is not None:
+        if self._is_serving and body is not None:
             held += body_memory_bytes(max(self._declared_bytes, body.total_bytes))
             # The body of a request without one has no such attribute.
             chunks = getattr(body, "_http_chunk_splits", None)
--- a/coltsfootfront/memory/server.py
+++ b/coltsfootfront/memory/server.py
@@ -1,20 +1,45 @@
 """HTTP server for the peer, metrics and readiness ports, whose connections are charged."""
 
 import asyncio
+import os
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 
 from coltsfootfront.memory.account import Account
+from coltsfootfront.memory.budget import ACCEPTS_PER_ROUND
 from coltsfootfront.memory.connection import ChargedConnection
 
 # Largest incomplete head; the heads of peers and of the platform's checks are below 1 kB.
 MAX_HEAD_BYTES = 16_384
+# Connections that wait in the kernel.
+LISTEN_BACKLOG = 1024
 
 Handler = Callable[[Any], Awaitable[web.StreamResponse]]
 
 
+def set_backlog(listener: Any) -> None:
+    """Let connections wait in the kernel, of which asyncio accepts a few in one round.
+
+    asyncio has one number for both, and gets ACCEPTS_PER_ROUND when it begins to listen.
+    """
+    with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+        duplicate.listen(LISTEN_BACKLOG)
+
+
+async def listen(runner: web.ServerRunner, address: str) -> None:
+    """Listen with a runner that is set up."""
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port), backlog=ACCEPTS_PER_ROUND)
+    await site.start()
+    server = site._server
+    assert isinstance(server, asyncio.Server)
+    for listener in server.sockets:
+        set_backlog(listener)
+
+
 class ChargedServer(web.Server):
     """HTTP server whose connections are charged to an account.
 
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -24,13 +24,14 @@
 from coltsfootfront.direct.node import CallerServer, Serve
 from coltsfootfront.direct.routingconfig import CallerLimits
 from coltsfootfront.memory.account import Account
-from coltsfootfront.memory.budget import OWN_DESCRIPTORS, Budget
+from coltsfootfront.memory.budget import ACCEPTS_PER_ROUND, OWN_DESCRIPTORS, Budget
 from coltsfootfront.memory.connection import (
     READ_BYTES,
     REQUEST_TIMEOUT_HEAD,
     ChargedConnection,
 )
 from coltsfootfront.memory.limits import LimitReport
+from coltsfootfront.memory.server import set_backlog
 from coltsfootfront.platform import headers
 
 # For a request without a deadline header; the route's timeout bounds it further.
@@ -38,7 +39,6 @@
 # Time for which the rest of a body is read and discarded after an early error response.
 UNREAD_BODY_LINGER_S = 2.0
 MAX_HEADERS = 200
-LISTEN_BACKLOG = 1024
 BAD_REQUEST = 400
 SERVER_ERROR = 500
 # Length of an error in the log; parse errors quote what the caller sent.
@@ -167,8 +167,9 @@
     REQUEST_DESCRIPTORS = 1
     # The relay has the chunk that it has written, and its copy.
     UNREAD_FACTOR = 3
-    # The reader of the connection to the target stops at twice READ_BYTES, after one more read.
-    UNREAD_BYTES = 3 * READ_BYTES
+    # The reader of the connection to the target stops at twice READ_BYTES, after one more read,
+    # and the relay has another part.
+    UNREAD_BYTES = 4 * READ_BYTES
 
     body_timeout: ReadTimeout | None = None
     """Ends the wait for the rest of the body that is being received."""
@@ -266,7 +267,10 @@
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self, host, int(port), backlog=LISTEN_BACKLOG)
+        backlog = ACCEPTS_PER_ROUND
+        self._server = await loop.create_server(self, host, int(port), backlog=backlog)
+        for listener in self._server.sockets:
+            set_backlog(listener)
         self._sweep()
 
     async def close(self) -> None:
