--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -119,6 +119,8 @@
         await writer.write(bytes(body))
         if not is_buffered:
             relayed_bytes = len(body)
+            body.clear()
+            writer.hold(0)
             async for chunk in chunks:
                 placement.target.record_heard(self._clock.monotonic_s())
                 relayed_bytes += len(chunk)
--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -117,6 +117,10 @@
         """Number of open connections."""
         return len(self._holders)
 
+    def count(self, reason: str) -> None:
+        """Count a connection that is closed for a limit of its own."""
+        self._on_closed(reason)
+
     def now_s(self) -> float:
         """Monotonic time."""
         return self._clock.monotonic_s()
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -102,6 +102,7 @@
             self.head_began_s = min(self.head_began_s, now_s)
         self._record_received(holder, len(data), now_s)
         if self._head_bytes > self._max_head_bytes:
+            self._account.count("head_size")
             self.refuse_head(HEAD_TOO_LARGE_HEAD)
         elif not self._update():
             self._refuse_received()
@@ -193,6 +194,11 @@
             self.record_body_end()
         return True
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request is being served on the connection."""
+        return self._is_serving
+
     @property
     def is_body_refused(self) -> bool:
         """Whether the body that is being received has no room."""
@@ -238,8 +244,13 @@
     def hold(self, size_bytes: int) -> None:
         """Charge a part of a response that is kept before it is written.
 
-        The connection is closed if there is no room for it.
+        The connection is closed if there is no room for it; the request may have run.
+
+        :param size_bytes: size of the part, 0 once it has been written.
         """
+        if self.writing_paused:
+            # What waits at the socket is charged instead.
+            return
         self._unread_bytes = self.UNREAD_FACTOR * size_bytes
         if not self._update():
             self._abort()
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -199,22 +199,20 @@
                 body.set_exception(BrokenBodyError("the body cannot be parsed"))
                 body.feed_eof()
 
-    def check_progress(self, now_s: float, header_s: float, idle_s: float) -> str:
-        """End a request that does not arrive in time.
-
-        :returns: what was late, empty if nothing was.
-        """
+    def check_progress(self, now_s: float, header_s: float, idle_s: float) -> None:
+        """End a request that does not arrive in time."""
         self.refresh_unread()
-        if now_s - self.head_began_s > header_s:
+        # A response that is being written is not cut off for the head behind it.
+        if not self.is_serving and now_s - self.head_began_s > header_s:
             self.refuse_head(REQUEST_TIMEOUT_HEAD)
-            return "head_time"
+            self._account.count("head_time")
+            return
         holder, timeout = self.holder, self.body_timeout
         if holder is None or timeout is None:
-            return ""
+            return
         if now_s > self.body_deadline_s or now_s - holder.progress_s > idle_s:
             timeout.expire()
-            return "body_time"
-        return ""
+            self._account.count("body_time")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         server = self._manager
@@ -259,10 +257,10 @@
         self._active_connections: set[web.RequestHandler] = set()
         self.is_draining = False
         """Whether responses close their connections."""
-        self.account = Account(Budget(sys.maxsize, sys.maxsize), clock)
+        unlimited = Budget(sys.maxsize, sys.maxsize)
+        self.account = Account(unlimited, clock, LimitReport("callers", clock).count)
         self._sweep_handle: asyncio.TimerHandle | None = None
         self._swept_s = math.inf
-        self._report = LimitReport("callers", clock)
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -294,9 +292,7 @@
         limits = self._limits
         for connection in list(self.connections):
             assert isinstance(connection, _CallerConnection)
-            late = connection.check_progress(now_s, limits.header_s + HEAD_GRACE_S, limits.idle_s)
-            if late:
-                self._report.count(late)
+            connection.check_progress(now_s, limits.header_s + HEAD_GRACE_S, limits.idle_s)
 
     def _count_other_descriptors(self) -> int:
         """Descriptors beyond those of callers, their requests and those kept for the router."""
--- /dev/null
+++ b/coltsfootfront/tests/test_memory.py
@@ -0,0 +1,222 @@
+"""Tests of the account of a router's memory, and of the limits on slow callers."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
+from coltsfootfront.direct.routingconfig import CallerLimits
+from coltsfootfront.memory.account import STALL_S, Account, Holder, Phase
+from coltsfootfront.memory.budget import (
+    BASE_BYTES,
+    CONNECTION_BYTES,
+    FILE_DESCRIPTORS,
+    MIB,
+    REQUEST_BYTES,
+    Budget,
+    body_memory_bytes,
+    caller_budget,
+)
+from coltsfootfront.memory.limits import LOG_INTERVAL_S, LimitReport
+from coltsfootfront.platform import callerserver
+from coltsfootfront.platform.callerserver import PlatformCallerServer
+from coltsfootfront.tests.support import ManualClock
+
+KIB = 1024
+# Limits that are 30 and 20 times shorter than the operators'.
+SHORT_LIMITS = CallerLimits(body_bytes=100_000, idle_s=0.5, header_s=0.15)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_requests_and_bodies_fit_into_the_memory(self) -> None:
+        """Guards against the platform killing a process whose requests exceed its memory."""
+        budget = caller_budget(150 * MIB, 1_638)
+        requests = budget.memory_bytes // REQUEST_BYTES
+        self.assertLess(80 * MIB + requests * 104 * KIB, 150 * MIB)
+        bodies = budget.memory_bytes // (REQUEST_BYTES + body_memory_bytes(4 * MIB))
+        self.assertGreater(bodies, 5)
+        self.assertLess(80 * MIB + bodies * 5_200_000, 150 * MIB)
+        self.assertGreater(caller_budget(300 * MIB, None).memory_bytes, 2 * budget.memory_bytes)
+        self.assertGreater(caller_budget(0, 0).memory_bytes, 60 * REQUEST_BYTES)
+        self.assertGreater(caller_budget(0, 0).descriptors, 0)
+        self.assertLess(budget.descriptors, 1_638 - FILE_DESCRIPTORS)
+        self.assertLess(BASE_BYTES + budget.memory_bytes, 150 * MIB + 1)
+
+    def test_descriptors_of_the_process_bound_those_of_the_settings(self) -> None:
+        """Guards against settings that tell more descriptors than the process may open."""
+        for hard, told, expected in ((1_024, 8_192, 1_024), (1_024, None, 1_024), (-1, 900, 900)):
+            with mock.patch("resource.getrlimit", return_value=(hard, hard)):
+                budget = caller_budget(200 * MIB, told)
+                self.assertLess(budget.descriptors, expected - FILE_DESCRIPTORS)
+                self.assertGreater(budget.descriptors, expected - FILE_DESCRIPTORS - 200)
+
+
+class AccountTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.closed: list[tuple[str, str]] = []
+        self.account = Account(Budget(MIB, 10), self.clock)
+
+    def _open(
+        self, name: str, phase: Phase = Phase.IDLE, held_bytes: int = 0, customer: str = ""
+    ) -> Holder:
+        """Open a connection, whose name begins with its address."""
+        holder = self.account.open(name[0], lambda reason: self.closed.append((name, reason)))
+        assert holder is not None
+        holder.enter(phase, self.clock.monotonic_s())
+        holder.customer = customer
+        if held_bytes:
+            self.assertTrue(self.account.change(holder, held_bytes, 1))
+        return holder
+
+    def test_nobody_is_closed_while_there_is_room(self) -> None:
+        """Guards against limits that ordinary callers meet in calm."""
+        for phase in Phase:
+            self._open(f"a{phase.value}", phase, 200 * KIB)
+        self.clock.advance(100.0)
+        self._open("b")
+        self.assertEqual([], self.closed)
+
+    def test_order_in_which_connections_are_closed(self) -> None:
+        """Guards against closing active callers while idle, stalled or slow ones hold memory."""
+        self._open("idle", Phase.IDLE, 150 * KIB)
+        self._open("stalled", Phase.RECEIVING, 150 * KIB)
+        self._open("unread", Phase.WRITING, 150 * KIB)
+        slow = self._open("trickle", Phase.RECEIVING, 150 * KIB)
+        served = self._open("served", Phase.SERVING, 150 * KIB)
+        self.clock.advance(STALL_S)
+        slow.progress_s, slow.received_bytes = self.clock.monotonic_s(), 100
+        self._open("greedy", Phase.RECEIVING, 250 * KIB)
+        newcomer = self._open("new", Phase.RECEIVING)
+        expected = ["idle", "stalled", "stalled", "slow", "greedy"]
+        for count, held in enumerate((100, 250, 400, 550, 800)):
+            self.assertTrue(self.account.change(newcomer, held * KIB, 1) or count == 4)
+        self.assertEqual(expected[:4], [reason for _, reason in self.closed])
+        self.assertTrue(served.is_open)
+
+    def test_the_greediest_address_or_customer_gives_way(self) -> None:
+        """Guards against one address or customer that takes the memory of all others."""
+        for customer, address in (("", "a"), ("large", "")):
+            with self.subTest(customer=customer):
+                self.setUp()
+                for number in range(8):
+                    name = f"{address or number}{number}"
+                    self._open(name, Phase.RECEIVING, 125 * KIB, customer)
+                other = self._open("x", Phase.RECEIVING)
+                self.assertTrue(self.account.change(other, 100 * KIB, 1))
+                self.assertEqual({"greedy"}, {reason for _, reason in self.closed})
+
+    def test_a_charge_without_room_changes_nothing(self) -> None:
+        """Guards against an account that loses count by refusals."""
+        first = self._open("a", Phase.SERVING, 600 * KIB)
+        second = self._open("b", Phase.RECEIVING, 300 * KIB)
+        self.assertFalse(self.account.change(second, 500 * KIB, 1))
+        self.assertEqual(900 * KIB, self.account.held_bytes)
+        self.account.remove(first)
+        self.account.remove(first)
+        self.assertTrue(self.account.change(second, 500 * KIB, 1))
+        self.account.remove(second)
+        counts = (self.account.held_bytes, self.account.descriptors, self.account.connections)
+        self.assertEqual((0, 0, 0), counts)
+
+    def test_descriptors_are_bounded(self) -> None:
+        """Guards against connections that leave no descriptors for the store and the targets."""
+        idle = []
+        for number in range(10):
+            idle.append(self._open(f"a{number}"))
+            self.clock.advance(0.1)
+        self._open("b", Phase.SERVING)
+        self.assertEqual([False, *[True] * 9], [holder.is_open for holder in idle])
+        self.account.set_other_descriptors(5)
+        for number in range(4):
+            self._open(f"c{number}", Phase.SERVING)
+        self.assertIsNone(self.account.open("d", lambda reason: None))
+        self.assertEqual(5, self.account.descriptors)
+        self.assertFalse(any(holder.is_open for holder in idle))
+
+    def test_log_lines_are_bounded(self) -> None:
+        """Guards against a line for each connection of a crowd."""
+        report = LimitReport("callers", self.clock)
+        with mock.patch("coltsfootfront.memory.limits.log") as log:
+            for _ in range(1000):
+                report.count("idle")
+            self.assertEqual(1, log.warning.call_count)
+            self.clock.advance(LOG_INTERVAL_S)
+            report.count("slow")
+        self.assertIn("idle:999,slow:1", log.warning.call_args.args[0])
+
+
+async def _answer(request: CallerRequest, writer: ResponseWriter) -> None:
+    await writer.begin(200, [], len(request.body))
+    await writer.write(request.body)
+    await writer.end()
+
+
+class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.server = PlatformCallerServer(_answer, SystemClock())
+        self.server.set_limits(SHORT_LIMITS)
+        for name, value in (("SWEEP_INTERVAL_S", 0.05), ("HEAD_GRACE_S", 0.15)):
+            patch = mock.patch.object(callerserver, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        await self.server.start("127.0.0.1:0")
+        assert self.server._server is not None
+        self.port = self.server._server.sockets[0].getsockname()[1]
+
+    async def asyncTearDown(self) -> None:
+        await self.server.close()
+
+    async def _send(self, pieces: list[bytes], interval_s: float = 0.0) -> bytes:
+        """Send pieces, and read until the connection is closed."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(interval_s)
+        response = await asyncio.wait_for(reader.read(), 10.0)
+        writer.close()
+        return response
+
+    async def test_steady_upload_is_served(self) -> None:
+        """Guards against a limit on the whole time of an upload that goes on."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        sized, chunked = b"Content-Length: 20\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n"
+        responses = await asyncio.gather(
+            self._send([head + sized, *[b"x"] * 20], 0.05),
+            self._send([head + chunked, *[b"1\r\nx\r\n"] * 20, b"0\r\n\r\n"], 0.05),
+        )
+        for response in responses:
+            self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
+            self.assertTrue(response.endswith(b"x" * 20), response)
+
+    async def test_what_stops_is_refused_truthfully(self) -> None:
+        """Guards against heads and bodies that stay open for ever, or that are refused untruly."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+        body = b"Content-Length: 20\r\n\r\nx"
+        deadline = b"X-Deadline-Ms: 200\r\n"
+        with mock.patch.object(self.server, "_serve") as serve:
+            for name, pieces, status, interval_s in (
+                ("body", [head + body], 408, 0.0),
+                ("chunk", [head + b"Transfer-Encoding: chunked\r\n\r\n5\r\nx"], 408, 0.0),
+                ("head", [head], 408, 0.0),
+                ("deadline", [head + deadline + body, *[b"x"] * 8], 408, 0.1),
+                ("long head", [head, *[b"X: " + b"x" * 9_000 + b"\r\n"] * 2], 431, 0.02),
+            ):
+                with self.subTest(name):
+                    response = await self._send(pieces, interval_s)
+                    self.assertTrue(response.startswith(b"HTTP/1.1 %d " % status), response)
+            serve.assert_not_called()
+        self.assertEqual(0, self.server.account.held_bytes)
+
+    async def test_request_without_room_is_refused_and_its_connection_released(self) -> None:
+        """Guards against memory that stays charged for requests that were refused."""
+        self.server.account = Account(Budget(2 * CONNECTION_BYTES, 10), SystemClock())
+        for request in (
+            b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nx",
+        ):
+            response = await self._send([request])
+            self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
+            self.assertIn(b"Retry-After", response)
+        self.assertEqual(0, self.server.account.held_bytes)
--- a/coltsfootfront/tests/test_system_caller_memory.py
+++ b/coltsfootfront/tests/test_system_caller_memory.py
@@ -110,13 +110,15 @@
         status = Path(f"/proc/{self.pid}/status").read_text(encoding="utf-8")
         return int(re.findall(rf"{field}:\s+(\d+)", status)[0]) / 1024
 
-    async def _send(self, pieces: Iterable[bytes], reads: bool = False) -> None:
+    async def _send(
+        self, pieces: Iterable[bytes], reads: bool = False, listen: str = "front"
+    ) -> None:
         """Send on a new connection, which stays open; the router may close it at any time."""
         loop = asyncio.get_running_loop()
         connection = socket.socket()
         connection.setblocking(False)
         self.sockets.append(connection)
-        host, _, port = self.router.settings["listen"]["front"].rpartition(":")
+        host, _, port = self.router.settings["listen"][listen].rpartition(":")
         with suppress(OSError):
             await loop.sock_connect(connection, (host, int(port)))
             for piece in pieces:
@@ -251,6 +253,15 @@
         await self._run_crowd([[]] * (2 * SMALL_CROWD))
         await self._check()
 
+    async def test_connections_to_the_other_ports(self) -> None:
+        """Guards against a crowd at the ports for peers and readiness, which anybody may reach."""
+        begin = b"GET /v1/ready HTTP/1.1\r\nX: " + b"x" * 12_000
+        for listen in ("control", "ready"):
+            crowd = [self._send(pieces, listen=listen) for pieces in [[], [begin]] * 700]
+            await asyncio.wait_for(asyncio.gather(*crowd), ORDINARY_S)
+        await self.router.wait_ready()
+        await self._check()
+
     async def test_connections_that_open_and_drop(self) -> None:
         """Guards against connections of which something is left when they are dropped."""
         for _ in range(20):
