--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -19,7 +19,7 @@
 from coltsfootfront.common.runtime import Program
 from coltsfootfront.common.supervisor import Supervisor
 from coltsfootfront.costs.model import CostModel
-from coltsfootfront.direct import admission, gossip
+from coltsfootfront.direct import gossip
 from coltsfootfront.direct.cachediscovery import CacheDiscovery, CachedPartReader
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
@@ -76,6 +76,10 @@
 from coltsfootfront.direct.targetwork import TargetWorkRecorder
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.leases import LeaseLock
+from coltsfootfront.memory.account import Account
+from coltsfootfront.memory.budget import REQUEST_BYTES, caller_budget, service_budget
+from coltsfootfront.memory.limits import LimitReport
+from coltsfootfront.memory.server import ChargedServer, listen
 from coltsfootfront.quotas.quotas import Quotas
 from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import UsageReport
@@ -144,8 +148,8 @@
     """Server for callers' connections."""
 
     is_draining: bool
-    body_memory: admission.BodyMemory
-    """Memory that is reserved for a body before it is read."""
+    account: Account
+    """What the connections of callers are charged to."""
 
     @abstractmethod
     def set_limits(self, limits: CallerLimits) -> None:
@@ -219,7 +223,15 @@
             settings.region,
             settings.link_mbit_per_s,
         )
-        self._peers = Peers(router, settings.seed_addresses, generator)
+        self._caller_account = Account(
+            caller_budget(settings.memory_bytes, settings.max_descriptors),
+            clock,
+            LimitReport("callers", clock).count,
+        )
+        self._service_account = Account(
+            service_budget(settings.max_descriptors), clock, LimitReport("services", clock).count
+        )
+        self._peers = Peers(router, settings.seed_addresses, generator, self._service_account)
         self._gossip = Gossip(self._handle_message, settings.region, generator)
         self._gossip.router = settings.name
         self._costs = CostModel()
@@ -284,9 +296,6 @@
         self._builds.max_copy_age_s = bounds.config_apply_s
         self._take_ups = TakeUps(clock, self._builds, self._gossip, self._peers)
         self._forwarder = self._build_forwarder()
-        max_requests = admission.max_requests_for_memory(settings.memory_bytes)
-        self._forwarder.max_in_progress = max_requests
-        self._forwarder.body_memory = admission.BodyMemory(max_requests)
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
         self._follower.apply_limit_s = bounds.config_apply_s
         self._forwarder.confirm_configuration = self._confirm_configuration
@@ -392,7 +401,7 @@
         supervisor.add("settings", self._watch_settings)
         await supervisor.start()
         self._caller_server = self._make_caller_server(self.serve)
-        self._caller_server.body_memory = self._forwarder.body_memory
+        self._caller_server.account = self._caller_account
         self._caller_server.set_limits(self._forwarder.routing_config.limits)
         await self._caller_server.start(settings.caller_address)
 
@@ -765,7 +774,7 @@
 
     def _occupancy(self) -> Occupancy:
         forwarder = self._forwarder
-        max_in_progress = forwarder.max_in_progress - forwarder.body_memory.held_requests
+        max_in_progress = forwarder.in_progress + self._caller_account.free_bytes // REQUEST_BYTES
         return Occupancy(forwarder.in_progress, max_in_progress, forwarder.stop)
 
     async def _answer_operator(self, request: Any) -> web.Response:
@@ -778,8 +787,7 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     async def _listen(self, address: str, handler: Any) -> None:
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        runner = web.ServerRunner(ChargedServer(handler, self._service_account))
         await runner.setup()
         self._runners.append(runner)
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port)).start()
+        await listen(runner, address)
--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -17,8 +17,9 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.sockets import count_unsent_bytes
+from coltsfootfront.memory.connection import READ_BYTES
 
-# Normal response heads are below 4 KiB. One read from the socket, at most 256 KiB, may contain a
+# Normal response heads are below 4 KiB. One read from the socket, at most READ_BYTES, may contain a
 # head and its whole body, so the limit applies only while the head is incomplete.
 MAX_HEAD_BYTES = 65_536
 # Limit on interim responses (status 1xx) before the final one; a normal target sends at most one.
@@ -62,6 +63,9 @@
         """Keep the transport, which aiohttp gives up as soon as it closes the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._connection = transport
+        # The account of callers counts on the limit on the bytes that are read at once.
+        if hasattr(transport, "max_size"):
+            transport.max_size = READ_BYTES
         super().connection_made(transport)
 
     def eof_received(self) -> None:
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -34,6 +34,8 @@
 # A response up to this size is buffered before it is relayed, so that the request can be retried if
 # the response breaks off.
 MAX_BUFFERED_BYTES = 262144
+# What is kept of a shorter response is part of the memory of each request.
+MIN_HELD_BYTES = 32768
 # A response that is not a stream is treated as endless and cut off beyond this size.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Events after which a target has not crashed at the beginning of its answer.
@@ -88,13 +90,8 @@
 
         :raises RetryError: if the response is a server error and the request should be retried.
         """
-        body = bytearray()
         chunks = response.chunks()
-        async for chunk in chunks:
-            placement.target.record_heard(self._clock.monotonic_s())
-            body += chunk
-            if len(body) > MAX_BUFFERED_BYTES:
-                break
+        body = await self._read_beginning(placement, chunks, writer)
         is_buffered = len(body) <= MAX_BUFFERED_BYTES
         if state.work is not None and response.status < MIN_SERVER_ERROR_STATUS:
             state.work.record_response()
@@ -117,6 +114,8 @@
         await writer.write(bytes(body))
         if not is_buffered:
             relayed_bytes = len(body)
+            body.clear()
+            writer.hold(0)
             async for chunk in chunks:
                 placement.target.record_heard(self._clock.monotonic_s())
                 relayed_bytes += len(chunk)
@@ -127,6 +126,20 @@
                 await writer.write(chunk)
         await writer.end()
 
+    async def _read_beginning(
+        self, placement: Placement, chunks: AsyncIterator[bytes], writer: ResponseWriter
+    ) -> bytearray:
+        """Read a body until its end, or until it is longer than what is buffered."""
+        body = bytearray()
+        async for chunk in chunks:
+            placement.target.record_heard(self._clock.monotonic_s())
+            body += chunk
+            if len(body) > MIN_HELD_BYTES:
+                writer.hold(len(body))
+            if len(body) > MAX_BUFFERED_BYTES:
+                break
+        return body
+
     async def relay_stream(
         self,
         state: RequestState,
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -65,6 +65,7 @@
             quota_overage=reader.optional_number("bounds.quota-overage") or 0.0,
             quota_window_s=reader.optional_number("bounds.quota-window-s") or 1.0,
         ),
+        max_descriptors=reader.optional_integer("limits.max-fds"),
         is_first_start=fields.get("bootstrap") is True,
     )
 
@@ -116,6 +117,13 @@
         """A number of 0 or more, None if the field is missing."""
         return None if self._find_optional(name) is None else self.number(name)
 
+    def optional_integer(self, name: str) -> int | None:
+        """An integer of 0 or more, None if the field is missing."""
+        value = self.optional_number(name)
+        if value is not None and not value.is_integer():
+            raise self._invalid(name, value, "an integer")
+        return None if value is None else int(value)
+
     def boolean(self, name: str) -> bool:
         """A Boolean value."""
         value = self._find(name)
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -27,6 +27,7 @@
     TargetClient,
     TargetResponse,
 )
+from coltsfootfront.memory.connection import READ_BYTES
 from coltsfootfront.platform import headers
 from coltsfootfront.platform.responsechecks import UndelimitedBody, check_head
 
@@ -38,9 +39,6 @@
 # one. On a connection that the target is closing, its outcome would be unknown.
 NON_IDEMPOTENT_KEEPALIVE_S = 1.0
 MAX_HEADER_BYTES = 65536
-# What is read from a target ahead of its relay, so that little is held for a caller that reads
-# slowly: aiohttp reads up to twice this and one more read of at most 256 KiB.
-READ_BUFFER_BYTES = 65_536
 # Buffer of a target's socket, which the kernel doubles; by itself it grows to 6 MB or more. A link
 # of 100 Mbit/s has 250 kB under way within the 20 ms to another region.
 RECEIVE_BUFFER_BYTES = 262_144
@@ -260,7 +258,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
-        read_bufsize=READ_BUFFER_BYTES,
+        read_bufsize=READ_BYTES,
         response_class=_Response,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
--- a/coltsfootfront_dev/platformtarget.py
+++ b/coltsfootfront_dev/platformtarget.py
@@ -227,7 +227,7 @@
         """Headers with which every response reports the target's state."""
         state = {"Server-Leaving": "1"} if self.faults.is_leaving else {}
         if self.load_header:
-            headers["X-Server-Load"] = self.load_header
+            state["X-Server-Load"] = self.load_header
         return state | ({"Server-Limit": self.faults.limit} if self.faults.limit else {})
 
     def _rejection_response(self, request: web.BaseRequest) -> web.Response | None:
