--- a/coltsfootfront/direct/firstevent.py
+++ b/coltsfootfront/direct/firstevent.py
@@ -55,11 +55,13 @@
     :param begin_s: until it begins with the prefill, without the transfer of parts.
     :param cost_s: until the first event, with the price of redundant prefills.
     :param cost: learned estimate, None if it was not used.
+    :param overtaking_s: delay of the prompts that it overtakes, summed up.
     """
 
     begin_s: float
     cost_s: float
     cost: PromptCost | None = None
+    overtaking_s: float = 0.0
 
 
 class FirstEventEstimator(ABC):
@@ -130,8 +132,8 @@
         )
         cost_s += EXCESS_REQUEST_PENALTY_S * max(0, prompt.load - target.entry.slots)
         overtaken = target.pending.behind_tokens(prompt.priority) / OVERTAKEN_PROMPT_TOKENS
-        cost_s += overtaken * model.prefill_s(prompt.prefill_tokens, target.pace, now_s)
-        return FirstEventEstimate(begin_s, cost_s, cost)
+        overtaking_s = overtaken * model.prefill_s(prompt.prefill_tokens, target.pace, now_s)
+        return FirstEventEstimate(begin_s, cost_s, cost, overtaking_s)
 
     def prefill_time_s(self, tokens: float, target: Target, now_s: float) -> float:
         return self._costs.prompts(target.entry.service).prefill_s(tokens, target.pace, now_s)
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -79,9 +79,6 @@
 # timeout does not apply.
 BUSY_LOAD = 8
 MIN_RESPONSE_TIMEOUT_S = 0.4
-# Share of the base time, which does not depend on the prompt, that passes before prefill ends; the
-# rest passes before the first event.
-PREFILL_BASE_TIME_SHARE = 0.5
 # Short, since a caller that a stopping router refuses reaches another router.
 STOPPING_RETRY_AFTER_S = 0.05
 # Spreads the returns of callers whose requests were held back.
@@ -140,7 +137,6 @@
     ) -> None:
         self._clock = clock
         self._target_work = target_work
-        self._prefill_rates = prefill_rates
         self._directory = directory
         self._client = client
         self._plain_selector = plain_selector
@@ -678,13 +674,11 @@
         if not placement.salt:
             return
         name = placement.target.name
-        prefill_rate = self._prefill_rates.get(placement.target.entry.service)
         tokens = 0
         for part in request.shared_parts:
             tokens += part.tokens
-            prefill_s = prefill_rate.prefill_time_s(max(0, tokens - placement.held_tokens))
-            ready_in_s = (
-                placement.begin_s + prefill_rate.base_s * PREFILL_BASE_TIME_SHARE + prefill_s
+            ready_in_s = self._target_work.ready_in_s(
+                placement, max(0, tokens - placement.held_tokens)
             )
             if self._cache_index.record_expected(placement.salt, part.key, name, ready_in_s):
                 self._gossip.queue_expected(placement.salt, part.key, name, ready_in_s)
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -135,6 +135,13 @@
     return RefusedError(Failure(kind, message, state.execution_state, may_retry=False))
 
 
+def _learned_estimate_s(placement: Placement) -> float | None:
+    """Learned estimate without the price of a placement; None if there is none."""
+    if placement.prompt_cost is not None:
+        return placement.prompt_cost.first_event_s
+    return placement.call_cost.total_s if placement.call_cost is not None else None
+
+
 def request_log_fields(request: CallerRequest, state: RequestState | None) -> dict[str, Any]:
     """Fields of the request's log line that explain its outcome; unknown fields are None.
 
@@ -173,4 +180,5 @@
         "load": placement.load,
         "begin_s": placement.begin_s or None,
         "expected_s": placement.expected_s,
+        "estimate_s": _learned_estimate_s(placement),
     }
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -254,10 +254,13 @@
         """Update the prefill rate from the time to the first event.
 
         Skipped after a retry and when the target fetched parts: the time then covers more than
-        the prefill.
+        the prefill. Skipped as well when the prompt was placed by its cost, which is learned from
+        its own outcomes.
         """
         if state.sends > 1 or placement.fetch_from or state.placed_s is None:
             return
+        if placement.prompt_cost is not None:
+            return
         prefill_rate = self._prefill_rates.get(placement.target.entry.service)
         ahead_tokens = placement.begin_s * prefill_rate.tokens_per_s
         sent_s = state.request.received_s + state.placed_s
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -67,6 +67,7 @@
     :param begin_s: expected time until the target begins the prefill.
     :param expected_s: expected time until the first event, with the penalties.
     :param load: estimated load of the target when it was chosen.
+    :param overtaking_s: delay of the prompts that it overtakes, summed up; no part of its own time.
     :param prompt_cost: learned estimate for a prompt, None if it was not used.
     :param call_cost: learned estimate for a plain call, None if it was not used.
     """
@@ -83,9 +84,15 @@
     begin_s: float = 0.0
     expected_s: float = 0.0
     load: int = 0
+    overtaking_s: float = 0.0
     prompt_cost: PromptCost | None = None
     call_cost: CallCost | None = None
 
+    @property
+    def price_s(self) -> float:
+        """Expected time until the first event, with the delay of others."""
+        return self.expected_s + self.overtaking_s
+
 
 class WaitReason(Enum):
     """Why a request waits for its target."""
@@ -195,7 +202,6 @@
         placements = [
             Placement(
                 target,
-                load=load,
                 expected_s=cost.total_s + self._distance_s(target),
                 call_cost=cost,
             )
@@ -300,13 +306,13 @@
         if not placements:
             return None
         ready = [placement for placement in placements if not placement.target.is_loading(now_s)]
-        best = min(placements, key=lambda placement: placement.expected_s)
+        best = min(placements, key=lambda placement: placement.price_s)
         if not best.target.is_loading(now_s):
             return self._wait_for_prefill(request, best, wait_until_s)
         if best.target.loading_until_s <= wait_until_s or not ready:
             return Wait(best.target.loading_until_s, WaitReason.WEIGHTS, best)
         return self._wait_for_prefill(
-            request, min(ready, key=lambda placement: placement.expected_s), wait_until_s
+            request, min(ready, key=lambda placement: placement.price_s), wait_until_s
         )
 
     def record_placement(self, request: CallerRequest, placement: Placement) -> None:
@@ -382,5 +388,6 @@
             begin_s=estimate.begin_s + plan.transfer_s,
             expected_s=cost_s,
             load=load,
+            overtaking_s=estimate.overtaking_s,
             prompt_cost=estimate.cost,
         )
--- a/coltsfootfront/direct/targetwork.py
+++ b/coltsfootfront/direct/targetwork.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.costs.model import CostModel
 from coltsfootfront.costs.pending import REPEAT_INTERVAL_S
@@ -16,6 +17,10 @@
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.targetselection import Placement
 
+# Share of the base time, which does not depend on the prompt, that passes before prefill ends; the
+# rest passes before the first event.
+PREFILL_BASE_TIME_SHARE = 0.5
+
 
 class AttemptWork(ABC):
     """Work of one attempt at its target."""
@@ -153,6 +158,18 @@
         work = self._costs.calls(target.entry.service).route(route)
         target.calls.begin(key, work, self._clock.monotonic_s())
 
+    def ready_in_s(self, placement: Placement, tokens: int) -> float:
+        """Time until the target of a placement has prefilled some tokens of the prompt."""
+        target = placement.target
+        if placement.prompt_cost is None:
+            rate = self._prefill_rates.get(target.entry.service)
+            base_s, prefill_s = rate.base_s, rate.prefill_time_s(tokens)
+        else:
+            model = self._costs.prompts(target.entry.service)
+            prefill_s = model.prefill_s(tokens, target.pace, self._clock.monotonic_s())
+            base_s = model.base_s
+        return placement.begin_s + base_s * PREFILL_BASE_TIME_SHARE + prefill_s
+
     def record_first_event(self, placement: Placement, sent_s: float) -> None:
         """Learn from the time to the first event of a prompt."""
         cost = placement.prompt_cost
@@ -160,6 +177,7 @@
             return
         now_s = self._clock.monotonic_s()
         target = placement.target
+        metrics.ESTIMATE_ERROR_S.observe({}, abs(now_s - sent_s - cost.first_event_s))
         self._costs.prompts(target.entry.service).record(cost, now_s - sent_s)
         self._compare(target, cost.first_event_s, now_s - sent_s, now_s)
 
--- a/coltsfootfront/tests/test_costs_models.py
+++ b/coltsfootfront/tests/test_costs_models.py
@@ -31,6 +31,7 @@
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.tests.direct_support import (
     ENGINE_PROPERTIES,
+    MODEL,
     REGIONS,
     FakeResponse,
     FakeWriter,
@@ -271,6 +272,14 @@
         quick = self._place(600)
         quick.target.pending.add(5, 200_000)
         self.assertIsNot(quick.target, self._place(600).target)
+        # The delay of others must not make a start on older weights seem too late, which is allowed
+        # for 2 s more.
+        for target in self.directory.all():
+            target.pending.add(5, 2_000_000)
+        self.versions.record_published(MODEL, 1, self.clock.monotonic_s())
+        self.versions.record_published(MODEL, 2, self.clock.monotonic_s())
+        self.clock.advance(8.0)
+        self.assertGreater(self._place(600).price_s, 2.0)
 
     def test_prompts_that_wait_for_a_target_count_there(self) -> None:
         """Load: all prompts wait for the engine that loads the current weights.
--- a/coltsfootfront/tests/test_costs_pace.py
+++ b/coltsfootfront/tests/test_costs_pace.py
@@ -34,6 +34,8 @@
     make_route,
 )
 from coltsfootfront.tests.support import ManualClock
+from coltsfootfront.tests.test_platform_node import make_node
+from coltsfootfront_dev.platformfleet import settings_fields
 
 
 def fill(pace: TargetPace, percent: float, from_s: float = 0.0, for_s: float = 6.0) -> float:
@@ -183,6 +185,37 @@
         self.assertEqual(("t1", 170.0), decode_pace(updates[gossip.PACE][0]))
 
 
+class OddMessageTest(unittest.TestCase):
+    def test_malformed_rows_of_peers_affect_nothing_else(self) -> None:
+        """Guards against a peer's message that ends the handling of gossip, or all its rows."""
+        node = make_node(settings_fields("router-1", "127.0.0.1:1", []))
+        node._directory.put(make_entry("t1"))
+        target = node._directory.get("t1")
+        assert target is not None
+        odd: tuple[Any, ...] = (
+            None,
+            [],
+            ["t1"],
+            ["t1", None],
+            ["t1", "x"],
+            ["t1", [-5]],
+            ["t1", [0.5]],
+            ["t1", [True]],
+            ["t1", [10**30]],
+            ["t1", -70.0],
+            ["t1", float("nan")],
+            ["t1", 1e300],
+            ["unknown", [5]],
+            [1, 100],
+        )
+        for row in odd:
+            with self.subTest(row=row):
+                node._handle_message(gossip.PACE, [row, ["t1", 170.0]])
+                node._handle_message(gossip.PENDING, ["peer", [row, ["t1", [0, 900]]]])
+                self.assertEqual(1.7, target.pace.lasting)
+                self.assertEqual(900, target.pending.ahead_tokens(9))
+
+
 class PlacementByPaceTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
