--- a/coltsfootfront/direct/firstevent.py
+++ b/coltsfootfront/direct/firstevent.py
@@ -123,14 +123,15 @@
             target.pace,
             now_s,
         )
-        begin_s = max(cost.begin_s, target.loading_until_s - now_s)
+        # What waits there is not prefilled while the target loads weights. Slots do not bind: they
+        # are not full when prompts wait for their prefill.
+        begin_s = cost.begin_s + max(0.0, target.loading_until_s - now_s)
         cost_s = cost.first_event_s + max(begin_s, prompt.ready_s - now_s) - cost.begin_s
         # The learned time of a fetch is that of a usual one, a far one takes longer.
         cost_s += max(0.0, plan.transfer_s - model.fetch_s)
         cost_s += DUPLICATE_PREFILL_FACTOR * model.prefill_s(
             plan.duplicate_tokens, target.pace, now_s
         )
-        cost_s += EXCESS_REQUEST_PENALTY_S * max(0, prompt.load - target.entry.slots)
         overtaken = target.pending.behind_tokens(prompt.priority) / OVERTAKEN_PROMPT_TOKENS
         overtaking_s = overtaken * model.prefill_s(prompt.prefill_tokens, target.pace, now_s)
         return FirstEventEstimate(begin_s, cost_s, cost, overtaking_s)
--- a/coltsfootfront/tests/test_costs_models.py
+++ b/coltsfootfront/tests/test_costs_models.py
@@ -281,6 +281,23 @@
         self.clock.advance(8.0)
         self.assertGreater(self._place(600).price_s, 2.0)
 
+    def test_prompts_wait_for_the_weights_and_for_what_waits_for_them(self) -> None:
+        """Guards against a target that loads weights and counts as free in the moment it has."""
+        self.costs.has_quotas = True
+        target = self._place().target
+        for name in ("e0", "e1", "e2", "e3"):
+            if name != target.name:
+                self.directory.put(make_entry(name, is_leaving=True))
+        now_s = self.clock.monotonic_s()
+        target.pending.add(0, 60_000)
+        waiting_s = self._place().begin_s
+        target.loading_until_s = now_s + 0.4
+        found = self._choose()
+        assert isinstance(found, Wait)
+        assert found.placement is not None
+        self.assertAlmostEqual(waiting_s + 0.4, found.placement.begin_s)
+        self.assertGreater(waiting_s, 0.5)
+
     def test_prompts_that_wait_for_a_target_count_there(self) -> None:
         """Load: all prompts wait for the engine that loads the current weights.
 
