--- a/coltsfootfront/tests/test_costs_models.py
+++ b/coltsfootfront/tests/test_costs_models.py
@@ -31,6 +31,7 @@
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.tests.direct_support import (
     ENGINE_PROPERTIES,
+    MODEL,
     REGIONS,
     FakeResponse,
     FakeWriter,
@@ -271,6 +272,31 @@
         quick = self._place(600)
         quick.target.pending.add(5, 200_000)
         self.assertIsNot(quick.target, self._place(600).target)
+        # The delay of others must not make a start on older weights seem too late, which is allowed
+        # for 2 s more.
+        for target in self.directory.all():
+            target.pending.add(5, 2_000_000)
+        self.versions.record_published(MODEL, 1, self.clock.monotonic_s())
+        self.versions.record_published(MODEL, 2, self.clock.monotonic_s())
+        self.clock.advance(8.0)
+        self.assertGreater(self._place(600).price_s, 2.0)
+
+    def test_prompts_wait_for_the_weights_and_for_what_waits_for_them(self) -> None:
+        """Guards against a target that loads weights and counts as free in the moment it has."""
+        self.costs.has_quotas = True
+        target = self._place().target
+        for name in ("e0", "e1", "e2", "e3"):
+            if name != target.name:
+                self.directory.put(make_entry(name, is_leaving=True))
+        now_s = self.clock.monotonic_s()
+        target.pending.add(0, 60_000)
+        waiting_s = self._place().begin_s
+        target.loading_until_s = now_s + 0.4
+        found = self._choose()
+        assert isinstance(found, Wait)
+        assert found.placement is not None
+        self.assertAlmostEqual(waiting_s + 0.4, found.placement.begin_s)
+        self.assertGreater(waiting_s, 0.5)
 
     def test_prompts_that_wait_for_a_target_count_there(self) -> None:
         """Load: all prompts wait for the engine that loads the current weights.
