--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -138,8 +138,10 @@
 def _learned_estimate_s(placement: Placement) -> float | None:
     """Learned estimate without the price of a placement; None if there is none."""
     if placement.prompt_cost is not None:
-        return placement.prompt_cost.first_event_s
-    return placement.call_cost.total_s if placement.call_cost is not None else None
+        return placement.prompt_cost.first_event_s + placement.distance_s
+    if placement.call_cost is not None:
+        return placement.call_cost.total_s + placement.distance_s
+    return None
 
 
 def request_log_fields(request: CallerRequest, state: RequestState | None) -> dict[str, Any]:
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -35,6 +35,8 @@
 OTHER_DATA_CENTRE_PENALTY_LOAD = 0.05
 OTHER_REGION_PENALTY_LOAD = 0.6
 
+# Round trip to another region, which is no work of the target.
+OTHER_REGION_ROUND_TRIP_S = 0.04
 # Round trip to another region, with an allowance for the price of the traffic.
 OTHER_REGION_PENALTY_S = 0.06
 # Round trip to another data centre of the region, with an allowance for the price of the traffic.
@@ -67,6 +69,7 @@
     :param begin_s: expected time until the target begins the prefill.
     :param expected_s: expected time until the first event, with the penalties.
     :param load: estimated load of the target when it was chosen.
+    :param distance_s: part of the response time that is the way to the target.
     :param overtaking_s: delay of the prompts that it overtakes, summed up; no part of its own time.
     :param prompt_cost: learned estimate for a prompt, None if it was not used.
     :param call_cost: learned estimate for a plain call, None if it was not used.
@@ -84,6 +87,7 @@
     begin_s: float = 0.0
     expected_s: float = 0.0
     load: int = 0
+    distance_s: float = 0.0
     overtaking_s: float = 0.0
     prompt_cost: PromptCost | None = None
     call_cost: CallCost | None = None
@@ -160,6 +164,10 @@
     return [item for item in targets if now_s >= item.suspended_until_s] or targets
 
 
+def _round_trip_s(target: Target, region: str) -> float:
+    return OTHER_REGION_ROUND_TRIP_S if target.region != region else 0.0
+
+
 class PlainTargetSelector:
     """Chooses targets of plain services, which get many short requests and have few slots.
 
@@ -202,7 +210,8 @@
         placements = [
             Placement(
                 target,
-                expected_s=cost.total_s + self._distance_s(target),
+                expected_s=cost.total_s + self._distance_price_s(target),
+                distance_s=_round_trip_s(target, self._region),
                 call_cost=cost,
             )
             for target in targets
@@ -213,7 +222,7 @@
         ]
         return min(placements, key=lambda item: (item.expected_s, self._generator.random()))
 
-    def _distance_s(self, target: Target) -> float:
+    def _distance_price_s(self, target: Target) -> float:
         if target.region != self._region:
             return OTHER_REGION_PENALTY_S
         if target.entry.data_centre != self._data_centre:
@@ -388,6 +397,7 @@
             begin_s=estimate.begin_s + plan.transfer_s,
             expected_s=cost_s,
             load=load,
+            distance_s=_round_trip_s(target, self._region),
             overtaking_s=estimate.overtaking_s,
             prompt_cost=estimate.cost,
         )
--- a/coltsfootfront/direct/targetwork.py
+++ b/coltsfootfront/direct/targetwork.py
@@ -176,10 +176,11 @@
         if cost is None:
             return
         now_s = self._clock.monotonic_s()
+        took_s = max(0.0, now_s - sent_s - placement.distance_s)
         target = placement.target
-        metrics.ESTIMATE_ERROR_S.observe({}, abs(now_s - sent_s - cost.first_event_s))
-        self._costs.prompts(target.entry.service).record(cost, now_s - sent_s)
-        self._compare(target, cost.first_event_s, now_s - sent_s, now_s)
+        metrics.ESTIMATE_ERROR_S.observe({}, abs(took_s - cost.first_event_s))
+        self._costs.prompts(target.entry.service).record(cost, took_s)
+        self._compare(target, cost.first_event_s, took_s, now_s)
 
     def record_call(self, placement: Placement, route: str, sent_s: float) -> None:
         """Learn from the time of a plain call."""
@@ -187,10 +188,11 @@
         if cost is None:
             return
         now_s = self._clock.monotonic_s()
+        took_s = max(0.0, now_s - sent_s - placement.distance_s)
         target = placement.target
         pace = target.pace.expected(now_s)
-        self._costs.calls(target.entry.service).record(route, cost, now_s - sent_s, pace)
-        self._compare(target, cost.total_s, now_s - sent_s, now_s)
+        self._costs.calls(target.entry.service).record(route, cost, took_s, pace)
+        self._compare(target, cost.total_s, took_s, now_s)
 
     def record_length(self, target: Target, route: str, events: int) -> None:
         """Learn from the length of an answer; routers are not told the hints of callers."""
--- a/coltsfootfront/tests/test_costs_models.py
+++ b/coltsfootfront/tests/test_costs_models.py
@@ -380,6 +380,22 @@
         await fixture.forwarder.serve(make_request(parts=(("own", 900),)), FakeWriter())
         self.assertEqual(0, target.pending.ahead_tokens(9))
 
+    async def test_way_to_another_region_is_no_work(self) -> None:
+        """Guards against far targets that seem slow, and routes that seem heavy, by the way."""
+        clock = ManualClock()
+        fixture = ForwarderFixture(clock, lambda *_: FakeResponse())
+        fixture.costs.has_quotas = True
+        selector = PlainTargetSelector(clock, "a", "east", random.Random(1), fixture.costs)
+        fixture.add(make_entry("far", "plain", data_centre="c"))
+        for _ in range(40):
+            placed = selector.choose(fixture.directory.of_service("plain"), "light")
+            assert placed is not None
+            attempt = fixture.target_work.begin(placed, "light", False)
+            clock.advance(0.045)
+            attempt.record_response()
+            attempt.end()
+        self.assertLess(fixture.costs.calls("plain").route("light").mean_s, 0.015)
+
     async def test_work_of_calls_is_learned_from_their_responses(self) -> None:
         """Guards against calls that are never removed, or whose time is not learned."""
         fixture = ForwarderFixture(SystemClock(), lambda *_: FakeResponse())
