--- a/coltsfootfront/costs/pace.py
+++ b/coltsfootfront/costs/pace.py
@@ -47,9 +47,10 @@
 class ServiceOutcomes:
     """Outcomes of all targets of a service, with which each of them is compared."""
 
-    __slots__ = ("_mean_log",)
+    __slots__ = ("_count", "_mean_log")
 
     def __init__(self) -> None:
+        self._count = 0
         self._mean_log = 0.0
 
     @property
@@ -59,7 +60,10 @@
 
     def record(self, outcome_log: float) -> None:
         """Add an outcome to the mean."""
-        self._mean_log += SERVICE_OUTCOME_WEIGHT * (outcome_log - self._mean_log)
+        # Early outcomes weigh more: until expectations are learned, they miss at all targets alike.
+        self._count += 1
+        share = max(SERVICE_OUTCOME_WEIGHT, 1 / self._count)
+        self._mean_log += share * (outcome_log - self._mean_log)
 
 
 class TargetPace:
--- a/coltsfootfront/tests/test_estimates.py
+++ b/coltsfootfront/tests/test_estimates.py
@@ -6,7 +6,8 @@
 
 LINE = (
     "time=2026-07-13T06:22:17.002286Z level=INFO process=r1 module=m event={event} id=x"
-    " sends={sends} route=ask placed_s=0.1 {first} estimate_s={estimate} load={load} outcome=answered took_s=0.9"
+    " sends={sends} route=ask placed_s=0.1 {first} estimate_s={estimate} load={load}"
+    " outcome=answered took_s=0.9"
 )
 
 
