--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -14,10 +14,10 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from coltsfootfront.common import metrics
-from coltsfootfront.memory.connection import READ_BYTES
+from coltsfootfront.memory.connection import BODY_READ_BYTES
 
-# Normal response heads are below 4 KiB. One read from the socket, at most READ_BYTES, may contain a
-# head and its whole body, so the limit applies only while the head is incomplete.
+# Normal response heads are below 4 KiB. One read from the socket, at most BODY_READ_BYTES, may
+# contain a head and its whole body, so the limit applies only while the head is incomplete.
 MAX_HEAD_BYTES = 65_536
 # Limit on interim responses (status 1xx) before the final one; a normal target sends at most one.
 MAX_INTERIM_RESPONSES = 8
@@ -37,8 +37,9 @@
 class BoundedResponseHandler(ResponseHandler):
     """Client connection that limits response heads and framing and rejects unsolicited data."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, read_bytes: int = BODY_READ_BYTES) -> None:
         super().__init__(loop)
+        self._read_bytes = read_bytes
         self._head_bytes = 0
         self._interim_responses = 0
         self._body: Any = None
@@ -47,7 +48,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit the bytes that are read at once; the account of callers counts on it."""
         if hasattr(transport, "max_size"):
-            transport.max_size = READ_BYTES
+            transport.max_size = self._read_bytes
         super().connection_made(transport)
 
     def is_connected(self) -> bool:
@@ -142,9 +143,14 @@
             self.transport.abort()
 
 
-def use_bounded_handler(connector: aiohttp.TCPConnector) -> aiohttp.TCPConnector:
-    """Apply the limits of this module to all connections of a connector."""
+def use_bounded_handler(
+    connector: aiohttp.TCPConnector, read_bytes: int = BODY_READ_BYTES
+) -> aiohttp.TCPConnector:
+    """Apply the limits of this module to all connections of a connector.
+
+    :param read_bytes: largest read from a socket.
+    """
     # aiohttp has no public way to set the protocol class of its connections.
-    make = functools.partial(BoundedResponseHandler, loop=asyncio.get_running_loop())
+    make = functools.partial(BoundedResponseHandler, asyncio.get_running_loop(), read_bytes)
     connector._factory = make  # type: ignore[assignment]
     return connector
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -15,15 +15,21 @@
 from coltsfootfront.memory.budget import CONNECTION_BYTES, REQUEST_BYTES, body_memory_bytes
 
 # Largest read from the socket, and the size from which aiohttp's reader of a body stops reading at
-# twice as much. With 256 KiB, as asyncio and aiohttp have it, each connection could hold 768 KiB.
-READ_BYTES = 65_536
+# twice as much. With 256 KiB, as asyncio and aiohttp have it, each connection could hold 768 KiB,
+# and many times as much in small chunks.
+READ_BYTES = 16_384
+# The same for a body that is not in chunks, which takes less processor time in larger reads.
+BODY_READ_BYTES = 65_536
+# What a connection may leave waiting for the socket before its writer waits.
+WRITE_BYTES = 16_384
 # Memory of one chunk of a body: its bytes object, its place in the queue and its offset.
 CHUNK_BYTES = 96
 # Memory of the head of a request as a multiple of its size: raw and decoded fields, and what the
 # allocator cannot reuse at once.
 HEAD_FACTOR = 4
-# Memory of a body that is discarded.
-DISCARDED_BYTES = READ_BYTES
+# Memory of a body that is discarded, and of chunks as they arrive: the reader stops at 1,024.
+DISCARDED_BYTES = BODY_READ_BYTES
+CHUNKED_BYTES = 65_536
 # What a response may leave unread before the next pipelined request is begun.
 MAX_UNREAD_BYTES = 262_144
 
@@ -57,9 +63,13 @@
         self._head_bytes = 0
         self._queued_bytes = 0
         self._declared_bytes = 0
+        self._is_arriving = False
+        """Whether a request has begun to arrive."""
         self._is_serving = False
+        self._is_chunked = False
         self._is_discarding = False
         self._is_body_refused = False
+        self._is_refused = False
         self._unread_bytes = 0
         self.head_began_s = math.inf
         """Time of the first byte of a head that is incomplete, infinite if there is none."""
@@ -71,41 +81,84 @@
         self.holder = self._account.open(address, lambda reason: transport.abort())
         if self.holder is None:
             transport.abort()
-        # Not a public option of asyncio; without it, reads are larger than the account allows for.
-        if hasattr(transport, "max_size"):
-            transport.max_size = READ_BYTES
+        transport.set_write_buffer_limits(high=WRITE_BYTES)
         super().connection_made(transport)
+        self._limit_reads(READ_BYTES)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc)
         if self.holder is not None:
             self._account.remove(self.holder)
 
+    def _limit_reads(self, size_bytes: int) -> None:
+        # Not a public option of asyncio; without it, reads are larger than the account allows for.
+        if self.transport is not None and hasattr(self.transport, "max_size"):
+            self.transport.max_size = size_bytes
+
     def data_received(self, data: bytes) -> None:
         holder = self.holder
         if holder is None or not holder.is_open:
             return
-        was_in_body = self._is_receiving_body()
+        if not data:
+            # aiohttp goes on with what it had not parsed yet.
+            messages = len(self._messages)
+            super().data_received(data)
+            self._record_messages(messages, 0)
+        elif self._is_receiving_body() and not self._messages:
+            self._receive_body(holder, data)
+        else:
+            self._receive_head(holder, data)
+
+    def _receive_body(self, holder: Holder, data: bytes) -> None:
         messages = len(self._messages)
         super().data_received(data)
-        if not data or self.transport is None:
+        if self.transport is None:
             return
+        self._record_messages(messages, 0)
+        self._record_received(holder, len(data), self._account.now_s())
+        if not self._update():
+            self._refuse_received()
+
+    def _receive_head(self, holder: Holder, data: bytes) -> None:
+        """Charge a head, or what waits behind the request that is served, before it is parsed."""
         now_s = self._account.now_s()
-        if len(self._messages) > messages:
-            self._last_body = self._messages[-1][1]
-            self._queued_bytes += self._head_bytes + len(data)
-            self._head_bytes, self.head_began_s = 0, math.inf
-        elif self._messages:
-            self._queued_bytes += len(data)
-        elif not was_in_body:
-            self._head_bytes += len(data)
-            self.head_began_s = min(self.head_began_s, now_s)
+        self._head_bytes += len(data)
+        self.head_began_s = min(self.head_began_s, now_s)
+        self._is_arriving = True
         self._record_received(holder, len(data), now_s)
-        if self._head_bytes > self._max_head_bytes:
+        if not self._update():
+            self._refuse_received()
+            return
+        messages = len(self._messages)
+        super().data_received(data)
+        if self.transport is None:
+            return
+        if not self._record_messages(messages, self._head_bytes) and (
+            self._head_bytes > self._max_head_bytes
+        ):
             self._account.count("head_size")
             self.refuse_head(HEAD_TOO_LARGE_HEAD)
-        elif not self._update():
-            self._refuse_received()
+
+    def _record_messages(self, before: int, size_bytes: int) -> bool:
+        """Record the requests that have just been parsed; False if there are none.
+
+        :param before: number of requests that waited before.
+        :param size_bytes: size of what has been parsed.
+        """
+        if len(self._messages) > before:
+            body = self._messages[-1][1]
+            self._last_body = body
+            self._queued_bytes += size_bytes
+            self._head_bytes, self.head_began_s = 0, math.inf
+            if not body.is_eof():
+                body.set_read_chunk_size(BODY_READ_BYTES)
+        elif self._messages:
+            # The body of a request that waits.
+            self._queued_bytes += size_bytes
+            self._head_bytes, self.head_began_s = 0, math.inf
+        else:
+            return False
+        return True
 
     def _record_received(self, holder: Holder, size_bytes: int, now_s: float) -> None:
         if not self._is_serving or self._is_receiving_body():
@@ -120,8 +173,11 @@
         return self._last_body is not None and not self._last_body.is_eof()
 
     def _held_bytes(self) -> int:
-        held = (REQUEST_BYTES if self._is_serving else CONNECTION_BYTES) + self._unread_bytes
+        is_busy = self._is_serving or self._is_arriving
+        held = (REQUEST_BYTES if is_busy else CONNECTION_BYTES) + self._unread_bytes
         held += HEAD_FACTOR * (self._head_bytes + self._queued_bytes)
+        if self._is_chunked:
+            held += CHUNKED_BYTES
         if self._is_discarding:
             return held + DISCARDED_BYTES
         body = self._current_request.content if self._current_request is not None else None
@@ -130,7 +186,7 @@
             # The body of a request without one has no such attribute.
             chunks = getattr(body, "_http_chunk_splits", None)
             if chunks:
-                held += CHUNK_BYTES * len(chunks)
+                held += max(0, CHUNK_BYTES * len(chunks) - CHUNKED_BYTES)
         return held
 
     def _update(self) -> bool:
@@ -165,6 +221,8 @@
         if self._is_serving or self._messages:
             self._abort()
             return
+        # A request whose handler has not begun yet must not run any more.
+        self._is_refused = True
         self.transport.write(status_head + CLOSING_FIELDS)
         self.force_close()
 
@@ -172,23 +230,24 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def begin_request(self, declared_bytes: int, customer: str = "") -> bool:
+    def begin_request(self, declared_bytes: int | None, customer: str = "") -> bool:
         """Charge a request whose head is complete.
 
-        :param declared_bytes: length of its body, as far as it is known.
+        :param declared_bytes: length of its body, None if it is not known.
         :param customer: what its customer is told by, empty if there is none.
         :returns: False if there is no room for it.
         """
         holder = self.holder
-        if holder is None or not holder.is_open:
+        if holder is None or not holder.is_open or self._is_refused:
             return False
         if not self._messages:
             self._queued_bytes = 0
-        self._is_serving, self._declared_bytes = True, declared_bytes
+        self._is_serving, self._declared_bytes = True, declared_bytes or 0
         self._is_discarding = self._is_body_refused = False
+        self._is_chunked = declared_bytes is None and self._is_receiving_body()
+        self._limit_reads(BODY_READ_BYTES if declared_bytes else READ_BYTES)
         holder.customer = customer
         if not self._update():
-            self._is_serving, self._declared_bytes = False, 0
             return False
         if not self._is_receiving_body():
             self.record_body_end()
@@ -206,6 +265,8 @@
 
     def record_body_end(self) -> None:
         """Record that the request is complete."""
+        self._limit_reads(READ_BYTES)
+        self._is_chunked = False
         if self.holder is not None:
             self._enter_served(self.holder)
 
@@ -222,6 +283,8 @@
         """Record that the request has been answered or refused."""
         self._is_serving, self._declared_bytes = False, 0
         self._is_discarding = self._is_receiving_body()
+        self._is_chunked = self._is_chunked and self._is_discarding
+        self._is_arriving = bool(self._is_discarding or self._messages or self._head_bytes)
         self._count_unread()
         holder = self.holder
         if holder is None or not holder.is_open:
@@ -255,9 +318,13 @@
         if not self._update():
             self._abort()
 
-    def refresh_unread(self) -> None:
-        """Charge what waits at the socket now, after a response that was too short to wait for."""
-        if self._unread_bytes and not self.writing_paused and not self._is_serving:
+    def refresh(self) -> None:
+        """Charge what is held now, after a discarded body or a response that nobody waited for."""
+        if self._is_arriving and not (
+            self._is_serving or self._is_receiving_body() or self._messages or self._head_bytes
+        ):
+            self.end_request()
+        elif self._unread_bytes and not self.writing_paused and not self._is_serving:
             self._count_unread()
             self._update()
 
--- a/coltsfootfront/memory/server.py
+++ b/coltsfootfront/memory/server.py
@@ -64,9 +64,9 @@
         connection = request.protocol
         assert isinstance(connection, ChargedConnection)
         await connection.wait_until_read()
-        if not connection.begin_request(0):
-            return web.Response(status=503, headers={"Connection": "close"})
         try:
+            if not connection.begin_request(0):
+                return web.Response(status=503, headers={"Connection": "close"})
             return await self._handler(request)
         finally:
             connection.end_request()
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -201,7 +201,7 @@
 
     def check_progress(self, now_s: float, header_s: float, idle_s: float) -> None:
         """End a request that does not arrive in time."""
-        self.refresh_unread()
+        self.refresh()
         # A response that is being written is not cut off for the head behind it.
         if not self.is_serving and now_s - self.head_began_s > header_s:
             self.refuse_head(REQUEST_TIMEOUT_HEAD)
@@ -374,11 +374,13 @@
         connection = request.protocol
         assert isinstance(connection, _CallerConnection)
         await connection.wait_until_read()
-        declared_bytes = min(request.content_length or 0, self._limits.body_bytes)
+        declared_bytes = request.content_length
+        if declared_bytes is not None:
+            declared_bytes = min(declared_bytes, self._limits.body_bytes)
         customer = request.headers.get(headers.AUTHORIZATION, "")
-        if not connection.begin_request(declared_bytes, customer):
-            return await self._refuse_for_room(connection, request, writer)
         try:
+            if not connection.begin_request(declared_bytes, customer):
+                return await self._refuse_for_room(connection, request, writer)
             return await self._serve_within(connection, request, writer, received_s)
         finally:
             connection.end_request()
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -232,7 +232,8 @@
             keepalive_timeout=keepalive_s,
             socket_factory=create_socket,
             use_dns_cache=False,
-        )
+        ),
+        READ_BYTES,
     )
     session = aiohttp.ClientSession(
         connector=connector,
