--- a/coltsfootfront/quotas/unreported.py
+++ b/coltsfootfront/quotas/unreported.py
@@ -96,13 +96,15 @@
         self._units = self._growth_per_s = 0.0
         self._computed_s = now_s
         for router, peer in list(self._rates.items()):
-            weight = 0.5 ** ((now_s - peer.sent_s) / RATE_HALF_LIFE_S)
+            peer_heard_s = heard_s.get(router, now_s)
+            # A report without this customer tells that nothing was used. While none comes, the
+            # peer may go on as before.
+            weight = 0.5 ** (max(0.0, peer_heard_s - peer.sent_s) / RATE_HALF_LIFE_S)
             if weight < MIN_WEIGHT:
                 del self._rates[router]
                 continue
             is_counted = router not in silent
             peer.growth_per_s = peer.rate_per_s * weight * is_counted
-            missing_s = now_s - heard_s.get(router, now_s) + REPORT_DELAY_S
-            peer.units = peer.growth_per_s * missing_s
+            peer.units = peer.growth_per_s * (now_s - peer_heard_s + REPORT_DELAY_S)
             self._units += peer.units
             self._growth_per_s += peer.growth_per_s
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -322,6 +322,21 @@
         self.assertAlmostEqual(-RATE_PER_S, router.bucket_level, delta=1.0)
         self.assertLess(before, -RATE_PER_S)
 
+    def test_peer_that_has_just_fallen_silent_is_taken_to_go_on(self) -> None:
+        """Guards against a second in which routers that hear nobody take the rates of the others
+        to fade, and use what these go on to use."""
+        router = OneRouter()
+        for tick in range(50):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            router.hear(tick * 10_000.0, tick / 10, rate_per_s=RATE_PER_S)
+        router.quotas.charge(CUSTOMER, 100_000, 0)
+        level = router.level
+        for _ in range(9):
+            router.clock.now_s += 0.1
+            router.quotas.take_reports()
+        self.assertAlmostEqual(level, router.level, delta=0.1 * RATE_PER_S)
+
     def test_use_of_a_peer_that_was_not_heard_is_no_debt(self) -> None:
         """Guards against seconds without service at a router that could not hear its peers while
         they used the quota and no more."""
