--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -249,6 +249,7 @@
 
         :raises RefusedError: if it is refused.
         """
+        await self._quotas.wait_heard()
         try:
             return self._admit(request)
         except RefusedError as refused:
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -46,6 +46,9 @@
 # which a level is worth it.
 MISSED_FOR_S = 3.0
 LOW_LEVEL_SHARE = 0.25
+# Longest wait for the peers after a start or a pause. They report at least every 0.3 s.
+RESUME_WAIT_S = 0.4
+RESUME_POLL_INTERVAL_S = 0.02
 # Interval at which a router checks whether it is heard.
 CHECK_INTERVAL_S = 0.02
 # A process that has done nothing for this long was paused. The loop that sends reports runs at
@@ -83,7 +86,7 @@
         self._is_first_start = is_first_start
         self._generator = generator
         self._incarnation = generator.randint(1, MAX_INCARNATION)
-        self._started_s = self._active_s = clock.monotonic_s()
+        self._started_s = self._active_s = self._resumed_s = clock.monotonic_s()
         self._quotas: dict[str, Quota] = {}
         self._buckets: dict[str, SharedBucket] = {}
         self._used_s: dict[str, float] = {}
@@ -181,6 +184,17 @@
         self._log_excess(customer, bucket, is_unheard, now_s)
         return bucket.room_after_s(units, self._heard_s, now_s)
 
+    async def wait_heard(self) -> None:
+        """Wait for the peers after a start or a pause of this process, for a moment at most.
+
+        Callers have waited for the whole pause, and come all at once. Within what this router
+        may use unheard, some of them would be refused whose customers are below their quotas.
+        """
+        now_s = self._check_pause()
+        while self._buckets and now_s < self._resumed_s + RESUME_WAIT_S and self._is_unheard(now_s):
+            await self._clock.sleep(RESUME_POLL_INTERVAL_S)
+            now_s = self._check_pause()
+
     def charge(self, customer: str, prompt_tokens: int, output_tokens: int) -> None:
         """Count a further run of a request that was admitted."""
         self._add(customer, prompt_tokens, output_tokens, 1)
@@ -268,6 +282,7 @@
             self._silent = {}
             self._known_since_s = dict.fromkeys(self._known_since_s, now_s)
             self._checked_s = -math.inf
+            self._resumed_s = now_s
             for bucket in self._buckets.values():
                 bucket.resume(now_s)
         self._active_s = now_s
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -1,9 +1,10 @@
 """Tests of quotas that routers keep together, on a virtual clock and without a network."""
 
+import asyncio
 import itertools
 import random
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from unittest import mock
 
@@ -208,6 +209,49 @@
         router.clock.now_s += 0.05
         self.assertFalse(router.is_unheard)
 
+    def test_callers_that_waited_for_a_paused_router(self) -> None:
+        """Guards against a customer below its quota that is refused as all of its requests during
+        a pause come at once."""
+        router = OneRouter(peers=2)
+        for tick in range(100):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            self.assertIsNone(router.quotas.admit(CUSTOMER, 1_500, 0))
+            for peer in router.peers:
+                router.hear(tick * 1_500.0, tick / 10, peer, rate_per_s=15_000.0)
+        router.clock.now_s += 3.0
+        waited_s = 0.0
+
+        async def sleep(delay_s: float) -> None:
+            nonlocal waited_s
+            waited_s += delay_s
+            router.clock.now_s += delay_s
+            uptime_s = router.clock.now_s - 100
+            for peer in router.peers if waited_s > 0.1 else ():
+                router.hear(uptime_s * 15_000.0, uptime_s, peer, rate_per_s=15_000.0)
+
+        with mock.patch.object(router.clock, "sleep", sleep):
+            for _ in range(30):
+                asyncio.run(router.quotas.wait_heard())
+                self.assertIsNone(router.quotas.admit(CUSTOMER, 1_500, 0))
+        self.assertLess(waited_s, 0.2)
+
+    def test_router_that_hears_nobody_does_not_wait_for_long(self) -> None:
+        """Guards against requests that wait for peers which do not come back."""
+        router = OneRouter()
+        with mock.patch.object(router.clock, "sleep", side_effect=self._pass_time(router)):
+            begin_s = router.clock.now_s
+            for _ in range(30):
+                asyncio.run(router.quotas.wait_heard())
+                router.quotas.admit(CUSTOMER, 1_500, 0)
+        self.assertLess(router.clock.now_s - begin_s, 0.5)
+
+    def _pass_time(self, router: OneRouter) -> Callable[[float], Awaitable[None]]:
+        async def sleep(delay_s: float) -> None:
+            router.clock.now_s += delay_s
+
+        return sleep
+
     def test_use_of_the_peers_during_a_pause_is_no_debt(self) -> None:
         """Guards against seconds without service at a resumed router, although its peers have
         used no more than the quota."""
