--- a/coltsfootfront/direct/targetwork.py
+++ b/coltsfootfront/direct/targetwork.py
@@ -60,24 +60,31 @@
     def record_first_event(self) -> None:
         if self._is_pending:
             self._recorder.record_first_event(self._placement, self._sent_s)
-        self.end()
+            self._remove()
 
     def record_response(self) -> None:
-        self.end()
+        if self._is_pending:
+            self._remove()
 
     def record_stream(self, events: int) -> None:
         self._recorder.record_length(self._placement.target, self._route, events)
 
     def end(self) -> None:
         if self._is_pending:
-            self._is_pending = False
-            self._recorder.add_pending(self._placement, -self._placement.prefill_tokens)
+            cost = self._placement.prompt_cost
+            expected_s = cost.first_event_s if cost is not None else None
+            self._recorder.record_unanswered(self._placement, expected_s, self._sent_s)
+            self._remove()
+
+    def _remove(self) -> None:
+        self._is_pending = False
+        self._recorder.add_pending(self._placement, -self._placement.prefill_tokens)
 
 
 class CallWork(AttemptWork):
     """Work of a plain call."""
 
-    __slots__ = ("_placement", "_recorder", "_route", "_sent_s")
+    __slots__ = ("_is_pending", "_placement", "_recorder", "_route", "_sent_s")
 
     def __init__(
         self, recorder: "TargetWorkRecorder", placement: Placement, route: str, sent_s: float
@@ -86,18 +93,29 @@
         self._placement = placement
         self._route = route
         self._sent_s = sent_s
+        self._is_pending = True
         recorder.begin_call(id(self), placement.target, route)
 
     def record_first_event(self) -> None:
         pass
 
     def record_response(self) -> None:
-        self._recorder.record_call(self._placement, self._route, self._sent_s)
+        if self._is_pending:
+            self._recorder.record_call(self._placement, self._route, self._sent_s)
+            self._remove()
 
     def record_stream(self, events: int) -> None:
         pass
 
     def end(self) -> None:
+        if self._is_pending:
+            cost = self._placement.call_cost
+            expected_s = cost.total_s if cost is not None else None
+            self._recorder.record_unanswered(self._placement, expected_s, self._sent_s)
+            self._remove()
+
+    def _remove(self) -> None:
+        self._is_pending = False
         self._placement.target.calls.end(id(self))
 
 
@@ -194,6 +212,21 @@
         self._costs.calls(target.entry.service).record(route, cost, took_s, pace)
         self._compare(target, cost.total_s, took_s, now_s)
 
+    def record_unanswered(
+        self, placement: Placement, expected_s: float | None, sent_s: float
+    ) -> None:
+        """Learn from an attempt that ended without an answer, if it should have had one by then.
+
+        Without this, a target from which requests are taken away for its slowness would never
+        count as slow.
+
+        :param expected_s: learned estimate, None if it was not used.
+        """
+        now_s = self._clock.monotonic_s()
+        took_s = now_s - sent_s - placement.distance_s
+        if expected_s is not None and took_s > expected_s:
+            self._compare(placement.target, expected_s, took_s, now_s)
+
     def record_length(self, target: Target, route: str, events: int) -> None:
         """Learn from the length of an answer; routers are not told the hints of callers."""
         self._costs.outputs(target.entry.service).record(route, None, events)
--- a/coltsfootfront/tests/test_costs_models.py
+++ b/coltsfootfront/tests/test_costs_models.py
@@ -380,6 +380,30 @@
         await fixture.forwarder.serve(make_request(parts=(("own", 900),)), FakeWriter())
         self.assertEqual(0, target.pending.ahead_tokens(9))
 
+    async def test_target_that_answers_nothing_counts_as_slow(self) -> None:
+        """Guards against a target that seems usual since its requests are moved to others."""
+        clock = ManualClock()
+        fixture = ForwarderFixture(clock, lambda *_: FakeResponse())
+        fixture.costs.has_quotas = True
+        selector = PlainTargetSelector(clock, "a", "east", random.Random(1), fixture.costs)
+        for name in ("silent", "good", "better"):
+            fixture.add(make_entry(name, "plain"))
+        paces = {}
+        for number in range(240):
+            name = ("silent", "good", "better")[number % 3]
+            target = fixture.directory.get(name)
+            assert target is not None
+            placed = selector.choose([target], "ask")
+            assert placed is not None
+            attempt = fixture.target_work.begin(placed, "ask", False)
+            clock.advance(0.4 if name == "silent" else 0.05)
+            if name != "silent":
+                attempt.record_response()
+            attempt.end()
+            paces[name] = target.pace.learned(clock.monotonic_s())
+        self.assertGreater(paces["silent"], 1.5)
+        self.assertLess(max(paces["good"], paces["better"]), 1.2)
+
     async def test_way_to_another_region_is_no_work(self) -> None:
         """Guards against far targets that seem slow, and routes that seem heavy, by the way."""
         clock = ManualClock()
