--- a/coltsfootfront/tests/test_system_caller_memory.py
+++ b/coltsfootfront/tests/test_system_caller_memory.py
@@ -72,7 +72,13 @@
     return [fields, chunk * chunks, b"0\r\n\r\n" if is_complete else b""]
 
 
-class CallerMemoryTest(unittest.IsolatedAsyncioTestCase):
+class CrowdTestCase(unittest.IsolatedAsyncioTestCase):
+    """A router, and crowds of callers that each test class sends to it in its own size."""
+
+    memory_mb = MEMORY_MB
+    max_descriptors = MAX_DESCRIPTORS
+    slow_crowd = SLOW_CROWD
+
     async def asyncSetUp(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.fleet = PlatformFleet()
@@ -83,7 +89,10 @@
         self.fleet.store.put_json("op/config", self.config)
         self.processes = RouterProcesses(Path(self.folder.name), self.fleet.store.address)
         self.router: RouterProcess = await self.processes.add()
-        self.router.settings["limits"] |= {"memory-mb": MEMORY_MB, "max-fds": MAX_DESCRIPTORS}
+        self.router.settings["limits"] |= {
+            "memory-mb": self.memory_mb,
+            "max-fds": self.max_descriptors,
+        }
         self.router.start()
         await self.router.wait_ready()
         self.pid = int(re.findall(r"pid (\d+)", self.router.state())[0])
@@ -168,8 +177,29 @@
         print(f"{self.id().rpartition('.')[2]}: {seen}")
         self.assertIn(f"pid {self.pid},", self.router.state())
         self.assertTrue(is_answered, seen)
-        self.assertLess(peak_mb, MEMORY_MB, seen)
-        self.assertLessEqual(self.most_descriptors, MAX_DESCRIPTORS - DESCRIPTORS_FOR_FILES, seen)
+        self.assertLess(peak_mb, self.memory_mb, seen)
+        descriptors = self.max_descriptors - DESCRIPTORS_FOR_FILES
+        self.assertLessEqual(self.most_descriptors, descriptors, seen)
+
+    async def _send_small_chunks(self) -> None:
+        kinds = [chunked_body(1, 20_000, number == 0) for number in range(10)]
+        await self._run_crowd(kinds * (self.slow_crowd // 10))
+
+    async def _send_pipelined(self) -> None:
+        for target in self.fleet.targets:
+            target.faults.hangs = True
+        waiting = head("/look/a", "GET", f"X-Filler: {'x' * 12_000}")
+        await self._run_crowd([[head(), waiting * 40]] * self.slow_crowd)
+
+    async def _leave_streams_unread(self) -> None:
+        for target in self.fleet.engine_targets:
+            target.faults.floods = True
+        fields = ("X-Model: m", "X-Token-Usage: 10,10", "X-Prompt-Prefix: a:10")
+        await self._run_crowd([[head("/long/a", "GET", *fields)]] * self.slow_crowd)
+        await asyncio.sleep(CROWD_S)
+
+
+class CallerMemoryTest(CrowdTestCase):
 
     async def test_large_bodies_sent_whole(self) -> None:
         """Guards against many complete bodies that together exceed the memory."""
@@ -211,8 +241,7 @@
 
     async def test_small_chunks(self) -> None:
         """Guards against chunks that take far more memory than their bytes."""
-        kinds = [chunked_body(1, 20_000, number == 0) for number in range(10)]
-        await self._run_crowd(kinds * (SLOW_CROWD // 10))
+        await self._send_small_chunks()
         await self._check()
 
     async def test_heads_that_do_not_end(self) -> None:
@@ -224,20 +253,12 @@
 
     async def test_pipelined_requests(self) -> None:
         """Guards against requests that wait behind one that is being served."""
-        for target in self.fleet.targets:
-            target.faults.hangs = True
-        waiting = head("/look/a", "GET", f"X-Filler: {'x' * 12_000}")
-        await self._run_crowd([[head(), waiting * 40]] * SLOW_CROWD)
+        await self._send_pipelined()
         await self._check()
 
     async def test_streams_that_are_not_read(self) -> None:
         """Guards against events that were written and are not read."""
-        for target in self.fleet.engine_targets:
-            target.faults.floods = True
-        fields = ("X-Model: m", "X-Token-Usage: 10,10", "X-Prompt-Prefix: a:10")
-        request = head("/long/a", "GET", *fields)
-        await self._run_crowd([[request]] * SLOW_CROWD)
-        await asyncio.sleep(CROWD_S)
+        await self._leave_streams_unread()
         await self._check()
 
     async def test_long_responses_that_are_not_read(self) -> None:
@@ -290,3 +311,26 @@
         await self._run_crowd([large, chunked] * (LARGE_CROWD // 2))
         changes.cancel()
         await self._check()
+
+
+class SmallestVmTest(CrowdTestCase):
+    """The crowds that exceeded the smallest VM of the platform by what one round reads at once."""
+
+    memory_mb = 160
+    max_descriptors = 1_638
+    slow_crowd = 700
+
+    async def test_small_chunks(self) -> None:
+        """Guards against chunks that are parsed for all connections before any is charged."""
+        await self._send_small_chunks()
+        await self._check()
+
+    async def test_pipelined_requests(self) -> None:
+        """Guards against requests that are parsed for all connections before any is charged."""
+        await self._send_pipelined()
+        await self._check()
+
+    async def test_streams_that_are_not_read(self) -> None:
+        """Guards against readers of targets' responses that hold more than a request is charged."""
+        await self._leave_streams_unread()
+        await self._check()
