--- a/coltsfootfront/tests/quota_fleet.py
+++ b/coltsfootfront/tests/quota_fleet.py
@@ -141,11 +141,13 @@
         demand_per_s: float,
         choose_router: Callable[[], int] | None = None,
         units: Callable[[], int] | None = None,
+        is_within: bool = False,
     ) -> None:
         """Play some seconds of demand, in units per second.
 
         :param choose_router: number of the router of the next request; None for any of them.
         :param units: units of the next request; None for :meth:`mixed_units`.
+        :param is_within: the customer sends nothing for which one bucket has no room.
         """
         units = units or self.mixed_units
         end_s = self.clock.now_s + for_s
@@ -158,7 +160,9 @@
                 continue
             self.clock.now_s = next_s
             number = choose_router() if choose_router else self.generator.randrange(self.size)
-            self._arrive(number, units())
+            wanted = units()
+            if not is_within or self._has_room(wanted):
+                self._arrive(number, wanted)
             next_s += self.generator.expovariate(1 / gap_s)
         self.clock.now_s = end_s
 
@@ -217,11 +221,19 @@
         is_owed = self._is_owed(units)
         self.arrivals.append(Arrival(self.clock.now_s, number, units, is_admitted, is_owed))
 
-    def _is_owed(self, units: int) -> bool:
+    def _has_room(self, units: int) -> bool:
+        """Whether one bucket for the whole fleet has room for a request, without debt."""
+        self._refill_ideal()
+        return self._ideal_level >= units
+
+    def _refill_ideal(self) -> None:
         passed_s = self.clock.now_s - self._ideal_s
         self._ideal_s = self.clock.now_s
         refilled = self._ideal_level + passed_s * self.quota.rate_per_s
         self._ideal_level = min(self.quota.burst, refilled)
+
+    def _is_owed(self, units: int) -> bool:
+        self._refill_ideal()
         # A bucket that may go into debt, as one above the burst would never be served otherwise.
         if self._ideal_level < 0:
             return False
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -14,7 +14,7 @@
 
 from coltsfootfront.common.decoding import DecodingError
 from coltsfootfront.quotas.quota import Quota, QuotaUnit
-from coltsfootfront.quotas.quotas import Quotas
+from coltsfootfront.quotas.quotas import RESUME_WAIT_S, Quotas
 from coltsfootfront.quotas.sharedbucket import SharedBucket
 from coltsfootfront.quotas.unreported import UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
@@ -746,3 +746,29 @@
             fault.end(fleet)
         fleet.run(3.0, demand * rate_per_s, choose)
         self.assertLessEqual(fleet.most_used(), fleet.allowed)
+
+    @settings(derandomize=True, deadline=None, max_examples=60, database=None)
+    @given(
+        st.integers(1, 30),
+        RATES_PER_S,
+        st.sampled_from((0.5, 0.95, 2.0)),
+        st.sampled_from(("even", "skewed", "moving")),
+        st.sampled_from((0.0, 0.05)),
+        st.integers(0, 2**16),
+    )
+    def test_nobody_below_the_quota_is_refused(
+        self, size: int, rate_per_s: int, demand: float, pattern: str, loss: float, seed: int
+    ) -> None:
+        """Guards against refusals of customers that send no more than one bucket admits, in a
+        fleet where all hear each other."""
+        fleet = QuotaFleet(size, make_quota(rate_per_s), seed, loss)
+        choose = choices(fleet, pattern)
+        largest = min(54_000, rate_per_s)
+
+        def units() -> int:
+            return min(fleet.mixed_units(), largest)
+
+        # Requests wait for the peers after a start.
+        fleet.run(RESUME_WAIT_S, 1e-6)
+        fleet.run(6.0, demand * rate_per_s, choose, units, is_within=True)
+        self.assertEqual(0.0, fleet.wrongly_refused())
