--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -46,6 +46,8 @@
 # which a level is worth it.
 MISSED_FOR_S = 3.0
 LOW_LEVEL_SHARE = 0.25
+# A router that was restricted for this long does not know the levels any more.
+RELEARN_AFTER_S = 2.0
 # Longest wait for the peers after a start or a pause. They report at least every 0.3 s.
 RESUME_WAIT_S = 0.4
 RESUME_POLL_INTERVAL_S = 0.02
@@ -103,7 +105,7 @@
         self._refusals: dict[str, _Refusals] = {}
         self._reported_s = self._refreshed_s = self._low_s = self._started_s
         self._was_unheard = self._is_restricted = False
-        self._checked_s = self._missed_s = -math.inf
+        self._checked_s = self._missed_s = self._restricted_s = -math.inf
         self._next_named = 0
         """Position of the first peer to be named, if too many are missing for one report."""
 
@@ -357,7 +359,7 @@
             customer,
             bucket.own_total,
             bucket.rate_per_s(now_s),
-            bucket.known_level(self._heard_s, now_s),
+            None if self._is_restricted else bucket.known_level(self._heard_s, now_s),
             bucket.started_s - self._started_s,
         )
 
@@ -365,9 +367,19 @@
         """Whether this router has to keep to what its peers take it to admit."""
         if not 0 <= now_s - self._checked_s <= CHECK_INTERVAL_S:
             self._checked_s = now_s
-            self._is_restricted = self._must_restrict(now_s)
+            self._set_restricted(self._must_restrict(now_s), now_s)
         return self._is_restricted
 
+    def _set_restricted(self, is_restricted: bool, now_s: float) -> None:
+        if is_restricted == self._is_restricted:
+            return
+        self._is_restricted = is_restricted
+        if is_restricted:
+            self._restricted_s = now_s
+        elif now_s - self._restricted_s > RELEARN_AFTER_S:
+            for bucket in self._buckets.values():
+                bucket.resume(now_s)
+
     def _must_restrict(self, now_s: float) -> bool:
         # Also right after a pause of the process, before any message is read.
         heard = [
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -76,6 +76,7 @@
         "_bucket",
         "_generator",
         "_is_level_learned",
+        "_learned_s",
         "_learning_since_s",
         "_noted_per_s",
         "_own_rate",
@@ -108,6 +109,8 @@
         self._tolerance = tolerance
         self._is_level_learned = is_first_start
         self._learning_since_s = now_s
+        # Without earlier processes, the level of the start needs nothing to be learned.
+        self._learned_s = -math.inf
         self._own_total_before = 0.0
         self._own_rate = UsageRate(now_s)
         self._request_size = RequestSize()
@@ -129,7 +132,7 @@
         self._restricted = None
 
     def resume(self, now_s: float) -> None:
-        """Forget what the peers have used, after a pause of this process.
+        """Forget what the peers have used, after a time in which they were not heard.
 
         What they used meanwhile was as much as became available, not a debt.
         """
@@ -188,7 +191,7 @@
         is_same = (peer.incarnation, peer.since_s) == (report.incarnation, usage.since_s)
         if peer.incarnation == report.incarnation and report.uptime_s < peer.uptime_s:
             return
-        is_old = report.uptime_s - usage.since_s > RECENT_TOTAL_S
+        is_old = report.uptime_s - usage.since_s > min(RECENT_TOTAL_S, now_s - self._learned_s)
         used = usage.total - peer.total if is_same else usage.total
         if self._learn_level(usage.level, sent_s, now_s):
             used = 0.0
@@ -232,6 +235,7 @@
         if self._is_level_learned or level is None:
             return False
         self._is_level_learned = True
+        self._learned_s = now_s
         if now_s - self._learning_since_s > LEARNING_S:
             return False
         used = self.own_total - self._own_total_before
--- a/coltsfootfront/tests/quota_fleet.py
+++ b/coltsfootfront/tests/quota_fleet.py
@@ -170,6 +170,31 @@
         """Units of a request, from a quick check to a long analysis."""
         return int(200 * 270 ** self.generator.random())
 
+    def chooser(self, pattern: str) -> Callable[[], int]:
+        """Return a function that chooses the routers of requests, but none that does not run.
+
+        :param pattern: ``even``, ``skewed`` (few routers get most) or ``moving`` (a quarter of the
+            routers gets all, others every 2.5 s).
+        """
+
+        def choose() -> int:
+            if pattern == "even":
+                return self.generator.randrange(self.size)
+            if pattern == "skewed":
+                return int(self.generator.expovariate(8 / self.size)) % self.size
+            first = int(self.clock.now_s / 2.5) * 7
+            return (first + self.generator.randrange(1 + self.size // 4)) % self.size
+
+        def choose_running() -> int:
+            number = choose()
+            for _ in range(self.size):
+                if self.members[number].quotas is not None:
+                    break
+                number = (number + 1) % self.size
+            return number
+
+        return choose_running
+
     def most_used(self, since_s: float = 0.0) -> float:
         """Largest use in any window that begins after a time."""
         admitted = [item for item in self.arrivals if item.is_admitted and item.at_s >= since_s]
