--- a/coltsfootfront/tests/quota_fleet.py
+++ b/coltsfootfront/tests/quota_fleet.py
@@ -141,11 +141,13 @@
         demand_per_s: float,
         choose_router: Callable[[], int] | None = None,
         units: Callable[[], int] | None = None,
+        is_within: bool = False,
     ) -> None:
         """Play some seconds of demand, in units per second.
 
         :param choose_router: number of the router of the next request; None for any of them.
         :param units: units of the next request; None for :meth:`mixed_units`.
+        :param is_within: the customer sends nothing for which one bucket has no room.
         """
         units = units or self.mixed_units
         end_s = self.clock.now_s + for_s
@@ -158,7 +160,9 @@
                 continue
             self.clock.now_s = next_s
             number = choose_router() if choose_router else self.generator.randrange(self.size)
-            self._arrive(number, units())
+            wanted = units()
+            if not is_within or self._has_room(wanted):
+                self._arrive(number, wanted)
             next_s += self.generator.expovariate(1 / gap_s)
         self.clock.now_s = end_s
 
@@ -166,6 +170,31 @@
         """Units of a request, from a quick check to a long analysis."""
         return int(200 * 270 ** self.generator.random())
 
+    def chooser(self, pattern: str) -> Callable[[], int]:
+        """Return a function that chooses the routers of requests, but none that does not run.
+
+        :param pattern: ``even``, ``skewed`` (few routers get most) or ``moving`` (a quarter of the
+            routers gets all, others every 2.5 s).
+        """
+
+        def choose() -> int:
+            if pattern == "even":
+                return self.generator.randrange(self.size)
+            if pattern == "skewed":
+                return int(self.generator.expovariate(8 / self.size)) % self.size
+            first = int(self.clock.now_s / 2.5) * 7
+            return (first + self.generator.randrange(1 + self.size // 4)) % self.size
+
+        def choose_running() -> int:
+            number = choose()
+            for _ in range(self.size):
+                if self.members[number].quotas is not None:
+                    break
+                number = (number + 1) % self.size
+            return number
+
+        return choose_running
+
     def most_used(self, since_s: float = 0.0) -> float:
         """Largest use in any window that begins after a time."""
         admitted = [item for item in self.arrivals if item.is_admitted and item.at_s >= since_s]
@@ -217,11 +246,19 @@
         is_owed = self._is_owed(units)
         self.arrivals.append(Arrival(self.clock.now_s, number, units, is_admitted, is_owed))
 
-    def _is_owed(self, units: int) -> bool:
+    def _has_room(self, units: int) -> bool:
+        """Whether one bucket for the whole fleet has room for a request, without debt."""
+        self._refill_ideal()
+        return self._ideal_level >= units
+
+    def _refill_ideal(self) -> None:
         passed_s = self.clock.now_s - self._ideal_s
         self._ideal_s = self.clock.now_s
         refilled = self._ideal_level + passed_s * self.quota.rate_per_s
         self._ideal_level = min(self.quota.burst, refilled)
+
+    def _is_owed(self, units: int) -> bool:
+        self._refill_ideal()
         # A bucket that may go into debt, as one above the burst would never be served otherwise.
         if self._ideal_level < 0:
             return False
