Tell the raw series what a stray Content-Length makes of an answer

What the scripted target records as sent now follows the length, also where the script breaks an answer off behind it.

--- a/coltsfootfront_dev/scriptedtarget.py
+++ b/coltsfootfront_dev/scriptedtarget.py
@@ -19,6 +19,7 @@
 
 from coltsfootfront_dev.platformtarget import SIGNATURE_HEADER, PlatformTargetStandIn
 
+CONTENT_LENGTH = b"Content-Length: "
 HEAD_END = b"\r\n\r\n"
 OK = 200
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
@@ -102,6 +103,21 @@
     version: bytes = b"HTTP/1.1"
     status_text: bytes | None = None
 
+    @property
+    def has_length(self) -> bool:
+        """Whether its end follows from a length."""
+        return self.framing is Framing.LENGTH or self.stray_length_bytes is not None
+
+    @property
+    def stray_length_bytes(self) -> int | None:
+        """Content-Length among the lines of an answer that would else end with its connection."""
+        if self.framing is not Framing.CONNECTION:
+            return None
+        values = [
+            line[len(CONTENT_LENGTH) :] for line in self.lines if line.startswith(CONTENT_LENGTH)
+        ]
+        return int(values[0]) if values else None
+
 
 @dataclass(frozen=True, slots=True)
 class SecondAnswer:
@@ -235,6 +251,9 @@
             sent.body, sent.is_complete = body[:length], length <= len(body)
             return head + body, sent, len(head)
         if script.framing is Framing.CONNECTION:
+            if script.stray_length_bytes is not None:
+                sent.body = body[: script.stray_length_bytes]
+                sent.is_complete = len(sent.body) == script.stray_length_bytes
             return head + body, sent, len(head)
         chunks = [
             b"%x%s\r\n%s\r\n" % (len(piece), script.chunk_extension, piece) for piece in pieces
@@ -420,11 +439,14 @@
             encoder = Encoder(script.answer, request, request.request_id, self.target.name)
             data, sent, body_offset = encoder.encode()
             has_body = script.answer.status not in STATUSES_WITHOUT_BODY
-            has_end = has_body and script.answer.framing is Framing.CONNECTION
+            is_connection = script.answer.framing is Framing.CONNECTION
+            has_end = has_body and is_connection and script.answer.stray_length_bytes is None
             is_cut = script.is_early and request.body_bytes > MAX_READ_AHEAD_BYTES
             if script.break_offset is not None and script.break_offset < len(data):
                 data = data[: script.break_offset]
-                if has_body:
+                if has_body and script.answer.has_length:
+                    sent.is_complete &= len(data) - body_offset >= len(sent.body)
+                elif has_body:
                     sent.is_complete = has_end and script.ending is Ending.FIN and not is_cut
                 sent.body = data[body_offset:] if has_end else sent.body
             elif has_end:
