--- a/coltsfootfront/direct/capacitywait.py
+++ b/coltsfootfront/direct/capacitywait.py
@@ -14,6 +14,10 @@
 # Longest wait for a target that is loading weights, once a prompt has its turn.
 MAX_TURN_S = 0.5
 
+# A prompt is refused at once if its first event is expected this many times later than its deadline
+# allows. Half of the first events come sooner than expected.
+LATE_FACTOR = 1.5
+
 ChooseTarget = Callable[[RequestState, float], Awaitable[Placement]]
 
 
@@ -94,7 +98,7 @@
         if cost is None or state.has_response_begun:
             return
         left_s = state.deadline_s - self._clock.monotonic_s()
-        if cost.first_event_s > left_s:
+        if cost.first_event_s > LATE_FACTOR * left_s:
             raise NoCapacityError(
                 holding.room_after_s(cost.begin_s, state.route.latency_objective_s)
             )
