--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -16,7 +16,7 @@
 
 from coltsfootfront.common import metrics
 from coltsfootfront.common.logs import event
-from coltsfootfront.direct.sockets import count_unsent_bytes
+from coltsfootfront.direct.sockets import count_unsent_bytes, reset
 from coltsfootfront.memory.connection import BODY_READ_BYTES
 
 # Normal response heads are below 4 KiB. One read from the socket, at most BODY_READ_BYTES, may
@@ -48,8 +48,14 @@
 class BoundedResponseHandler(ResponseHandler):
     """Client connection that limits response heads and framing and rejects unsolicited data."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, read_bytes: int = BODY_READ_BYTES) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        read_bytes: int = BODY_READ_BYTES,
+        resets_unfinished: bool = False,
+    ) -> None:
         super().__init__(loop)
+        self._resets_unfinished = resets_unfinished
         self._read_bytes = read_bytes
         self._head_bytes = 0
         self._interim_responses = 0
@@ -93,10 +99,18 @@
     def close(self) -> None:
         """Close the connection, and give up what the target has not taken after a while."""
         connection = self._connection
+        if connection is not None and self._resets_unfinished and not self._has_ended():
+            # The target stops working when its connection ends. An orderly end would wait behind
+            # the rest of the request, for over half a second on a narrow link.
+            reset(connection)
         super().close()
         if connection is not None and connection.get_write_buffer_size():
             self._loop.call_later(FLUSH_LIMIT_S, self._abort_flush, connection)
 
+    def _has_ended(self) -> bool:
+        """Whether the response to the latest request is complete."""
+        return self._body is not None and self._body.is_eof()
+
     @staticmethod
     def _abort_flush(connection: asyncio.Transport) -> None:
         unsent_bytes = connection.get_write_buffer_size()
@@ -200,13 +214,17 @@
 
 
 def use_bounded_handler(
-    connector: aiohttp.TCPConnector, read_bytes: int = BODY_READ_BYTES
+    connector: aiohttp.TCPConnector,
+    read_bytes: int = BODY_READ_BYTES,
+    resets_unfinished: bool = False,
 ) -> aiohttp.TCPConnector:
     """Apply the limits of this module to all connections of a connector.
 
     :param read_bytes: largest read from a socket.
+    :param resets_unfinished: a connection is reset when it is closed within an exchange.
     """
     # aiohttp has no public way to set the protocol class of its connections.
-    make = functools.partial(BoundedResponseHandler, asyncio.get_running_loop(), read_bytes)
+    loop = asyncio.get_running_loop()
+    make = functools.partial(BoundedResponseHandler, loop, read_bytes, resets_unfinished)
     connector._factory = make  # type: ignore[assignment]
     return connector
--- a/coltsfootfront/direct/sockets.py
+++ b/coltsfootfront/direct/sockets.py
@@ -14,6 +14,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 INTEGER = struct.Struct("i")
+# On, for 0 s: closing the socket sends a reset.
+LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 def create_socket(address: AddrInfoType) -> socket.socket:
@@ -39,3 +41,11 @@
     answer = fcntl.ioctl(connection_socket.fileno(), termios.TIOCOUTQ, b"\0" * INTEGER.size)
     queued_bytes: int = INTEGER.unpack(answer)[0]
     return buffered_bytes + queued_bytes
+
+
+def reset(connection: asyncio.Transport) -> None:
+    """End a connection at once, and discard what has been written to it and not sent."""
+    connection_socket = connection.get_extra_info("socket")
+    if connection_socket is not None and connection_socket.fileno() >= 0:
+        connection_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    connection.abort()
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -253,6 +253,7 @@
             use_dns_cache=False,
         ),
         READ_BYTES,
+        resets_unfinished=True,
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- a/coltsfootfront/tests/test_platform_responses.py
+++ b/coltsfootfront/tests/test_platform_responses.py
@@ -288,3 +288,41 @@
             tracemalloc.stop()
         self.assertTrue(all(isinstance(result, ExchangeError) for result in results))
         self.assertLess(peak_bytes, TARGET_COUNT * MEMORY_PER_TARGET_BYTES)
+
+
+class GivenUpRequestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_end_of_a_request_does_not_wait_behind_its_body(self) -> None:
+        """Guards against a target that works on for a caller who has left (GONE)."""
+        may_read, received = asyncio.Event(), 0
+        ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal received
+            await may_read.wait()
+            try:
+                while data := await reader.read(65536):
+                    received += len(data)
+                ended.set_result("in order")
+            except ConnectionResetError:
+                ended.set_result("reset")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=4096)
+        port = server.sockets[0].getsockname()[1]
+        self.addCleanup(server.close)
+        directory = Directory(SystemClock(), {})
+        directory.put(TargetEntry("p0", "plain", f"127.0.0.1:{port}", "a", 8, False))
+        target = directory.get("p0")
+        assert target is not None
+        client = PlatformTargetClient()
+        await client.start()
+        self.addAsyncCleanup(client.close)
+        request = direct_support.make_request()
+        request.method, request.body = "POST", bytes(4_000_000)
+        sending = asyncio.create_task(client.send(target, request, Directive(deadline_s=3.0)))
+        await asyncio.sleep(0.1)
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        may_read.set()
+        self.assertEqual(await asyncio.wait_for(ended, 1.0), "reset")
+        self.assertLess(received, len(request.body))
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -639,6 +639,7 @@
         fleet.run(3.0, 1.5 * 300_000)
         self.assertLess(fleet.most_used(), fleet.allowed)
         self.assertGreater(fleet.admitted(), 0.85)
+
     def test_routers_that_are_cut_off_while_a_burst_is_used(self) -> None:
         """Guards against rates of a burst that routers keep to for as long as they are cut off."""
         for seed in range(3):
