--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -28,6 +28,10 @@
 
 # Interval of reports without news, by which a router shows that it is heard.
 KEEPALIVE_INTERVAL_S = 0.3
+# The same for a while after an admission. The peers take a router to go on until they hear that it
+# has not.
+ACTIVE_INTERVAL_S = 0.08
+ACTIVE_S = 1.0
 # Interval at which all recent usage is reported again, for routers that have started since.
 REFRESH_INTERVAL_S = 1.0
 # A peer that has reported nothing for this long counts as silent.
@@ -103,6 +107,7 @@
         """When each silent peer was last heard."""
         self._tolerance = Tolerance()
         self._refusals: dict[str, _Refusals] = {}
+        self._last_use_s = -math.inf
         self._reported_s = self._refreshed_s = self._low_s = self._started_s
         self._was_unheard = self._is_restricted = False
         self._checked_s = self._missed_s = self._restricted_s = -math.inf
@@ -229,7 +234,9 @@
             self._refreshed_s = now_s
             self._refresh(now_s)
         self._add_low_levels(now_s)
-        if not self._changed and now_s - self._reported_s < KEEPALIVE_INTERVAL_S:
+        is_active = now_s - self._last_use_s <= ACTIVE_S
+        interval_s = ACTIVE_INTERVAL_S if is_active else KEEPALIVE_INTERVAL_S
+        if not self._changed and now_s - self._reported_s < interval_s:
             return []
         self._reported_s = now_s
         customers = list(self._changed)[: MAX_REPORTS * CUSTOMERS_PER_REPORT]
@@ -325,7 +332,7 @@
         metrics.QUOTA_REQUESTS.inc({"outcome": "charged_again" if sign > 0 else "refunded"})
 
     def _record_use(self, customer: str, now_s: float) -> None:
-        self._used_s[customer] = now_s
+        self._used_s[customer] = self._last_use_s = now_s
         self._changed[customer] = None
 
     def _refresh(self, now_s: float) -> None:
--- a/coltsfootfront/quotas/unreported.py
+++ b/coltsfootfront/quotas/unreported.py
@@ -12,9 +12,9 @@
 # Half-life of a router's rate. Long enough for a rate of a few requests per second, short enough
 # that reports follow a burst within the time that the quota's burst covers.
 RATE_HALF_LIFE_S = 0.7
-# Time from an admission until a peer has read of it: a batch of gossip and the way to another
-# region.
-REPORT_DELAY_S = 0.06
+# Shortest time from an admission until a peer has read of it, on the way to another region. The
+# time since a peer was heard counts from when it sent, which tells the rest.
+REPORT_DELAY_S = 0.02
 # Longest time for which the sum is carried on, for a decision.
 MAX_AGE_S = 0.05
 # Rates that have faded to this are left out.
