--- a/coltsfootfront/direct/capacitywait.py
+++ b/coltsfootfront/direct/capacitywait.py
@@ -14,13 +14,18 @@
 # Longest wait for a target that is loading weights, once a prompt has its turn.
 MAX_TURN_S = 0.5
 
-# A prompt is refused at once if its first event is expected this many times later than its deadline
-# allows. Half of the first events come sooner than expected.
-LATE_FACTOR = 1.5
+# A prompt is refused at once if its first event is expected this many times later than its caller
+# waits for. Half of the first events come sooner than expected.
+LATE_FACTOR = 1.25
 
 ChooseTarget = Callable[[RequestState, float], Awaitable[Placement]]
 
 
+def _given_up_s(state: RequestState) -> float:
+    """Monotonic time until which a caller waits for the first event."""
+    return min(state.deadline_s, state.request.received_s + state.route.patience_s)
+
+
 class NoCapacityError(Exception):
     """No target is expected to have room for a prompt in time.
 
@@ -76,11 +81,11 @@
     async def _wait(
         self, state: RequestState, queued: QueuedRequest, choose_target: ChooseTarget
     ) -> Placement:
-        hold_until_s = holding.hold_until_s(state.request.received_s, state.deadline_s)
+        hold_until_s = holding.hold_until_s(state.request.received_s, _given_up_s(state))
         while True:
             now_s = self._clock.monotonic_s()
             expected_s = self._queue.expected_wait_s(queued)
-            if holding.is_hopeless(expected_s, now_s, state.deadline_s):
+            if holding.is_hopeless(expected_s, now_s, _given_up_s(state)):
                 raise NoCapacityError(expected_s or 0.0)
             await self._queue.wait_turn(queued, hold_until_s - now_s)
             turn_until_s = min(self._clock.monotonic_s() + MAX_TURN_S, state.deadline_s)
@@ -90,14 +95,14 @@
             self._queue.postpone(queued)
 
     def _check_first_event(self, state: RequestState, placement: Placement) -> None:
-        """Refuse a prompt at once that would have no first event before its deadline.
+        """Refuse a prompt at once that would have no first event before its caller gives up.
 
         :raises NoCapacityError: if even the best target is expected to be too late.
         """
         cost = placement.prompt_cost
         if cost is None or state.has_response_begun:
             return
-        left_s = state.deadline_s - self._clock.monotonic_s()
+        left_s = _given_up_s(state) - self._clock.monotonic_s()
         if cost.first_event_s > LATE_FACTOR * left_s:
             raise NoCapacityError(
                 holding.room_after_s(cost.begin_s, state.route.latency_objective_s)
@@ -109,7 +114,7 @@
         is_most_urgent = not state.route.priority
         if placement.prompt_cost is None or state.has_response_begun or is_most_urgent:
             return False
-        hold_until_s = holding.hold_until_s(state.request.received_s, state.deadline_s)
+        hold_until_s = holding.hold_until_s(state.request.received_s, _given_up_s(state))
         if self._clock.monotonic_s() >= hold_until_s:
             return False
         candidate = holding.Candidate(
--- a/coltsfootfront/scheduling/holding.py
+++ b/coltsfootfront/scheduling/holding.py
@@ -11,10 +11,10 @@
 MAX_WAIT_SHARE = 0.25
 # Shortest time after which a refused caller is told to return; the estimate is no more precise.
 MIN_ROOM_AFTER_S = 0.1
-# Share of the time until its deadline for which a prompt waits at the router at most. It is sent
-# then whatever waits at the engine, as its answer takes some seconds as well.
-MAX_HOLD_SHARE = 0.12
-# A prompt whose expected wait is longer than this share of the time until its deadline is refused.
+# Share of the time for which its caller waits that a prompt waits at the router at most. It is sent
+# then whatever waits at the engine, as it has to be prefilled there as well.
+MAX_HOLD_SHARE = 0.3
+# A prompt whose expected wait is longer than this share of the time left is refused.
 MAX_EXPECTED_WAIT_SHARE = 0.6
 
 
@@ -48,16 +48,20 @@
     return max(MIN_ROOM_AFTER_S, begin_s - MAX_WAIT_SHARE * objective_s)
 
 
-def hold_until_s(received_s: float, deadline_s: float) -> float:
-    """Monotonic time until which a prompt waits at the router at most."""
-    return received_s + MAX_HOLD_SHARE * (deadline_s - received_s)
+def hold_until_s(received_s: float, given_up_s: float) -> float:
+    """Monotonic time until which a prompt waits at the router at most.
+
+    :param given_up_s: monotonic time until which its caller waits.
+    """
+    return received_s + MAX_HOLD_SHARE * (given_up_s - received_s)
 
 
-def is_hopeless(expected_wait_s: float | None, now_s: float, deadline_s: float) -> bool:
+def is_hopeless(expected_wait_s: float | None, now_s: float, given_up_s: float) -> bool:
     """Whether a prompt cannot be expected to be sent in time.
 
     :param expected_wait_s: None if it is unknown.
+    :param given_up_s: monotonic time until which its caller waits.
     """
     if expected_wait_s is None:
         return False
-    return expected_wait_s > MAX_EXPECTED_WAIT_SHARE * (deadline_s - now_s)
+    return expected_wait_s > MAX_EXPECTED_WAIT_SHARE * (given_up_s - now_s)
