--- a/coltsfootfront/scheduling/dispatchqueue.py
+++ b/coltsfootfront/scheduling/dispatchqueue.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 
 from coltsfootfront.common import metrics
@@ -22,7 +23,10 @@
 TURN_INTERVAL_S = 0.06
 # Requests that may be sent in one interval, and of those that find no room before it ends.
 MAX_SENT_PER_INTERVAL = 4
-MAX_FAILED_PER_INTERVAL = 2
+MAX_FAILED_PER_INTERVAL = 3
+# Where one has found no room, only those with less work than this share of its own are placed next:
+# engines rank prompts by their length, so a shorter one may begin sooner.
+SHORTER_SHARE = 0.7
 # Half-life of the measured rate at which work leaves the queue.
 RATE_HALF_LIFE_S = 1.0
 # A rate that was measured over less than this time is not relied on.
@@ -62,6 +66,7 @@
         "_active_s",
         "_clock",
         "_failed",
+        "_failed_work_s",
         "_finish",
         "_is_turn_out",
         "_rate_s_per_s",
@@ -77,6 +82,7 @@
         self._finish: dict[str, float] = {}
         self._virtual_time = 0.0
         self._sent = self._failed = 0
+        self._failed_work_s = math.inf
         self._is_turn_out = False
         self._rate_s_per_s = 0.0
         self._active_s = 0.0
@@ -94,6 +100,7 @@
     def start_interval(self) -> None:
         """Begin an interval, in which the first requests are placed again."""
         self._sent = self._failed = 0
+        self._failed_work_s = math.inf
         self._is_turn_out = False
         self._update_rate(0.0)
         self._give_turn(set())
@@ -139,6 +146,7 @@
         """Let a request wait on, as it has found no room in its turn."""
         request.turn.clear()
         self._failed += 1
+        self._failed_work_s = min(self._failed_work_s, request.work_s)
         self._is_turn_out = False
         self._give_turn({request})
 
@@ -176,7 +184,9 @@
         candidates = [
             request
             for request in self._waiting
-            if request not in excluded and not request.turn.is_set()
+            if request not in excluded
+            and not request.turn.is_set()
+            and (not self._failed or request.work_s < SHORTER_SHARE * self._failed_work_s)
         ]
         if not candidates:
             return
