--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import hdrs
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import _EXC_SENTINEL
 from aiohttp.http_exceptions import HttpProcessingError
@@ -47,9 +48,12 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit the bytes that are read at once; the account of callers counts on it."""
-        if hasattr(transport, "max_size"):
-            transport.max_size = self._read_bytes
         super().connection_made(transport)
+        self._limit_reads(self._read_bytes)
+
+    def _limit_reads(self, size_bytes: int) -> None:
+        if self.transport is not None and hasattr(self.transport, "max_size"):
+            self.transport.max_size = size_bytes
 
     def is_connected(self) -> bool:
         """Whether a request may be sent on this connection.
@@ -63,6 +67,7 @@
         """Reset the counters for the response to the next request."""
         self._head_bytes = self._interim_responses = self._received_bytes = 0
         self._body = None
+        self._limit_reads(self._read_bytes)
         super().set_response_params(**params)
 
     def set_exception(self, exc: BaseException, exc_cause: BaseException = _EXC_SENTINEL) -> None:
@@ -85,6 +90,10 @@
                 return
         elif self._body is None:
             self._body = payload
+            if hdrs.CONTENT_LENGTH in message.headers and not payload.is_eof():
+                # Without the overhead of chunks, which larger reads would multiply.
+                self._limit_reads(BODY_READ_BYTES)
+                payload.set_read_chunk_size(BODY_READ_BYTES)
         else:
             # A second response to one request; the connection is not reused.
             self.force_close()
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -26,7 +26,7 @@
 from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.budget import ACCEPTS_PER_ROUND, OWN_DESCRIPTORS, Budget
 from coltsfootfront.memory.connection import (
-    READ_BYTES,
+    BODY_READ_BYTES,
     REQUEST_TIMEOUT_HEAD,
     ChargedConnection,
 )
@@ -167,9 +167,8 @@
     REQUEST_DESCRIPTORS = 1
     # The relay has the chunk that it has written, and its copy.
     UNREAD_FACTOR = 3
-    # The reader of the connection to the target stops at twice READ_BYTES, after one more read,
-    # and the relay has another part.
-    UNREAD_BYTES = 4 * READ_BYTES
+    # The reader of the connection to the target stops at twice as much, after one more read.
+    UNREAD_BYTES = 3 * BODY_READ_BYTES
 
     body_timeout: ReadTimeout | None = None
     """Ends the wait for the rest of the body that is being received."""
