--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -43,9 +43,10 @@
 # Messages at a time. Running totals can wait, and each message goes to all routers.
 MAX_REPORTS = 2
 # Routers that one report names as missing, and the share of the peers that have to name a router.
-# One peer alone may have lost its own link.
+# One peer alone may have lost its own link; it learns from the levels of the others.
 MAX_UNHEARD_NAMED = 32
 UNHEARD_SHARE = 0.25
+MIN_MISSING = 2
 # Time for which levels are reported to routers that miss others, and the share of a burst below
 # which a level is worth it.
 MISSED_FOR_S = 3.0
@@ -397,12 +398,10 @@
         if 2 * len(heard) < len(self._known_since_s):
             return True
         missing = sum(not self._peers[address].is_hearing(now_s) for address in heard)
-        return missing > UNHEARD_SHARE * len(heard)
+        return missing >= MIN_MISSING and missing > UNHEARD_SHARE * len(heard)
 
     def _name_unheard(self) -> tuple[str, ...]:
-        """Peers whose reports are missing; none if this router itself seems to be cut off."""
-        if 2 * len(self._silent) > len(self._known_since_s):
-            return ()
+        """Peers whose reports are missing."""
         names = sorted(self._silent)
         if len(names) <= MAX_UNHEARD_NAMED:
             return tuple(names)
