--- a/coltsfootfront/tests/test_system_quotas.py
+++ b/coltsfootfront/tests/test_system_quotas.py
@@ -36,13 +36,8 @@
         ]
         self.fleet.store.put_json("op/config", fields)
         self.processes = RouterProcesses(Path(self.folder.name), self.fleet.store.address)
-        for _ in range(ROUTERS):
-            router = await self.processes.add()
-            router.settings["bounds"] |= self.monitor.bounds_fields()
+        await self.processes.start(ROUTERS)
         self.routers = self.processes.routers
-        for router in self.routers:
-            router.start()
-        await asyncio.gather(*(router.wait_ready() for router in self.routers))
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(CALLER_TIMEOUT_S),
             connector=aiohttp.TCPConnector(limit=0),
--- a/coltsfootfront_dev/platformfleet.py
+++ b/coltsfootfront_dev/platformfleet.py
@@ -18,6 +18,10 @@
 HEARTBEAT_INTERVAL_S = 1.0
 # A target that has crashed is back after this time, under another name.
 RESTART_S = 1.5
+# What routers tolerate beyond a quota.
+QUOTA_WINDOW_S = 8.0
+QUOTA_OVERAGE = 0.1
+QUOTA_SLACK_TOKENS = 3_000.0
 
 
 def free_ports(count: int) -> list[int]:
@@ -70,6 +74,9 @@
             "config-apply-ms": 2500,
             "stable-ms": 4000,
             "require-fence": True,
+            "quota-window-s": QUOTA_WINDOW_S,
+            "quota-overage": QUOTA_OVERAGE,
+            "quota-slack": QUOTA_SLACK_TOKENS,
         },
         "provider": {"address": store, "ttl-min-ms": 500},
     }
--- a/coltsfootfront_dev/quotacheck.py
+++ b/coltsfootfront_dev/quotacheck.py
@@ -3,12 +3,13 @@
 from collections.abc import Iterable
 from typing import Any
 
+from coltsfootfront_dev.platformfleet import (
+    QUOTA_OVERAGE,
+    QUOTA_SLACK_TOKENS,
+    QUOTA_WINDOW_S,
+)
 from coltsfootfront_dev.platformtarget import PlatformTargetStandIn
 
-WINDOW_S = 8.0
-OVERAGE = 0.1
-SLACK_TOKENS = 3_000.0
-
 
 class QuotaMonitor:
     """Records what requests cost, and compares what targets have run with a quota.
@@ -26,14 +27,6 @@
         """Fields of a customer's quota in a configuration."""
         return {"rate-per-s": self._rate_per_s, "burst": self._burst, "unit": "tokens"}
 
-    def bounds_fields(self) -> dict[str, Any]:
-        """Fields of a router's settings that say what is tolerated."""
-        return {
-            "quota-window-s": WINDOW_S,
-            "quota-overage": OVERAGE,
-            "quota-slack": SLACK_TOKENS,
-        }
-
     def record_request(self, request_id: str, tokens: int) -> None:
         """Record what a request counts."""
         self._tokens[request_id] = tokens
@@ -50,14 +43,16 @@
                 if run.customer == customer
             ]
         runs.sort()
-        allowed = (self._rate_per_s * WINDOW_S + self._burst) * (1 + OVERAGE) + SLACK_TOKENS
+        allowed = (self._rate_per_s * QUOTA_WINDOW_S + self._burst) * (
+            1 + QUOTA_OVERAGE
+        ) + QUOTA_SLACK_TOKENS
         used = most = first = 0
         for at_s, tokens in runs:
             used += tokens
-            while at_s - runs[first][0] > WINDOW_S:
+            while at_s - runs[first][0] > QUOTA_WINDOW_S:
                 used -= runs[first][1]
                 first += 1
             most = max(most, used)
         if most <= allowed:
             return []
-        return [f"{customer} used {most} tokens in {WINDOW_S} s, allowed are {allowed:.0f}"]
+        return [f"{customer} used {most} tokens in {QUOTA_WINDOW_S} s, allowed are {allowed:.0f}"]
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -37,6 +37,8 @@
     RouterProcess,
     RouterProcesses,
 )
+from coltsfootfront_dev.soakquota import CUSTOMER as EXCESS_CUSTOMER
+from coltsfootfront_dev.soakquota import ExcessCustomer
 from coltsfootfront_dev.tcpproxy import TcpProxy
 
 CLIENTS = 10
@@ -106,6 +108,7 @@
     :param allows_retries: whether the routers' retry budget was more than nothing.
     :param statuses: requests by HTTP status, or by exception type without an answer.
     :param take_ups: the same for streams that callers take up again.
+    :param excess: the same for requests of a customer above its quota.
     :param broken: violations of a guarantee, one sentence each.
     """
 
@@ -114,6 +117,7 @@
     requests: int = 0
     statuses: Counter[str] = field(default_factory=Counter)
     take_ups: Counter[str] = field(default_factory=Counter)
+    excess: Counter[str] = field(default_factory=Counter)
     faults: list[str] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
 
@@ -126,6 +130,7 @@
                 "requests": self.requests,
                 "statuses": dict(self.statuses),
                 "take_ups": dict(self.take_ups),
+                "excess": dict(self.excess),
                 "faults": self.faults,
                 "broken": self.broken,
             }
@@ -165,6 +170,7 @@
         # Apart from the other faults, so that a seed's faults are the same without releases.
         self._release_random = random.Random(f"{seed}/releases")
         self._has_releases = has_releases
+        self._excess: ExcessCustomer | None = None
         self._builds = 1
         self._customer_version = 1
         self._added_routes = 0
@@ -178,6 +184,8 @@
         try:
             await self._start()
             clients = [asyncio.create_task(self._run_client(number)) for number in range(CLIENTS)]
+            if self._excess is not None:
+                clients.append(asyncio.create_task(self._excess.run(lambda: self._is_stopping)))
             for targets in (self._fleet.plain_targets, self._fleet.engine_targets):
                 self._monitor.name_limit(targets[0], self._random.choice(LIMITS_PER_S))
             await self._inject_faults()
@@ -193,6 +201,7 @@
             self._check_executions()
             self._check_configurations()
             self._check_cut_answers()
+            self._check_quotas()
             self.report.broken += self._monitor.violations()
         finally:
             await self._close()
@@ -212,9 +221,16 @@
             self._fleet.register(target)
         self._processes = RouterProcesses(self._folder, self._fleet.store.address)
         self._routers = self._processes.routers
+        excess = ExcessCustomer(self.report.seed, self._routers, self._monitor.router_of_request)
+        if excess.is_active:
+            self._excess = excess
+            self.report.excess = excess.statuses
         self._write_configuration(0)
         self.report.allows_retries = self._random.random() < 0.5
         await self._processes.start(self._router_count, self.report.allows_retries)
+        for router in self._routers:
+            # A process that is started later is not the first one, which quotas depend on.
+            router.settings["bootstrap"] = self._excess is None
 
     async def _wait_all_ready(self) -> None:
         for router in self._routers:
@@ -390,6 +406,8 @@
         fields = configuration(
             self._customer_version, added_routes=added_routes, timeout_ms=REQUEST_TIMEOUT_MS
         )
+        if self._excess is not None:
+            self._excess.add_quotas(fields)
         self._fleet.store.put_json("op/config", fields)
 
     async def _name_weights(self) -> None:
@@ -430,6 +448,7 @@
             return
         begin_s = time.monotonic()
         router = await self._processes.add()
+        router.settings["bootstrap"] = self._excess is None
         router.start()
         self._monitor.excuse(router.name, begin_s)
 
@@ -553,6 +572,14 @@
                     f"{cut.request_id} on {cut.path} at {cut.router} broke off without a cause"
                 )
 
+    def _check_quotas(self) -> None:
+        if self._excess is None:
+            return
+        self.report.broken += self._excess.monitor.violations(self._fleet.targets, EXCESS_CUSTOMER)
+        refused = self.report.statuses["429"] + self.report.take_ups["429"]
+        if refused:
+            self.report.broken.append(f"{refused} requests below a quota got 429")
+
     def _check_executions(self) -> None:
         runs = [run for target in self._fleet.targets for run in target.executions]
         count = Counter(run.request_id for run in runs)
@@ -561,7 +588,7 @@
                 self.report.broken.append(f"{run.request_id} on {run.path} ran twice")
             if run.request_id in self._refused_as_not_run:
                 self.report.broken.append(f"{run.request_id} was refused as not run, and ran")
-            if run.customer != CUSTOMER:
+            if run.customer not in (CUSTOMER, EXCESS_CUSTOMER):
                 self.report.broken.append(f"{run.request_id} ran for customer {run.customer!r}")
             if run.version and run.salt != f"m:{run.version}:":
                 self.report.broken.append(
