--- a/coltsfootfront/memory/budget.py
+++ b/coltsfootfront/memory/budget.py
@@ -29,9 +29,9 @@
 OWN_DESCRIPTORS = 64
 # Connections that asyncio accepts before the account is asked, in one round of the event loop; with
 # its backlog, as asyncio has it, it would be 1,024.
-ACCEPTS_PER_ROUND = 16
+ACCEPTS_PER_ROUND = 64
 # Descriptors of such connections, and of those that were closed and are gone only in a later round.
-ACCEPT_DESCRIPTORS = 4 * ACCEPTS_PER_ROUND
+ACCEPT_DESCRIPTORS = 2 * ACCEPTS_PER_ROUND
 MIN_DESCRIPTORS = 64
 # Share of the peer, metrics and readiness ports. Its memory is part of BASE_BYTES. Copies of the
 # store, at most 8 MiB each, wait there for peers with slow links.
