--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -105,6 +105,7 @@
     ) -> None:
         self._budget = budget
         self._clock = clock
+        self.now_s = clock.monotonic_s
         self._on_closed = on_closed
         self._holders: set[Holder] = set()
         self.held_bytes = 0
@@ -121,10 +122,6 @@
         """Count a connection that is closed for a limit of its own."""
         self._on_closed(reason)
 
-    def now_s(self) -> float:
-        """Monotonic time."""
-        return self._clock.monotonic_s()
-
     def set_other_descriptors(self, count: int) -> None:
         """Set how many descriptors others have taken beyond those kept for them."""
         self._other_descriptors = count
@@ -151,9 +148,13 @@
             return False
         more_bytes = held_bytes - holder.held_bytes
         more_descriptors = descriptors - holder.descriptors
-        if (more_bytes > 0 or more_descriptors > 0) and not self._make_room(
-            holder, more_bytes, more_descriptors
-        ):
+        budget = self._budget
+        # Without a call for the usual case, as this runs several times for each request.
+        has_room = (more_bytes <= 0 or self.held_bytes + more_bytes <= budget.memory_bytes) and (
+            more_descriptors <= 0
+            or self.descriptors + more_descriptors <= budget.descriptors - self._other_descriptors
+        )
+        if not has_room and not self._make_room(holder, more_bytes, more_descriptors):
             self._on_closed("no_room")
             return False
         self._set(holder, held_bytes, descriptors)
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -70,6 +70,7 @@
         self._is_discarding = False
         self._is_body_refused = False
         self._is_refused = False
+        self._read_bytes = 0
         self._unread_bytes = 0
         self.head_began_s = math.inf
         """Time of the first byte of a head that is incomplete, infinite if there is none."""
@@ -91,6 +92,9 @@
             self._account.remove(self.holder)
 
     def _limit_reads(self, size_bytes: int) -> None:
+        if size_bytes == self._read_bytes:
+            return
+        self._read_bytes = size_bytes
         # Not a public option of asyncio; without it, reads are larger than the account allows for.
         if self.transport is not None and hasattr(self.transport, "max_size"):
             self.transport.max_size = size_bytes
@@ -245,12 +249,13 @@
         self._is_serving, self._declared_bytes = True, declared_bytes or 0
         self._is_discarding = self._is_body_refused = False
         self._is_chunked = declared_bytes is None and self._is_receiving_body()
-        self._limit_reads(BODY_READ_BYTES if declared_bytes else READ_BYTES)
         holder.customer = customer
         if not self._update():
             return False
         if not self._is_receiving_body():
-            self.record_body_end()
+            self._enter_served(holder)
+        elif declared_bytes is not None:
+            self._limit_reads(BODY_READ_BYTES)
         return True
 
     @property
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -372,7 +372,8 @@
         writer = PlatformResponseWriter(request, lambda: self.is_draining)
         connection = request.protocol
         assert isinstance(connection, _CallerConnection)
-        await connection.wait_until_read()
+        if connection.writing_paused:
+            await connection.wait_until_read()
         declared_bytes = request.content_length
         if declared_bytes is not None:
             declared_bytes = min(declared_bytes, self._limits.body_bytes)
