--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from coltsfootfront.common.clock import SystemClock
+from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
 from coltsfootfront.direct.routingconfig import CallerLimits
 from coltsfootfront.memory.account import STALL_S, Account, Holder, Phase
@@ -19,9 +20,10 @@
     caller_budget,
 )
 from coltsfootfront.memory.limits import LOG_INTERVAL_S, LimitReport
-from coltsfootfront.platform import callerserver
+from coltsfootfront.platform import callerserver, settings
 from coltsfootfront.platform.callerserver import PlatformCallerServer
 from coltsfootfront.tests.support import ManualClock
+from coltsfootfront_dev.platformfleet import settings_fields
 
 KIB = 1024
 # Limits that are 30 and 20 times shorter than the operators'.
@@ -43,6 +45,17 @@
         self.assertLess(budget.descriptors, 1_638 - FILE_DESCRIPTORS)
         self.assertLess(BASE_BYTES + budget.memory_bytes, 150 * MIB + 1)
 
+    def test_descriptors_of_the_settings(self) -> None:
+        """Guards against a field that is not read, or that a deployment without it must have."""
+        fields = settings_fields("r", "127.0.0.1:1", [])
+        for told, expected in ((1_638, 1_638), (8192.0, 8_192), (None, None)):
+            fields["limits"]["max-fds"] = told
+            self.assertEqual(expected, settings.decode(fields, "path").max_descriptors)
+        for wrong in (-1, 1.5, "many", True):
+            fields["limits"]["max-fds"] = wrong
+            with self.assertRaisesRegex(SettingsError, r"limits\.max-fds"):
+                settings.decode(fields, "path")
+
     def test_descriptors_of_the_process_bound_those_of_the_settings(self) -> None:
         """Guards against settings that tell more descriptors than the process may open."""
         for hard, told, expected in ((1_024, 8_192, 1_024), (1_024, None, 1_024), (-1, 900, 900)):
