--- a/coltsfootfront/quotas/peer.py
+++ b/coltsfootfront/quotas/peer.py
@@ -19,6 +19,7 @@
     """Process of one peer.
 
     :param incarnation: tells it from other processes at its address.
+    :param now_s: monotonic time at which it is first heard.
     :param former: earlier processes.
     """
 
@@ -28,12 +29,15 @@
         "_offset_s",
         "_received_s",
         "former",
+        "heard_since_s",
         "incarnation",
         "uptime_s",
     )
 
-    def __init__(self, incarnation: int, former: tuple[int, ...] = ()) -> None:
+    def __init__(self, incarnation: int, now_s: float, former: tuple[int, ...] = ()) -> None:
         self.incarnation = incarnation
+        self.heard_since_s = now_s
+        """Since when it is heard without having been silent."""
         self.former = former
         self.uptime_s = 0.0
         """Uptime of the process in its latest report."""
@@ -43,9 +47,9 @@
         self._received_s = 0.0
         self._late_since_s: float | None = None
 
-    def successor(self, incarnation: int) -> "Peer":
+    def successor(self, incarnation: int, now_s: float) -> "Peer":
         """Return the process that follows this one."""
-        return Peer(incarnation, (self.incarnation, *self.former)[:MAX_FORMER])
+        return Peer(incarnation, now_s, (self.incarnation, *self.former)[:MAX_FORMER])
 
     def record_hearing(self, is_named: bool, is_complete: bool, now_s: float) -> None:
         """Record whether a report names this router as unheard.
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -34,6 +34,8 @@
 ACTIVE_S = 1.0
 # Interval at which all recent usage is reported again, for routers that have started since.
 REFRESH_INTERVAL_S = 1.0
+# A peer that has been heard for this long has reported all its recent use.
+FAMILIAR_AFTER_S = 1.5
 # A peer that has reported nothing for this long counts as silent.
 SILENT_AFTER_S = 1.0
 # Usage is reported for this long after the last request of a customer.
@@ -262,16 +264,17 @@
         now_s = self._check_pause()
         peer = self._peers.get(report.router)
         if peer is None:
-            peer = self._peers[report.router] = Peer(report.incarnation)
+            peer = self._peers[report.router] = Peer(report.incarnation, now_s)
         elif report.incarnation in peer.former:
             return
         elif peer.incarnation != report.incarnation:
-            peer = self._peers[report.router] = peer.successor(report.incarnation)
+            peer = self._peers[report.router] = peer.successor(report.incarnation, now_s)
         sent_s = peer.sent_s(report.uptime_s, now_s)
         if now_s - sent_s > SILENT_AFTER_S:
             # Left over from a pause; the totals of the next report contain its own.
             return
         self._record_heard(report.router, sent_s, now_s)
+        is_familiar = now_s - peer.heard_since_s > FAMILIAR_AFTER_S
         if report.uptime_s >= peer.uptime_s:
             peer.uptime_s = report.uptime_s
             if report.unheard:
@@ -282,7 +285,7 @@
             bucket = self._buckets.get(usage.customer)
             if bucket is None:
                 continue
-            bucket.apply_report(report, usage, sent_s, now_s)
+            bucket.apply_report(report, usage, sent_s, is_familiar, now_s)
 
     def _check_pause(self) -> float:
         """Return the monotonic time; after a pause, begin to listen to the peers anew."""
@@ -303,6 +306,7 @@
         self._heard_s[router] = max(sent_s, self._heard_s.get(router, sent_s))
         self._known_since_s[router] = max(sent_s, self._known_since_s[router])
         if was_silent:
+            self._peers[router].heard_since_s = now_s
             self._update_silent(now_s)
 
     @property
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -15,7 +15,7 @@
 from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.unreported import MAX_AGE_S, UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
-from coltsfootfront.quotas.usagerate import RequestSize, UsageRate
+from coltsfootfront.quotas.usagerate import RequestSize, UsageRate, recent_units
 
 # Share of an equal part of the quota that a router which is not heard may use although its rate was
 # lower. Most such routers have just ended, and the others get what they leave.
@@ -177,7 +177,12 @@
         self._apply_silent_rates(now_s)
 
     def apply_report(
-        self, report: UsageReport, usage: CustomerUsage, sent_s: float, now_s: float
+        self,
+        report: UsageReport,
+        usage: CustomerUsage,
+        sent_s: float,
+        is_familiar: bool,
+        now_s: float,
     ) -> None:
         """Take out what a peer has admitted since its last report.
 
@@ -186,6 +191,7 @@
 
         :param usage: its row about this customer.
         :param sent_s: monotonic time at which it was sent.
+        :param is_familiar: the peer has been heard for long enough to have told of recent use.
         """
         peer = self._peers.setdefault(report.router, _PeerUsage())
         is_same = (peer.incarnation, peer.since_s) == (report.incarnation, usage.since_s)
@@ -198,6 +204,9 @@
         elif not peer.incarnation and not self._is_level_learned:
             # What a peer admitted before this process has started is in the level that it reports.
             used = 0.0
+        elif is_old and is_familiar and not peer.incarnation:
+            # It has not used this quota lately, but for what its rate tells.
+            used = min(usage.total, recent_units(usage.rate_per_s))
         elif is_old and (not peer.incarnation or (used > 0 and peer.was_silent)):
             # Most of what a peer used unheard has long become available again. Its level tells
             # what remains of it.
--- a/coltsfootfront/quotas/usagerate.py
+++ b/coltsfootfront/quotas/usagerate.py
@@ -4,6 +4,12 @@
 
 # Weight of a request in the mean size; some tens of requests tell a customer's mix.
 SIZE_WEIGHT = 0.05
+LN_2 = 0.6931
+
+
+def recent_units(rate_per_s: float) -> float:
+    """Units that have been used of late, as a rate weighs them."""
+    return rate_per_s * RATE_HALF_LIFE_S / LN_2
 
 
 class UsageRate:
@@ -18,7 +24,7 @@
     def add(self, units: float, now_s: float) -> None:
         """Add units that were used."""
         # The integral of the decaying weight is the half-life over ln 2.
-        self._rate_per_s = max(0.0, self.per_s(now_s) + units * 0.6931 / RATE_HALF_LIFE_S)
+        self._rate_per_s = max(0.0, self.per_s(now_s) + units * LN_2 / RATE_HALF_LIFE_S)
 
     def per_s(self, now_s: float) -> float:
         """Units per second."""
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -777,6 +777,14 @@
         fleet.run(3.0, demand * rate_per_s, choose)
         self.assertLessEqual(fleet.most_used(), fleet.allowed)
 
+    def test_routers_that_use_a_quota_for_the_first_time(self) -> None:
+        """Guards against levels that sink whenever a router begins to serve a customer, as each
+        then takes the least level that any of them tells."""
+        fleet = QuotaFleet(60, make_quota(300_000))
+        fleet.run(RESUME_WAIT_S, 1e-6)
+        fleet.run(14.0, 1.5 * 300_000, fleet.chooser("moving"))
+        self.assertGreater(fleet.admitted(), 0.98)
+
     @settings(derandomize=True, deadline=None, max_examples=60, database=None)
     @given(
         st.integers(1, 30),
