--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -119,7 +119,7 @@
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
         """Apply the quotas of a configuration, by customer."""
-        now_s = self._clock.monotonic_s()
+        now_s = self._check_pause()
         for customer in self._buckets.keys() - quotas.keys():
             del self._buckets[customer]
             self._used_s.pop(customer, None)
@@ -229,9 +229,9 @@
 
     def take_reports(self) -> list[list[object]]:
         """Take the messages that are due for the peers, as their fields."""
+        now_s = self._check_pause()
         if not self._buckets or not self._known_since_s:
             return []
-        now_s = self._check_pause()
         self._update_silent(now_s)
         if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -286,6 +286,18 @@
 
 
 class StartTest(unittest.TestCase):
+    def test_time_without_quotas_is_no_pause(self) -> None:
+        """Guards against a first configuration with quotas that begins with half of each burst, as
+        nothing was to be done before it."""
+        router = OneRouter()
+        router.quotas.set_quotas({})
+        router.clock.now_s += 60.0
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+        router.clock.now_s += 0.1
+        router.quotas.take_reports()
+        router.hear(None, 60.1)
+        self.assertAlmostEqual(RATE_PER_S, router.level)
+
     def test_customers_below_their_quotas_when_the_first_configuration_comes(self) -> None:
         """Guards against refusals until routers that have just got quotas hear of each other."""
         fleet = QuotaFleet(23, make_quota(344_000), seed=2)
