--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -18,8 +18,9 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
-from coltsfootfront.quotas.peer import Peer
+from coltsfootfront.quotas.hearing import Hearing
 from coltsfootfront.quotas.quota import Quota
+from coltsfootfront.quotas.quotalog import QuotaLog
 from coltsfootfront.quotas.sharedbucket import REPORTED_LEVEL_AGE_S, SharedBucket
 from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
@@ -34,24 +35,13 @@
 ACTIVE_S = 1.0
 # Interval at which all recent usage is reported again, for routers that have started since.
 REFRESH_INTERVAL_S = 1.0
-# A peer that has been heard for this long has reported all its recent use.
-FAMILIAR_AFTER_S = 1.5
-# A peer that has reported nothing for this long counts as silent.
-SILENT_AFTER_S = 1.0
 # Usage is reported for this long after the last request of a customer.
 RECENT_S = 8.0
 # Customers in one message, about 40 bytes each.
 CUSTOMERS_PER_REPORT = 18
 # Messages at a time. Running totals can wait, and each message goes to all routers.
 MAX_REPORTS = 2
-# Routers that one report names as missing, and the share of the peers that have to name a router.
-# One peer alone may have lost its own link; it learns from the levels of the others.
-MAX_UNHEARD_NAMED = 32
-UNHEARD_SHARE = 0.25
-MIN_MISSING = 2
-# Time for which levels are reported to routers that miss others, and the share of a burst below
-# which a level is worth it.
-MISSED_FOR_S = 3.0
+# Share of a burst below which a level is reported to routers that do not hear who has used it.
 LOW_LEVEL_SHARE = 0.25
 # A router that was restricted for this long does not know the levels any more.
 RELEARN_AFTER_S = 2.0
@@ -63,22 +53,9 @@
 # A process that has done nothing for this long was paused. The loop that sends reports runs at
 # least every 0.1 s.
 PAUSED_AFTER_S = 1.0
-# Time without a refusal after which a customer counts as within its quota again, for the log. One
-# that stays near its quota is refused every few seconds, and must not be logged each time.
-QUIET_S = 10.0
 MAX_INCARNATION = 2**53 - 1
 
 
-class _Refusals:
-    """Refusals of one customer since it exceeded its quota."""
-
-    __slots__ = ("count", "last_s", "since_s")
-
-    def __init__(self, now_s: float) -> None:
-        self.count = 0
-        self.since_s = self.last_s = now_s
-
-
 class Quotas:
     """Quotas of all customers, as one router sees them.
 
@@ -101,21 +78,13 @@
         self._used_s: dict[str, float] = {}
         self._changed: dict[str, None] = {}
         """Customers to be reported, those first that have waited for longest."""
-        self._peers: dict[str, Peer] = {}
-        self._known_since_s: dict[str, float] = {}
-        """When each peer was last heard; one that never was, when it has become known."""
-        self._heard_s: dict[str, float] = {}
-        """When each peer that is not silent was last heard."""
-        self._silent: dict[str, float] = {}
-        """When each silent peer was last heard."""
         self._tolerance = Tolerance()
-        self._refusals: dict[str, _Refusals] = {}
+        self._hearing = Hearing(address, self._started_s)
+        self._log = QuotaLog()
         self._last_use_s = -math.inf
         self._reported_s = self._refreshed_s = self._low_s = self._started_s
         self._was_unheard = self._is_restricted = False
-        self._checked_s = self._missed_s = self._restricted_s = -math.inf
-        self._next_named = 0
-        """Position of the first peer to be named, if too many are missing for one report."""
+        self._checked_s = self._restricted_s = -math.inf
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
         """Apply the quotas of a configuration, by customer."""
@@ -123,7 +92,7 @@
         for customer in self._buckets.keys() - quotas.keys():
             del self._buckets[customer]
             self._used_s.pop(customer, None)
-            self._refusals.pop(customer, None)
+            self._log.forget(customer)
             metrics.QUOTA_LEVEL.values.pop({"customer": customer}, None)
         self._changed = {name: None for name in self._changed if name in quotas}
         for customer, quota in quotas.items():
@@ -134,7 +103,7 @@
                 is_new = self._is_first_start or bool(self._quotas)
                 self._add_bucket(customer, quota, is_new, now_s)
             elif bucket.quota != quota:
-                self._log_change(customer, bucket.quota, quota)
+                self._log.record_change(customer, bucket.quota, quota)
                 if bucket.quota.unit is quota.unit:
                     bucket.set_quota(quota, now_s)
                 else:
@@ -147,7 +116,7 @@
 
     def _add_bucket(self, customer: str, quota: Quota, is_new: bool, now_s: float) -> None:
         bucket = SharedBucket(quota, self._tolerance, is_new, self._generator, now_s)
-        bucket.set_silent(self._silent, self._router_count, now_s)
+        bucket.set_silent(self._hearing.silent, self._router_count, now_s)
         self._buckets[customer] = bucket
 
     def set_tolerance(self, tolerance: Tolerance) -> None:
@@ -157,16 +126,9 @@
     def set_routers(self, addresses: set[str]) -> None:
         """Set the routers that share the quotas, this one included."""
         peers = addresses - {self._address}
-        if peers == self._known_since_s.keys():
-            return
         now_s = self._clock.monotonic_s()
-        for address in self._known_since_s.keys() - peers:
-            del self._known_since_s[address]
-            self._peers.pop(address, None)
-            self._heard_s.pop(address, None)
-            self._silent.pop(address, None)
-        for address in peers - self._known_since_s.keys():
-            self._known_since_s[address] = now_s
+        if not self._hearing.set_peers(peers, now_s):
+            return
         for bucket in self._buckets.values():
             bucket.set_peers(peers, now_s)
 
@@ -184,15 +146,22 @@
         if is_unheard:
             is_admitted = bucket.try_admit_unheard(units, self._router_count, now_s)
         else:
-            is_admitted = bucket.try_admit(units, self._heard_s, now_s)
+            is_admitted = bucket.try_admit(units, self._hearing.heard_s, now_s)
         if is_admitted:
             self._record_use(customer, now_s)
             metrics.QUOTA_REQUESTS.inc({"outcome": "admitted"})
-            self._log_recovery(customer, now_s)
+            self._log.record_admission(customer, now_s)
             return None
         metrics.QUOTA_REQUESTS.inc({"outcome": "refused_unheard" if is_unheard else "refused"})
-        self._log_excess(customer, bucket, is_unheard, now_s)
-        return bucket.room_after_s(units, self._heard_s, now_s)
+        self._log.record_refusal(
+            customer,
+            now_s,
+            level=bucket.level(self._hearing.heard_s, now_s),
+            own_per_s=bucket.rate_per_s(now_s),
+            limit_per_s=bucket.quota.rate_per_s,
+            unheard=is_unheard or None,
+        )
+        return bucket.room_after_s(units, self._hearing.heard_s, now_s)
 
     async def wait_heard(self) -> None:
         """Wait for the peers after a start or a pause of this process, for a moment at most.
@@ -222,7 +191,7 @@
         return {
             "rate_per_s": bucket.quota.rate_per_s,
             "burst": bucket.quota.burst,
-            "available": bucket.level(self._heard_s, now_s),
+            "available": bucket.level(self._hearing.heard_s, now_s),
             "own_rate_per_s": bucket.rate_per_s(now_s),
             "is_unheard": self._is_unheard(now_s),
         }
@@ -230,7 +199,7 @@
     def take_reports(self) -> list[list[object]]:
         """Take the messages that are due for the peers, as their fields."""
         now_s = self._check_pause()
-        if not self._buckets or not self._known_since_s:
+        if not self._buckets or not self._hearing.peer_count:
             return []
         self._update_silent(now_s)
         if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
@@ -245,7 +214,7 @@
         customers = list(self._changed)[: MAX_REPORTS * CUSTOMERS_PER_REPORT]
         for customer in customers:
             del self._changed[customer]
-        unheard = self._name_unheard()
+        unheard = self._hearing.name_unheard()
         uptime_s = now_s - self._started_s
         reports: list[list[object]] = []
         for start in range(0, max(1, len(customers)), CUSTOMERS_PER_REPORT):
@@ -259,28 +228,14 @@
 
     def handle_report(self, report: UsageReport) -> None:
         """Apply the report of a peer."""
-        if report.router not in self._known_since_s:
-            return
         now_s = self._check_pause()
-        peer = self._peers.get(report.router)
-        if peer is None:
-            peer = self._peers[report.router] = Peer(report.incarnation, now_s)
-        elif report.incarnation in peer.former:
-            return
-        elif peer.incarnation != report.incarnation:
-            peer = self._peers[report.router] = peer.successor(report.incarnation, now_s)
-        sent_s = peer.sent_s(report.uptime_s, now_s)
-        if now_s - sent_s > SILENT_AFTER_S:
-            # Left over from a pause; the totals of the next report contain its own.
+        was_silent = report.router in self._hearing.silent
+        received = self._hearing.receive(report, now_s)
+        if received is None:
             return
-        self._record_heard(report.router, sent_s, now_s)
-        is_familiar = now_s - peer.heard_since_s > FAMILIAR_AFTER_S
-        if report.uptime_s >= peer.uptime_s:
-            peer.uptime_s = report.uptime_s
-            if report.unheard:
-                self._missed_s = now_s
-            is_complete = len(report.unheard) < MAX_UNHEARD_NAMED
-            peer.record_hearing(self._address in report.unheard, is_complete, now_s)
+        if was_silent:
+            self._update_silent(now_s)
+        sent_s, is_familiar = received
         for usage in report.usages:
             bucket = self._buckets.get(usage.customer)
             if bucket is None:
@@ -290,10 +245,8 @@
     def _check_pause(self) -> float:
         """Return the monotonic time; after a pause, begin to listen to the peers anew."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._active_s > PAUSED_AFTER_S and self._known_since_s:
-            self._heard_s.clear()
-            self._silent = {}
-            self._known_since_s = dict.fromkeys(self._known_since_s, now_s)
+        if now_s - self._active_s > PAUSED_AFTER_S and self._hearing.peer_count:
+            self._hearing.resume(now_s)
             self._checked_s = -math.inf
             self._resumed_s = now_s
             for bucket in self._buckets.values():
@@ -301,31 +254,15 @@
         self._active_s = now_s
         return now_s
 
-    def _record_heard(self, router: str, sent_s: float, now_s: float) -> None:
-        was_silent = router not in self._heard_s
-        self._heard_s[router] = max(sent_s, self._heard_s.get(router, sent_s))
-        self._known_since_s[router] = max(sent_s, self._known_since_s[router])
-        if was_silent:
-            self._peers[router].heard_since_s = now_s
-            self._update_silent(now_s)
-
     @property
     def _router_count(self) -> int:
-        return len(self._known_since_s) + 1
+        return self._hearing.peer_count + 1
 
     def _update_silent(self, now_s: float) -> None:
         """Find out which peers are silent, and let the buckets count their assumed use."""
-        silent = {
-            address: heard_s
-            for address, heard_s in self._known_since_s.items()
-            if now_s - heard_s > SILENT_AFTER_S
-        }
-        for address in silent:
-            self._heard_s.pop(address, None)
-        if silent.keys() != self._silent.keys():
-            self._silent = silent
+        if self._hearing.update_silent(now_s):
             for bucket in self._buckets.values():
-                bucket.set_silent(silent, self._router_count, now_s)
+                bucket.set_silent(self._hearing.silent, self._router_count, now_s)
 
     def _add(self, customer: str, prompt_tokens: int, output_tokens: int, sign: int) -> None:
         bucket = self._buckets.get(customer)
@@ -344,7 +281,7 @@
         """Report all recent usage once more, and publish the levels."""
         for customer, bucket in self._buckets.items():
             bucket.note_rate(now_s)
-            level = bucket.level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
+            level = bucket.level(self._hearing.heard_s, now_s, REPORTED_LEVEL_AGE_S)
             metrics.QUOTA_LEVEL.set({"customer": customer}, level)
             if now_s - self._used_s.get(customer, -math.inf) <= RECENT_S:
                 self._changed[customer] = None
@@ -352,16 +289,16 @@
         if is_unheard != self._was_unheard:
             self._was_unheard = is_unheard
             name = "quotas_unheard" if is_unheard else "quotas_heard"
-            log.info(event(name, peers=len(self._known_since_s), heard=len(self._heard_s)))
+            heard = len(self._hearing.heard_s)
+            log.info(event(name, peers=self._hearing.peer_count, heard=heard))
 
     def _add_low_levels(self, now_s: float) -> None:
         """Report low levels, whoever has used them, while some routers do not hear each other."""
-        is_any_missed = bool(self._silent) or now_s - self._missed_s <= MISSED_FOR_S
-        if not is_any_missed or now_s - self._low_s < KEEPALIVE_INTERVAL_S:
+        if now_s - self._low_s < KEEPALIVE_INTERVAL_S or not self._hearing.is_any_missed(now_s):
             return
         self._low_s = now_s
         for customer, bucket in self._buckets.items():
-            level = bucket.level(self._heard_s, now_s, REPORTED_LEVEL_AGE_S)
+            level = bucket.level(self._hearing.heard_s, now_s, REPORTED_LEVEL_AGE_S)
             if level < LOW_LEVEL_SHARE * bucket.quota.burst:
                 self._changed[customer] = None
 
@@ -371,7 +308,7 @@
             customer,
             bucket.own_total,
             bucket.rate_per_s(now_s),
-            None if self._is_restricted else bucket.known_level(self._heard_s, now_s),
+            None if self._is_restricted else bucket.known_level(self._hearing.heard_s, now_s),
             bucket.started_s - self._started_s,
         )
 
@@ -379,7 +316,7 @@
         """Whether this router has to keep to what its peers take it to admit."""
         if not 0 <= now_s - self._checked_s <= CHECK_INTERVAL_S:
             self._checked_s = now_s
-            self._set_restricted(self._must_restrict(now_s), now_s)
+            self._set_restricted(self._hearing.is_unheard(now_s), now_s)
         return self._is_restricted
 
     def _set_restricted(self, is_restricted: bool, now_s: float) -> None:
@@ -391,69 +328,3 @@
         elif now_s - self._restricted_s > RELEARN_AFTER_S:
             for bucket in self._buckets.values():
                 bucket.resume(now_s)
-
-    def _must_restrict(self, now_s: float) -> bool:
-        # Also right after a pause of the process, before any message is read.
-        heard = [
-            address
-            for address, heard_s in self._heard_s.items()
-            if now_s - heard_s <= SILENT_AFTER_S
-        ]
-        if 2 * len(heard) < len(self._known_since_s):
-            return True
-        missing = sum(not self._peers[address].is_hearing(now_s) for address in heard)
-        return missing >= MIN_MISSING and missing > UNHEARD_SHARE * len(heard)
-
-    def _name_unheard(self) -> tuple[str, ...]:
-        """Peers whose reports are missing."""
-        names = sorted(self._silent)
-        if len(names) <= MAX_UNHEARD_NAMED:
-            return tuple(names)
-        first = self._next_named % len(names)
-        self._next_named = first + MAX_UNHEARD_NAMED
-        return tuple((names[first:] + names[:first])[:MAX_UNHEARD_NAMED])
-
-    def _log_change(self, customer: str, before: Quota, quota: Quota) -> None:
-        log.info(
-            event(
-                "quota_changed",
-                customer=customer,
-                rate_per_s=quota.rate_per_s,
-                before_per_s=before.rate_per_s,
-                burst=quota.burst,
-            )
-        )
-
-    def _log_excess(
-        self, customer: str, bucket: SharedBucket, is_unheard: bool, now_s: float
-    ) -> None:
-        """Log once that a customer exceeds its quota; further refusals are counted."""
-        refusals = self._refusals.get(customer)
-        if refusals is None:
-            refusals = self._refusals[customer] = _Refusals(now_s)
-            log.info(
-                event(
-                    "quota_exceeded",
-                    customer=customer,
-                    level=bucket.level(self._heard_s, now_s),
-                    own_per_s=bucket.rate_per_s(now_s),
-                    limit_per_s=bucket.quota.rate_per_s,
-                    unheard=is_unheard or None,
-                )
-            )
-        refusals.count += 1
-        refusals.last_s = now_s
-
-    def _log_recovery(self, customer: str, now_s: float) -> None:
-        refusals = self._refusals.get(customer)
-        if refusals is None or now_s - refusals.last_s < QUIET_S:
-            return
-        del self._refusals[customer]
-        log.info(
-            event(
-                "quota_restored",
-                customer=customer,
-                refused=refusals.count,
-                for_s=refusals.last_s - refusals.since_s,
-            )
-        )
