--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -326,5 +326,7 @@
         if is_restricted:
             self._restricted_s = now_s
         elif now_s - self._restricted_s > RELEARN_AFTER_S:
+            still_silent = dict.fromkeys(self._hearing.silent, now_s)
             for bucket in self._buckets.values():
                 bucket.resume(now_s)
+                bucket.set_silent(still_silent, self._router_count, now_s)
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -371,6 +371,22 @@
         # An equal share is a quarter; the silent peer is taken to use half of one.
         self.assertLess(router.level - level, 0.95 * 0.5 * RATE_PER_S)
 
+    def test_peer_that_stays_silent_when_others_return(self) -> None:
+        """Guards against a router that leaves its restriction and no longer counts a peer which it
+        still does not hear."""
+        router = OneRouter(peers=3)
+        for tick in range(100):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            router.quotas.admit(CUSTOMER, 1, 0)
+            for peer in router.peers[1:] if tick >= 50 else ():
+                router.hear(None, tick / 10, peer)
+        self.assertFalse(router.is_unheard)
+        router.quotas.charge(CUSTOMER, 200_000, 0)
+        level = router.level
+        router.clock.now_s += 0.5
+        self.assertLess(router.level - level, 0.95 * 0.5 * RATE_PER_S)
+
     def test_silent_peers_give_back_no_more_than_was_withheld(self) -> None:
         """Guards against a burst that appears when routers return which together were counted
         with several times the quota."""
