--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -286,6 +286,18 @@
 
 
 class StartTest(unittest.TestCase):
+    def test_time_without_quotas_is_no_pause(self) -> None:
+        """Guards against a first configuration with quotas that begins with half of each burst, as
+        nothing was to be done before it."""
+        router = OneRouter()
+        router.quotas.set_quotas({})
+        router.clock.now_s += 60.0
+        router.quotas.set_quotas({CUSTOMER: make_quota(RATE_PER_S)})
+        router.clock.now_s += 0.1
+        router.quotas.take_reports()
+        router.hear(None, 60.1)
+        self.assertAlmostEqual(RATE_PER_S, router.level)
+
     def test_customers_below_their_quotas_when_the_first_configuration_comes(self) -> None:
         """Guards against refusals until routers that have just got quotas hear of each other."""
         fleet = QuotaFleet(23, make_quota(344_000), seed=2)
@@ -359,6 +371,22 @@
         # An equal share is a quarter; the silent peer is taken to use half of one.
         self.assertLess(router.level - level, 0.95 * 0.5 * RATE_PER_S)
 
+    def test_peer_that_stays_silent_when_others_return(self) -> None:
+        """Guards against a router that leaves its restriction and no longer counts a peer which it
+        still does not hear."""
+        router = OneRouter(peers=3)
+        for tick in range(100):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            router.quotas.admit(CUSTOMER, 1, 0)
+            for peer in router.peers[1:] if tick >= 50 else ():
+                router.hear(None, tick / 10, peer)
+        self.assertFalse(router.is_unheard)
+        router.quotas.charge(CUSTOMER, 200_000, 0)
+        level = router.level
+        router.clock.now_s += 0.5
+        self.assertLess(router.level - level, 0.95 * 0.5 * RATE_PER_S)
+
     def test_silent_peers_give_back_no_more_than_was_withheld(self) -> None:
         """Guards against a burst that appears when routers return which together were counted
         with several times the quota."""
@@ -777,6 +805,14 @@
         fleet.run(3.0, demand * rate_per_s, choose)
         self.assertLessEqual(fleet.most_used(), fleet.allowed)
 
+    def test_routers_that_use_a_quota_for_the_first_time(self) -> None:
+        """Guards against levels that sink whenever a router begins to serve a customer, as each
+        then takes the least level that any of them tells."""
+        fleet = QuotaFleet(60, make_quota(300_000))
+        fleet.run(RESUME_WAIT_S, 1e-6)
+        fleet.run(14.0, 1.5 * 300_000, fleet.chooser("moving"))
+        self.assertGreater(fleet.admitted(), 0.98)
+
     @settings(derandomize=True, deadline=None, max_examples=60, database=None)
     @given(
         st.integers(1, 30),
