--- a/coltsfootfront/direct/capacitywait.py
+++ b/coltsfootfront/direct/capacitywait.py
@@ -16,7 +16,7 @@
 
 # A prompt is refused at once if its first event is expected this many times later than its caller
 # waits for. Half of the first events come sooner than expected.
-LATE_FACTOR = 1.25
+LATE_FACTOR = 2.0
 
 ChooseTarget = Callable[[RequestState, float], Awaitable[Placement]]
 
