--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -43,8 +43,9 @@
 MAX_REPORTS = 2
 # Share of a burst below which a level is reported to routers that do not hear who has used it.
 LOW_LEVEL_SHARE = 0.25
-# A router that was restricted for this long does not know the levels any more.
-RELEARN_AFTER_S = 2.0
+# A router that was restricted for this long does not know the levels any more. Shorter times follow
+# a start or a pause, after which the levels are learned in any case.
+RELEARN_AFTER_S = 1.2
 # Longest wait for the peers after a start or a pause. They report at least every 0.3 s.
 RESUME_WAIT_S = 0.4
 RESUME_POLL_INTERVAL_S = 0.02
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -15,7 +15,7 @@
 from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.unreported import MAX_AGE_S, UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
-from coltsfootfront.quotas.usagerate import RequestSize, UsageRate, recent_units
+from coltsfootfront.quotas.usagerate import RequestSize, UsageRate, fading, recent_units
 
 # Share of an equal part of the quota that a router which is not heard may use although its rate was
 # lower. Most such routers have just ended, and the others get what they leave.
@@ -158,8 +158,11 @@
             self._peers[router].was_silent = True
         for router in silent.keys() - self._silent.keys():
             peer = self._peers.setdefault(router, _PeerUsage())
+            # Its last reports without this customer told that its rate had faded. Some may have
+            # overtaken others that name the customer, so that it fades more slowly here.
+            faded_per_s = peer.rate_per_s * fading((silent[router] - peer.reported_s) / 2)
             rate_per_s = min(
-                max(peer.rate_per_s, self._silent_rate_per_s(routers)), self.quota.rate_per_s
+                max(faded_per_s, self._silent_rate_per_s(routers)), self.quota.rate_per_s
             )
             missed = rate_per_s * (now_s - max(silent[router], self.started_s))
             peer.total += missed
--- a/coltsfootfront/quotas/usagerate.py
+++ b/coltsfootfront/quotas/usagerate.py
@@ -7,6 +7,11 @@
 LN_2 = 0.6931
 
 
+def fading(passed_s: float) -> float:
+    """Part of a rate that remains after a time without use."""
+    return float(0.5 ** (max(0.0, passed_s) / RATE_HALF_LIFE_S))
+
+
 def recent_units(rate_per_s: float) -> float:
     """Units that have been used of late, as a rate weighs them."""
     return rate_per_s * RATE_HALF_LIFE_S / LN_2
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -387,6 +387,19 @@
         router.clock.now_s += 0.5
         self.assertLess(router.level - level, 0.95 * 0.5 * RATE_PER_S)
 
+    def test_peer_that_used_nothing_before_it_fell_silent(self) -> None:
+        """Guards against seconds of debt when routers fall silent that had each served one large
+        request a while ago."""
+        router = OneRouter(peers=4)
+        for tick in range(60):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            for peer in router.peers:
+                total = 0.0 if tick == 10 else None
+                if tick < 40:
+                    router.hear(total, tick / 10, peer, rate_per_s=RATE_PER_S)
+        self.assertGreater(router.bucket_level, 0.0)
+
     def test_silent_peers_give_back_no_more_than_was_withheld(self) -> None:
         """Guards against a burst that appears when routers return which together were counted
         with several times the quota."""
