--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -203,6 +203,8 @@
         if not self._buckets or not self._hearing.peer_count:
             return []
         self._update_silent(now_s)
+        # Also without requests, so that it is known how long a restriction lasts.
+        self._is_unheard(now_s)
         if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
             self._refresh(now_s)
--- a/coltsfootfront/tests/quota_table.py
+++ b/coltsfootfront/tests/quota_table.py
@@ -12,7 +12,7 @@
 RATE_PER_S = 300_000.0
 PATTERNS = ("even", "skewed", "moving")
 DEMANDS = (0.6, 0.95, 1.5, 4.0)
-PROCESSES = 2
+PROCESSES = 3
 # Virtual time in seconds without failures; large fleets take minutes for a run.
 DURATIONS_S = ((100, 20.0), (1000, 12.0))
 LOSS = 0.05
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -487,6 +487,19 @@
         self.assertTrue(router.is_unheard)
         self.assertLess(self._send_all_here(router, 6.0), 6.0 * 0.3 * RATE_PER_S)
 
+    def test_restriction_without_requests_is_noticed(self) -> None:
+        """Guards against a router that keeps a level of before a cut, as none of its requests fell
+        into the cut."""
+        router = OneRouter(peers=3)
+        for tick in range(60):
+            router.clock.now_s = 100 + tick / 10
+            router.quotas.take_reports()
+            if tick == 29:
+                router.quotas.charge(CUSTOMER, 900_000, 0)
+            for peer in router.peers if not 30 <= tick < 55 else ():
+                router.hear(0.0, tick / 10, peer, level=50_000.0)
+        self.assertGreater(router.bucket_level, 0.0)
+
     def test_limit_that_is_lowered_binds_a_router_that_is_not_heard(self) -> None:
         """Guards against a router that keeps to its rate of before, above the whole new limit."""
         router = OneRouter(peers=3)
