--- a/coltsfootfront/direct/firstevent.py
+++ b/coltsfootfront/direct/firstevent.py
@@ -24,8 +24,11 @@
 # Added per request beyond the slots, which waits until a running request ends.
 EXCESS_REQUEST_PENALTY_S = 0.05
 # Length of a usual prompt that others overtake. A prompt delays each that it overtakes by its own
-# prefill, and this counts like its own delay.
+# prefill.
 OVERTAKEN_PROMPT_TOKENS = 8_000.0
+# Weight of that delay against its own. With 1, quick prompts are late in bursts, as they leave the
+# engines that have their parts; without it, the longest prompts of uneven engines are.
+OVERTAKING_WEIGHT = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +136,7 @@
             plan.duplicate_tokens, target.pace, now_s
         )
         overtaken = target.pending.behind_tokens(prompt.priority) / OVERTAKEN_PROMPT_TOKENS
+        overtaken *= OVERTAKING_WEIGHT
         overtaking_s = overtaken * model.prefill_s(prompt.prefill_tokens, target.pace, now_s)
         return FirstEventEstimate(begin_s, cost_s, cost, overtaking_s)
 
