--- a/coltsfootfront/tests/quota_table.py
+++ b/coltsfootfront/tests/quota_table.py
@@ -12,7 +12,7 @@
 RATE_PER_S = 300_000.0
 PATTERNS = ("even", "skewed", "moving")
 DEMANDS = (0.6, 0.95, 1.5, 4.0)
-PROCESSES = 3
+PROCESSES = 4
 # Virtual time in seconds without failures; large fleets take minutes for a run.
 DURATIONS_S = ((100, 20.0), (1000, 12.0))
 LOSS = 0.05
@@ -68,15 +68,15 @@
         for has_failures in (False, True)
         for demand in DEMANDS
     ]
-    with multiprocessing.Pool(PROCESSES) as pool:
-        cells = dict(zip(cases, pool.map(run, cases, chunksize=1), strict=True))
     heads = [f"demand {demand:g}" for demand in DEMANDS]
     print("| routers | traffic | failures | " + " | ".join(heads) + " |")
-    print("|---|---|---|" + "---|" * len(DEMANDS))
-    for case in cases[:: len(DEMANDS)]:
-        row = [cells[case._replace(demand=demand)] for demand in DEMANDS]
-        failures = "yes" if case.has_failures else "no"
-        print(f"| {case.size} | {case.pattern} | {failures} | " + " | ".join(row) + " |")
+    print("|---|---|---|" + "---|" * len(DEMANDS), flush=True)
+    with multiprocessing.Pool(PROCESSES) as pool:
+        cells = pool.imap(run, cases)
+        for case in cases[:: len(DEMANDS)]:
+            row = " | ".join(next(cells) for _ in DEMANDS)
+            failures = "yes" if case.has_failures else "no"
+            print(f"| {case.size} | {case.pattern} | {failures} | {row} |", flush=True)
 
 
 if __name__ == "__main__":
