--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -274,6 +274,8 @@
         self.account = Account(unlimited, clock, LimitReport("callers", clock).count)
         self._sweep_handle: asyncio.TimerHandle | None = None
         self._swept_s = math.inf
+        self._other_descriptors = 0
+        self._has_count_failed = False
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -301,7 +303,8 @@
         # After a pause of the process, what has arrived meanwhile is read first.
         was_paused = now_s - self._swept_s > 2 * SWEEP_INTERVAL_S
         self._swept_s = now_s
-        self.account.set_other_descriptors(self._count_other_descriptors())
+        self._other_descriptors = self._count_other_descriptors()
+        self.account.set_other_descriptors(self._other_descriptors)
         metrics.CALLER_MEMORY_BYTES.set({}, self.account.held_bytes)
         if was_paused:
             return
@@ -314,8 +317,13 @@
         """Descriptors beyond those of callers, their requests and those kept for the router."""
         try:
             count = len(os.listdir(DESCRIPTORS_PATH))
-        except OSError:
-            return 0
+        except OSError as error:
+            # Counting needs a descriptor itself, so it fails when all are taken.
+            if not self._has_count_failed:
+                log.warning(event("descriptors_not_counted", reason=str(error)))
+            self._has_count_failed = True
+            return self._other_descriptors
+        self._has_count_failed = False
         return max(0, count - self.account.descriptors - OWN_DESCRIPTORS)
 
     def set_limits(self, limits: CallerLimits) -> None:
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -233,6 +233,23 @@
             serve.assert_not_called()
         self.assertEqual(0, self.server.account.held_bytes)
 
+    async def test_descriptors_that_cannot_be_counted(self) -> None:
+        """Guards against an account that takes all descriptors to be free when none is left to
+        count them with, and against a line for each attempt."""
+        counted: list[int] = []
+        with (
+            mock.patch.object(self.server.account, "set_other_descriptors", counted.append),
+            mock.patch.object(callerserver, "log") as log,
+        ):
+            with mock.patch("os.listdir", return_value=[str(number) for number in range(500)]):
+                self.server._sweep()
+            with mock.patch("os.listdir", side_effect=OSError(24, "Too many open files")):
+                self.server._sweep()
+                self.server._sweep()
+            self.assertEqual(1, log.warning.call_count)
+        self.assertGreater(counted[0], 400)
+        self.assertEqual([counted[0]] * 3, counted)
+
     async def test_request_without_room_is_refused_and_its_connection_released(self) -> None:
         """Guards against memory that stays charged for requests that were refused."""
         self.server.account = Account(Budget(2 * CONNECTION_BYTES, 10), SystemClock())
