--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -223,13 +223,15 @@
             settings.region,
             settings.link_mbit_per_s,
         )
+        self._caller_limits = LimitReport("callers", clock)
         self._caller_account = Account(
             caller_budget(settings.memory_bytes, settings.max_descriptors),
             clock,
-            LimitReport("callers", clock).count,
+            self._caller_limits.count,
         )
+        self._service_limits = LimitReport("services", clock)
         self._service_account = Account(
-            service_budget(settings.max_descriptors), clock, LimitReport("services", clock).count
+            service_budget(settings.max_descriptors), clock, self._service_limits.count
         )
         self._peers = Peers(router, settings.seed_addresses, generator, self._service_account)
         self._gossip = Gossip(self._handle_message, settings.region, generator)
@@ -389,6 +391,8 @@
         supervisor.add("builds", self._builds.run)
         supervisor.add("limits", self._limits.run)
         supervisor.add("dispatch_queue", self._dispatch_queue.run)
+        supervisor.add("caller_limits", self._caller_limits.run)
+        supervisor.add("service_limits", self._service_limits.run)
         supervisor.add("permits", self._permits.run)
         supervisor.add("roster", self._drop_routers)
         supervisor.add("gossip", self._gossip.flush)
--- a/coltsfootfront/memory/limits.py
+++ b/coltsfootfront/memory/limits.py
@@ -32,6 +32,12 @@
         self._counts[reason] += 1
         self.flush()
 
+    async def run(self) -> None:
+        """Run the loop that logs what no later connection would bring into the log."""
+        while True:
+            await self._clock.sleep(LOG_INTERVAL_S)
+            self.flush()
+
     def flush(self) -> None:
         """Log what has been counted, if the last line is long enough ago."""
         now_s = self._clock.monotonic_s()
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -170,6 +170,23 @@
             report.count("slow")
         self.assertIn("idle:999,slow:1", log.warning.call_args.args[0])
 
+    def test_what_a_crowd_has_met_last_is_logged(self) -> None:
+        """Guards against closed connections that no line tells of until others are closed."""
+
+        async def count_and_wait() -> None:
+            report = LimitReport("callers", self.clock)
+            report.count("idle")
+            report.count("slow")
+            logging = asyncio.create_task(report.run())
+            await asyncio.sleep(0)
+            self.clock.advance(LOG_INTERVAL_S)
+            await asyncio.sleep(0)
+            logging.cancel()
+
+        with mock.patch("coltsfootfront.memory.limits.log") as log:
+            asyncio.run(count_and_wait())
+        self.assertIn("slow:1", log.warning.call_args.args[0])
+
 
 async def _answer(request: CallerRequest, writer: ResponseWriter) -> None:
     await writer.begin(200, [], len(request.body))
