--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -95,6 +95,7 @@
         """Guards against closing active callers while idle, stalled or slow ones hold memory."""
         self._open("1 idle", Phase.IDLE, 100 * KIB)
         self._open("2 stalled", Phase.RECEIVING, 100 * KIB)
+        self.clock.advance(0.01)
         self._open("3 unread", Phase.WRITING, 100 * KIB)
         slow = self._open("4 slow", Phase.RECEIVING, 100 * KIB)
         served = self._open("5 served", Phase.SERVING, 100 * KIB)
