--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -81,7 +81,6 @@
 from coltsfootfront.memory.limits import LimitReport
 from coltsfootfront.memory.server import ChargedServer, listen
 from coltsfootfront.quotas.quotas import Quotas
-from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import UsageReport
 from coltsfootfront.scheduling.dispatchqueue import DispatchQueue
 
@@ -250,9 +249,7 @@
             -math.inf if settings.is_first_start else clock.monotonic_s(),
         )
         self._quotas = Quotas(clock, settings.peer_address, settings.is_first_start, generator)
-        self._quotas.set_tolerance(
-            Tolerance(bounds.quota_tolerance_tokens, bounds.quota_overage, bounds.quota_window_s)
-        )
+        self._quotas.set_tolerance(bounds.quota_tolerance)
         self._gossip.take_usage_reports = self._quotas.take_reports
         self._limits = LimitRecorder(clock, self._directory, self._announce_limit)
         self._roster = RouterRoster(clock, max(ISSUER_GRACE_S, bounds.retry_window_s))
@@ -465,6 +462,7 @@
         self._budgets.set_limits(bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s)
         self._versions.max_outdated_s = bounds.version_s
         self._follower.apply_limit_s = bounds.config_apply_s
+        self._quotas.set_tolerance(bounds.quota_tolerance)
         self._peers.seed_addresses = settings.seed_addresses
 
     async def _watch_settings(self) -> None:
--- a/coltsfootfront/direct/settings.py
+++ b/coltsfootfront/direct/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from coltsfootfront.quotas.tolerance import Tolerance
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -17,11 +19,7 @@
         on older ones.
     :param config_apply_s: time after the acknowledgement of a configuration from which requests are
         handled as it says.
-    :param quota_tolerance_tokens: tokens that a customer may use beyond its quota within a window,
-        over all routers.
-    :param quota_overage: what it may use beyond the quota as well, as a share of the quota's rate
-        times the window plus its burst.
-    :param quota_window_s: length of that window.
+    :param quota_tolerance: what customers may use beyond their quotas, over all routers.
     :param stable_s: time without a disruption after which these limits apply to a router.
     """
 
@@ -34,9 +32,7 @@
     config_apply_s: float
     stable_s: float
     targets_check_fencing: bool
-    quota_tolerance_tokens: float = 0.0
-    quota_overage: float = 0.0
-    quota_window_s: float = 1.0
+    quota_tolerance: Tolerance = Tolerance()
 
 
 @dataclass(frozen=True, slots=True)
--- a/coltsfootfront/platform/settings.py
+++ b/coltsfootfront/platform/settings.py
@@ -7,6 +7,7 @@
 
 from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.direct.settings import Bounds, NodeSettings, StoreSettings
+from coltsfootfront.quotas.tolerance import Tolerance
 
 PATH_VARIABLE = "COLTSFOOTFRONT_CONFIG"
 
@@ -61,9 +62,11 @@
             config_apply_s=reader.number("bounds.config-apply-ms") / 1000,
             stable_s=reader.number("bounds.stable-ms") / 1000,
             targets_check_fencing=reader.boolean("bounds.require-fence"),
-            quota_tolerance_tokens=reader.optional_number("bounds.quota-slack") or 0.0,
-            quota_overage=reader.optional_number("bounds.quota-overage") or 0.0,
-            quota_window_s=reader.optional_number("bounds.quota-window-s") or 1.0,
+            quota_tolerance=Tolerance(
+                tokens=reader.optional_number("bounds.quota-slack") or 0.0,
+                share=reader.optional_number("bounds.quota-overage") or 0.0,
+                window_s=reader.optional_number("bounds.quota-window-s") or 1.0,
+            ),
         ),
         max_descriptors=reader.optional_integer("limits.max-fds"),
         is_first_start=fields.get("bootstrap") is True,
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -121,8 +121,11 @@
         self._buckets[customer] = bucket
 
     def set_tolerance(self, tolerance: Tolerance) -> None:
-        """Set the use beyond each quota that is tolerated; it holds for quotas set afterwards."""
+        """Set the use beyond each quota that is tolerated."""
+        now_s = self._clock.monotonic_s()
         self._tolerance = tolerance
+        for bucket in self._buckets.values():
+            bucket.set_tolerance(tolerance, now_s)
 
     def set_routers(self, addresses: set[str]) -> None:
         """Set the routers that share the quotas, this one included."""
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -131,6 +131,12 @@
         self._apply_silent_rates(now_s)
         self._restricted = None
 
+    def set_tolerance(self, tolerance: Tolerance, now_s: float) -> None:
+        """Change what may be used beyond the quota."""
+        self._settle_silent(now_s)
+        self._tolerance = tolerance
+        self._apply_silent_rates(now_s)
+
     def resume(self, now_s: float) -> None:
         """Forget what the peers have used, after a time in which they were not heard.
 
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -16,6 +16,7 @@
 from coltsfootfront.quotas.quota import Quota, QuotaUnit
 from coltsfootfront.quotas.quotas import RESUME_WAIT_S, Quotas
 from coltsfootfront.quotas.sharedbucket import SharedBucket
+from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.unreported import UnreportedUse
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
 from coltsfootfront.tests.quota_fleet import (
@@ -611,6 +612,14 @@
 
 
 class RequestQuotaTest(unittest.TestCase):
+    def test_tolerance_that_changes_while_the_quota_is_in_force(self) -> None:
+        """Guards against a lowered tolerance that binds no quota until the next configuration."""
+        router = OneRouter()
+        router.hear(None, 1.0)
+        router.quotas.set_tolerance(Tolerance())
+        self.assertIsNone(router.quotas.admit(CUSTOMER, 110_000, 0))
+        self.assertIsNotNone(router.quotas.admit(CUSTOMER, 100, 0))
+
     def test_tolerated_tokens_are_not_requests(self) -> None:
         """Guards against 35,000 requests above a quota of a few requests per second."""
         router = OneRouter()
