--- a/coltsfootfront/costs/model.py
+++ b/coltsfootfront/costs/model.py
@@ -4,6 +4,7 @@
 where customers have quotas and thus compete for capacity. Elsewhere targets are chosen as before.
 """
 
+from collections import defaultdict
 from collections.abc import Iterable
 
 from coltsfootfront.costs.callcost import CallModel
@@ -20,10 +21,10 @@
     def __init__(self) -> None:
         self.has_quotas = False
         """Whether customers of the configuration in force have quotas."""
-        self._prompts: dict[str, FirstEventModel] = {}
-        self._calls: dict[str, CallModel] = {}
-        self._outputs: dict[str, OutputLengths] = {}
-        self._outcomes: dict[str, ServiceOutcomes] = {}
+        self._prompts: defaultdict[str, FirstEventModel] = defaultdict(FirstEventModel)
+        self._calls: defaultdict[str, CallModel] = defaultdict(CallModel)
+        self._outputs: defaultdict[str, OutputLengths] = defaultdict(OutputLengths)
+        self._outcomes: defaultdict[str, ServiceOutcomes] = defaultdict(ServiceOutcomes)
 
     def applies(self, paces: Iterable[TargetPace]) -> bool:
         """Whether requests are placed by their cost.
@@ -34,20 +35,16 @@
 
     def prompts(self, service: str) -> FirstEventModel:
         """Model of the prompts of a service."""
-        model = self._prompts.get(service)
-        return model if model is not None else self._prompts.setdefault(service, FirstEventModel())
+        return self._prompts[service]
 
     def calls(self, service: str) -> CallModel:
         """Model of the plain calls of a service."""
-        model = self._calls.get(service)
-        return model if model is not None else self._calls.setdefault(service, CallModel())
+        return self._calls[service]
 
     def outputs(self, service: str) -> OutputLengths:
         """Lengths of the answers of a service."""
-        found = self._outputs.get(service)
-        return found if found is not None else self._outputs.setdefault(service, OutputLengths())
+        return self._outputs[service]
 
     def outcomes(self, service: str) -> ServiceOutcomes:
         """Outcomes with which those of each target of a service are compared."""
-        found = self._outcomes.get(service)
-        return found if found is not None else self._outcomes.setdefault(service, ServiceOutcomes())
+        return self._outcomes[service]
--- a/coltsfootfront/direct/explanation.py
+++ b/coltsfootfront/direct/explanation.py
@@ -28,7 +28,13 @@
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.forwarder import MAX_PLACEMENT_WAIT_SHARE
 from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
-from coltsfootfront.direct.routingconfig import Customer, RetryPolicy, Route, RoutingConfig
+from coltsfootfront.direct.routingconfig import (
+    Customer,
+    RetryPolicy,
+    Route,
+    RoutingConfig,
+    request_urgency,
+)
 from coltsfootfront.direct.stopping import StopSchedule
 from coltsfootfront.direct.targetselection import (
     Placement,
@@ -297,9 +303,7 @@
             return {}, None, ""
         service = config.services.get(targets[0].entry.service)
         properties = service.engine if service is not None else None
-        rank_offset = route.priority
-        if customer is not None and customer.priority is not None:
-            rank_offset = customer.priority
+        rank_offset = request_urgency(route, customer)
         scope, caches = config.cache_scope(customer), config.kept_caches()
         placements = self._prompt_selector.weigh(
             request, scope, targets, properties, caches, rank_offset
--- a/coltsfootfront/direct/requeststate.py
+++ b/coltsfootfront/direct/requeststate.py
@@ -9,7 +9,7 @@
 from coltsfootfront.direct.crashobserver import Exchange
 from coltsfootfront.direct.directory import Target
 from coltsfootfront.direct.events import StreamValidator
-from coltsfootfront.direct.routingconfig import Customer, RetryPolicy, Route
+from coltsfootfront.direct.routingconfig import Customer, RetryPolicy, Route, request_urgency
 from coltsfootfront.direct.targetselection import Placement, WaitReason
 from coltsfootfront.direct.targetwork import AttemptWork
 
@@ -80,10 +80,8 @@
 
     @property
     def urgency(self) -> int:
-        """Urgency of the request, 0 is the highest; the customer's goes before the route's."""
-        if self.customer is not None and self.customer.priority is not None:
-            return self.customer.priority
-        return self.route.priority
+        """Urgency of the request, 0 is the highest."""
+        return request_urgency(self.route, self.customer)
 
     def may_serve(self, target: Target) -> bool:
         """Whether a target may serve the request, as it is by now."""
--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -19,6 +19,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.sockets import count_unsent_bytes, reset
 from coltsfootfront.memory.connection import BODY_READ_BYTES
+from coltsfootfront.memory.reads import limit_reads
 
 # Normal response heads are below 4 KiB. One read from the socket, at most BODY_READ_BYTES, may
 # contain a head and its whole body, so the limit applies only while the head is incomplete.
@@ -72,12 +73,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._connection = transport
         super().connection_made(transport)
-        self._limit_reads(self._read_bytes)
-
-    def _limit_reads(self, size_bytes: int) -> None:
-        """Limit the bytes that are read at once; the account of callers counts on it."""
-        if self.transport is not None and hasattr(self.transport, "max_size"):
-            self.transport.max_size = size_bytes
+        limit_reads(self.transport, self._read_bytes)
 
     def eof_received(self) -> None:
         """End the connection if the target has not received the whole request.
@@ -137,7 +133,7 @@
         """Reset the counters for the response to the next request."""
         self._head_bytes = self._interim_responses = self._received_bytes = 0
         self._body = None
-        self._limit_reads(self._read_bytes)
+        limit_reads(self.transport, self._read_bytes)
         super().set_response_params(**params)
 
     def set_exception(self, exc: BaseException, exc_cause: BaseException = _EXC_SENTINEL) -> None:
@@ -162,7 +158,7 @@
             self._body = payload
             if hdrs.CONTENT_LENGTH in message.headers and not payload.is_eof():
                 # Without the overhead of chunks, which larger reads would multiply.
-                self._limit_reads(BODY_READ_BYTES)
+                limit_reads(self.transport, BODY_READ_BYTES)
                 payload.set_read_chunk_size(BODY_READ_BYTES)
         else:
             # A second response to one request; the connection is not reused.
--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -164,6 +164,13 @@
     header_s: float = 3.0
 
 
+def request_urgency(route: Route, customer: Customer | None) -> int:
+    """Urgency of a request, 0 is the highest; the customer's goes before the route's."""
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
+
+
 class HostRoutes:
     """Routes of one host by prefix, with a lookup that does not depend on their number."""
 
--- a/coltsfootfront/direct/targetwork.py
+++ b/coltsfootfront/direct/targetwork.py
@@ -23,7 +23,21 @@
 
 
 class AttemptWork(ABC):
-    """Work of one attempt at its target."""
+    """Work of one attempt at its target.
+
+    :param sent_s: monotonic time at which the attempt began.
+    """
+
+    __slots__ = ("_is_pending", "_placement", "_recorder", "_route", "_sent_s")
+
+    def __init__(
+        self, recorder: "TargetWorkRecorder", placement: Placement, route: str, sent_s: float
+    ) -> None:
+        self._recorder = recorder
+        self._placement = placement
+        self._route = route
+        self._sent_s = sent_s
+        self._is_pending = True
 
     @abstractmethod
     def record_first_event(self) -> None:
@@ -37,24 +51,34 @@
     def record_stream(self, events: int) -> None:
         """Record a stream that this attempt has brought whole."""
 
-    @abstractmethod
     def end(self) -> None:
         """Record the end of the attempt, whatever its outcome; further calls do nothing."""
+        if self._is_pending:
+            self._recorder.record_unanswered(self._placement, self._expected_s(), self._sent_s)
+            self._remove()
+
+    def _remove(self) -> None:
+        self._is_pending = False
+        self._remove_pending()
+
+    @abstractmethod
+    def _expected_s(self) -> float | None:
+        """Learned estimate of the time until the answer, None if it was not used."""
+
+    @abstractmethod
+    def _remove_pending(self) -> None:
+        """Take the work off what is pending at the target."""
 
 
 class PromptWork(AttemptWork):
     """Work of a prompt, which waits at its target until the first event."""
 
-    __slots__ = ("_is_pending", "_placement", "_recorder", "_route", "_sent_s")
+    __slots__ = ()
 
     def __init__(
         self, recorder: "TargetWorkRecorder", placement: Placement, route: str, sent_s: float
     ) -> None:
-        self._recorder = recorder
-        self._route = route
-        self._placement = placement
-        self._sent_s = sent_s
-        self._is_pending = True
+        super().__init__(recorder, placement, route, sent_s)
         recorder.add_pending(placement, placement.prefill_tokens)
 
     def record_first_event(self) -> None:
@@ -69,31 +93,23 @@
     def record_stream(self, events: int) -> None:
         self._recorder.record_length(self._placement.target, self._route, events)
 
-    def end(self) -> None:
-        if self._is_pending:
-            cost = self._placement.prompt_cost
-            expected_s = cost.first_event_s if cost is not None else None
-            self._recorder.record_unanswered(self._placement, expected_s, self._sent_s)
-            self._remove()
+    def _expected_s(self) -> float | None:
+        cost = self._placement.prompt_cost
+        return cost.first_event_s if cost is not None else None
 
-    def _remove(self) -> None:
-        self._is_pending = False
+    def _remove_pending(self) -> None:
         self._recorder.add_pending(self._placement, -self._placement.prefill_tokens)
 
 
 class CallWork(AttemptWork):
     """Work of a plain call."""
 
-    __slots__ = ("_is_pending", "_placement", "_recorder", "_route", "_sent_s")
+    __slots__ = ()
 
     def __init__(
         self, recorder: "TargetWorkRecorder", placement: Placement, route: str, sent_s: float
     ) -> None:
-        self._recorder = recorder
-        self._placement = placement
-        self._route = route
-        self._sent_s = sent_s
-        self._is_pending = True
+        super().__init__(recorder, placement, route, sent_s)
         recorder.begin_call(id(self), placement.target, route)
 
     def record_first_event(self) -> None:
@@ -107,15 +123,11 @@
     def record_stream(self, events: int) -> None:
         pass
 
-    def end(self) -> None:
-        if self._is_pending:
-            cost = self._placement.call_cost
-            expected_s = cost.total_s if cost is not None else None
-            self._recorder.record_unanswered(self._placement, expected_s, self._sent_s)
-            self._remove()
+    def _expected_s(self) -> float | None:
+        cost = self._placement.call_cost
+        return cost.total_s if cost is not None else None
 
-    def _remove(self) -> None:
-        self._is_pending = False
+    def _remove_pending(self) -> None:
         self._placement.target.calls.end(id(self))
 
 
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -13,6 +13,7 @@
 
 from coltsfootfront.memory.account import Account, Holder, Phase
 from coltsfootfront.memory.budget import CONNECTION_BYTES, REQUEST_BYTES, body_memory_bytes
+from coltsfootfront.memory.reads import limit_reads
 
 # Largest read from the socket, and the size from which aiohttp's reader of a body stops reading at
 # twice as much. With 256 KiB, as asyncio and aiohttp have it, each connection could hold 768 KiB,
@@ -95,9 +96,7 @@
         if size_bytes == self._read_bytes:
             return
         self._read_bytes = size_bytes
-        # Not a public option of asyncio; without it, reads are larger than the account allows for.
-        if self.transport is not None and hasattr(self.transport, "max_size"):
-            self.transport.max_size = size_bytes
+        limit_reads(self.transport, size_bytes)
 
     def data_received(self, data: bytes) -> None:
         holder = self.holder
--- a/coltsfootfront/quotas/usagerate.py
+++ b/coltsfootfront/quotas/usagerate.py
@@ -1,10 +1,12 @@
 """Rate at which a router uses a quota, and the size of the requests that use it."""
 
+import math
+
 from coltsfootfront.quotas.unreported import RATE_HALF_LIFE_S
 
 # Weight of a request in the mean size; some tens of requests tell a customer's mix.
 SIZE_WEIGHT = 0.05
-LN_2 = 0.6931
+LN_2 = math.log(2)
 
 
 def fading(passed_s: float) -> float:
@@ -33,9 +35,8 @@
 
     def per_s(self, now_s: float) -> float:
         """Units per second."""
-        weight: float = 0.5 ** (max(0.0, now_s - self._updated_s) / RATE_HALF_LIFE_S)
+        self._rate_per_s *= fading(now_s - self._updated_s)
         self._updated_s = max(now_s, self._updated_s)
-        self._rate_per_s *= weight
         return self._rate_per_s
 
 
--- a/coltsfootfront/scheduling/dispatchqueue.py
+++ b/coltsfootfront/scheduling/dispatchqueue.py
@@ -202,4 +202,5 @@
         if self._waiting:
             self._active_s += passed_s
         self._rate_s_per_s *= 0.5 ** (passed_s / RATE_HALF_LIFE_S)
-        self._rate_s_per_s += work_s * 0.6931 / RATE_HALF_LIFE_S
+        # The integral of the decaying weight is the half-life over ln 2.
+        self._rate_s_per_s += work_s * math.log(2) / RATE_HALF_LIFE_S
