--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -29,6 +29,7 @@
 from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
+from coltsfootfront.direct.quotacounter import QuotaCounter
 from coltsfootfront.direct.requeststate import (
     RefusedError,
     RequestState,
@@ -59,7 +60,6 @@
 )
 from coltsfootfront.direct.targetwork import TargetWorkRecorder
 from coltsfootfront.direct.versions import WeightVersions
-from coltsfootfront.quotas.quotas import Quotas
 
 log = logbook.Logger(__name__)
 
@@ -90,7 +90,6 @@
 OUTDATED_MESSAGE = "the configuration may be outdated and does not allow this request"
 UNKNOWN_BUILD_MESSAGE = "it is not known which target software began this stream"
 NO_TARGET_OF_BUILD_MESSAGE = "no target has the software that began this stream"
-QUOTA_MESSAGE = "the customer's quota is used up"
 QUARANTINE_MESSAGE = "targets have crashed on such requests"
 # Refusals that a newer configuration may not give.
 CONFIGURED_REFUSALS = (ErrorKind.NOT_FOUND, ErrorKind.UNAUTHENTICATED)
@@ -110,8 +109,9 @@
     :param quarantine: holds requests back that crash targets.
     :param crash_observer: told of each exchange, and of its failure.
     :param take_ups: finds the build at which a stream may go on.
-    :param quotas: quotas of the customers.
+    :param quota_counter: counts requests against the quotas of the customers.
     :param target_work: told of each attempt, and of what it took.
+    :param capacity_wait: holds long prompts until a target has room for them.
     """
 
     def __init__(
@@ -131,7 +131,7 @@
         quarantine: QuarantineKeeper,
         crash_observer: CrashObserver,
         take_ups: TakeUps,
-        quotas: Quotas,
+        quota_counter: QuotaCounter,
         target_work: TargetWorkRecorder,
         capacity_wait: CapacityWait,
         generator: random.Random,
@@ -151,7 +151,7 @@
         self._quarantine = quarantine
         self._crash_observer = crash_observer
         self._take_ups = take_ups
-        self._quotas = quotas
+        self._quota_counter = quota_counter
         self._head_recorder = ResponseHeadRecorder(
             clock, directory, cache_index, versions, gossip, limits, target_work.costs
         )
@@ -179,7 +179,7 @@
         state: RequestState | None = None
         try:
             state = await self._admit_by_current_configuration(request)
-            self._count_against_quota(state)
+            await self._quota_counter.count(state)
             await self._serve_until_exit(state, writer)
             self._log_request_end(request, state, "answered", "")
         except RefusedError as refused:
@@ -201,7 +201,7 @@
         finally:
             self.in_progress -= 1
             if state is not None:
-                self._refund_unrun(state)
+                self._quota_counter.refund_unrun(state)
 
     def end_unanswered(self) -> None:
         """Respond with an error to each request whose response has not begun."""
@@ -248,7 +248,6 @@
 
         :raises RefusedError: if it is refused.
         """
-        await self._quotas.wait_heard()
         try:
             return self._admit(request)
         except RefusedError as refused:
@@ -284,37 +283,6 @@
         state.stream_validator.last_event_id = request.resume_after
         return state
 
-    def _count_against_quota(self, state: RequestState) -> None:
-        """Count a request against the quota of its customer.
-
-        :raises RefusedError: if the quota is used up.
-        """
-        if state.customer is None:
-            return
-        request = state.request
-        room_after_s = self._quotas.admit(
-            state.customer.name, request.prompt_tokens, request.output_tokens
-        )
-        if room_after_s is not None:
-            raise RefusedError(
-                Failure(ErrorKind.RATE_LIMITED, QUOTA_MESSAGE, retry_after_s=room_after_s)
-            )
-        state.is_counted = True
-
-    def _count_further_run(self, state: RequestState) -> None:
-        """Count a request once more that may have run already, and is sent again."""
-        if state.customer is not None and state.execution_state is not ExecutionState.NOT_RUN:
-            request = state.request
-            self._quotas.charge(state.customer.name, request.prompt_tokens, request.output_tokens)
-
-    def _refund_unrun(self, state: RequestState) -> None:
-        """Take a request that did not run off the quota of its customer."""
-        if state.customer is None or not state.is_counted:
-            return
-        if state.execution_state is ExecutionState.NOT_RUN and not state.has_response_begun:
-            request = state.request
-            self._quotas.refund(state.customer.name, request.prompt_tokens, request.output_tokens)
-
     async def _find_build(self, state: RequestState) -> None:
         """Find the build at which a stream that its caller takes up may go on.
 
@@ -557,7 +525,7 @@
         if remaining_s <= 0:
             raise self._deadline_error(state)
         state.sends += 1
-        self._count_further_run(state)
+        self._quota_counter.count_further_run(state)
         state.answer_begun_s = None
         self._prompt_selector.record_placement(state.request, placement)
         state.work = self._target_work.begin(placement, state.route.name, state.route.has_prompt)
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -58,6 +58,7 @@
 from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.quarantinekeeper import QUARANTINE_PREFIX, QuarantineKeeper
+from coltsfootfront.direct.quotacounter import QuotaCounter
 from coltsfootfront.direct.registration import (
     ROUTER_PREFIX,
     Registration,
@@ -573,7 +574,7 @@
             self._quarantine,
             self._crash_observer,
             self._take_ups,
-            self._quotas,
+            QuotaCounter(self._quotas),
             self._target_work,
             CapacityWait(self._clock, self._dispatch_queue),
             self._generator,
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -167,14 +167,18 @@
         )
         return bucket.room_after_s(units, self._hearing.heard_s, now_s)
 
-    async def wait_heard(self) -> None:
+    async def wait_for_peers(self, customer: str) -> None:
         """Wait for the peers after a start or a pause of this process, for a moment at most.
 
         Callers have waited for the whole pause, and come all at once. Within what this router
         may use unheard, some of them would be refused whose customers are below their quotas.
+
+        :param customer: whose request waits; without a quota it need not.
         """
+        if customer not in self._buckets:
+            return
         now_s = self._check_pause()
-        while self._buckets and now_s < self._resumed_s + RESUME_WAIT_S and self._is_unheard(now_s):
+        while now_s < self._resumed_s + RESUME_WAIT_S and self._is_unheard(now_s):
             await self._clock.sleep(RESUME_POLL_INTERVAL_S)
             now_s = self._check_pause()
 
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -20,6 +20,7 @@
 from coltsfootfront.direct.permits import Permits
 from coltsfootfront.direct.prefillrate import PrefillRates
 from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
+from coltsfootfront.direct.quotacounter import QuotaCounter
 from coltsfootfront.direct.retrybudgets import ServiceRetryBudgets
 from coltsfootfront.direct.routingconfig import (
     Customer,
@@ -335,7 +336,7 @@
             self.quarantine,
             self.crash_observer,
             self.take_ups,
-            self.quotas,
+            QuotaCounter(self.quotas),
             self.target_work,
             CapacityWait(clock, self.dispatch_queue),
             generator,
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -234,7 +234,7 @@
 
         with mock.patch.object(router.clock, "sleep", sleep):
             for _ in range(30):
-                asyncio.run(router.quotas.wait_heard())
+                asyncio.run(router.quotas.wait_for_peers(CUSTOMER))
                 self.assertIsNone(router.quotas.admit(CUSTOMER, 1_500, 0))
         self.assertLess(waited_s, 0.2)
 
@@ -244,10 +244,17 @@
         with mock.patch.object(router.clock, "sleep", side_effect=self._pass_time(router)):
             begin_s = router.clock.now_s
             for _ in range(30):
-                asyncio.run(router.quotas.wait_heard())
+                asyncio.run(router.quotas.wait_for_peers(CUSTOMER))
                 router.quotas.admit(CUSTOMER, 1_500, 0)
         self.assertLess(router.clock.now_s - begin_s, 0.5)
 
+    def test_customers_without_a_quota_do_not_wait_for_the_peers(self) -> None:
+        """Guards against requests that wait at each start for quotas that do not concern them."""
+        router = OneRouter()
+        with mock.patch.object(router.clock, "sleep", side_effect=self._pass_time(router)) as sleep:
+            asyncio.run(router.quotas.wait_for_peers("other"))
+            sleep.assert_not_called()
+
     def _pass_time(self, router: OneRouter) -> Callable[[float], Awaitable[None]]:
         async def sleep(delay_s: float) -> None:
             router.clock.now_s += delay_s
