--- a/coltsfootfront/direct/capacitywait.py
+++ b/coltsfootfront/direct/capacitywait.py
@@ -62,8 +62,7 @@
         :raises NoCapacityError: if there will be none in time.
         """
         placement = await choose_target(state, wait_until_s)
-        self._check_first_event(state, placement)
-        if not self._must_hold(state, placement, None):
+        if not self.would_hold(state, placement):
             return placement
         customer = state.customer.name if state.customer else ""
         objective_at_s = state.request.received_s + state.route.latency_objective_s
@@ -78,6 +77,14 @@
             self._queue.leave(queued, is_sent)
         return placement
 
+    def would_hold(self, state: RequestState, placement: Placement) -> bool:
+        """Whether a prompt that has just arrived would wait for room.
+
+        :raises NoCapacityError: if it would be refused.
+        """
+        self._check_first_event(state, placement)
+        return self._must_hold(state, placement, None)
+
     async def _wait(
         self, state: RequestState, queued: QueuedRequest, choose_target: ChooseTarget
     ) -> Placement:
--- a/coltsfootfront/direct/explanation.py
+++ b/coltsfootfront/direct/explanation.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -13,29 +12,32 @@
 from aiohttp import web
 
 from coltsfootfront.common.clock import Clock
-from coltsfootfront.common.decoding import (
-    DecodingError,
-    decoding,
-    load_json,
-    read_integer,
-    read_list,
-    read_object,
-    read_text,
-)
+from coltsfootfront.common.decoding import DecodingError
 from coltsfootfront.common.errors import ErrorKind
-from coltsfootfront.direct.backlog import PRIORITIES
-from coltsfootfront.direct.callerrequest import CallerRequest, PromptPart
+from coltsfootfront.direct.callerrequest import CallerRequest
+from coltsfootfront.direct.capacitywait import CapacityWait, NoCapacityError
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.forwarder import MAX_PLACEMENT_WAIT_SHARE
 from coltsfootfront.direct.quarantinekeeper import QuarantineKeeper
+from coltsfootfront.direct.question import Question, decode_question
+from coltsfootfront.direct.quotacounter import QUOTA_MESSAGE
+from coltsfootfront.direct.requeststate import RequestState
 from coltsfootfront.direct.routingconfig import (
     Customer,
     RetryPolicy,
     Route,
     RoutingConfig,
-    request_urgency,
 )
 from coltsfootfront.direct.stopping import StopSchedule
+from coltsfootfront.direct.targetdescription import (
+    describe_bad_health,
+    describe_placement,
+    describe_route,
+    describe_target,
+    find_absence,
+    find_waits,
+    finite,
+)
 from coltsfootfront.direct.targetselection import (
     Placement,
     PlainTargetSelector,
@@ -47,7 +49,6 @@
 
 EXPLAIN_PATH = "/explain"
 MAX_QUESTION_BYTES = 1024 * 1024
-MAX_PARTS = 1000
 REQUEST_ID = "explain"
 OK = 200
 BAD_REQUEST = 400
@@ -55,48 +56,6 @@
 Json = dict[str, Any]
 
 
-@dataclass(frozen=True, slots=True)
-class Question:
-    """A request as an operator describes it.
-
-    :param customer: name of the customer, empty for a caller without an API key.
-    """
-
-    host: str
-    path: str
-    customer: str = ""
-    model: str = ""
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    parts: tuple[PromptPart, ...] = ()
-
-
-def decode_question(data: bytes) -> Question:
-    """Decode an operator's question.
-
-    :raises DecodingError: if it is malformed.
-    """
-    with decoding("question"):
-        body = read_object(load_json(data))
-        parts = tuple(
-            PromptPart(read_text(key), read_integer(tokens))
-            for key, tokens in map(read_list, read_list(body.get("parts", [])))
-        )
-        if len(parts) > MAX_PARTS:
-            raise DecodingError(f"more than {MAX_PARTS} parts")
-        return Question(
-            host=read_text(body["host"]),
-            path=read_text(body["path"]),
-            customer=read_text(body.get("customer", ""), is_optional=True),
-            model=read_text(body.get("model", ""), is_optional=True),
-            prompt_tokens=read_integer(
-                body.get("prompt_tokens") or sum(part.tokens for part in parts)
-            ),
-            output_tokens=read_integer(body.get("output_tokens", 0)),
-            parts=parts,
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class Occupancy:
     """What a router has under way.
@@ -111,12 +70,26 @@
     stop: StopSchedule
 
 
+@dataclass(frozen=True, slots=True)
+class _Outlook:
+    """What would happen to a request.
+
+    :param target: name of the target that would get it, None if that is open.
+    :param is_refused: no target would get it.
+    """
+
+    target: str | None
+    reason: str
+    is_refused: bool = False
+
+
 class Explainer:
     """Explains the placement of requests.
 
     :param get_config: returns the configuration in force.
     :param get_occupancy: returns what the router has under way.
     :param may_begin: whether streams of a service may begin at a build.
+    :param capacity_wait: holds long prompts until a target has room for them.
     :param describe_quota: returns the state of a customer's quota, None without one.
     """
 
@@ -131,6 +104,7 @@
         get_config: Callable[[], RoutingConfig],
         get_occupancy: Callable[[], Occupancy],
         may_begin: Callable[[str, str], bool],
+        capacity_wait: CapacityWait,
         describe_quota: Callable[[Customer], Json | None] = lambda customer: None,
     ) -> None:
         self._clock = clock
@@ -142,6 +116,7 @@
         self._get_config = get_config
         self._get_occupancy = get_occupancy
         self._may_begin = may_begin
+        self._capacity_wait = capacity_wait
         self._describe_quota = describe_quota
 
     def explain(self, question: Question) -> Json:
@@ -151,11 +126,12 @@
         customer = None
         if route is not None and config.requires_keys and not route.allows_anonymous:
             customer = config.customers.get(question.customer)
+        described = self._describe_customer(customer)
         answer: Json = {
             "configuration": config.number,
-            "route": _describe_route(route) if route is not None else None,
-            "customer": self._describe_customer(customer),
-            "refusal": self._find_refusal(question, config, route, customer),
+            "route": describe_route(route) if route is not None else None,
+            "customer": described,
+            "refusal": self._find_refusal(question, config, route, customer, described),
             "services": [],
         }
         if route is None:
@@ -166,7 +142,7 @@
             share = choice.weight / weights if weights else 1.0
             explained = self._explain_service(request, route, choice.service, config, customer)
             answer["services"].append({"service": choice.service, "share": share, **explained})
-        if answer["refusal"] is None and not any(item["target"] for item in answer["services"]):
+        if answer["refusal"] is None and all(item["is_refused"] for item in answer["services"]):
             answer["refusal"] = answer["services"][0]["reason"]
         return answer
 
@@ -176,6 +152,7 @@
         config: RoutingConfig,
         route: Route | None,
         customer: Customer | None,
+        described: Json | None,
     ) -> str | None:
         """Why the router refuses the request whatever its targets do, None if it does not."""
         occupancy = self._get_occupancy()
@@ -193,6 +170,9 @@
         left_s = self._quarantine.quarantined_for_s(tuple(part.key for part in question.parts[:-1]))
         if left_s is not None:
             return f"targets have crashed on such requests, for {max(0.0, left_s):.1f} s more"
+        quota = described["quota"] if described is not None else None
+        if quota is not None and quota["is_used_up"]:
+            return QUOTA_MESSAGE
         return None
 
     def _make_request(self, question: Question, route: Route) -> CallerRequest:
@@ -231,29 +211,36 @@
         weighed = healthy_targets(free, now_s)
         for target in free:
             if target not in weighed:
-                obstacles[target.name].append(_describe_bad_health(target, now_s))
+                obstacles[target.name].append(describe_bad_health(target, now_s))
         if route.has_prompt:
-            estimates, name, reason = self._weigh_prompt(request, route, weighed, config, customer)
+            state = RequestState(request, route, service, customer, request.deadline_s)
+            estimates, outlook = self._weigh_prompt(state, weighed, config)
         else:
-            estimates, name, reason = self._weigh_plain(route, weighed)
+            estimates, outlook = self._weigh_plain(route, weighed)
         for target in weighed:
-            if target.is_loading(now_s) and target.name != name:
+            if target.is_loading(now_s) and target.name != outlook.target:
                 loading_s = target.loading_until_s - now_s
                 obstacles[target.name].append(f"is loading weights for {loading_s:.2f} s")
         candidates = [
-            _describe_target(target, now_s)
+            describe_target(target, now_s)
             | {"passed_over": obstacles[target.name], "estimate": estimates.get(target.name)}
             for target in targets
         ]
         if not free:
             reason = "no target can take the request now" if targets else "no targets are known"
-        return {"target": name, "reason": reason, "candidates": candidates}
+            outlook = _Outlook(None, reason, is_refused=True)
+        return {
+            "target": outlook.target,
+            "reason": outlook.reason,
+            "is_refused": outlook.is_refused,
+            "candidates": candidates,
+        }
 
     def _find_obstacles(self, request: CallerRequest, target: Target, now_s: float) -> list[str]:
         """Why a target gets no request now."""
         return [
-            *_find_absence(target),
-            *_find_waits(target, now_s),
+            *find_absence(target),
+            *find_waits(target, now_s),
             *self._find_version_obstacles(request, target),
         ]
 
@@ -281,45 +268,57 @@
             return ["has weights that are too old"]
         return []
 
-    def _weigh_plain(
-        self, route: Route, targets: list[Target]
-    ) -> tuple[dict[str, Json], str | None, str]:
+    def _weigh_plain(self, route: Route, targets: list[Target]) -> tuple[dict[str, Json], _Outlook]:
         costs = self._plain_selector.weigh(targets, route.name)
-        estimates = {target.name: {"cost": _finite(cost)} for target, cost in costs}
+        unit = "expected_s" if self._plain_selector.places_by_cost(targets) else "cost"
+        estimates = {target.name: {unit: finite(cost)} for target, cost in costs}
         if not costs:
-            return estimates, None, ""
+            return estimates, _Outlook(None, "")
         best, _ = min(costs, key=lambda item: item[1])
-        return estimates, best.name, "lowest expected cost, with its distance"
+        reason = "lowest expected time" if unit == "expected_s" else "lowest load per slot"
+        return estimates, _Outlook(best.name, f"{reason}, with its distance")
 
     def _weigh_prompt(
-        self,
-        request: CallerRequest,
-        route: Route,
-        targets: list[Target],
-        config: RoutingConfig,
-        customer: Customer | None,
-    ) -> tuple[dict[str, Json], str | None, str]:
+        self, state: RequestState, targets: list[Target], config: RoutingConfig
+    ) -> tuple[dict[str, Json], _Outlook]:
         if not targets:
-            return {}, None, ""
-        service = config.services.get(targets[0].entry.service)
+            return {}, _Outlook(None, "")
+        service = config.services.get(state.service)
         properties = service.engine if service is not None else None
-        rank_offset = request_urgency(route, customer)
-        scope, caches = config.cache_scope(customer), config.kept_caches()
+        scope, caches = config.cache_scope(state.customer), config.kept_caches()
+        request, urgency = state.request, state.urgency
         placements = self._prompt_selector.weigh(
-            request, scope, targets, properties, caches, rank_offset
+            request, scope, targets, properties, caches, urgency
         )
-        estimates = {item.target.name: _describe_placement(item) for item in placements}
-        max_wait_s = MAX_PLACEMENT_WAIT_SHARE * route.latency_objective_s
+        estimates = {item.target.name: describe_placement(item) for item in placements}
+        max_wait_s = MAX_PLACEMENT_WAIT_SHARE * state.route.latency_objective_s
         until_s = self._clock.monotonic_s() + max_wait_s
         choice = self._prompt_selector.choose(
-            request, scope, targets, until_s, properties, caches, rank_offset
+            request, scope, targets, until_s, properties, caches, urgency
         )
         if isinstance(choice, Placement):
-            return estimates, choice.target.name, "lowest expected time to the first event"
+            return estimates, self._expect(state, choice)
         if isinstance(choice, Wait):
             wait_s = max(0.0, choice.until_s - self._clock.monotonic_s())
-            return estimates, None, f"waits {wait_s:.2f} s for {choice.reason.value}"
-        return estimates, None, "no target would begin in time on weights that are new enough"
+            name = choice.placement.target.name if choice.placement is not None else None
+            return estimates, _Outlook(name, f"waits {wait_s:.2f} s for {choice.reason.value}")
+        reason = "no target would begin in time on weights that are new enough"
+        return estimates, _Outlook(None, reason, is_refused=True)
+
+    def _expect(self, state: RequestState, placement: Placement) -> _Outlook:
+        """Tell whether a prompt would be sent at once to the target chosen for it."""
+        try:
+            is_held = self._capacity_wait.would_hold(state, placement)
+        except NoCapacityError as error:
+            return _Outlook(None, str(error), is_refused=True)
+        if is_held:
+            begin_s = placement.begin_s
+            reason = f"waits at this router, as the best target would begin it in {begin_s:.2f} s"
+            return _Outlook(None, reason)
+        reason = "lowest expected time to the first event"
+        if placement.overtaking_s:
+            reason += ", with the delay of the prompts that it overtakes"
+        return _Outlook(placement.target.name, reason)
 
     def _describe_customer(self, customer: Customer | None) -> Json | None:
         if customer is None:
@@ -360,83 +359,3 @@
     return web.Response(
         text=json.dumps(value, allow_nan=False), status=status, content_type="application/json"
     )
-
-
-def _describe_route(route: Route) -> Json:
-    return {
-        "name": route.name,
-        "host": route.host,
-        "prefix": route.prefix,
-        "retries": route.retry_policy.value,
-        "is_stream": route.is_stream,
-        "has_prompt": route.has_prompt,
-        "timeout_s": route.timeout_s,
-        "latency_objective_s": route.latency_objective_s,
-        "priority": route.priority,
-        "max_attempts": route.max_attempts,
-    }
-
-
-def _describe_placement(placement: Placement) -> Json:
-    return {
-        "expected_s": _finite(placement.expected_s),
-        "begin_s": _finite(placement.begin_s),
-        "priority": placement.priority,
-        "prefill_tokens": placement.prefill_tokens,
-        "held_tokens": placement.held_tokens,
-        "fetch_from": placement.fetch_from,
-        "version": placement.version,
-    }
-
-
-def _describe_target(target: Target, now_s: float) -> Json:
-    limit = target.limit
-    return {
-        "name": target.name,
-        "address": target.entry.address,
-        "data_centre": target.entry.data_centre,
-        "region": target.region,
-        "slots": target.entry.slots,
-        "in_flight": target.in_flight,
-        "load": target.load(now_s),
-        "backlog_s": _finite(target.backlog.wait_s(PRIORITIES - 1, now_s)),
-        "loading_s": _finite(max(0.0, target.loading_until_s - now_s)),
-        "is_healthy": target.is_healthy(now_s),
-        "failure_rate": target.failure_rate,
-        "heard_s_ago": _finite(now_s - target.last_heard_s),
-        "limit_per_s": limit.rate_per_s if limit is not None else None,
-        "versions": dict(target.versions),
-    }
-
-
-def _find_absence(target: Target) -> list[str]:
-    found = []
-    if target.entry.is_draining or target.has_announced_drain:
-        found.append("is draining")
-    if target.is_replaced:
-        found.append("another target answers at its address")
-    return found
-
-
-def _find_waits(target: Target, now_s: float) -> list[str]:
-    found = []
-    if target.is_paused(now_s):
-        found.append(f"has asked for no requests for {target.paused_until_s - now_s:.2f} s")
-    limit = target.limit
-    if limit is not None and limit.blocked_until_s > now_s:
-        found.append(f"its limit admits no request for {limit.blocked_until_s - now_s:.2f} s")
-    return found
-
-
-def _describe_bad_health(target: Target, now_s: float) -> str:
-    if target.missing_since_s is not None:
-        return "its entry has disappeared from the store"
-    if now_s < target.suspended_until_s:
-        return f"is suspended for {target.suspended_until_s - now_s:.2f} s"
-    if now_s < target.rejection_cooldown_until_s:
-        return "has just rejected a request"
-    return "is unreachable" if target.is_unreachable else "fails too often"
-
-
-def _finite(value: float) -> float | None:
-    return value if math.isfinite(value) else None
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -544,6 +544,7 @@
             prefill_rates,
             self._costs,
         )
+        capacity_wait = CapacityWait(self._clock, self._dispatch_queue)
         self._explanations = ExplanationHandler(
             Explainer(
                 self._clock,
@@ -555,6 +556,7 @@
                 lambda: self._forwarder.routing_config,
                 self._occupancy,
                 self._take_ups.may_begin,
+                capacity_wait,
                 lambda customer: self._quotas.describe(customer.name),
             )
         )
@@ -576,7 +578,7 @@
             self._take_ups,
             QuotaCounter(self._quotas),
             self._target_work,
-            CapacityWait(self._clock, self._dispatch_queue),
+            capacity_wait,
             self._generator,
         )
 
--- a/coltsfootfront/direct/targetselection.py
+++ b/coltsfootfront/direct/targetselection.py
@@ -203,11 +203,15 @@
         if not usable:
             return None
         healthy = healthy_targets(usable, now_s)
-        if self._costs.applies(target.pace for target in usable):
+        if self.places_by_cost(usable):
             placements = self._estimate_calls(healthy, route, now_s)
             return min(placements, key=lambda item: (item.expected_s, self._generator.random()))
         return Placement(min(healthy, key=lambda item: self._cost(item, now_s)))
 
+    def places_by_cost(self, targets: list[Target]) -> bool:
+        """Whether calls go to targets by their expected time, not by the load per slot."""
+        return self._costs.applies(target.pace for target in targets)
+
     def _estimate_calls(self, targets: list[Target], route: str, now_s: float) -> list[Placement]:
         model = self._costs.calls(targets[0].entry.service)
         return [
@@ -238,7 +242,7 @@
         :returns: times in seconds where calls are placed by their cost, else loads per slot.
         """
         now_s = self._clock.monotonic_s()
-        if targets and self._costs.applies(target.pace for target in targets):
+        if targets and self.places_by_cost(targets):
             placements = self._estimate_calls(targets, route, now_s)
             return [(placement.target, placement.expected_s) for placement in placements]
         return [(target, self._load_cost(target, now_s)) for target in targets]
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -196,12 +196,19 @@
         if bucket is None:
             return None
         now_s = self._clock.monotonic_s()
+        is_unheard = self._is_unheard(now_s)
+        has_room = (
+            bucket.has_room_unheard(now_s)
+            if is_unheard
+            else bucket.has_room(self._hearing.heard_s, now_s)
+        )
         return {
+            "is_used_up": not has_room,
             "rate_per_s": bucket.quota.rate_per_s,
             "burst": bucket.quota.burst,
             "available": bucket.level(self._hearing.heard_s, now_s),
             "own_rate_per_s": bucket.rate_per_s(now_s),
-            "is_unheard": self._is_unheard(now_s),
+            "is_unheard": is_unheard,
         }
 
     def take_reports(self) -> list[list[object]]:
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -281,6 +281,14 @@
         """Rate of what this router has admitted."""
         return self._own_rate.per_s(now_s)
 
+    def has_room(self, heard_s: Mapping[str, float], now_s: float) -> bool:
+        """Whether a request would be admitted now, whatever it costs."""
+        return self.level(heard_s, now_s) >= -self._max_debt
+
+    def has_room_unheard(self, now_s: float) -> bool:
+        """The same for a router that is not heard; a restriction begins with some room."""
+        return self._restricted is None or self._restricted.level(now_s) >= 0
+
     def try_admit(self, units: float, heard_s: Mapping[str, float], now_s: float) -> bool:
         """Admit a request if there is room.
 
@@ -288,7 +296,7 @@
         """
         self._restricted = None
         self._request_size.add(units)
-        if self.level(heard_s, now_s) < -self._max_debt:
+        if not self.has_room(heard_s, now_s):
             return False
         self.charge(units, now_s)
         return True
--- a/coltsfootfront/tests/test_explanation.py
+++ b/coltsfootfront/tests/test_explanation.py
@@ -11,18 +11,22 @@
 from coltsfootfront.common.clock import SystemClock
 from coltsfootfront.common.decoding import DecodingError
 from coltsfootfront.common.settings import OperatorSettings
+from coltsfootfront.costs.model import CostModel
 from coltsfootfront.direct.cacheindex import CacheIndex
 from coltsfootfront.direct.cacheplanner import CachePlanner
 from coltsfootfront.direct.callerrequest import PromptPart
+from coltsfootfront.direct.capacitywait import CapacityWait
 from coltsfootfront.direct.directory import Directory, Target
-from coltsfootfront.direct.explanation import Explainer, Occupancy, Question, decode_question
+from coltsfootfront.direct.explanation import Explainer, Occupancy
 from coltsfootfront.direct.limits import TargetLimit
 from coltsfootfront.direct.prefillrate import PrefillRates
+from coltsfootfront.direct.question import Question, decode_question
 from coltsfootfront.direct.routingconfig import RetryPolicy
 from coltsfootfront.direct.stopping import StopSchedule
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.operation import cli
+from coltsfootfront.scheduling.dispatchqueue import DispatchQueue
 from coltsfootfront.tests.direct_support import (
     MODEL,
     REGIONS,
@@ -56,7 +60,10 @@
         planner = CachePlanner(self.clock, REGIONS, self.cache_index, versions)
         self.versions = versions
         self.generator = random.Random(1)
-        self.prompt = PromptTargetSelector(self.clock, "east", planner, versions, PrefillRates())
+        self.costs = CostModel()
+        self.prompt = PromptTargetSelector(
+            self.clock, "east", planner, versions, PrefillRates(), self.costs
+        )
         self.config = make_config(
             make_route(),
             make_route("/prompt/", "engines", RetryPolicy.RESUMABLE, is_stream=True),
@@ -65,17 +72,20 @@
             self.config.customers[customer.name] = customer
         self.occupancy = Occupancy(0, 100, StopSchedule())
         self.recorded_builds = {"v1"}
+        self.queue = DispatchQueue(self.clock)
+        self.quota: dict[str, Any] = {"left_tokens": 5, "is_used_up": False}
         self.explainer = Explainer(
             self.clock,
             self.directory,
-            PlainTargetSelector(self.clock, "a", "east", self.generator),
+            PlainTargetSelector(self.clock, "a", "east", self.generator, self.costs),
             self.prompt,
             versions,
             _Quarantine(),  # type: ignore[arg-type]
             lambda: self.config,
             lambda: self.occupancy,
             lambda service, build: build in self.recorded_builds,
-            lambda customer: {"left_tokens": 5} if customer.name == "customer" else None,
+            CapacityWait(self.clock, self.queue),
+            lambda customer: self.quota if customer.name == "customer" else None,
         )
         for number in range(3):
             self.directory.put(make_entry(f"e{number}", data_centre="ab"[number % 2]))
@@ -231,10 +241,56 @@
     def test_customer_and_keys(self) -> None:
         """Guards against API keys in an explanation, and a quota that is left out."""
         answer = self._explain(PLAIN)
-        self.assertEqual({"left_tokens": 5}, answer["customer"]["quota"])
+        self.assertEqual(self.quota, answer["customer"]["quota"])
         self.assertEqual("customer", answer["customer"]["name"])
         self.assertNotIn('"key"', json.dumps(answer))
 
+    def test_quota_that_is_used_up(self) -> None:
+        """Guards against an explanation of a placement for a request above its customer's quota."""
+        self.quota["is_used_up"] = True
+        self.assertIn("quota", self._explain(PLAIN)["refusal"])
+
+    def test_placement_by_cost(self) -> None:
+        """Guards against an explanation without the estimates and the work that decide."""
+        self.costs.has_quotas = True
+        for number in range(3):
+            self._target(f"e{number}").pending.add(0, 50_000 * number)
+        service = self._service(PROMPT)
+        self.assertEqual("e0", service["target"])
+        first, _, last = service["candidates"]
+        self.assertLess(first["estimate"]["estimate_s"], last["estimate"]["estimate_s"])
+        self.assertEqual([0, 100_000], [item["pending_tokens"] for item in (first, last)])
+        self.assertIn("expected_s", self._service(PLAIN)["candidates"][0]["estimate"])
+
+    def test_prompt_that_would_wait_or_be_refused_for_want_of_capacity(self) -> None:
+        """Guards against a target that is named for a prompt which is not sent to it now, and
+        against a wait that is told as a refusal."""
+        self.costs.has_quotas = True
+        route = make_route("/prompt/", "engines", RetryPolicy.RESUMABLE, is_stream=True)
+        self.config = make_config(dataclasses.replace(route, priority=1))
+        for customer in self.config.customers_by_key.values():
+            self.config.customers[customer.name] = customer
+        for tokens, is_refused in ((60_000, False), (1_000_000, True)):
+            for number in range(3):
+                self._target(f"e{number}").pending.add(0, tokens)
+            answer = self._explain(PROMPT)
+            (service,) = answer["services"]
+            with self.subTest(tokens):
+                self.assertEqual((None, is_refused), (service["target"], service["is_refused"]))
+                self.assertEqual(is_refused, answer["refusal"] is not None)
+                self.assertIn("room" if is_refused else "waits at this router", service["reason"])
+        self.assertFalse(len(self.queue))
+
+    def test_prompt_that_waits_for_weights(self) -> None:
+        """Guards against a short wait that is told as a refusal."""
+        for number in range(3):
+            self._target(f"e{number}").loading_until_s = self.clock.monotonic_s() + 0.01
+        answer = self._explain(PROMPT)
+        self.assertIsNone(answer["refusal"])
+        (service,) = answer["services"]
+        self.assertIn("for weights", service["reason"])
+        self.assertIsNotNone(service["target"])
+
     def test_route_without_keys(self) -> None:
         """Guards against priority and quota of a customer whom the router cannot know."""
         self.config.requires_keys = False
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -618,6 +618,23 @@
         self.assertEqual(set(names), reported)
 
 
+class DescriptionTest(unittest.TestCase):
+    def test_it_tells_whether_a_request_would_be_refused(self) -> None:
+        """Guards against operators who are told of room where requests are refused, and against a
+        description that counts."""
+        for is_heard in (True, False):
+            with self.subTest(is_heard=is_heard):
+                router = OneRouter()
+                if is_heard:
+                    router.hear(None, 1.0)
+                for _ in range(40):
+                    state = router.quotas.describe(CUSTOMER)
+                    assert state is not None
+                    is_refused = router.quotas.admit(CUSTOMER, 10_000, 0) is not None
+                    self.assertEqual(is_refused, state["is_used_up"])
+                self.assertTrue(is_refused)
+
+
 class RequestQuotaTest(unittest.TestCase):
     def test_tolerance_that_changes_while_the_quota_is_in_force(self) -> None:
         """Guards against a lowered tolerance that binds no quota until the next configuration."""
