--- a/coltsfootfront/direct/capacitywait.py
+++ b/coltsfootfront/direct/capacitywait.py
@@ -98,6 +98,7 @@
             turn_until_s = min(self._clock.monotonic_s() + MAX_TURN_S, state.deadline_s)
             placement = await choose_target(state, turn_until_s)
             if not self._must_hold(state, placement, queued):
+                self._check_first_event(state, placement)
                 return placement
             self._queue.postpone(queued)
 
--- a/coltsfootfront/tests/test_capacity_wait.py
+++ b/coltsfootfront/tests/test_capacity_wait.py
@@ -111,6 +111,19 @@
                 if isinstance(error, NoCapacityError):
                     self.assertAlmostEqual(error.room_after_s, 1.0 - 0.25 * OBJECTIVE_S)
 
+    async def test_a_prompt_that_has_waited_in_vain_is_refused(self) -> None:
+        """Guards against sending a prompt after its wait although its caller will have left by its
+        first event."""
+        cost = PromptCost(1.0, 3.0, (1.0,))
+        self.placement = replace(self.placement, prompt_cost=cost)
+        placing = self._place(self._state(deadline_s=10.0))
+        await asyncio.sleep(0.05)
+        # Twice the two seconds that callers wait are left at first, and less after the wait.
+        self.assertFalse(placing.done())
+        with self.assertRaises(NoCapacityError):
+            await asyncio.wait_for(placing, 2.0)
+        self.assertFalse(len(self.queue))
+
     async def test_prompts_are_sent_at_once_where_their_cost_is_not_learned(self) -> None:
         """Guards against a change for deployments that do not call for holding."""
         self.placement = replace(self.placement, prompt_cost=None)
