--- a/coltsfootfront/costs/model.py
+++ b/coltsfootfront/costs/model.py
@@ -1,6 +1,6 @@
 """What this router has learned of the cost of requests, by service.
 
-Takes effect where a deployment calls for it: where the targets of a service tell their pace, or
+Takes effect where a deployment calls for it: where the targets of a service report their pace, or
 where customers have quotas and thus compete for capacity. Elsewhere targets are chosen as before.
 """
 
@@ -31,7 +31,7 @@
 
         :param paces: paces of the targets among which is chosen.
         """
-        return self.has_quotas or any(pace.is_told for pace in paces)
+        return self.has_quotas or any(pace.is_reported for pace in paces)
 
     def prompts(self, service: str) -> FirstEventModel:
         """Model of the prompts of a service."""
--- a/coltsfootfront/costs/outputlength.py
+++ b/coltsfootfront/costs/outputlength.py
@@ -2,7 +2,7 @@
 
 Answers the question of how long a request will occupy its target. On four recorded days the
 logarithm of the hint had a correlation of 0.63 to 0.85 with that of the number of events, while
-customers and shared parts of a route told nothing (at most 0.09), so they are no inputs.
+customers and shared parts of a route had no influence (at most 0.09), so they are no inputs.
 """
 
 import math
@@ -65,8 +65,8 @@
     def estimate(self, route: str, hint: int | None, maximum: int) -> float:
         """Expected number of events of an answer.
 
-        :param hint: length that the caller expects, None if it tells none.
-        :param maximum: largest length that the caller allows, 0 if it tells none.
+        :param hint: length that the caller expects, None if it gives none.
+        :param maximum: largest length that the caller allows, 0 if it gives none.
         """
         lengths = self._routes.get(route) or _RouteLengths()
         found = lengths.estimate(math.log(max(1, hint))) if hint is not None else lengths.mean()
--- a/coltsfootfront/costs/pace.py
+++ b/coltsfootfront/costs/pace.py
@@ -1,10 +1,10 @@
 """Pace of a target: how long work takes there, in proportion to the usual time.
 
-Answers uneven and changing engines. In a deployment whose targets told their pace, it was 0.7 or
-1.7 of the usual time for good, and 2.5 to 4 times that for stretches of a few hundred milliseconds,
-about a tenth of the time. The median over some seconds is therefore the lasting pace, and a fresh
-sample is the momentary one. Where targets do not tell their pace, the lasting pace is learned from
-the times that requests took, compared with the other targets of the service.
+Answers uneven and changing engines. In a deployment whose targets reported their pace, it was 0.7
+or 1.7 of the usual time for good, and 2.5 to 4 times that for stretches of a few hundred
+milliseconds, about a tenth of the time. The median over some seconds is therefore the lasting pace,
+and a fresh sample is the momentary one. Where targets do not report their pace, the lasting pace is
+learned from the times that requests took, compared with the other targets of the service.
 """
 
 import math
@@ -21,9 +21,9 @@
 # Bounds of a sample; a figure outside of them is taken for an error of the target.
 MIN_PERCENT = 5.0
 MAX_PERCENT = 10_000.0
-# A pace that has not changed is told to peers this often, so that those that started later learn
+# A pace that has not changed is sent to peers this often, so that those that started later learn
 # it.
-TELL_INTERVAL_S = 1.0
+REPORT_INTERVAL_S = 1.0
 # Weight of an outcome in the moving averages, of one target and of all targets of a service.
 OUTCOME_WEIGHT = 0.08
 SERVICE_OUTCOME_WEIGHT = 0.01
@@ -75,9 +75,9 @@
         "_latest_s",
         "_mean_log",
         "_outcomes_s",
+        "_reported_s",
         "_samples",
         "_samples_s",
-        "_told_s",
         "_weight",
         "outcomes",
     )
@@ -90,14 +90,14 @@
         self._lasting = 1.0
         self._latest = 1.0
         self._latest_s = -math.inf
-        self._told_s = -math.inf
+        self._reported_s = -math.inf
         self._mean_log = 0.0
         self._weight = 0.0
         self._outcomes_s = 0.0
 
     @property
-    def is_told(self) -> bool:
-        """Whether the target tells its pace."""
+    def is_reported(self) -> bool:
+        """Whether the target reports its pace."""
         return bool(self._samples)
 
     @property
@@ -106,9 +106,9 @@
         return self._lasting
 
     def record_sample(self, percent: float, now_s: float) -> bool:
-        """Record the pace that the target has told, where 100 is usual.
+        """Record the pace that the target has reported, where 100 is usual.
 
-        :returns: whether peers should be told, as the pace has changed or is not the lasting one.
+        :returns: whether peers should get it, as the pace has changed or is not the lasting one.
         """
         if not MIN_PERCENT <= percent <= MAX_PERCENT:
             return False
@@ -120,14 +120,14 @@
             self._samples_s = now_s
             self._samples.append(pace)
             self._lasting = sorted(self._samples)[len(self._samples) // 2]
-        is_due = now_s - self._told_s >= TELL_INTERVAL_S
+        is_due = now_s - self._reported_s >= REPORT_INTERVAL_S
         if has_changed or is_due or pace != self._lasting:
-            self._told_s = now_s
+            self._reported_s = now_s
             return True
         return False
 
     def record_outcome(self, expected_s: float, took_s: float, now_s: float) -> None:
-        """Record the time that a request took, where the target does not tell its pace.
+        """Record the time that a request took, where the target does not report its pace.
 
         :param expected_s: expected time at a target of usual pace.
         """
@@ -149,7 +149,7 @@
         return self._lasting * (1 + self._slow_chance(now_s) * (self._slowdown() - 1))
 
     def learned(self, now_s: float) -> float:
-        """Pace learned from outcomes; 1.0 where the target tells its pace, or has none."""
+        """Pace learned from outcomes; 1.0 where the target reports its pace, or has none."""
         weight = self._decayed_weight(now_s)
         if self._samples or not weight:
             return 1.0
@@ -158,7 +158,7 @@
         return math.exp(math.copysign(min(excess, MAX_LEARNED_LOG), self._mean_log))
 
     def expected(self, now_s: float) -> float:
-        """Lasting pace, as told or as learned."""
+        """Lasting pace, as reported or as learned."""
         return self._lasting if self._samples else self.learned(now_s)
 
     def time_s(self, work_s: float, now_s: float) -> float:
--- a/coltsfootfront/costs/pending.py
+++ b/coltsfootfront/costs/pending.py
@@ -3,7 +3,7 @@
 Answers bursts, in which engines have several times as many prompts waiting as running. A backlog
 that is drained at an assumed rate misses what engines really reach while they generate: on two
 recorded days the correlation of estimate and outcome was 0.60 and 0.67 with it, and 0.73 and 0.79
-with the prompts whose first event has not come. Each router counts its own, and tells its totals to
+with the prompts whose first event has not come. Each router counts its own, and sends its totals to
 its peers, so that the next message makes up for a lost one.
 """
 
@@ -64,7 +64,7 @@
             self._peers[router] = (kept, now_s)
             self._add_to_totals(kept, 1)
 
-    def drop_unheard(self, now_s: float) -> None:
+    def drop_stale(self, now_s: float) -> None:
         """Drop the totals of routers that have not repeated them."""
         for router, (totals, heard_s) in list(self._peers.items()):
             if now_s - heard_s > PEER_TTL_S:
--- a/coltsfootfront/direct/capacitywait.py
+++ b/coltsfootfront/direct/capacitywait.py
@@ -23,7 +23,7 @@
 
 def _given_up_s(state: RequestState) -> float:
     """Monotonic time until which a caller waits for the first event."""
-    return min(state.deadline_s, state.request.received_s + state.route.patience_s)
+    return min(state.deadline_s, state.request.received_s + state.route.event_timeout_s)
 
 
 class NoCapacityError(Exception):
@@ -92,7 +92,7 @@
         while True:
             now_s = self._clock.monotonic_s()
             expected_s = self._queue.expected_wait_s(queued)
-            if holding.is_hopeless(expected_s, now_s, _given_up_s(state)):
+            if holding.is_too_late(expected_s, now_s, _given_up_s(state)):
                 raise NoCapacityError(expected_s or 0.0)
             await self._queue.wait_turn(queued, hold_until_s - now_s)
             turn_until_s = min(self._clock.monotonic_s() + MAX_TURN_S, state.deadline_s)
--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -16,9 +16,9 @@
 SCOPE_DIGEST_BYTES = 8
 # Callers give up a stream after the longest of these times without an event: a fixed one, and
 # multiples of the latency objective and of the objective for the gap between events.
-MIN_PATIENCE_S = 2.0
-PATIENCE_OBJECTIVES = 4.0
-PATIENCE_GAPS = 8.0
+MIN_EVENT_TIMEOUT_S = 2.0
+EVENT_TIMEOUT_OBJECTIVES = 4.0
+EVENT_TIMEOUT_GAPS = 8.0
 
 
 class RetryPolicy(Enum):
@@ -70,14 +70,14 @@
     event_gap_objective_s: float = 0.0
 
     @property
-    def patience_s(self) -> float:
+    def event_timeout_s(self) -> float:
         """Time without an event after which callers give up a stream, also before the first one."""
         if not self.is_stream:
             return self.timeout_s
         return max(
-            MIN_PATIENCE_S,
-            PATIENCE_OBJECTIVES * self.latency_objective_s,
-            PATIENCE_GAPS * self.event_gap_objective_s,
+            MIN_EVENT_TIMEOUT_S,
+            EVENT_TIMEOUT_OBJECTIVES * self.latency_objective_s,
+            EVENT_TIMEOUT_GAPS * self.event_gap_objective_s,
         )
 
     def choose_service(self, generator: random.Random) -> str:
--- a/coltsfootfront/direct/targetwork.py
+++ b/coltsfootfront/direct/targetwork.py
@@ -1,7 +1,7 @@
 """Records the work that attempts put on their targets, and what it took.
 
 Prompts are pending at their target until their first event or the end of the attempt, plain calls
-until their response. Peers are told the totals of pending prompts.
+until their response. Peers get the totals of pending prompts.
 """
 
 from abc import ABC, abstractmethod
@@ -245,16 +245,16 @@
             self._compare(placement.target, expected_s, took_s, now_s)
 
     def record_length(self, target: Target, route: str, events: int) -> None:
-        """Learn from the length of an answer; routers are not told the hints of callers."""
+        """Learn from the length of an answer; routers do not get the hints of callers."""
         self._costs.outputs(target.entry.service).record(route, None, events)
 
     async def repeat(self) -> None:
-        """Run the loop that tells peers again what waits, and drops what they tell no more."""
+        """Run the loop that sends peers again what waits, and drops what they repeat no more."""
         while True:
             await self._clock.sleep(REPEAT_INTERVAL_S)
             now_s = self._clock.monotonic_s()
             for target in self._directory.all():
-                target.pending.drop_unheard(now_s)
+                target.pending.drop_stale(now_s)
                 if target.pending.own_totals():
                     self._tell_pending(target)
 
--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -96,7 +96,7 @@
     """What the connections of one group hold, and its bound.
 
     :param budget: bound of the group.
-    :param on_closed: told of each connection closed for others and of each refusal, with the
+    :param on_closed: called for each connection closed for others and of each refusal, with the
         reason.
     """
 
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -237,7 +237,7 @@
         """Charge a request whose head is complete.
 
         :param declared_bytes: length of its body, None if it is not known.
-        :param customer: what its customer is told by, empty if there is none.
+        :param customer: what identifies its customer, empty if there is none.
         :returns: False if there is no room for it.
         """
         holder = self.holder
--- a/coltsfootfront/quotas/peer.py
+++ b/coltsfootfront/quotas/peer.py
@@ -42,7 +42,7 @@
         self.uptime_s = 0.0
         """Uptime of the process in its latest report."""
         self._named_s = -math.inf
-        """When it has named this router as unheard; negative infinity if it hears it."""
+        """When it has named this router as missing; negative infinity if it hears it."""
         self._offset_s: float | None = None
         self._received_s = 0.0
         self._late_since_s: float | None = None
@@ -51,17 +51,17 @@
         """Return the process that follows this one."""
         return Peer(incarnation, now_s, (self.incarnation, *self.former)[:MAX_FORMER])
 
-    def record_hearing(self, is_named: bool, is_complete: bool, now_s: float) -> None:
-        """Record whether a report names this router as unheard.
+    def record_reception(self, is_named: bool, is_complete: bool, now_s: float) -> None:
+        """Record whether a report names this router as missing.
 
-        :param is_complete: the report names all that are unheard, not some of many.
+        :param is_complete: the report names all that are missing, not some of many.
         """
         if is_named:
             self._named_s = now_s
         elif is_complete:
             self._named_s = -math.inf
 
-    def is_hearing(self, now_s: float) -> bool:
+    def is_receiving(self, now_s: float) -> bool:
         """Whether the peer has lately received the reports of this router."""
         return now_s - self._named_s > NAMED_FOR_S
 
@@ -69,7 +69,7 @@
         """Return about when a report was sent, on the clock of this router.
 
         A process that was paused finds the reports of that time waiting. They say nothing about
-        the present. The report that took the least time tells how the two clocks differ.
+        the present. The report that took the least time shows how the two clocks differ.
 
         :param uptime_s: uptime of the peer when it sent the report.
         :param now_s: monotonic time at which it is read.
--- a/coltsfootfront/quotas/quota.py
+++ b/coltsfootfront/quotas/quota.py
@@ -17,7 +17,7 @@
 
     :param rate_per_s: units that become available per second.
     :param burst: units that may be used at once.
-    :param request_units: units of a request that tells no token usage.
+    :param request_units: units of a request without a token usage.
     """
 
     rate_per_s: float
--- a/coltsfootfront/quotas/quotas.py
+++ b/coltsfootfront/quotas/quotas.py
@@ -6,7 +6,7 @@
 
 A router that is not heard admits no more than its peers take it to admit: the rate that it last
 reported, or a part of an equal share. It learns that it is not heard from the reports of those who
-miss its own, and takes itself for unheard while it hears fewer than half of its peers.
+miss its own, and takes itself for cut off while it hears fewer than half of its peers.
 """
 
 import math
@@ -18,9 +18,9 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
-from coltsfootfront.quotas.hearing import Hearing
 from coltsfootfront.quotas.quota import Quota
 from coltsfootfront.quotas.quotalog import QuotaLog
+from coltsfootfront.quotas.reachability import Reachability
 from coltsfootfront.quotas.sharedbucket import REPORTED_LEVEL_AGE_S, SharedBucket
 from coltsfootfront.quotas.tolerance import Tolerance
 from coltsfootfront.quotas.usage import CustomerUsage, UsageReport
@@ -80,11 +80,11 @@
         self._changed: dict[str, None] = {}
         """Customers to be reported, those first that have waited for longest."""
         self._tolerance = Tolerance()
-        self._hearing = Hearing(address, self._started_s)
+        self._reachability = Reachability(address, self._started_s)
         self._log = QuotaLog()
         self._last_use_s = -math.inf
         self._reported_s = self._refreshed_s = self._low_s = self._started_s
-        self._was_unheard = self._is_restricted = False
+        self._was_cut_off = self._is_restricted = False
         self._checked_s = self._restricted_s = -math.inf
 
     def set_quotas(self, quotas: Mapping[str, Quota]) -> None:
@@ -117,7 +117,7 @@
 
     def _add_bucket(self, customer: str, quota: Quota, is_new: bool, now_s: float) -> None:
         bucket = SharedBucket(quota, self._tolerance, is_new, self._generator, now_s)
-        bucket.set_silent(self._hearing.silent, self._router_count, now_s)
+        bucket.set_silent(self._reachability.silent, self._router_count, now_s)
         self._buckets[customer] = bucket
 
     def set_tolerance(self, tolerance: Tolerance) -> None:
@@ -131,7 +131,7 @@
         """Set the routers that share the quotas, this one included."""
         peers = addresses - {self._address}
         now_s = self._clock.monotonic_s()
-        if not self._hearing.set_peers(peers, now_s):
+        if not self._reachability.set_peers(peers, now_s):
             return
         for bucket in self._buckets.values():
             bucket.set_peers(peers, now_s)
@@ -146,39 +146,40 @@
             return None
         now_s = self._check_pause()
         units = bucket.quota.cost(prompt_tokens, output_tokens)
-        is_unheard = self._is_unheard(now_s)
-        if is_unheard:
-            is_admitted = bucket.try_admit_unheard(units, self._router_count, now_s)
+        is_cut_off = self._is_cut_off(now_s)
+        if is_cut_off:
+            is_admitted = bucket.try_admit_cut_off(units, self._router_count, now_s)
         else:
-            is_admitted = bucket.try_admit(units, self._hearing.heard_s, now_s)
+            is_admitted = bucket.try_admit(units, self._reachability.heard_s, now_s)
         if is_admitted:
             self._record_use(customer, now_s)
             metrics.QUOTA_REQUESTS.inc({"outcome": "admitted"})
             self._log.record_admission(customer, now_s)
             return None
-        metrics.QUOTA_REQUESTS.inc({"outcome": "refused_unheard" if is_unheard else "refused"})
+        metrics.QUOTA_REQUESTS.inc({"outcome": "refused_cut_off" if is_cut_off else "refused"})
         self._log.record_refusal(
             customer,
             now_s,
-            level=bucket.level(self._hearing.heard_s, now_s),
+            level=bucket.level(self._reachability.heard_s, now_s),
             own_per_s=bucket.rate_per_s(now_s),
             limit_per_s=bucket.quota.rate_per_s,
-            unheard=is_unheard or None,
+            cut_off=is_cut_off or None,
         )
-        return bucket.room_after_s(units, self._hearing.heard_s, now_s)
+        return bucket.room_after_s(units, self._reachability.heard_s, now_s)
 
     async def wait_for_peers(self, customer: str) -> None:
         """Wait for the peers after a start or a pause of this process, for a moment at most.
 
         Callers have waited for the whole pause, and come all at once. Within what this router
-        may use unheard, some of them would be refused whose customers are below their quotas.
+        may use while it is cut off, some of them would be refused whose customers are below their
+        quotas.
 
         :param customer: whose request waits; without a quota it need not.
         """
         if customer not in self._buckets:
             return
         now_s = self._check_pause()
-        while now_s < self._resumed_s + RESUME_WAIT_S and self._is_unheard(now_s):
+        while now_s < self._resumed_s + RESUME_WAIT_S and self._is_cut_off(now_s):
             await self._clock.sleep(RESUME_POLL_INTERVAL_S)
             now_s = self._check_pause()
 
@@ -196,29 +197,29 @@
         if bucket is None:
             return None
         now_s = self._clock.monotonic_s()
-        is_unheard = self._is_unheard(now_s)
+        is_cut_off = self._is_cut_off(now_s)
         has_room = (
-            bucket.has_room_unheard(now_s)
-            if is_unheard
-            else bucket.has_room(self._hearing.heard_s, now_s)
+            bucket.has_room_cut_off(now_s)
+            if is_cut_off
+            else bucket.has_room(self._reachability.heard_s, now_s)
         )
         return {
             "is_used_up": not has_room,
             "rate_per_s": bucket.quota.rate_per_s,
             "burst": bucket.quota.burst,
-            "available": bucket.level(self._hearing.heard_s, now_s),
+            "available": bucket.level(self._reachability.heard_s, now_s),
             "own_rate_per_s": bucket.rate_per_s(now_s),
-            "is_unheard": is_unheard,
+            "is_cut_off": is_cut_off,
         }
 
     def take_reports(self) -> list[list[object]]:
         """Take the messages that are due for the peers, as their fields."""
         now_s = self._check_pause()
-        if not self._buckets or not self._hearing.peer_count:
+        if not self._buckets or not self._reachability.peer_count:
             return []
         self._update_silent(now_s)
         # Also without requests, so that it is known how long a restriction lasts.
-        self._is_unheard(now_s)
+        self._is_cut_off(now_s)
         if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
             self._refreshed_s = now_s
             self._refresh(now_s)
@@ -231,7 +232,7 @@
         customers = list(self._changed)[: MAX_REPORTS * CUSTOMERS_PER_REPORT]
         for customer in customers:
             del self._changed[customer]
-        unheard = self._hearing.name_unheard()
+        missing = self._reachability.name_missing()
         uptime_s = now_s - self._started_s
         reports: list[list[object]] = []
         for start in range(0, max(1, len(customers)), CUSTOMERS_PER_REPORT):
@@ -239,15 +240,15 @@
                 self._usage(customer, now_s)
                 for customer in customers[start : start + CUSTOMERS_PER_REPORT]
             )
-            report = UsageReport(self._address, self._incarnation, uptime_s, unheard, usages)
+            report = UsageReport(self._address, self._incarnation, uptime_s, missing, usages)
             reports.append(report.to_fields())
         return reports
 
     def handle_report(self, report: UsageReport) -> None:
         """Apply the report of a peer."""
         now_s = self._check_pause()
-        was_silent = report.router in self._hearing.silent
-        received = self._hearing.receive(report, now_s)
+        was_silent = report.router in self._reachability.silent
+        received = self._reachability.receive(report, now_s)
         if received is None:
             return
         if was_silent:
@@ -262,8 +263,8 @@
     def _check_pause(self) -> float:
         """Return the monotonic time; after a pause, begin to listen to the peers anew."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._active_s > PAUSED_AFTER_S and self._hearing.peer_count:
-            self._hearing.resume(now_s)
+        if now_s - self._active_s > PAUSED_AFTER_S and self._reachability.peer_count:
+            self._reachability.resume(now_s)
             self._checked_s = -math.inf
             self._resumed_s = now_s
             for bucket in self._buckets.values():
@@ -273,13 +274,13 @@
 
     @property
     def _router_count(self) -> int:
-        return self._hearing.peer_count + 1
+        return self._reachability.peer_count + 1
 
     def _update_silent(self, now_s: float) -> None:
         """Find out which peers are silent, and let the buckets count their assumed use."""
-        if self._hearing.update_silent(now_s):
+        if self._reachability.update_silent(now_s):
             for bucket in self._buckets.values():
-                bucket.set_silent(self._hearing.silent, self._router_count, now_s)
+                bucket.set_silent(self._reachability.silent, self._router_count, now_s)
 
     def _add(self, customer: str, prompt_tokens: int, output_tokens: int, sign: int) -> None:
         bucket = self._buckets.get(customer)
@@ -298,24 +299,26 @@
         """Report all recent usage once more, and publish the levels."""
         for customer, bucket in self._buckets.items():
             bucket.note_rate(now_s)
-            level = bucket.level(self._hearing.heard_s, now_s, REPORTED_LEVEL_AGE_S)
+            level = bucket.level(self._reachability.heard_s, now_s, REPORTED_LEVEL_AGE_S)
             metrics.QUOTA_LEVEL.set({"customer": customer}, level)
             if now_s - self._used_s.get(customer, -math.inf) <= RECENT_S:
                 self._changed[customer] = None
-        is_unheard = self._is_unheard(now_s)
-        if is_unheard != self._was_unheard:
-            self._was_unheard = is_unheard
-            name = "quotas_unheard" if is_unheard else "quotas_heard"
-            heard = len(self._hearing.heard_s)
-            log.info(event(name, peers=self._hearing.peer_count, heard=heard))
+        is_cut_off = self._is_cut_off(now_s)
+        if is_cut_off != self._was_cut_off:
+            self._was_cut_off = is_cut_off
+            name = "quotas_cut_off" if is_cut_off else "quotas_reconnected"
+            heard = len(self._reachability.heard_s)
+            log.info(event(name, peers=self._reachability.peer_count, heard=heard))
 
     def _add_low_levels(self, now_s: float) -> None:
         """Report low levels, whoever has used them, while some routers do not hear each other."""
-        if now_s - self._low_s < KEEPALIVE_INTERVAL_S or not self._hearing.is_any_missed(now_s):
+        if now_s - self._low_s < KEEPALIVE_INTERVAL_S:
+            return
+        if not self._reachability.is_any_missed(now_s):
             return
         self._low_s = now_s
         for customer, bucket in self._buckets.items():
-            level = bucket.level(self._hearing.heard_s, now_s, REPORTED_LEVEL_AGE_S)
+            level = bucket.level(self._reachability.heard_s, now_s, REPORTED_LEVEL_AGE_S)
             if level < LOW_LEVEL_SHARE * bucket.quota.burst:
                 self._changed[customer] = None
 
@@ -325,15 +328,15 @@
             customer,
             bucket.own_total,
             bucket.rate_per_s(now_s),
-            None if self._is_restricted else bucket.known_level(self._hearing.heard_s, now_s),
+            None if self._is_restricted else bucket.known_level(self._reachability.heard_s, now_s),
             bucket.started_s - self._started_s,
         )
 
-    def _is_unheard(self, now_s: float) -> bool:
+    def _is_cut_off(self, now_s: float) -> bool:
         """Whether this router has to keep to what its peers take it to admit."""
         if not 0 <= now_s - self._checked_s <= CHECK_INTERVAL_S:
             self._checked_s = now_s
-            self._set_restricted(self._hearing.is_unheard(now_s), now_s)
+            self._set_restricted(self._reachability.is_cut_off(now_s), now_s)
         return self._is_restricted
 
     def _set_restricted(self, is_restricted: bool, now_s: float) -> None:
@@ -343,7 +346,7 @@
         if is_restricted:
             self._restricted_s = now_s
         elif now_s - self._restricted_s > RELEARN_AFTER_S:
-            still_silent = dict.fromkeys(self._hearing.silent, now_s)
+            still_silent = dict.fromkeys(self._reachability.silent, now_s)
             for bucket in self._buckets.values():
                 bucket.resume(now_s)
                 bucket.set_silent(still_silent, self._router_count, now_s)
--- a/coltsfootfront/quotas/hearing.py
+++ b/coltsfootfront/quotas/reachability.py
@@ -9,14 +9,14 @@
 FAMILIAR_AFTER_S = 1.5
 # Routers that one report names as missing, and the share of the peers that have to name a router.
 # One peer alone may have lost its own link; it learns from the levels of the others.
-MAX_UNHEARD_NAMED = 32
-UNHEARD_SHARE = 0.25
+MAX_MISSING_NAMED = 32
+MISSING_SHARE = 0.25
 MIN_MISSING = 2
 # Time for which some router counts as missed after a report has named one.
 MISSED_FOR_S = 3.0
 
 
-class Hearing:
+class Reachability:
     """Reports that arrive from the peers, or do not.
 
     :param address: address of this router.
@@ -95,10 +95,10 @@
         self._known_since_s[report.router] = max(sent_s, self._known_since_s[report.router])
         if report.uptime_s >= peer.uptime_s:
             peer.uptime_s = report.uptime_s
-            if report.unheard:
+            if report.missing:
                 self._missed_s = now_s
-            is_complete = len(report.unheard) < MAX_UNHEARD_NAMED
-            peer.record_hearing(self._address in report.unheard, is_complete, now_s)
+            is_complete = len(report.missing) < MAX_MISSING_NAMED
+            peer.record_reception(self._address in report.missing, is_complete, now_s)
         return sent_s, now_s - peer.heard_since_s > FAMILIAR_AFTER_S
 
     def update_silent(self, now_s: float) -> bool:
@@ -113,7 +113,7 @@
             self.heard_s.pop(address, None)
         return self.silent.keys() != before
 
-    def is_unheard(self, now_s: float) -> bool:
+    def is_cut_off(self, now_s: float) -> bool:
         """Whether this router has to keep to what its peers take it to admit."""
         # Also right after a pause of the process, before any message is read.
         heard = [
@@ -123,18 +123,18 @@
         ]
         if 2 * len(heard) < len(self._known_since_s):
             return True
-        missing = sum(not self._peers[address].is_hearing(now_s) for address in heard)
-        return missing >= MIN_MISSING and missing > UNHEARD_SHARE * len(heard)
+        missing = sum(not self._peers[address].is_receiving(now_s) for address in heard)
+        return missing >= MIN_MISSING and missing > MISSING_SHARE * len(heard)
 
     def is_any_missed(self, now_s: float) -> bool:
         """Whether some router has lately not heard another."""
         return bool(self.silent) or now_s - self._missed_s < MISSED_FOR_S
 
-    def name_unheard(self) -> tuple[str, ...]:
+    def name_missing(self) -> tuple[str, ...]:
         """Return the peers whose reports are missing, by turns if there are many."""
         names = sorted(self.silent)
-        if len(names) <= MAX_UNHEARD_NAMED:
+        if len(names) <= MAX_MISSING_NAMED:
             return tuple(names)
         first = self._next_named % len(names)
-        self._next_named = first + MAX_UNHEARD_NAMED
-        return tuple((names[first:] + names[:first])[:MAX_UNHEARD_NAMED])
+        self._next_named = first + MAX_MISSING_NAMED
+        return tuple((names[first:] + names[:first])[:MAX_MISSING_NAMED])
--- a/coltsfootfront/quotas/sharedbucket.py
+++ b/coltsfootfront/quotas/sharedbucket.py
@@ -35,7 +35,7 @@
 REPORTED_LEVEL_AGE_S = 0.5
 # A running total that began within this time counts as a whole when it is first heard of.
 RECENT_TOTAL_S = 8.0
-# Share of the burst that is available after a start of which no peer has told the level. The
+# Share of the burst that is available after a start of which no peer has reported the level. The
 # processes before may have used the whole burst; while none ran, the rate has gone unused.
 START_LEVEL_SHARE = 0.5
 
@@ -164,7 +164,7 @@
             self._peers[router].was_silent = True
         for router in silent.keys() - self._silent.keys():
             peer = self._peers.setdefault(router, _PeerUsage())
-            # Its last reports without this customer told that its rate had faded. Some may have
+            # Its last reports without this customer said that its rate had faded. Some may have
             # overtaken others that name the customer, so that it fades more slowly here.
             faded_per_s = peer.rate_per_s * fading((silent[router] - peer.reported_s) / 2)
             rate_per_s = min(
@@ -200,7 +200,7 @@
 
         :param usage: its row about this customer.
         :param sent_s: monotonic time at which it was sent.
-        :param is_familiar: the peer has been heard for long enough to have told of recent use.
+        :param is_familiar: the peer has been heard for long enough to have reported recent use.
         """
         peer = self._peers.setdefault(report.router, _PeerUsage())
         is_same = (peer.incarnation, peer.since_s) == (report.incarnation, usage.since_s)
@@ -214,11 +214,11 @@
             # What a peer admitted before this process has started is in the level that it reports.
             used = 0.0
         elif is_old and is_familiar and not peer.incarnation:
-            # It has not used this quota lately, but for what its rate tells.
+            # It has not used this quota lately, but for what its rate says.
             used = min(usage.total, recent_units(usage.rate_per_s))
         elif is_old and (not peer.incarnation or (used > 0 and peer.was_silent)):
-            # Most of what a peer used unheard has long become available again. Its level tells
-            # what remains of it.
+            # Most of what a peer used while it was not heard has long become available again. Its
+            # level says what remains of it.
             used = 0.0
             if usage.level is not None:
                 level = self._refilled(usage.level, sent_s, now_s)
@@ -285,7 +285,7 @@
         """Whether a request would be admitted now, whatever it costs."""
         return self.level(heard_s, now_s) >= -self._max_debt
 
-    def has_room_unheard(self, now_s: float) -> bool:
+    def has_room_cut_off(self, now_s: float) -> bool:
         """The same for a router that is not heard; a restriction begins with some room."""
         return self._restricted is None or self._restricted.level(now_s) >= 0
 
@@ -301,7 +301,7 @@
         self.charge(units, now_s)
         return True
 
-    def try_admit_unheard(self, units: float, routers: int, now_s: float) -> bool:
+    def try_admit_cut_off(self, units: float, routers: int, now_s: float) -> bool:
         """Admit a request within what the peers take this router to use.
 
         :param routers: number of routers that share the quota, this one included.
--- a/coltsfootfront/quotas/usage.py
+++ b/coltsfootfront/quotas/usage.py
@@ -52,20 +52,20 @@
     :param router: its address.
     :param incarnation: tells its process from an earlier one, whose totals have gone.
     :param uptime_s: time since its process started, which also tells reports that arrive late.
-    :param unheard: routers whose reports it has been missing.
+    :param missing: routers whose reports it has been missing.
     """
 
     router: str
     incarnation: int
     uptime_s: float
-    unheard: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
     usages: tuple[CustomerUsage, ...] = ()
 
     def to_fields(self) -> list[Any]:
         """Encode as the fields of a message."""
         rows = [usage.to_fields() for usage in self.usages]
         uptime_s = round(self.uptime_s, 3)
-        return [self.router, self.incarnation, uptime_s, list(self.unheard), rows]
+        return [self.router, self.incarnation, uptime_s, list(self.missing), rows]
 
     @classmethod
     def from_fields(cls, fields: Any) -> "UsageReport":
@@ -73,12 +73,12 @@
 
         :raises DecodingError: if one of them is malformed.
         """
-        router, incarnation, uptime_s, unheard, rows = read_list(fields)
+        router, incarnation, uptime_s, missing, rows = read_list(fields)
         return cls(
             read_address(router),
             read_integer(incarnation),
             read_number(uptime_s),
-            tuple(read_address(address) for address in read_list(unheard)),
+            tuple(read_address(address) for address in read_list(missing)),
             tuple(decode_each("usage", read_list(rows), _decode_usage, router=router)),
         )
 
--- a/coltsfootfront/scheduling/holding.py
+++ b/coltsfootfront/scheduling/holding.py
@@ -56,7 +56,7 @@
     return received_s + MAX_HOLD_SHARE * (given_up_s - received_s)
 
 
-def is_hopeless(expected_wait_s: float | None, now_s: float, given_up_s: float) -> bool:
+def is_too_late(expected_wait_s: float | None, now_s: float, given_up_s: float) -> bool:
     """Whether a prompt cannot be expected to be sent in time.
 
     :param expected_wait_s: None if it is unknown.
--- a/coltsfootfront/scheduling/targetmemory.py
+++ b/coltsfootfront/scheduling/targetmemory.py
@@ -188,8 +188,8 @@
         heard_tokens = sum(holdings.tokens for holdings in heard)
         age_s = max(0.0, now_s - self._reported_s - LOAD_FRESH_S)
         reported = self._reported_others * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
-        unheard = max(0, math.ceil(reported) - sum(holdings.requests for holdings in heard))
-        return heard_tokens + self._sizes.upper_sum_tokens(unheard)
+        unreported = max(0, math.ceil(reported) - sum(holdings.requests for holdings in heard))
+        return heard_tokens + self._sizes.upper_sum_tokens(unreported)
 
     def free_tokens(self) -> float:
         """Estimated free memory, infinite if the capacity is unknown."""
--- a/coltsfootfront/tests/test_costs_load.py
+++ b/coltsfootfront/tests/test_costs_load.py
@@ -111,18 +111,23 @@
     """Routers and targets.
 
     :param pace: pace of a target at a time.
-    :param is_told: whether targets tell their pace.
+    :param is_reported: whether targets report their pace.
     :param has_quotas: whether customers have quotas.
     """
 
     def __init__(
-        self, targets: int, slots: int, pace: Pace, is_told: bool = False, has_quotas: bool = False
+        self,
+        targets: int,
+        slots: int,
+        pace: Pace,
+        is_reported: bool = False,
+        has_quotas: bool = False,
     ) -> None:
         self.clock = ManualClock()
         self.has_quotas = has_quotas
         self.took_s: dict[str, list[float]] = defaultdict(list)
         self._pace = pace
-        self._is_told = is_told
+        self._is_reported = is_reported
         self._generator = random.Random(5)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
@@ -216,7 +221,7 @@
         target.record_load(load, now_s)
         router.channel.queue_load(target.name, load)
         percent = 100 * self._pace(target.name, now_s)
-        if self._is_told and target.pace.record_sample(percent, now_s):
+        if self._is_reported and target.pace.record_sample(percent, now_s):
             router.channel.queue_pace(target.name, percent)
 
 
@@ -229,11 +234,16 @@
 
 class CostLoadTest(unittest.TestCase):
     def _play(
-        self, targets: int, slots: int, pace: Pace, kinds: tuple[_Kind, ...], **told: bool
+        self,
+        targets: int,
+        slots: int,
+        pace: Pace,
+        kinds: tuple[_Kind, ...],
+        **calls_for_costs: bool,
     ) -> tuple[dict[str, float], dict[str, float]]:
         """Shares in time by kind, with the placement before and with the one by cost."""
         before = _Fleet(targets, slots, pace).play(kinds, PLAYED_S)
-        return before, _Fleet(targets, slots, pace, **told).play(kinds, PLAYED_S)
+        return before, _Fleet(targets, slots, pace, **calls_for_costs).play(kinds, PLAYED_S)
 
     def test_more_prompts_begin_in_time_at_uneven_engines(self) -> None:
         """Load: two engines of pace 0.7 and two of 1.7, with nine tenths of their capacity used.
@@ -241,7 +251,7 @@
         Guards against slow engines that get as many prompts as fast ones.
         """
         before, now = self._play(
-            4, 1, lambda name, _: 0.7 if name in ("t0", "t1") else 1.7, PROMPTS, is_told=True
+            4, 1, lambda name, _: 0.7 if name in ("t0", "t1") else 1.7, PROMPTS, is_reported=True
         )
         self.assertGreater(now["long"], before["long"] + 0.1)
         self.assertGreater(now["long"], 0.95)
@@ -257,7 +267,7 @@
             1,
             lambda name, now_s: 4.0 if name == f"t{int(now_s / 0.4) % 4}" else 0.7,
             PROMPTS,
-            is_told=True,
+            is_reported=True,
         )
         self.assertGreater(now["quick"], before["quick"])
         self.assertGreater(now["quick"], 0.995)
--- a/coltsfootfront/tests/test_costs_models.py
+++ b/coltsfootfront/tests/test_costs_models.py
@@ -74,7 +74,7 @@
         pending = PendingWork()
         pending.record_peer("one", [100], 1.0)
         pending.record_peer("two", [40], 1.0 + PEER_TTL_S)
-        pending.drop_unheard(1.1 + PEER_TTL_S)
+        pending.drop_stale(1.1 + PEER_TTL_S)
         self.assertEqual(40, pending.ahead_tokens(9))
 
     def test_totals_of_further_priorities_are_ignored(self) -> None:
--- a/coltsfootfront/tests/test_costs_pace.py
+++ b/coltsfootfront/tests/test_costs_pace.py
@@ -85,7 +85,7 @@
         pace = TargetPace()
         for percent in (0.0, -5.0, 1e9, float("nan"), float("inf")):
             self.assertFalse(pace.record_sample(percent, 1.0))
-        self.assertFalse(pace.is_told)
+        self.assertFalse(pace.is_reported)
         self.assertEqual(1.0, pace.factor(1.0))
 
     def test_samples_that_change_nothing_are_seldom_told_to_peers(self) -> None:
--- a/coltsfootfront/tests/test_dispatch_queue.py
+++ b/coltsfootfront/tests/test_dispatch_queue.py
@@ -193,6 +193,6 @@
 
     def test_a_prompt_is_refused_at_once_only_if_its_wait_is_known_and_too_long(self) -> None:
         """Guards against refusing what could be served, and against holding what cannot."""
-        self.assertFalse(holding.is_hopeless(None, 0.0, 15.0))
-        self.assertFalse(holding.is_hopeless(5.0, 0.0, 15.0))
-        self.assertTrue(holding.is_hopeless(10.0, 0.0, 15.0))
+        self.assertFalse(holding.is_too_late(None, 0.0, 15.0))
+        self.assertFalse(holding.is_too_late(5.0, 0.0, 15.0))
+        self.assertTrue(holding.is_too_late(10.0, 0.0, 15.0))
--- a/coltsfootfront/tests/test_quotas.py
+++ b/coltsfootfront/tests/test_quotas.py
@@ -56,11 +56,11 @@
         return self.quotas._buckets[CUSTOMER]._bucket.level(self.clock.now_s)
 
     @property
-    def is_unheard(self) -> bool:
+    def is_cut_off(self) -> bool:
         """Whether the router keeps to what its peers take it to admit."""
         state = self.quotas.describe(CUSTOMER)
         assert state is not None
-        return bool(state["is_unheard"])
+        return bool(state["is_cut_off"])
 
     def hear(
         self,
@@ -70,14 +70,14 @@
         incarnation: int = 5,
         rate_per_s: float = 0.0,
         level: float | None = RATE_PER_S,
-        unheard: tuple[str, ...] = (),
+        missing: tuple[str, ...] = (),
         since_s: float = 0.0,
     ) -> None:
         """Deliver a report; with no total, it has no row."""
         rows: tuple[CustomerUsage, ...] = ()
         if total is not None:
             rows = (CustomerUsage(CUSTOMER, total, rate_per_s, level, since_s),)
-        report = UsageReport(peer, incarnation, uptime_s, unheard, rows)
+        report = UsageReport(peer, incarnation, uptime_s, missing, rows)
         self.quotas.handle_report(UsageReport.from_fields(report.to_fields()))
 
 
@@ -147,13 +147,13 @@
         router.hear(20_000, 1.1)
         self.assertAlmostEqual(80_000, router.level)
 
-    def test_word_that_it_is_unheard_is_not_taken_back_by_an_older_report(self) -> None:
+    def test_word_that_it_is_missing_is_not_taken_back_by_an_older_report(self) -> None:
         """Guards against a router that leaves its restriction because of an old report."""
         router = OneRouter(peers=2)
         for peer in router.peers:
-            router.hear(None, 2.0, peer, unheard=("10.0.0.1:80",))
+            router.hear(None, 2.0, peer, missing=("10.0.0.1:80",))
             router.hear(None, 1.0, peer)
-        self.assertTrue(router.is_unheard)
+        self.assertTrue(router.is_cut_off)
 
     def test_total_that_is_older_than_the_quota_here_is_no_debt(self) -> None:
         """Guards against hours without service after a quota is removed and set again."""
@@ -197,19 +197,19 @@
             router.clock.now_s = 100 + tick / 10
             for peer in router.peers:
                 router.hear(tick * 1000.0, tick / 10, peer)
-        self.assertFalse(router.is_unheard)
+        self.assertFalse(router.is_cut_off)
         # The process is paused for 5 s, and then reads what has come meanwhile, oldest first.
         router.clock.now_s += 5.0
-        self.assertTrue(router.is_unheard)
+        self.assertTrue(router.is_cut_off)
         for tick in range(100, 135):
             for peer in router.peers:
                 router.hear(tick * 1000.0, tick / 10, peer)
-        self.assertTrue(router.is_unheard)
+        self.assertTrue(router.is_cut_off)
         for tick in range(135, 149):
             for peer in router.peers:
                 router.hear(tick * 1000.0, tick / 10, peer)
         router.clock.now_s += 0.05
-        self.assertFalse(router.is_unheard)
+        self.assertFalse(router.is_cut_off)
 
     def test_callers_that_waited_for_a_paused_router(self) -> None:
         """Guards against a customer below its quota that is refused as all of its requests during
@@ -282,7 +282,7 @@
             # Its VM is suspended for 60 s, without its clock going on.
             router.clock.now_s = 100 + tick / 10 + (60 if tick >= 100 else 0)
             router.hear(None, tick / 10)
-        self.assertFalse(router.is_unheard)
+        self.assertFalse(router.is_cut_off)
 
     def test_clocks_that_drift_apart_do_not_silence_a_peer(self) -> None:
         """Guards against peers that are taken for paused after hours, by the drift of clocks."""
@@ -290,7 +290,7 @@
         for tick in range(40_000):
             router.clock.now_s = 100 + tick * 1.0001
             router.hear(None, float(tick))
-        self.assertFalse(router.is_unheard)
+        self.assertFalse(router.is_cut_off)
 
 
 class StartTest(unittest.TestCase):
@@ -389,7 +389,7 @@
             router.quotas.admit(CUSTOMER, 1, 0)
             for peer in router.peers[1:] if tick >= 50 else ():
                 router.hear(None, tick / 10, peer)
-        self.assertFalse(router.is_unheard)
+        self.assertFalse(router.is_cut_off)
         router.quotas.charge(CUSTOMER, 200_000, 0)
         level = router.level
         router.clock.now_s += 0.5
@@ -492,7 +492,7 @@
         self._run_with_peers(router, 5.0, 10)
         # It takes a second to notice.
         self._send_all_here(router, 1.5)
-        self.assertTrue(router.is_unheard)
+        self.assertTrue(router.is_cut_off)
         self.assertLess(self._send_all_here(router, 6.0), 6.0 * 0.3 * RATE_PER_S)
 
     def test_restriction_without_requests_is_noticed(self) -> None:
@@ -518,8 +518,8 @@
         self.assertLess(admitted, 9.9 * RATE_PER_S / 10)
 
     def test_requests_larger_than_the_shares_of_routers_that_hear_nobody(self) -> None:
-        """Guards against a large request that each of many unheard routers admits at once, for a
-        customer whose quota in a second is less than one of them."""
+        """Guards against a large request that each of many routers that are cut off admits at once,
+        for a customer whose quota in a second is less than one of them."""
         fleet = QuotaFleet(23, make_quota(36_000))
         fleet.run(5.0, 4 * 36_000)
         fleet.cuts = {(a, b) for a in range(23) for b in range(23)}
@@ -537,7 +537,7 @@
             for peer in router.peers[90:]:
                 router.hear(None, tick / 10, peer)
             for fields in router.quotas.take_reports():
-                named.update(UsageReport.from_fields(fields).unheard)
+                named.update(UsageReport.from_fields(fields).missing)
         self.assertEqual(set(router.peers[:90]), named)
 
     def test_router_that_is_named_by_turns_stays_restricted(self) -> None:
@@ -547,14 +547,14 @@
         for tick in range(80):
             router.clock.now_s = 100 + tick / 10
             is_turn = tick % 20 == 0
-            unheard = (*names[1:], "10.0.0.1:80") if is_turn else names
+            missing = (*names[1:], "10.0.0.1:80") if is_turn else names
             for peer in router.peers:
-                router.hear(None, tick / 10, peer, unheard=unheard)
-            self.assertTrue(router.is_unheard)
+                router.hear(None, tick / 10, peer, missing=missing)
+            self.assertTrue(router.is_cut_off)
         for peer in router.peers:
             router.hear(None, 8.0, peer)
         router.clock.now_s += 0.05
-        self.assertFalse(router.is_unheard)
+        self.assertFalse(router.is_cut_off)
 
 
 class CostOfDecisionTest(unittest.TestCase):
--- a/coltsfootfront/tests/test_system_quotas.py
+++ b/coltsfootfront/tests/test_system_quotas.py
@@ -121,5 +121,5 @@
         await asyncio.gather(*self.requests)
         self._check()
         log = self.routers[0].log_path.read_text(encoding="utf-8")
-        self.assertIn("event=quotas_unheard", log)
-        self.assertIn("event=quotas_heard", log)
+        self.assertIn("event=quotas_cut_off", log)
+        self.assertIn("event=quotas_reconnected", log)
