--- a/coltsfootfront/tests/test_answer_bytes.py
+++ b/coltsfootfront/tests/test_answer_bytes.py
@@ -9,7 +9,7 @@
 from aiohttp.http import StreamWriter
 
 from coltsfootfront.direct.responserelay import ResponseRelay
-from coltsfootfront.platform import callerserver
+from coltsfootfront.platform.callerconnection import CallerConnection
 from coltsfootfront_dev.platformfleet import API_KEY, HOST
 from coltsfootfront_dev.rawseries import (
     CallerRequestPlan,
@@ -185,7 +185,7 @@
         never = asyncio.Event()
 
         async def drain(writer: StreamWriter) -> None:
-            if isinstance(writer.protocol, callerserver._CallerConnection):
+            if isinstance(writer.protocol, CallerConnection):
                 await never.wait()
 
         with mock.patch.object(StreamWriter, "drain", drain):
--- a/coltsfootfront/tests/test_odd_entries.py
+++ b/coltsfootfront/tests/test_odd_entries.py
@@ -32,7 +32,7 @@
 from coltsfootfront.direct.storefollower import Changes, Follower, Item, Position, Snapshot
 from coltsfootfront.direct.transfers import Transfer
 from coltsfootfront.keyvalue.store import KeyValue
-from coltsfootfront.platform import callerserver
+from coltsfootfront.platform import requestdecoder
 from coltsfootfront.platform.cachedparts import PlatformPartReader
 from coltsfootfront.platform.decoder import decode_config, decode_target_entry, decode_version
 from coltsfootfront.platform.orders import PlatformOrderClient
@@ -620,12 +620,12 @@
                 self._check_malformed("X-Prompt-Prefix", text)
         # aiohttp decodes bytes that are no UTF-8 as surrogates.
         with self.assertRaises(ValueError):
-            callerserver._parse_prompt_parts("\udcff:100")
+            requestdecoder._parse_prompt_parts("\udcff:100")
 
     def _check_malformed(self, name: str, text: str) -> None:
         request = make_mocked_request("POST", "/ask/x", headers={name: text})
         with self.assertRaises(ValueError):
-            callerserver.decode_caller_request(request, b"", 0.0)
+            requestdecoder.decode_caller_request(request, b"", 0.0)
 
 
 class LogLinesTest(unittest.TestCase):
--- a/coltsfootfront/tests/test_raw_answers.py
+++ b/coltsfootfront/tests/test_raw_answers.py
@@ -7,7 +7,8 @@
 import aiohttp
 
 from coltsfootfront.common.clock import SystemClock
-from coltsfootfront.platform.callerserver import PlatformCallerServer, PlatformResponseWriter
+from coltsfootfront.platform.callerserver import PlatformCallerServer
+from coltsfootfront.platform.responsewriter import PlatformResponseWriter
 from coltsfootfront_dev.rawcaller import Fault, Finding, MalformedAnswerError, parse_answer
 from coltsfootfront_dev.rawseries import (
     CallerRequestPlan,
--- a/coltsfootfront/tests/test_stream_builds.py
+++ b/coltsfootfront/tests/test_stream_builds.py
@@ -27,7 +27,7 @@
 )
 from coltsfootfront.direct.targetclient import Directive
 from coltsfootfront.keyvalue.store import Put, Transaction
-from coltsfootfront.platform.callerserver import _parse_resumes
+from coltsfootfront.platform.requestdecoder import _parse_resumes
 from coltsfootfront.tests.direct_support import (
     REGIONS,
     FakeResponse,
