--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -12,7 +12,6 @@
 from coltsfootfront import __version__
 from coltsfootfront.common import metrics
 from coltsfootfront.common.clock import Clock
-from coltsfootfront.common.decoding import decode_each, read_list, read_text
 from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.pause import PauseDetector
@@ -36,16 +35,8 @@
 from coltsfootfront.direct.forwarder import Forwarder
 from coltsfootfront.direct.gossip import Gossip
 from coltsfootfront.direct.gossipfields import (
-    decode_expected,
     decode_limit,
-    decode_load,
-    decode_loading,
-    decode_location,
-    decode_pace,
-    decode_pending,
     decode_position,
-    decode_prefill_work,
-    decode_start,
     decode_suspicion,
 )
 from coltsfootfront.direct.handover import HandoverRecord
@@ -74,6 +65,7 @@
 from coltsfootfront.direct.takeups import TakeUps
 from coltsfootfront.direct.targetclient import TargetClient
 from coltsfootfront.direct.targetselection import PlainTargetSelector, PromptTargetSelector
+from coltsfootfront.direct.targetupdates import TargetUpdates
 from coltsfootfront.direct.targetwork import TargetWorkRecorder
 from coltsfootfront.direct.versions import WeightVersions
 from coltsfootfront.keyvalue.leases import LeaseLock
@@ -241,6 +233,9 @@
         self._directory = Directory(clock, settings.regions)
         self._versions = WeightVersions(clock, self._directory, bounds.version_s, bounds.stable_s)
         self._cache_index = CacheIndex(clock)
+        self._target_updates = TargetUpdates(
+            clock, self._directory, self._cache_index, self._gossip
+        )
         self._budgets = ServiceRetryBudgets(
             clock,
             bounds.retry_ratio,
@@ -265,7 +260,7 @@
         self._liveness = LivenessWatch(
             clock,
             self._directory,
-            self._announce_unreachable,
+            self._target_updates.announce_unreachable,
             lambda target: self._crash_observer.record_down(target),
         )
         self._crash_observer = CrashObserver(
@@ -318,8 +313,8 @@
             self._directory,
             self._versions,
             order_client,
-            self._announce_loading,
-            self._announce_loaded,
+            self._target_updates.announce_loading,
+            self._target_updates.announce_loaded,
             generator,
         )
         self._part_reader = part_reader
@@ -639,20 +634,7 @@
         self._gossip.set_peers(addresses)
 
     def _handle_message(self, kind: str, fields: list[Any]) -> None:
-        handlers: dict[str, Callable[[list[Any]], None]] = {
-            gossip.CACHED: self._handle_cached,
-            gossip.LEARNED: self._handle_learned,
-            gossip.EXPECTED: self._handle_expected,
-            gossip.PREFILL_WORK: self._handle_prefill_work,
-            gossip.LOAD: self._handle_loads,
-            gossip.PACE: self._handle_paces,
-            gossip.PENDING: self._handle_pending,
-            gossip.DRAINING: lambda found: self._handle_draining(*decode_start(found)),
-            gossip.UNREACHABLE: lambda found: self._directory.suspect(*decode_start(found)),
-            gossip.WEIGHTS_LOADING: lambda found: self._handle_loading(
-                kind, *decode_loading(found)
-            ),
-            gossip.WEIGHTS_LOADED: lambda found: self._handle_loading(kind, *decode_loading(found)),
+        handlers: dict[str, Callable[[list[Any]], None]] = self._target_updates.handlers | {
             gossip.REVISION: self._handle_revision,
             gossip.LIMIT: lambda found: self._limits.record_peer(*decode_limit(found)),
             gossip.PERMIT_REQUEST: lambda found: self._permits.handle_request(
@@ -675,66 +657,12 @@
         if kind in handlers:
             handlers[kind](fields)
 
-    def _handle_cached(self, fields: list[Any]) -> None:
-        for salt, key, name in decode_each(gossip.CACHED, read_list(fields), decode_location):
-            self._cache_index.record_use(salt, key, name)
-
-    def _handle_learned(self, fields: list[Any]) -> None:
-        for salt, key, name in decode_each(gossip.LEARNED, read_list(fields), decode_location):
-            self._cache_index.record_held(salt, key, name)
-
-    def _handle_expected(self, fields: list[Any]) -> None:
-        for salt, key, name, in_s in decode_each(
-            gossip.EXPECTED, read_list(fields), decode_expected
-        ):
-            self._cache_index.record_expected(salt, key, name, in_s)
-
-    def _handle_draining(self, name: str, started_ms: int) -> None:
-        self._directory.mark_draining(name, started_ms, reported_by="a peer")
-
     def _handle_revision(self, fields: list[Any]) -> None:
         position, address = decode_position(fields)
         if position > self._follower.peer_position:
             self._follower.peer_position = position
             self._peers.announcer = address
 
-    def _handle_prefill_work(self, fields: list[Any]) -> None:
-        for name, priority, work_s in decode_each(
-            gossip.PREFILL_WORK, read_list(fields), decode_prefill_work
-        ):
-            target = self._directory.get(name)
-            if target is not None:
-                target.backlog.add(priority, work_s, self._clock.monotonic_s())
-
-    def _handle_loads(self, fields: list[Any]) -> None:
-        for name, load in decode_each(gossip.LOAD, read_list(fields), decode_load):
-            target = self._directory.get(name)
-            if target is not None:
-                target.record_load(load, self._clock.monotonic_s())
-
-    def _handle_paces(self, fields: list[Any]) -> None:
-        for name, percent in decode_each(gossip.PACE, read_list(fields), decode_pace):
-            target = self._directory.get(name)
-            if target is not None:
-                target.pace.record_sample(percent, self._clock.monotonic_s())
-
-    def _handle_pending(self, fields: list[Any]) -> None:
-        router, rows = read_list(fields)
-        router = read_text(router)
-        for name, totals in decode_each(gossip.PENDING, read_list(rows), decode_pending):
-            target = self._directory.get(name)
-            if target is not None:
-                target.pending.record_peer(router, totals, self._clock.monotonic_s())
-
-    def _handle_loading(self, kind: str, name: str, model: str, version: int, for_s: float) -> None:
-        target = self._directory.get(name)
-        if target is None:
-            return
-        if kind == gossip.WEIGHTS_LOADING:
-            self._record_loading(target, model, version, for_s)
-        elif kind == gossip.WEIGHTS_LOADED:
-            self._record_loaded(target, model, version)
-
     async def _drop_routers(self) -> None:
         """Run the loop that drops routers whose entries have been missing for long."""
         while True:
@@ -755,28 +683,6 @@
     def _announce_limit(self, target: Target, rate_per_s: float | None) -> None:
         self._gossip.broadcast(gossip.LIMIT, [target.name, target.entry.started_ms, rate_per_s])
 
-    def _announce_unreachable(self, target: Target) -> None:
-        self._gossip.broadcast(gossip.UNREACHABLE, [target.name, target.entry.started_ms])
-
-    def _announce_loading(self, target: Target, model: str, version: int, for_s: float) -> None:
-        self._record_loading(target, model, version, for_s)
-        self._gossip.broadcast(gossip.WEIGHTS_LOADING, [target.name, model, version, for_s])
-
-    def _announce_loaded(self, target: Target, model: str, version: int) -> None:
-        self._record_loaded(target, model, version)
-        self._gossip.broadcast(gossip.WEIGHTS_LOADED, [target.name, model, version, 0.0])
-
-    def _record_loading(self, target: Target, model: str, version: int, for_s: float) -> None:
-        target.loading_until_s = self._clock.monotonic_s() + for_s
-        target.ordered_versions[model] = version
-
-    def _record_loaded(self, target: Target, model: str, version: int) -> None:
-        target.loading_until_s = 0.0
-        if version > target.versions.get(model, 0):
-            target.versions[model] = version
-            self._cache_index.remove_holder(target.name)
-        self._directory.notify()
-
     def _occupancy(self) -> Occupancy:
         forwarder = self._forwarder
         max_in_progress = forwarder.in_progress + self._caller_account.free_bytes // REQUEST_BYTES
