--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -8,11 +8,12 @@
 
 import enum
 import math
-from collections import Counter
+import sys
 from collections.abc import Callable, Iterator
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.memory.budget import CONNECTION_BYTES, Budget
+from coltsfootfront.memory.groups import GroupTotals
 
 # In a shortage, a connection without progress for this time is closed for others.
 STALL_S = 1.0
@@ -101,17 +102,23 @@
     """
 
     def __init__(
-        self, budget: Budget, clock: Clock, on_closed: Callable[[str], None] = lambda reason: None
+        self,
+        budget: Budget,
+        clock: Clock,
+        on_closed: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._budget = budget
         self._clock = clock
         self.now_s = clock.monotonic_s
         self._on_closed = on_closed
         self._holders: set[Holder] = set()
+        self._groups = GroupTotals()
         self.held_bytes = 0
         self.descriptors = 0
         self._other_descriptors = 0
         self._searched_s = -math.inf
+        self._failed_search = (0, 0)
+        """Bytes that the requester of the last search in vain wanted, and those of its group."""
 
     @property
     def connections(self) -> int:
@@ -153,11 +160,13 @@
             return False
         more_bytes = held_bytes - holder.held_bytes
         more_descriptors = descriptors - holder.descriptors
-        budget = self._budget
         # Without a call for the usual case, as this runs several times for each request.
-        has_room = (more_bytes <= 0 or self.held_bytes + more_bytes <= budget.memory_bytes) and (
+        has_room = (
+            more_bytes <= 0 or self.held_bytes + more_bytes <= self._budget.memory_bytes
+        ) and (
             more_descriptors <= 0
-            or self.descriptors + more_descriptors <= budget.descriptors - self._other_descriptors
+            or self.descriptors + more_descriptors
+            <= self._budget.descriptors - self._other_descriptors
         )
         if not has_room and not self._make_room(holder, more_bytes, more_descriptors):
             self._on_closed("no_room")
@@ -165,6 +174,13 @@
         self._set(holder, held_bytes, descriptors)
         return True
 
+    def assign(self, holder: Holder, customer: str) -> None:
+        """Record the customer of the request that a connection serves, empty if it has none."""
+        if customer != holder.customer:
+            self._groups.add(holder.address, holder.customer, -holder.held_bytes)
+            holder.customer = customer
+            self._groups.add(holder.address, customer, holder.held_bytes)
+
     def remove(self, holder: Holder) -> None:
         """Release what a connection holds."""
         holder.is_open = False
@@ -173,7 +189,9 @@
             self._set(holder, 0, 0)
 
     def _set(self, holder: Holder, held_bytes: int, descriptors: int) -> None:
-        self.held_bytes += held_bytes - holder.held_bytes
+        more_bytes = held_bytes - holder.held_bytes
+        self.held_bytes += more_bytes
+        self._groups.add(holder.address, holder.customer, more_bytes)
         self.descriptors += descriptors - holder.descriptors
         holder.held_bytes, holder.descriptors = held_bytes, descriptors
 
@@ -190,27 +208,43 @@
         if missing_bytes <= 0 and missing_descriptors <= 0:
             return True
         now_s = self._clock.monotonic_s()
-        if now_s - self._searched_s < SEARCH_INTERVAL_S:
+        wanted = (requester.held_bytes + more_bytes, self._group_bytes(requester) + more_bytes)
+        if now_s - self._searched_s >= SEARCH_INTERVAL_S:
+            self._failed_search = (sys.maxsize, sys.maxsize)
+        elif not _is_much_less(wanted, self._failed_search):
             return False
         freed_bytes = freed_descriptors = 0
         if missing_bytes > 0:
             freed_bytes = int(FREED_SHARE * self._budget.memory_bytes)
         if missing_descriptors > 0:
             freed_descriptors = int(FREED_SHARE * self._budget.descriptors)
-        for holder, reason in self._candidates(requester, more_bytes, now_s):
+        for holder, reason in self._candidates(requester, wanted, now_s):
             missing = self._missing(more_bytes + freed_bytes, more_descriptors + freed_descriptors)
             if max(missing) <= 0:
                 return True
             self.remove(holder)
             holder.close(reason)
             self._on_closed(reason)
+        if max(self._missing(more_bytes, more_descriptors)) <= 0:
+            return True
         self._searched_s = now_s
-        return max(self._missing(more_bytes, more_descriptors)) <= 0
+        self._failed_search = (
+            min(wanted[0], self._failed_search[0]),
+            min(wanted[1], self._failed_search[1]),
+        )
+        return False
+
+    def _group_bytes(self, holder: Holder) -> int:
+        return self._groups.larger_bytes(holder.address, holder.customer)
 
     def _candidates(
-        self, requester: Holder, more_bytes: int, now_s: float
+        self, requester: Holder, wanted: tuple[int, int], now_s: float
     ) -> Iterator[tuple[Holder, str]]:
-        """Connections that may be closed for a requester, in their order."""
+        """Connections that may be closed, in their order.
+
+        :param requester: for whom.
+        :param wanted: what the requester would hold, and its group.
+        """
         others = [holder for holder in self._holders if holder is not requester]
         idle = [holder for holder in others if holder.phase is Phase.IDLE]
         for holder in sorted(idle, key=lambda holder: holder.progress_s):
@@ -228,32 +262,20 @@
         ]
         for holder in sorted(slow, key=lambda holder: holder.rate(now_s)):
             yield holder, "slow"
-        group_bytes = self._group_bytes()
-        wanted_bytes = requester.held_bytes + more_bytes
-        wanted_group_bytes = _group_of(requester, group_bytes) + more_bytes
-        greedy = [
-            holder
+        held = [
+            (self._group_bytes(holder), holder.held_bytes, holder)
             for holder in active
             if holder.is_open
-            and (
-                wanted_bytes <= GREEDY_SHARE * holder.held_bytes
-                or wanted_group_bytes <= GREEDY_SHARE * _group_of(holder, group_bytes)
-            )
         ]
-        greedy.sort(key=lambda holder: (_group_of(holder, group_bytes), holder.held_bytes))
-        for holder in reversed(greedy):
+        greedy = [
+            entry
+            for entry in held
+            if wanted[0] <= GREEDY_SHARE * entry[1] or wanted[1] <= GREEDY_SHARE * entry[0]
+        ]
+        for _, _, holder in sorted(greedy, key=lambda entry: entry[:2], reverse=True):
             yield holder, "greedy"
 
-    def _group_bytes(self) -> Counter[tuple[str, str]]:
-        """What all connections of each address and of each customer hold together."""
-        held: Counter[tuple[str, str]] = Counter()
-        for holder in self._holders:
-            held["address", holder.address] += holder.held_bytes
-            if holder.customer:
-                held["customer", holder.customer] += holder.held_bytes
-        return held
-
 
-def _group_of(holder: Holder, group_bytes: Counter[tuple[str, str]]) -> int:
-    """Bytes that the connections of the same address or the same customer hold, the larger one."""
-    return max(group_bytes["address", holder.address], group_bytes["customer", holder.customer])
+def _is_much_less(wanted: tuple[int, int], failed: tuple[int, int]) -> bool:
+    """Whether a search may find connections that one for a larger requester has not found."""
+    return wanted[0] <= GREEDY_SHARE * failed[0] or wanted[1] <= GREEDY_SHARE * failed[1]
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -248,7 +248,7 @@
         self._is_serving, self._declared_bytes = True, declared_bytes or 0
         self._is_discarding = self._is_body_refused = False
         self._is_chunked = declared_bytes is None and self._is_receiving_body()
-        holder.customer = customer
+        self._account.assign(holder, customer)
         if not self._update():
             return False
         if not self._is_receiving_body():
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -160,6 +160,16 @@
         self.assertEqual(5, self.account.descriptors)
         self.assertFalse(any(holder.is_open for holder in idle))
 
+    def test_search_in_vain_does_not_pause_those_who_want_less(self) -> None:
+        """Guards against a crowd whose refusals keep ordinary callers from being served."""
+        for number in range(4):
+            self._open(f"{number}", Phase.RECEIVING, 250 * KIB)
+        crowd = self._open("c", Phase.RECEIVING)
+        self.assertFalse(self.account.change(crowd, 250 * KIB, 1))
+        ordinary = self._open("o", Phase.RECEIVING)
+        self.assertTrue(self.account.change(ordinary, 100 * KIB, 1))
+        self.assertEqual(["greedy"], [reason for _, reason in self.closed])
+
     def test_log_lines_are_bounded(self) -> None:
         """Guards against a line for each connection of a crowd."""
         report = LimitReport("callers", self.clock)
