--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -108,7 +108,7 @@
         on_closed: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._budget = budget
-        self._clock = clock
+        self.clock = clock
         self.now_s = clock.monotonic_s
         self._on_closed = on_closed
         self._holders: set[Holder] = set()
@@ -143,7 +143,7 @@
 
         :returns: None if there is no room for it.
         """
-        holder = Holder(address, close, self._clock.monotonic_s())
+        holder = Holder(address, close, self.clock.monotonic_s())
         if not self._make_room(holder, CONNECTION_BYTES, 1):
             self._on_closed("no_room")
             return None
@@ -207,7 +207,7 @@
         missing_bytes, missing_descriptors = self._missing(more_bytes, more_descriptors)
         if missing_bytes <= 0 and missing_descriptors <= 0:
             return True
-        now_s = self._clock.monotonic_s()
+        now_s = self.clock.monotonic_s()
         wanted = (requester.held_bytes + more_bytes, self._group_bytes(requester) + more_bytes)
         if now_s - self._searched_s >= SEARCH_INTERVAL_S:
             self._failed_search = (sys.maxsize, sys.maxsize)
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -2,7 +2,8 @@
 
 Answers heads that do not end, bodies and chunks that arrive faster than they are used, pipelined
 requests, and responses that are not read. What has arrived is charged after it has been parsed, so
-that the account may be exceeded by one read from the socket, which is therefore limited.
+that the account may be exceeded by one read from the socket, which is therefore limited. Input
+whose parsing takes long for its size waits for a turn.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 
 from coltsfootfront.memory.account import Account, Holder, Phase
 from coltsfootfront.memory.budget import CONNECTION_BYTES, REQUEST_BYTES, body_memory_bytes
+from coltsfootfront.memory.parsepacer import PacedConnection, ParsePacer
 from coltsfootfront.memory.reads import limit_reads
 
 # Largest read from the socket, and the size from which aiohttp's reader of a body stops reading at
@@ -33,6 +35,13 @@
 CHUNKED_BYTES = 65_536
 # What a response may leave unread before the next pipelined request is begun.
 MAX_UNREAD_BYTES = 262_144
+# Ends of lines in one read from which its parsing waits for a turn: fields of heads, and chunks,
+# each of which takes longer.
+MAX_HEAD_LINES = 256
+MAX_CHUNK_LINES = 64
+# What is parsed in one turn: 2 ms for chunks of one byte.
+TURN_BYTES = 2_048
+LINE_END = b"\r\n"
 
 REQUEST_TIMEOUT_HEAD = b"HTTP/1.1 408 Request Timeout\r\n"
 HEAD_TOO_LARGE_HEAD = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -40,10 +49,11 @@
 CLOSING_FIELDS = b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 
 
-class ChargedConnection(web.RequestHandler):
+class ChargedConnection(web.RequestHandler, PacedConnection):
     """Connection whose memory is charged to an account.
 
     :param account: what it is charged to.
+    :param pacer: gives turns at parsing.
     :param max_head_bytes: largest incomplete head.
     """
 
@@ -54,10 +64,22 @@
     UNREAD_BYTES = 0
     """Further memory of a response that is not read."""
 
-    def __init__(self, manager: Any, account: Account, max_head_bytes: int, **options: Any) -> None:
+    def __init__(
+        self,
+        manager: Any,
+        account: Account,
+        pacer: ParsePacer,
+        max_head_bytes: int,
+        **options: Any,
+    ) -> None:
         super().__init__(manager, read_bufsize=READ_BYTES, **options)
         self._account = account
+        self._pacer = pacer
         self._max_head_bytes = max_head_bytes
+        self._unparsed = b""
+        """Input that waits for a turn; nothing is read from the socket meanwhile."""
+        self._has_turn = False
+        """Whether the connection waits for a turn, or has one."""
         self.holder: Holder | None = None
         self._last_body: Any = None
         """Body of the last request whose head is complete."""
@@ -68,6 +90,8 @@
         """Whether a request has begun to arrive."""
         self._is_serving = False
         self._is_chunked = False
+        self._has_chunked_body = False
+        """Whether the last request whose head is complete has a body in chunks."""
         self._is_discarding = False
         self._is_body_refused = False
         self._is_refused = False
@@ -89,6 +113,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc)
+        self._unparsed = b""
         if self.holder is not None:
             self._account.remove(self.holder)
 
@@ -102,8 +127,70 @@
         holder = self.holder
         if holder is None or not holder.is_open:
             return
+        if self._unparsed and data:
+            self._unparsed += data
+        elif data and self._is_dear(data):
+            self._postpone(holder, data)
+        else:
+            self.parse(holder, data)
+
+    def _postpone(self, holder: Holder, data: bytes) -> None:
+        """Let what has arrived wait for a turn."""
+        self._unparsed, self._is_arriving = data, True
+        if not self._is_serving:
+            holder.enter(Phase.RECEIVING, self._account.now_s())
+        if not self._update():
+            self._refuse_received()
+        if self.transport is not None:
+            self._pause_transport_reading()
+            self._request_turn()
+
+    def _is_dear(self, data: bytes) -> bool:
+        """Whether parsing takes long for the size."""
+        if not self._is_receiving_body():
+            return data.count(LINE_END) > MAX_HEAD_LINES
+        return self._has_chunked_body and data.count(LINE_END) > MAX_CHUNK_LINES
+
+    def _request_turn(self) -> None:
+        if not self._has_turn:
+            self._has_turn = True
+            self._pacer.add(self)
+
+    def parse_next(self) -> bool:
+        holder = self.holder
+        if self.transport is None or holder is None or not holder.is_open:
+            self._unparsed = b""
+        elif not self._reading_paused:
+            data, self._unparsed = self._unparsed[:TURN_BYTES], self._unparsed[TURN_BYTES:]
+            try:
+                self.parse(holder, data)
+            except Exception:
+                # As asyncio does when parsing fails within a read.
+                self._abort()
+                raise
+            if not self._unparsed and not self._reading_paused and not self._buffer_paused:
+                self._resume_transport_reading()
+        # While reading is paused, what has been parsed is used first.
+        self._has_turn = bool(self._unparsed) and not self._reading_paused
+        return self._has_turn
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        super().resume_reading(resume_parser)
+        if self._unparsed and not self._reading_paused:
+            self._request_turn()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._unparsed:
+            super()._resume_transport_reading()
+
+    @property
+    def is_waiting_for_turn(self) -> bool:
+        """Whether input has arrived that has not been parsed yet."""
+        return bool(self._unparsed)
+
+    def parse(self, holder: Holder, data: bytes) -> None:
+        """Parse and charge what has arrived; without any, go on with what aiohttp has left."""
         if not data:
-            # aiohttp goes on with what it had not parsed yet.
             messages = len(self._messages)
             super().data_received(data)
             self._record_messages(messages, 0)
@@ -149,8 +236,9 @@
         :param size_bytes: size of what has been parsed.
         """
         if len(self._messages) > before:
-            body = self._messages[-1][1]
+            message, body = self._messages[-1]
             self._last_body = body
+            self._has_chunked_body = getattr(message, "chunked", False)
             self._queued_bytes += size_bytes
             self._head_bytes, self.head_began_s = 0, math.inf
             if not body.is_eof():
@@ -178,6 +266,7 @@
     def _held_bytes(self) -> int:
         is_busy = self._is_serving or self._is_arriving
         held = (REQUEST_BYTES if is_busy else CONNECTION_BYTES) + self._unread_bytes
+        held += len(self._unparsed)
         held += HEAD_FACTOR * (self._head_bytes + self._queued_bytes)
         if self._is_chunked:
             held += CHUNKED_BYTES
@@ -288,14 +377,16 @@
         self._is_serving, self._declared_bytes = False, 0
         self._is_discarding = self._is_receiving_body()
         self._is_chunked = self._is_chunked and self._is_discarding
-        self._is_arriving = bool(self._is_discarding or self._messages or self._head_bytes)
+        self._is_arriving = bool(
+            self._is_discarding or self._messages or self._head_bytes or self._unparsed
+        )
         self._count_unread()
         holder = self.holder
         if holder is None or not holder.is_open:
             return
         if not self._update():
             self._abort()
-        elif self._is_receiving_body() or self._messages or self._head_bytes:
+        elif self._is_arriving:
             holder.enter(Phase.RECEIVING, self._account.now_s())
         elif self._unread_bytes:
             holder.enter(Phase.WRITING, self._account.now_s())
@@ -325,7 +416,11 @@
     def refresh(self) -> None:
         """Charge what is held now, after a discarded body or a response that nobody waited for."""
         if self._is_arriving and not (
-            self._is_serving or self._is_receiving_body() or self._messages or self._head_bytes
+            self._is_serving
+            or self._is_receiving_body()
+            or self._messages
+            or self._head_bytes
+            or self._unparsed
         ):
             self.end_request()
         elif self._unread_bytes and not self.writing_paused and not self._is_serving:
--- a/coltsfootfront/memory/server.py
+++ b/coltsfootfront/memory/server.py
@@ -11,6 +11,7 @@
 from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.budget import ACCEPTS_PER_ROUND
 from coltsfootfront.memory.connection import ChargedConnection
+from coltsfootfront.memory.parsepacer import ParsePacer
 
 # Largest incomplete head; the heads of peers and of the platform's checks are below 1 kB.
 MAX_HEAD_BYTES = 16_384
@@ -50,11 +51,13 @@
         super().__init__(self._serve)
         self._handler = handler
         self._account = account
+        self._pacer = ParsePacer(account.clock)
 
     def __call__(self) -> web.RequestHandler:
         return ChargedConnection(
             self,
             self._account,
+            self._pacer,
             MAX_HEAD_BYTES,
             loop=asyncio.get_running_loop(),
             access_log=None,
--- a/coltsfootfront/platform/callerconnection.py
+++ b/coltsfootfront/platform/callerconnection.py
@@ -14,6 +14,7 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.unreadresponses import limit_send_buffer
+from coltsfootfront.memory.account import Holder
 from coltsfootfront.memory.connection import (
     BODY_READ_BYTES,
     REQUEST_TIMEOUT_HEAD,
@@ -76,6 +77,9 @@
         # A connection counts as active from a request's first byte, before its handler runs.
         self._observer.on_data_received(self)
         super().data_received(data)
+
+    def parse(self, holder: Holder, data: bytes) -> None:
+        super().parse(holder, data)
         self._end_broken_body()
 
     def _end_broken_body(self) -> None:
@@ -98,14 +102,16 @@
         """End a request that does not arrive in time."""
         self.refresh()
         # A response that is being written is not cut off for the head behind it.
-        if not self.is_serving and now_s - self.head_began_s > header_s:
+        is_late = now_s - self.head_began_s > header_s and not self.is_waiting_for_turn
+        if not self.is_serving and is_late:
             self.refuse_head(REQUEST_TIMEOUT_HEAD)
             self._account.count("head_time")
             return
         holder, timeout = self.holder, self.body_timeout
         if holder is None or timeout is None:
             return
-        if now_s > self.body_deadline_s or now_s - holder.progress_s > idle_s:
+        is_silent = now_s - holder.progress_s > idle_s and not self.is_waiting_for_turn
+        if now_s > self.body_deadline_s or is_silent:
             timeout.expire()
             self._account.count("body_time")
 
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -24,6 +24,7 @@
 from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.budget import ACCEPTS_PER_ROUND, OWN_DESCRIPTORS, Budget
 from coltsfootfront.memory.limits import LimitReport
+from coltsfootfront.memory.parsepacer import ParsePacer
 from coltsfootfront.memory.server import set_backlog
 from coltsfootfront.platform import headers
 from coltsfootfront.platform.callerconnection import (
@@ -89,6 +90,7 @@
         self._supervisor = Supervisor("callers", clock)
         unlimited = Budget(sys.maxsize, sys.maxsize)
         self.account = Account(unlimited, clock, LimitReport("callers", clock).count)
+        self._pacer = ParsePacer(clock)
         self._sweep_handle: asyncio.TimerHandle | None = None
         self._swept_s = math.inf
         self._other_descriptors = 0
@@ -112,6 +114,7 @@
             self._server.close()
         await self._supervisor.close()
         await self.shutdown(timeout=0.1)
+        self._pacer.close()
 
     def _sweep(self) -> None:
         """Check the progress of all connections, and count the descriptors of others."""
@@ -192,6 +195,7 @@
             self,
             self,
             self.account,
+            self._pacer,
             self._limits.header_bytes,
             loop=asyncio.get_running_loop(),
             **options,
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -20,6 +20,7 @@
     caller_budget,
 )
 from coltsfootfront.memory.limits import LOG_INTERVAL_S, LimitReport
+from coltsfootfront.memory.parsepacer import ROUND_S, PacedConnection, ParsePacer
 from coltsfootfront.platform import callerserver, settings
 from coltsfootfront.platform.callerserver import PlatformCallerServer
 from coltsfootfront.tests.support import ManualClock
@@ -65,6 +66,46 @@
                 self.assertGreater(budget.descriptors, expected - FILE_DESCRIPTORS - 200)
 
 
+class FakePacedConnection(PacedConnection):
+    """Connection each part of whose input takes as long to parse as a test says."""
+
+    def __init__(self, clock: ManualClock, parts: int, part_s: float) -> None:
+        self._clock = clock
+        self.parts = parts
+        self._part_s = part_s
+
+    def parse_next(self) -> bool:
+        self._clock.advance(self._part_s)
+        self.parts -= 1
+        return self.parts > 0
+
+
+class ParsePacerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_rounds_leave_time_for_others(self) -> None:
+        """Guards against an event loop that is busy with the framing of a crowd."""
+        clock = ManualClock()
+        pacer = ParsePacer(clock)
+        crowd = [FakePacedConnection(clock, 3, 0.002) for _ in range(100)]
+        for connection in crowd:
+            pacer.add(connection)
+        began_s = clock.monotonic_s()
+        delay_s = pacer.run_round()
+        passed_s = clock.monotonic_s() - began_s
+        self.assertLess(passed_s, 2 * ROUND_S)
+        self.assertGreaterEqual(delay_s, passed_s * 0.9)
+        while any(connection.parts for connection in crowd):
+            pacer.run_round()
+        pacer.close()
+
+    async def test_connection_that_is_alone_waits_for_nobody(self) -> None:
+        """Guards against a caller in calm that is slowed for the size of its chunks."""
+        clock = ManualClock()
+        pacer = ParsePacer(clock)
+        pacer.add(FakePacedConnection(clock, 100, 0.002))
+        self.assertEqual(0.0, pacer.run_round())
+        pacer.close()
+
+
 class AccountTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -242,6 +283,16 @@
             self.assertTrue(response.startswith(b"HTTP/1.1 200"), response)
             self.assertTrue(response.endswith(b"x" * 20), response)
 
+    async def test_small_chunks_are_served(self) -> None:
+        """Guards against a caller in calm whose chunks wait for a turn that does not come."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        chunks = b"1\r\nx\r\n" * 20_000
+        request = head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+        for response in await asyncio.gather(*(self._send([request]) for _ in range(3))):
+            self.assertTrue(response.startswith(b"HTTP/1.1 200"), response[:100])
+            self.assertTrue(response.endswith(b"x" * 20_000), len(response))
+        self.assertEqual(0, self.server.account.held_bytes)
+
     async def test_what_stops_is_refused_truthfully(self) -> None:
         """Guards against heads and bodies that stay open for ever, or that are refused untruly."""
         head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
