--- a/coltsfootfront/memory/budget.py
+++ b/coltsfootfront/memory/budget.py
@@ -5,6 +5,7 @@
 """
 
 import resource
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 MIB = 1024 * 1024
@@ -22,6 +23,11 @@
 # Memory of a longer body, as a multiple of its size: what waits at the connection to the target is
 # a copy, and up to 5.2 MB were seen for 4.2 MB.
 BODY_MEMORY_FACTOR = 1.3
+# Memory of one field of a head, raw, decoded, and in the request to the target; and its text.
+FIELD_BYTES = 768
+FIELD_TEXT_FACTOR = 3
+# Memory of a head that is part of each request.
+INCLUDED_HEAD_BYTES = 24 * 1024
 # Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 # Descriptors kept for the store, peers, listeners and idle connections to targets, of which more
@@ -77,6 +83,17 @@
     return int(max(0, body_bytes - INCLUDED_BODY_BYTES) * BODY_MEMORY_FACTOR)
 
 
+def head_memory_bytes(fields: Iterable[tuple[bytes, bytes]]) -> int:
+    """Memory of a head beyond what is part of each request.
+
+    :param fields: names and values.
+    """
+    memory_bytes = 0
+    for name, value in fields:
+        memory_bytes += FIELD_BYTES + FIELD_TEXT_FACTOR * (len(name) + len(value))
+    return max(0, memory_bytes - INCLUDED_HEAD_BYTES)
+
+
 def _usable_descriptors(max_descriptors: int | None) -> int:
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if max_descriptors is not None and (limit < 0 or max_descriptors < limit):
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -7,13 +7,20 @@
 """
 
 import asyncio
+import itertools
 import math
 from typing import Any
 
 from aiohttp import web
 
 from coltsfootfront.memory.account import Account, Holder, Phase
-from coltsfootfront.memory.budget import CONNECTION_BYTES, REQUEST_BYTES, body_memory_bytes
+from coltsfootfront.memory.budget import (
+    CONNECTION_BYTES,
+    FIELD_BYTES,
+    REQUEST_BYTES,
+    body_memory_bytes,
+    head_memory_bytes,
+)
 from coltsfootfront.memory.parsepacer import PacedConnection, ParsePacer
 from coltsfootfront.memory.reads import limit_reads
 
@@ -85,6 +92,10 @@
         """Body of the last request whose head is complete."""
         self._head_bytes = 0
         self._queued_bytes = 0
+        self._queued_fields = 0
+        """Number of fields of the requests that wait."""
+        self._request_head_bytes = 0
+        """Memory of the head of the request that is being served."""
         self._declared_bytes = 0
         self._is_arriving = False
         """Whether a request has begun to arrive."""
@@ -239,6 +250,10 @@
             message, body = self._messages[-1]
             self._last_body = body
             self._has_chunked_body = getattr(message, "chunked", False)
+            self._queued_fields += sum(
+                len(getattr(queued, "raw_headers", ()))
+                for queued, _ in itertools.islice(self._messages, before, None)
+            )
             self._queued_bytes += size_bytes
             self._head_bytes, self.head_began_s = 0, math.inf
             if not body.is_eof():
@@ -268,6 +283,7 @@
         held = (REQUEST_BYTES if is_busy else CONNECTION_BYTES) + self._unread_bytes
         held += len(self._unparsed)
         held += HEAD_FACTOR * (self._head_bytes + self._queued_bytes)
+        held += FIELD_BYTES * self._queued_fields + self._request_head_bytes
         if self._is_chunked:
             held += CHUNKED_BYTES
         if self._is_discarding:
@@ -333,7 +349,9 @@
         if holder is None or not holder.is_open or self._is_refused:
             return False
         if not self._messages:
-            self._queued_bytes = 0
+            self._queued_bytes = self._queued_fields = 0
+        if self._current_request is not None:
+            self._request_head_bytes = head_memory_bytes(self._current_request.raw_headers)
         self._is_serving, self._declared_bytes = True, declared_bytes or 0
         self._is_discarding = self._is_body_refused = False
         self._is_chunked = declared_bytes is None and self._is_receiving_body()
@@ -374,7 +392,7 @@
 
     def end_request(self) -> None:
         """Record that the request has been answered or refused."""
-        self._is_serving, self._declared_bytes = False, 0
+        self._is_serving, self._declared_bytes, self._request_head_bytes = False, 0, 0
         self._is_discarding = self._is_receiving_body()
         self._is_chunked = self._is_chunked and self._is_discarding
         self._is_arriving = bool(
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -13,11 +13,13 @@
     BASE_BYTES,
     CONNECTION_BYTES,
     FILE_DESCRIPTORS,
+    INCLUDED_HEAD_BYTES,
     MIB,
     REQUEST_BYTES,
     Budget,
     body_memory_bytes,
     caller_budget,
+    head_memory_bytes,
 )
 from coltsfootfront.memory.limits import LOG_INTERVAL_S, LimitReport
 from coltsfootfront.memory.parsepacer import ROUND_S, PacedConnection, ParsePacer
@@ -46,6 +48,14 @@
         self.assertLess(budget.descriptors, 1_638 - FILE_DESCRIPTORS)
         self.assertLess(BASE_BYTES + budget.memory_bytes, 150 * MIB + 1)
 
+    def test_many_fields_of_a_head(self) -> None:
+        """Guards against heads whose fields take more memory than their bytes."""
+        self.assertEqual(0, head_memory_bytes([(b"Accept", b"text/plain")] * 20))
+        tiny = head_memory_bytes([(b"X", b"1")] * 200)
+        self.assertGreater(tiny, 100 * 200 * 2)
+        long = head_memory_bytes([(b"X", b"1" * 15_800)] * 10)
+        self.assertGreater(long, 2 * 158_000 - INCLUDED_HEAD_BYTES)
+
     def test_descriptors_of_the_settings(self) -> None:
         """Guards against a field that is not read, or that a deployment without it must have."""
         fields = settings_fields("r", "127.0.0.1:1", [])
