--- a/coltsfootfront/direct/callerrequest.py
+++ b/coltsfootfront/direct/callerrequest.py
@@ -101,8 +101,12 @@
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body."""
 
-    def hold(self, size_bytes: int) -> None:  # noqa: B027 - writers may keep no account
-        """Record the size of what is kept of the response before it is written."""
+    def hold(self, size_bytes: int) -> bool:
+        """Record the size of what is kept of the response before it is written.
+
+        :returns: False if there is no room to keep more.
+        """
+        return True
 
     @abstractmethod
     async def end(self) -> None:
--- a/coltsfootfront/direct/responserelay.py
+++ b/coltsfootfront/direct/responserelay.py
@@ -1,6 +1,7 @@
 """Relays the responses of targets to callers."""
 
 import random
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 
 import logbook
@@ -34,6 +35,8 @@
 # A response up to this size is buffered before it is relayed, so that the request can be retried if
 # the response breaks off.
 MAX_BUFFERED_BYTES = 262144
+# Size from which a new block is begun of what is kept; tiny chunks share one.
+BLOCK_BYTES = 32768
 # What is kept of a shorter response is part of the memory of each request.
 MIN_HELD_BYTES = 32768
 # A response that is not a stream is treated as endless and cut off beyond this size.
@@ -91,12 +94,11 @@
         :raises RetryError: if the response is a server error and the request should be retried.
         """
         chunks = response.chunks()
-        body = await self._read_beginning(placement, chunks, writer)
-        is_buffered = len(body) <= MAX_BUFFERED_BYTES
+        beginning, is_whole = await self._read_beginning(placement, chunks, writer)
         if state.work is not None and response.status < MIN_SERVER_ERROR_STATUS:
             state.work.record_response()
         self._record_answer(state)
-        if response.status >= MIN_SERVER_ERROR_STATUS and state.may_retry and is_buffered:
+        if response.status >= MIN_SERVER_ERROR_STATUS and state.may_retry and is_whole:
             can_retry = len(state.attempted) < state.route.max_attempts
             if can_retry and self._budgets.get(state.service).try_spend("target_error"):
                 raise RetryError
@@ -108,14 +110,12 @@
                 self._clock.monotonic_s(),
                 self._generator,
             )
-        length_bytes = len(body) if is_buffered else response.length_bytes
+        relayed_bytes = sum(map(len, beginning))
+        length_bytes = relayed_bytes if is_whole else response.length_bytes
         state.has_response_begun = True
         await writer.begin(response.status, response.headers, length_bytes)
-        await writer.write(bytes(body))
-        if not is_buffered:
-            relayed_bytes = len(body)
-            body.clear()
-            writer.hold(0)
+        await _write_beginning(beginning, writer)
+        if not is_whole:
             async for chunk in chunks:
                 placement.target.record_heard(self._clock.monotonic_s())
                 relayed_bytes += len(chunk)
@@ -128,17 +128,25 @@
 
     async def _read_beginning(
         self, placement: Placement, chunks: AsyncIterator[bytes], writer: ResponseWriter
-    ) -> bytearray:
-        """Read a body until its end, or until it is longer than what is buffered."""
-        body = bytearray()
+    ) -> tuple[deque[bytearray], bool]:
+        """Read a body until its end, or until there is no room to keep more of it.
+
+        :returns: what has been read, and whether it is the whole body.
+        """
+        beginning: deque[bytearray] = deque()
+        size_bytes = 0
         async for chunk in chunks:
             placement.target.record_heard(self._clock.monotonic_s())
-            body += chunk
-            if len(body) > MIN_HELD_BYTES:
-                writer.hold(len(body))
-            if len(body) > MAX_BUFFERED_BYTES:
-                break
-        return body
+            if beginning and len(beginning[-1]) < BLOCK_BYTES:
+                beginning[-1] += chunk
+            else:
+                beginning.append(bytearray(chunk))
+            size_bytes += len(chunk)
+            if size_bytes > MIN_HELD_BYTES and not writer.hold(size_bytes):
+                return beginning, False
+            if size_bytes > MAX_BUFFERED_BYTES:
+                return beginning, False
+        return beginning, True
 
     async def relay_stream(
         self,
@@ -288,6 +296,18 @@
                     self._gossip.queue_cached(placement.salt, part.key, holder)
 
 
+async def _write_beginning(beginning: deque[bytearray], writer: ResponseWriter) -> None:
+    """Write what has been kept of a body, and release each block once it is written."""
+    size_bytes = sum(map(len, beginning))
+    was_held = size_bytes > MIN_HELD_BYTES
+    while beginning:
+        block = bytes(beginning.popleft())
+        await writer.write(block)
+        size_bytes -= len(block)
+        if was_held:
+            writer.hold(size_bytes)
+
+
 class _StreamProgress:
     """Progress of one target's stream, counted in complete events.
 
--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -156,6 +156,28 @@
 
         :returns: False if there is no room for it; then nothing has changed.
         """
+        if self._try_change(holder, held_bytes, descriptors):
+            return True
+        if holder.is_open:
+            self._on_closed("no_room")
+        return False
+
+    def charge(self, holder: Holder, held_bytes: int, descriptors: int) -> None:
+        """Change what a connection holds already, whether or not there is room for it.
+
+        Others are closed where they may be; without room, nothing new is accepted.
+        """
+        if holder.is_open and not self._try_change(holder, held_bytes, descriptors):
+            self._set(holder, held_bytes, descriptors)
+
+    def assign(self, holder: Holder, customer: str) -> None:
+        """Record the customer of the request that a connection serves, empty if it has none."""
+        if customer != holder.customer:
+            self._groups.add(holder.address, holder.customer, -holder.held_bytes)
+            holder.customer = customer
+            self._groups.add(holder.address, customer, holder.held_bytes)
+
+    def _try_change(self, holder: Holder, held_bytes: int, descriptors: int) -> bool:
         if not holder.is_open:
             return False
         more_bytes = held_bytes - holder.held_bytes
@@ -169,18 +191,10 @@
             <= self._budget.descriptors - self._other_descriptors
         )
         if not has_room and not self._make_room(holder, more_bytes, more_descriptors):
-            self._on_closed("no_room")
             return False
         self._set(holder, held_bytes, descriptors)
         return True
 
-    def assign(self, holder: Holder, customer: str) -> None:
-        """Record the customer of the request that a connection serves, empty if it has none."""
-        if customer != holder.customer:
-            self._groups.add(holder.address, holder.customer, -holder.held_bytes)
-            holder.customer = customer
-            self._groups.add(holder.address, customer, holder.held_bytes)
-
     def remove(self, holder: Holder) -> None:
         """Release what a connection holds."""
         holder.is_open = False
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -108,6 +108,8 @@
         self._is_refused = False
         self._read_bytes = 0
         self._unread_bytes = 0
+        self._kept_bytes = 0
+        """What is kept of a response before it is written."""
         self.head_began_s = math.inf
         """Time of the first byte of a head that is incomplete, infinite if there is none."""
 
@@ -281,7 +283,7 @@
     def _held_bytes(self) -> int:
         is_busy = self._is_serving or self._is_arriving
         held = (REQUEST_BYTES if is_busy else CONNECTION_BYTES) + self._unread_bytes
-        held += len(self._unparsed)
+        held += self._kept_bytes + len(self._unparsed)
         held += HEAD_FACTOR * (self._head_bytes + self._queued_bytes)
         held += FIELD_BYTES * self._queued_fields + self._request_head_bytes
         if self._is_chunked:
@@ -308,6 +310,13 @@
             return holder.is_open
         return self._account.change(holder, held_bytes, descriptors)
 
+    def _charge(self) -> None:
+        """Charge what the connection holds for a request that may have run."""
+        holder = self.holder
+        if holder is not None:
+            descriptors = 1 + (self.REQUEST_DESCRIPTORS if self._is_serving else 0)
+            self._account.charge(holder, self._held_bytes(), descriptors)
+
     def _refuse_received(self) -> None:
         """Refuse what has just arrived and has no room."""
         if self._is_serving and self._is_receiving_body() and not self._messages:
@@ -398,13 +407,13 @@
         self._is_arriving = bool(
             self._is_discarding or self._messages or self._head_bytes or self._unparsed
         )
+        self._kept_bytes = 0
         self._count_unread()
         holder = self.holder
         if holder is None or not holder.is_open:
             return
-        if not self._update():
-            self._abort()
-        elif self._is_arriving:
+        self._charge()
+        if self._is_arriving:
             holder.enter(Phase.RECEIVING, self._account.now_s())
         elif self._unread_bytes:
             holder.enter(Phase.WRITING, self._account.now_s())
@@ -417,19 +426,17 @@
         if transport is not None and transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
             await self._drain_helper()
 
-    def hold(self, size_bytes: int) -> None:
-        """Charge a part of a response that is kept before it is written.
-
-        The connection is closed if there is no room for it; the request may have run.
+    def hold(self, size_bytes: int) -> bool:
+        """Charge what is kept of a response before it is written.
 
-        :param size_bytes: size of the part, 0 once it has been written.
+        :param size_bytes: size of all that is kept, 0 once it has been written.
+        :returns: False if there is no room for it, so that no more should be kept.
         """
-        if self.writing_paused:
-            # What waits at the socket is charged instead.
-            return
-        self._unread_bytes = self.UNREAD_FACTOR * size_bytes
-        if not self._update():
-            self._abort()
+        self._kept_bytes = size_bytes
+        if self._update():
+            return True
+        self._charge()
+        return False
 
     def refresh(self) -> None:
         """Charge what is held now, after a discarded body or a response that nobody waited for."""
@@ -458,8 +465,7 @@
         self._count_unread()
         if self.holder is not None:
             self.holder.enter(Phase.WRITING, self._account.now_s())
-        if not self._update():
-            self._abort()
+        self._charge()
 
     def resume_writing(self) -> None:
         super().resume_writing()
--- a/coltsfootfront/platform/responsewriter.py
+++ b/coltsfootfront/platform/responsewriter.py
@@ -53,10 +53,9 @@
         if data:
             await self._response.write(data)
 
-    def hold(self, size_bytes: int) -> None:
+    def hold(self, size_bytes: int) -> bool:
         connection = self._request.protocol
-        if isinstance(connection, ChargedConnection):
-            connection.hold(size_bytes)
+        return connection.hold(size_bytes) if isinstance(connection, ChargedConnection) else True
 
     async def end(self) -> None:
         assert self._response is not None
--- a/coltsfootfront/tests/test_slow_readers.py
+++ b/coltsfootfront/tests/test_slow_readers.py
@@ -18,6 +18,8 @@
 from coltsfootfront.direct.sockets import count_unsent_bytes
 from coltsfootfront.direct.targetclient import Directive
 from coltsfootfront.direct.unreadresponses import Progress
+from coltsfootfront.memory.account import Account
+from coltsfootfront.memory.budget import REQUEST_BYTES, Budget
 from coltsfootfront.platform.callerserver import PlatformCallerServer
 from coltsfootfront.platform.targets import PlatformTargetClient, PlatformTargetResponse
 from coltsfootfront.tests import direct_support
@@ -232,7 +234,7 @@
     async def test_answer_that_stays_unread_after_its_end(self) -> None:
         """Guards against answers that are kept for callers that never read them."""
         self.server.set_limits(CallerLimits(idle_s=0.5))
-        answer = AnswerScript(framing=Framing.LENGTH, body_bytes=130_000)
+        answer = AnswerScript(framing=Framing.LENGTH, body_bytes=138_000)
         caller, _ = await self._request(Path.LOOK, Script(answer), SMALL_SEND_BUFFER_BYTES)
         await self.harness.until(lambda: not self.harness.node._forwarder.in_progress)
         # It has been written to its end, so the request's deadline does not apply any more.
@@ -240,6 +242,16 @@
         await self.harness.until(lambda: not self.server.connections, 3.0)
         caller.close()
 
+    async def test_answer_that_finds_no_room_is_relayed_as_it_comes(self) -> None:
+        """Guards against requests that have run and are closed when there is no memory left."""
+        answer = AnswerScript(framing=Framing.LENGTH, body_bytes=240_000)
+        self.server.account = Account(Budget(REQUEST_BYTES + 10_000, 10), SystemClock())
+        caller, _ = await self._request(Path.LOOK, Script(answer))
+        await caller.read(260_000, 1.0)
+        reply = caller.answer
+        assert reply is not None
+        self.assertTrue(reply.is_complete)
+
     async def test_caller_that_reads_slowly_gets_its_answer(self) -> None:
         """Guards against a slow but steady caller that is taken for one that does not read."""
         self.server.set_limits(CallerLimits(idle_s=0.5))
