--- a/coltsfootfront/common/metrics.py
+++ b/coltsfootfront/common/metrics.py
@@ -78,6 +78,10 @@
 CALLER_MEMORY_BYTES = Gauge(
     "coltsfootfront_caller_memory_bytes", "Memory that is charged to callers' connections."
 )
+CALLER_MEMORY_BOUND_BYTES = Gauge(
+    "coltsfootfront_caller_memory_bound_bytes",
+    "Bound on that memory, by the VM and by the resident memory of the process.",
+)
 STORE_ERA = Gauge(
     "coltsfootfront_store_era", "Era of the key-value service, which rises when it is restored."
 )
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -72,6 +72,7 @@
 from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.budget import REQUEST_BYTES, caller_budget, service_budget
 from coltsfootfront.memory.limits import LimitReport
+from coltsfootfront.memory.resident import ProcessMemory
 from coltsfootfront.memory.server import ChargedServer, listen
 from coltsfootfront.quotas.quotas import Quotas
 from coltsfootfront.quotas.usage import UsageReport
@@ -215,12 +216,15 @@
             settings.region,
             settings.link_mbit_per_s,
         )
+        self._resident = ProcessMemory()
         self._caller_limits = LimitReport("callers", clock)
         self._caller_account = Account(
             caller_budget(settings.memory_bytes, settings.max_descriptors),
             clock,
             self._caller_limits.count,
+            self._resident,
         )
+        target_client.account = self._caller_account
         self._service_limits = LimitReport("services", clock)
         self._service_account = Account(
             service_budget(settings.max_descriptors), clock, self._service_limits.count
@@ -366,6 +370,10 @@
                 callers=settings.caller_address,
             )
         )
+        try:
+            self._resident.start()
+        except OSError as error:
+            log.warning(event("resident_memory_not_read", reason=str(error)))
         await self._store.start()
         await self._target_client.start()
         await self._order_client.start()
@@ -480,6 +488,7 @@
         await self._order_client.close()
         await self._part_reader.close()
         await self._store.close()
+        self._resident.close()
 
     def apply_config(self, config: RoutingConfig) -> None:
         before = self._forwarder.routing_config.number
--- a/coltsfootfront/direct/responselimits.py
+++ b/coltsfootfront/direct/responselimits.py
@@ -18,6 +18,7 @@
 from coltsfootfront.common import metrics
 from coltsfootfront.common.logs import event
 from coltsfootfront.direct.sockets import count_unsent_bytes, reset
+from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.connection import BODY_READ_BYTES
 from coltsfootfront.memory.reads import limit_reads
 
@@ -55,8 +56,10 @@
         loop: asyncio.AbstractEventLoop,
         read_bytes: int = BODY_READ_BYTES,
         resets_unfinished: bool = False,
+        account: Account | None = None,
     ) -> None:
         super().__init__(loop)
+        self._account = account
         self._resets_unfinished = resets_unfinished
         self._read_bytes = read_bytes
         self._head_bytes = 0
@@ -156,7 +159,8 @@
                 return
         elif self._body is None:
             self._body = payload
-            if hdrs.CONTENT_LENGTH in message.headers and not payload.is_eof():
+            is_ample = self._account is None or self._account.is_ample
+            if is_ample and hdrs.CONTENT_LENGTH in message.headers and not payload.is_eof():
                 # Without the overhead of chunks, which larger reads would multiply.
                 limit_reads(self.transport, BODY_READ_BYTES)
                 payload.set_read_chunk_size(BODY_READ_BYTES)
@@ -171,6 +175,8 @@
         if not data:
             super().data_received(data)
             return
+        if self._account is not None:
+            self._account.count_received(len(data))
         head, end, remaining = data.partition(HEAD_END)
         if self._body is None and end and remaining:
             # Separate calls: a parse error in the data after the head would discard the head too.
@@ -222,14 +228,16 @@
     connector: aiohttp.TCPConnector,
     read_bytes: int = BODY_READ_BYTES,
     resets_unfinished: bool = False,
+    account: Account | None = None,
 ) -> aiohttp.TCPConnector:
     """Apply the limits of this module to all connections of a connector.
 
     :param read_bytes: largest read from a socket.
     :param resets_unfinished: a connection is reset when it is closed within an exchange.
+    :param account: told of what is received; buffers are small while it is short.
     """
     # aiohttp has no public way to set the protocol class of its connections.
     loop = asyncio.get_running_loop()
-    make = functools.partial(BoundedResponseHandler, loop, read_bytes, resets_unfinished)
+    make = functools.partial(BoundedResponseHandler, loop, read_bytes, resets_unfinished, account)
     connector._factory = make  # type: ignore[assignment]
     return connector
--- a/coltsfootfront/direct/targetclient.py
+++ b/coltsfootfront/direct/targetclient.py
@@ -7,6 +7,7 @@
 
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Target
+from coltsfootfront.memory.account import Account
 
 
 class ExchangeFailure(Enum):
@@ -100,6 +101,9 @@
 class TargetClient(ABC):
     """Sends requests to targets."""
 
+    account: Account | None = None
+    """What the callers are charged to, for whom targets respond; set before the start."""
+
     @abstractmethod
     async def send(
         self, target: Target, request: CallerRequest, directive: Directive
--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -4,6 +4,9 @@
 long as the budget lasts, nobody is closed. When it is short, idle connections are closed first,
 then those that have stalled, those that are slow, and those that hold the most; a request that is
 being served and whose response is read is never closed for others.
+
+What a connection holds is an estimate. The bound on all estimates follows the resident memory of
+the process: a shape of requests that holds more than estimated lowers it.
 """
 
 import enum
@@ -11,9 +14,13 @@
 import sys
 from collections.abc import Callable, Iterator
 
+import logbook
+
 from coltsfootfront.common.clock import Clock
-from coltsfootfront.memory.budget import CONNECTION_BYTES, Budget
+from coltsfootfront.common.logs import event
+from coltsfootfront.memory.budget import CONNECTION_BYTES, MIB, MIN_MEMORY_BYTES, Budget
 from coltsfootfront.memory.groups import GroupTotals
+from coltsfootfront.memory.resident import ResidentMemory
 
 # In a shortage, a connection without progress for this time is closed for others.
 STALL_S = 1.0
@@ -26,6 +33,16 @@
 FREED_SHARE = 0.02
 # Time for which a search that has found nothing is not repeated.
 SEARCH_INTERVAL_S = 0.1
+# The resident memory is read after this much has been received, besides at an interval. Fields of a
+# head take up to 8 times their size.
+MEASURE_STEP_BYTES = MIB
+# Time in which a closed connection's request ends and releases what it holds.
+RELEASE_S = 0.02
+# Shortest time between two returns of freed memory to the operating system, which take some
+# milliseconds.
+TRIM_INTERVAL_S = 0.1
+
+log = logbook.Logger(__name__)
 
 
 class Phase(enum.Enum):
@@ -50,6 +67,7 @@
         "_close",
         "address",
         "began_s",
+        "closing_bytes",
         "customer",
         "descriptors",
         "held_bytes",
@@ -72,6 +90,8 @@
         self.received_bytes = 0
         """Bytes of the request that have arrived."""
         self.is_open = True
+        self.closing_bytes = 0
+        """What it held when it was closed for others, until its connection has ended."""
         self._close = close
 
     def enter(self, phase: Phase, now_s: float) -> None:
@@ -99,6 +119,7 @@
     :param budget: bound of the group.
     :param on_closed: called for each connection closed for others and of each refusal, with the
         reason.
+    :param resident: resident memory of the process, None to go by the estimates alone.
     """
 
     def __init__(
@@ -106,19 +127,28 @@
         budget: Budget,
         clock: Clock,
         on_closed: Callable[[str], None] = lambda reason: None,
+        resident: ResidentMemory | None = None,
     ) -> None:
         self._budget = budget
         self.clock = clock
         self.now_s = clock.monotonic_s
         self._on_closed = on_closed
+        self._resident = resident
         self._holders: set[Holder] = set()
         self._groups = GroupTotals()
         self.held_bytes = 0
         self.descriptors = 0
+        self._bound_bytes = budget.memory_bytes
+        """Bound on `held_bytes`, by the budget and by the last reading of the resident memory."""
+        self._closing_bytes = 0
+        self._unmeasured_bytes = 0
+        self._has_reading_failed = False
+        self._trimmed_s = -math.inf
         self._other_descriptors = 0
         self._searched_s = -math.inf
         self._failed_search = (0, 0)
         """Bytes that the requester of the last search in vain wanted, and those of its group."""
+        self._next_closing_s = -math.inf
 
     @property
     def connections(self) -> int:
@@ -128,7 +158,12 @@
     @property
     def free_bytes(self) -> int:
         """Memory that is left."""
-        return max(0, self._budget.memory_bytes - self.held_bytes)
+        return max(0, self._bound_bytes - self.held_bytes)
+
+    @property
+    def bound_bytes(self) -> int:
+        """Bound on what all connections hold together."""
+        return self._bound_bytes
 
     def count(self, reason: str) -> None:
         """Count a connection that is closed for a limit of its own."""
@@ -138,6 +173,46 @@
         """Set how many descriptors others have taken beyond those kept for them."""
         self._other_descriptors = count
 
+    def count_received(self, size_bytes: int) -> None:
+        """Count bytes that callers or targets have sent, and measure after each step of them."""
+        self._unmeasured_bytes += size_bytes
+        if self._unmeasured_bytes >= MEASURE_STEP_BYTES:
+            self.measure()
+
+    @property
+    def is_ample(self) -> bool:
+        """Whether half of the memory is left, so that transfers may use large buffers."""
+        return 2 * self.held_bytes < self._bound_bytes
+
+    def measure(self) -> None:
+        """Adapt the bound to what the process really holds, and close connections beyond it."""
+        self._unmeasured_bytes = 0
+        if self._resident is None:
+            return
+        try:
+            resident_bytes = self._resident.read_bytes()
+            now_s = self.clock.monotonic_s()
+            if (
+                resident_bytes > self._budget.resident_bytes
+                and now_s - self._trimmed_s >= TRIM_INTERVAL_S
+            ):
+                self._trimmed_s = now_s
+                self._resident.trim()
+                resident_bytes = self._resident.read_bytes()
+        except OSError as error:
+            if not self._has_reading_failed:
+                log.warning(event("resident_memory_unknown", reason=str(error)))
+            self._has_reading_failed = True
+            return
+        self._has_reading_failed = False
+        # What closed connections held is about to be freed.
+        room_bytes = self._budget.resident_bytes - resident_bytes + self._closing_bytes
+        # Freed memory that the allocator cannot return is used for the next requests.
+        bound_bytes = max(MIN_MEMORY_BYTES, self.held_bytes + room_bytes)
+        self._bound_bytes = min(self._budget.memory_bytes, bound_bytes)
+        if self.held_bytes > self._bound_bytes and now_s >= self._next_closing_s:
+            self._close_beyond_bound(now_s)
+
     def open(self, address: str, close: Callable[[str], None]) -> Holder | None:
         """Charge a new connection.
 
@@ -149,6 +224,7 @@
             return None
         self._holders.add(holder)
         self._set(holder, CONNECTION_BYTES, 1)
+        self.count_received(CONNECTION_BYTES)
         return holder
 
     def change(self, holder: Holder, held_bytes: int, descriptors: int) -> bool:
@@ -183,9 +259,7 @@
         more_bytes = held_bytes - holder.held_bytes
         more_descriptors = descriptors - holder.descriptors
         # Without a call for the usual case, as this runs several times for each request.
-        has_room = (
-            more_bytes <= 0 or self.held_bytes + more_bytes <= self._budget.memory_bytes
-        ) and (
+        has_room = (more_bytes <= 0 or self.held_bytes + more_bytes <= self._bound_bytes) and (
             more_descriptors <= 0
             or self.descriptors + more_descriptors
             <= self._budget.descriptors - self._other_descriptors
@@ -196,12 +270,25 @@
         return True
 
     def remove(self, holder: Holder) -> None:
-        """Release what a connection holds."""
+        """Release what a connection holds, once it has ended."""
+        self._closing_bytes -= holder.closing_bytes
+        holder.closing_bytes = 0
+        self._release(holder)
+
+    def _release(self, holder: Holder) -> None:
         holder.is_open = False
         if holder in self._holders:
             self._holders.remove(holder)
             self._set(holder, 0, 0)
 
+    def _close(self, holder: Holder, reason: str) -> None:
+        """Close a connection for others."""
+        holder.closing_bytes = holder.held_bytes
+        self._closing_bytes += holder.closing_bytes
+        self._release(holder)
+        holder.close(reason)
+        self._on_closed(reason)
+
     def _set(self, holder: Holder, held_bytes: int, descriptors: int) -> None:
         more_bytes = held_bytes - holder.held_bytes
         self.held_bytes += more_bytes
@@ -210,7 +297,7 @@
         holder.held_bytes, holder.descriptors = held_bytes, descriptors
 
     def _missing(self, more_bytes: int, more_descriptors: int) -> tuple[int, int]:
-        free_bytes = self._budget.memory_bytes - self.held_bytes
+        free_bytes = self._bound_bytes - self.held_bytes
         free_descriptors = self._budget.descriptors - self._other_descriptors - self.descriptors
         return (
             more_bytes - free_bytes if more_bytes > 0 else 0,
@@ -236,9 +323,7 @@
             missing = self._missing(more_bytes + freed_bytes, more_descriptors + freed_descriptors)
             if max(missing) <= 0:
                 return True
-            self.remove(holder)
-            holder.close(reason)
-            self._on_closed(reason)
+            self._close(holder, reason)
         if max(self._missing(more_bytes, more_descriptors)) <= 0:
             return True
         self._searched_s = now_s
@@ -251,12 +336,22 @@
     def _group_bytes(self, holder: Holder) -> int:
         return self._groups.larger_bytes(holder.address, holder.customer)
 
+    def _close_beyond_bound(self, now_s: float) -> None:
+        """Close connections until what the others hold keeps to the bound."""
+        enough_bytes = self._bound_bytes - int(FREED_SHARE * self._budget.memory_bytes)
+        self._next_closing_s = now_s + SEARCH_INTERVAL_S
+        for holder, reason in self._candidates(None, (0, 0), now_s):
+            if self.held_bytes <= enough_bytes:
+                self._next_closing_s = now_s + RELEASE_S
+                return
+            self._close(holder, reason)
+
     def _candidates(
-        self, requester: Holder, wanted: tuple[int, int], now_s: float
+        self, requester: Holder | None, wanted: tuple[int, int], now_s: float
     ) -> Iterator[tuple[Holder, str]]:
         """Connections that may be closed, in their order.
 
-        :param requester: for whom.
+        :param requester: for whom, None for all others.
         :param wanted: what the requester would hold, and its group.
         """
         others = [holder for holder in self._holders if holder is not requester]
--- a/coltsfootfront/memory/budget.py
+++ b/coltsfootfront/memory/budget.py
@@ -5,6 +5,7 @@
 """
 
 import resource
+import sys
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -39,6 +40,10 @@
 # Descriptors of such connections, and of those that were closed and are gone only in a later round.
 ACCEPT_DESCRIPTORS = 2 * ACCEPTS_PER_ROUND
 MIN_DESCRIPTORS = 64
+# Part of a VM's memory that stays free, for what the process takes up between two readings of its
+# resident memory: a share, as one round of the event loop serves more connections on larger VMs.
+RESIDENT_MARGIN_SHARE = 1 / 16
+MIN_RESIDENT_MARGIN_BYTES = 16 * MIB
 # Share of the peer, metrics and readiness ports. Its memory is part of BASE_BYTES. Copies of the
 # store, at most 8 MiB each, wait there for peers with slow links.
 SERVICE_MEMORY_BYTES = 32 * MIB
@@ -51,10 +56,12 @@
 
     :param memory_bytes: bound on the memory of all its connections and their requests.
     :param descriptors: bound on its descriptors and on those of the targets that serve them.
+    :param resident_bytes: resident memory of the process above which the group gives way.
     """
 
     memory_bytes: int
     descriptors: int
+    resident_bytes: int = sys.maxsize
 
 
 def caller_budget(memory_bytes: int, max_descriptors: int | None) -> Budget:
@@ -69,6 +76,7 @@
             MIN_DESCRIPTORS,
             _usable_descriptors(max_descriptors) - OWN_DESCRIPTORS - ACCEPT_DESCRIPTORS,
         ),
+        memory_bytes - max(MIN_RESIDENT_MARGIN_BYTES, int(memory_bytes * RESIDENT_MARGIN_SHARE)),
     )
 
 
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -137,6 +137,8 @@
         limit_reads(self.transport, size_bytes)
 
     def data_received(self, data: bytes) -> None:
+        if data:
+            self._account.count_received(len(data))
         holder = self.holder
         if holder is None or not holder.is_open:
             return
--- a/coltsfootfront/platform/callerserver.py
+++ b/coltsfootfront/platform/callerserver.py
@@ -46,6 +46,8 @@
 
 # Interval at which the progress of callers is checked.
 SWEEP_INTERVAL_S = 0.5
+# Interval at which the resident memory of the process is read.
+MEASURE_INTERVAL_S = 0.05
 # Allowance on the time for a head, for a busy router and for the link.
 HEAD_GRACE_S = 1.0
 # Time after which a refused caller may retry; about as long as a response takes.
@@ -105,6 +107,7 @@
             set_backlog(listener)
         self._sweep()
         self._supervisor.add("unread_responses", self.unread_responses.run)
+        self._supervisor.add("memory", self._measure)
         await self._supervisor.start()
 
     async def close(self) -> None:
@@ -116,6 +119,12 @@
         await self.shutdown(timeout=0.1)
         self._pacer.close()
 
+    async def _measure(self) -> None:
+        """Compare what is charged with the resident memory, also while nothing arrives."""
+        while True:
+            await self._clock.sleep(MEASURE_INTERVAL_S)
+            self.account.measure()
+
     def _sweep(self) -> None:
         """Check the progress of all connections, and count the descriptors of others."""
         self._sweep_handle = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -126,6 +135,7 @@
         self._other_descriptors = self._count_other_descriptors()
         self.account.set_other_descriptors(self._other_descriptors)
         metrics.CALLER_MEMORY_BYTES.set({}, self.account.held_bytes)
+        metrics.CALLER_MEMORY_BOUND_BYTES.set({}, self.account.bound_bytes)
         if was_paused:
             return
         limits = self._limits
--- a/coltsfootfront/platform/targets.py
+++ b/coltsfootfront/platform/targets.py
@@ -27,6 +27,7 @@
     TargetClient,
     TargetResponse,
 )
+from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.connection import READ_BYTES
 from coltsfootfront.platform import headers
 from coltsfootfront.platform.responsechecks import UndelimitedBody, check_head
@@ -178,8 +179,8 @@
         self._non_idempotent_session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        self._idempotent_session = _create_session(KEEPALIVE_S)
-        self._non_idempotent_session = _create_session(NON_IDEMPOTENT_KEEPALIVE_S)
+        self._idempotent_session = _create_session(KEEPALIVE_S, self.account)
+        self._non_idempotent_session = _create_session(NON_IDEMPOTENT_KEEPALIVE_S, self.account)
 
     async def close(self) -> None:
         for session in (self._idempotent_session, self._non_idempotent_session):
@@ -244,7 +245,7 @@
     return created
 
 
-def _create_session(keepalive_s: float) -> aiohttp.ClientSession:
+def _create_session(keepalive_s: float, account: Account | None) -> aiohttp.ClientSession:
     connector = use_bounded_handler(
         _TargetConnector(
             limit=0,
@@ -254,6 +255,7 @@
         ),
         READ_BYTES,
         resets_unfinished=True,
+        account=account,
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -23,6 +23,7 @@
 )
 from coltsfootfront.memory.limits import LOG_INTERVAL_S, LimitReport
 from coltsfootfront.memory.parsepacer import ROUND_S, PacedConnection, ParsePacer
+from coltsfootfront.memory.resident import ResidentMemory
 from coltsfootfront.platform import callerserver, settings
 from coltsfootfront.platform.callerserver import PlatformCallerServer
 from coltsfootfront.tests.support import ManualClock
@@ -76,6 +77,26 @@
                 self.assertGreater(budget.descriptors, expected - FILE_DESCRIPTORS - 200)
 
 
+class FakeResidentMemory(ResidentMemory):
+    """Figure that a test sets, of which a part is freed when the allocator is asked to."""
+
+    def __init__(self, held_bytes: int, freed_bytes: int = 0) -> None:
+        self.held_bytes = held_bytes
+        self._freed_bytes = freed_bytes
+
+    def start(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+    def read_bytes(self) -> int:
+        return self.held_bytes
+
+    def trim(self) -> None:
+        self.held_bytes -= self._freed_bytes
+
+
 class FakePacedConnection(PacedConnection):
     """Connection each part of whose input takes as long to parse as a test says."""
 
@@ -211,6 +232,62 @@
         self.assertEqual(5, self.account.descriptors)
         self.assertFalse(any(holder.is_open for holder in idle))
 
+    def test_resident_memory_bounds_what_is_underestimated(self) -> None:
+        """Guards against a shape of requests that holds more than it is charged for."""
+        resident = FakeResidentMemory(60 * MIB)
+        self.account = Account(Budget(64 * MIB, 100, 100 * MIB), self.clock, resident=resident)
+        stalled = []
+        for number in range(4):
+            stalled.append(self._open(f"{number}", Phase.RECEIVING, 8 * MIB))
+            self.clock.advance(0.1)
+        served = self._open("s", Phase.SERVING, 8 * MIB)
+        self.clock.advance(STALL_S)
+        reading = self._open("r", Phase.RECEIVING, 2 * MIB)
+        self.account.measure()
+        self.assertEqual([], self.closed)
+        resident.held_bytes = 105 * MIB
+        self.account.measure()
+        self.assertEqual([("0", "stalled")], self.closed)
+        self.assertLess(self.account.free_bytes, 4 * MIB)
+        # The memory is free once the connection has ended.
+        resident.held_bytes = 95 * MIB
+        self.account.remove(stalled[0])
+        self.account.measure()
+        self.assertEqual(1, len(self.closed))
+        self.assertTrue(self.account.change(reading, 4 * MIB, 1))
+        resident.held_bytes = 200 * MIB
+        self.clock.advance(STALL_S)
+        self.account.measure()
+        self.assertEqual(5, len(self.closed))
+        self.assertTrue(served.is_open)
+        # What the allocator keeps does not shut out the next caller.
+        self.account.remove(served)
+        self.account.measure()
+        next_caller = self._open("n", Phase.RECEIVING)
+        self.assertTrue(self.account.change(next_caller, REQUEST_BYTES, 1))
+
+    def test_freed_memory_is_returned_before_anybody_is_closed(self) -> None:
+        """Guards against closing callers for memory that only the allocator keeps."""
+        resident = FakeResidentMemory(105 * MIB, 40 * MIB)
+        self.account = Account(Budget(64 * MIB, 100, 100 * MIB), self.clock, resident=resident)
+        self._open("i", Phase.IDLE, 20 * MIB)
+        self.account.measure()
+        self.assertEqual([], self.closed)
+
+    def test_resident_memory_that_cannot_be_read(self) -> None:
+        """Guards against callers that are closed, or a line for each reading, without a figure."""
+        resident = FakeResidentMemory(0)
+        self.account = Account(Budget(MIB, 100, MIB), self.clock, resident=resident)
+        self._open("i", Phase.IDLE, 100 * KIB)
+        with (
+            mock.patch.object(resident, "read_bytes", side_effect=OSError("gone")),
+            mock.patch("coltsfootfront.memory.account.log") as log,
+        ):
+            self.account.measure()
+            self.account.measure()
+        self.assertEqual(1, log.warning.call_count)
+        self.assertEqual([], self.closed)
+
     def test_search_in_vain_does_not_pause_those_who_want_less(self) -> None:
         """Guards against a crowd whose refusals keep ordinary callers from being served."""
         for number in range(4):
--- a/coltsfootfront/tests/test_system_caller_memory.py
+++ b/coltsfootfront/tests/test_system_caller_memory.py
@@ -31,6 +31,13 @@
 LARGE_CROWD = 400
 SLOW_CROWD = 240
 SMALL_CROWD = 1_500
+# Together below the limit on a head, 16,384 bytes.
+LONG_FIELDS = tuple(f"X-Field-{number:03}: {'v' * 65}" for number in range(190))
+# A caller that reads slowly takes a piece of this size in each interval.
+SLOW_PIECE_BYTES = 1_500
+SLOW_INTERVAL_S = 0.05
+# Time between the callers of a crowd that does not come at once.
+ARRIVAL_INTERVAL_S = 0.005
 # Time for which a crowd may go on sending, and for which an ordinary request may be tried again.
 # Both bound the duration of the test; neither is checked.
 CROWD_S = 10.0
@@ -52,10 +59,10 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
-def sized_body(size_bytes: int, missing_bytes: int = 0) -> list[bytes]:
+def sized_body(size_bytes: int, missing_bytes: int = 0, *fields: str) -> list[bytes]:
     """Encode a request with a length, of whose body the last bytes may be missing."""
-    fields = head("/file/a", "POST", f"Content-Length: {size_bytes}")
-    return [fields, bytes(size_bytes - missing_bytes)]
+    begin = head("/file/a", "POST", f"Content-Length: {size_bytes}", *fields)
+    return [begin, bytes(size_bytes - missing_bytes)]
 
 
 def in_pieces(parts: Iterable[bytes]) -> Iterator[bytes]:
@@ -78,6 +85,8 @@
     memory_mb = MEMORY_MB
     max_descriptors = MAX_DESCRIPTORS
     slow_crowd = SLOW_CROWD
+    receive_buffer_bytes = 0
+    """Buffer of each caller's socket, 0 for as much as the kernel takes."""
 
     async def asyncSetUp(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
@@ -121,11 +130,14 @@
 
     async def _send(
         self, pieces: Iterable[bytes], reads: bool = False, listen: str = "front"
-    ) -> None:
+    ) -> socket.socket:
         """Send on a new connection, which stays open; the router may close it at any time."""
         loop = asyncio.get_running_loop()
         connection = socket.socket()
         connection.setblocking(False)
+        if self.receive_buffer_bytes:
+            size = self.receive_buffer_bytes
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
         self.sockets.append(connection)
         host, _, port = self.router.settings["listen"][listen].rpartition(":")
         with suppress(OSError):
@@ -135,6 +147,22 @@
                 await asyncio.sleep(0)
             while reads and await loop.sock_recv(connection, PIECE_BYTES):
                 pass
+        return connection
+
+    async def _read_slowly(self, number: int) -> None:
+        """Send a request on a new connection, and read its response slowly."""
+        await asyncio.sleep(number * ARRIVAL_INTERVAL_S)
+        loop = asyncio.get_running_loop()
+        connection = await self._send([head()])
+        with suppress(OSError):
+            while await loop.sock_recv(connection, SLOW_PIECE_BYTES):  # noqa: ASYNC110
+                await asyncio.sleep(SLOW_INTERVAL_S)
+
+    async def _send_again(self, pieces: Iterable[bytes]) -> None:
+        """Send on a new connection whenever the router has closed the one before."""
+        while True:
+            await self._send(pieces, reads=True)
+            await asyncio.sleep(SLOW_INTERVAL_S)
 
     async def _run_crowd(self, crowd: Iterable[Iterable[bytes]], reads: bool = False) -> None:
         """Send all requests of a crowd at once."""
@@ -191,6 +219,12 @@
         waiting = head("/look/a", "GET", f"X-Filler: {'x' * 12_000}")
         await self._run_crowd([[head(), waiting * 40]] * self.slow_crowd)
 
+    async def _leave_responses_unread(self, kind: str, *fields: str) -> None:
+        for target in self.fleet.plain_targets:
+            target.faults.endless = kind
+        await self._run_crowd([[head("/look/a", "GET", *fields)]] * self.slow_crowd)
+        await asyncio.sleep(CROWD_S)
+
     async def _leave_streams_unread(self) -> None:
         for target in self.fleet.engine_targets:
             target.faults.floods = True
@@ -263,10 +297,7 @@
 
     async def test_long_responses_that_are_not_read(self) -> None:
         """Guards against long response bodies that were written and are not read."""
-        for target in self.fleet.plain_targets:
-            target.faults.endless = "chunks"
-        await self._run_crowd([[head()]] * SLOW_CROWD)
-        await asyncio.sleep(CROWD_S)
+        await self._leave_responses_unread("chunks")
         await self._check()
 
     async def test_connections_that_send_nothing(self) -> None:
@@ -334,3 +365,83 @@
         """Guards against readers of targets' responses that hold more than a request is charged."""
         await self._leave_streams_unread()
         await self._check()
+
+
+class LargerVmTest(CrowdTestCase):
+    """Crowds that grow with the descriptors of a VM, beside which a fixed reserve is small."""
+
+    memory_mb = 300
+    max_descriptors = 4_100
+    slow_crowd = 1_700
+    receive_buffer_bytes = 16_384
+
+    async def test_long_heads_whose_bodies_stop_short(self) -> None:
+        """Guards against heads that take memory until the end of their requests."""
+        crowd = [sized_body(SMALL_BODY_BYTES, 5, *LONG_FIELDS)] * self.slow_crowd
+        await self._run_crowd(crowd)
+        await self._check()
+
+    async def test_long_heads_whose_responses_are_not_read(self) -> None:
+        """Guards against heads and their copies for the target that are kept beside a response."""
+        await self._leave_responses_unread("chunks", *LONG_FIELDS)
+        await self._check()
+
+    async def test_long_responses_that_are_not_read(self) -> None:
+        """Guards against copies of a response that are not counted."""
+        await self._leave_responses_unread("sized")
+        await self._check()
+
+    async def test_streams_that_are_not_read(self) -> None:
+        """Guards against readers of targets' responses that hold more than a request is charged."""
+        await self._leave_streams_unread()
+        await self._check()
+
+    async def test_long_responses_that_are_read_slowly(self) -> None:
+        """Guards against callers that read, and never so slowly that they have stalled."""
+        for target in self.fleet.plain_targets:
+            target.faults.endless = "sized"
+        callers = [asyncio.create_task(self._read_slowly(number)) for number in range(450)]
+        await asyncio.sleep(CROWD_S)
+        await self._check()
+        for caller in callers:
+            caller.cancel()
+
+    async def test_small_chunks_that_go_on(self) -> None:
+        """Guards against an event loop that has time for nothing but the framing of chunks."""
+        kinds = [chunked_body(1, 20_000, number == 0) for number in range(10)]
+        crowd = [self._send_again(pieces) for pieces in kinds * 300]
+        callers = [asyncio.create_task(caller) for caller in crowd]
+        await asyncio.sleep(CROWD_S)
+        await self._check()
+        for caller in callers:
+            caller.cancel()
+
+    async def test_all_shapes_at_once(self) -> None:
+        """Guards against bounds that each hold alone and not together."""
+        for target in self.fleet.plain_targets:
+            target.faults.endless = "chunks"
+        shapes: list[list[bytes]] = [
+            sized_body(MAX_BODY_BYTES, 1),
+            sized_body(SMALL_BODY_BYTES, 5, *LONG_FIELDS),
+            chunked_body(65_536, 60, False),
+            chunked_body(1, 20_000, False),
+            [head("/look/a", "GET", *LONG_FIELDS)],
+            [head(), head("/look/a", "GET", f"X-Filler: {'x' * 12_000}") * 20],
+            [],
+        ]
+        await self._run_crowd(shapes * (self.slow_crowd // len(shapes)))
+        await self._check()
+
+
+class LargestVmTest(CrowdTestCase):
+    """The crowds that exceeded the VM with the most memory, which has the most descriptors."""
+
+    memory_mb = 552
+    max_descriptors = 8_192
+    slow_crowd = 3_000
+    receive_buffer_bytes = 16_384
+
+    async def test_long_heads_whose_responses_are_not_read(self) -> None:
+        """Guards against a reserve that does not grow with the number of connections."""
+        await self._leave_responses_unread("chunks", *LONG_FIELDS)
+        await self._check()
--- a/coltsfootfront_dev/endlessresponse.py
+++ b/coltsfootfront_dev/endlessresponse.py
@@ -28,6 +28,10 @@
 # The same for bodies that are not a stream of events.
 ENDLESS_BODIES: dict[str, Callable[[bytes], tuple[bytes, bytes]]] = {
     "chunks": lambda head: (_chunked(head), b"4000\r\n" + bytes(16_384) + b"\r\n"),
+    "sized": lambda head: (
+        b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 1000000000\r\n\r\n",
+        bytes(16_384),
+    ),
     "unframed": lambda head: (b"HTTP/1.1 200 OK\r\n" + head + b"\r\n", bytes(16_384)),
 }
 
