--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -39,8 +39,9 @@
 # Time in which a closed connection's request ends and releases what it holds.
 RELEASE_S = 0.02
 # Shortest time between two returns of freed memory to the operating system, which take some
-# milliseconds.
+# milliseconds: without room, and while there is some.
 TRIM_INTERVAL_S = 0.1
+CALM_TRIM_INTERVAL_S = 1.0
 
 log = logbook.Logger(__name__)
 
@@ -189,29 +190,40 @@
         self._unmeasured_bytes = 0
         if self._resident is None:
             return
+        now_s = self.clock.monotonic_s()
         try:
-            resident_bytes = self._resident.read_bytes()
-            now_s = self.clock.monotonic_s()
-            if (
-                resident_bytes > self._budget.resident_bytes
-                and now_s - self._trimmed_s >= TRIM_INTERVAL_S
-            ):
+            bound_bytes = self._compute_bound(self._resident.read_bytes())
+            if self._should_trim(bound_bytes, now_s):
                 self._trimmed_s = now_s
                 self._resident.trim()
-                resident_bytes = self._resident.read_bytes()
+                bound_bytes = self._compute_bound(self._resident.read_bytes())
         except OSError as error:
             if not self._has_reading_failed:
                 log.warning(event("resident_memory_unknown", reason=str(error)))
             self._has_reading_failed = True
             return
         self._has_reading_failed = False
+        self._bound_bytes = bound_bytes
+        if self.held_bytes > bound_bytes and now_s >= self._next_closing_s:
+            self._close_beyond_bound(now_s)
+
+    def _compute_bound(self, resident_bytes: int) -> int:
+        """Bound on what all connections hold, by what the process may still grow by."""
         # What closed connections held is about to be freed.
         room_bytes = self._budget.resident_bytes - resident_bytes + self._closing_bytes
         # Freed memory that the allocator cannot return is used for the next requests.
         bound_bytes = max(MIN_MEMORY_BYTES, self.held_bytes + room_bytes)
-        self._bound_bytes = min(self._budget.memory_bytes, bound_bytes)
-        if self.held_bytes > self._bound_bytes and now_s >= self._next_closing_s:
-            self._close_beyond_bound(now_s)
+        return min(self._budget.memory_bytes, bound_bytes)
+
+    def _should_trim(self, bound_bytes: int, now_s: float) -> bool:
+        """Whether memory that the allocator may return keeps callers out."""
+        budget_bytes = self._budget.memory_bytes
+        free_bytes = bound_bytes - self.held_bytes
+        if bound_bytes == budget_bytes or 2 * free_bytes >= budget_bytes:
+            return False
+        is_full = free_bytes <= MIN_MEMORY_BYTES
+        interval_s = TRIM_INTERVAL_S if is_full else CALM_TRIM_INTERVAL_S
+        return now_s - self._trimmed_s >= interval_s
 
     def open(self, address: str, close: Callable[[str], None]) -> Holder | None:
         """Charge a new connection.
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -274,6 +274,14 @@
         self.account.measure()
         self.assertEqual([], self.closed)
 
+    def test_freed_memory_does_not_limit_the_next_callers(self) -> None:
+        """Guards against callers that are refused after a crowd, for memory that is free."""
+        resident = FakeResidentMemory(98 * MIB, 40 * MIB)
+        self.account = Account(Budget(64 * MIB, 100, 100 * MIB), self.clock, resident=resident)
+        self.account.measure()
+        next_caller = self._open("n", Phase.RECEIVING)
+        self.assertTrue(self.account.change(next_caller, 30 * MIB, 1))
+
     def test_resident_memory_that_cannot_be_read(self) -> None:
         """Guards against callers that are closed, or a line for each reading, without a figure."""
         resident = FakeResidentMemory(0)
