--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -18,7 +18,13 @@
 
 from coltsfootfront.common.clock import Clock
 from coltsfootfront.common.logs import event
-from coltsfootfront.memory.budget import CONNECTION_BYTES, MIB, MIN_MEMORY_BYTES, Budget
+from coltsfootfront.memory.budget import (
+    CLOSING_DESCRIPTORS,
+    CONNECTION_BYTES,
+    MIB,
+    MIN_MEMORY_BYTES,
+    Budget,
+)
 from coltsfootfront.memory.groups import GroupTotals
 from coltsfootfront.memory.resident import ResidentMemory
 
@@ -69,6 +75,7 @@
         "address",
         "began_s",
         "closing_bytes",
+        "closing_descriptors",
         "customer",
         "descriptors",
         "held_bytes",
@@ -93,6 +100,8 @@
         self.is_open = True
         self.closing_bytes = 0
         """What it held when it was closed for others, until its connection has ended."""
+        self.closing_descriptors = 0
+        """The same of its descriptors."""
         self._close = close
 
     def enter(self, phase: Phase, now_s: float) -> None:
@@ -142,6 +151,7 @@
         self._bound_bytes = budget.memory_bytes
         """Bound on `held_bytes`, by the budget and by the last reading of the resident memory."""
         self._closing_bytes = 0
+        self._closing_descriptors = 0
         self._unmeasured_bytes = 0
         self._has_reading_failed = False
         self._trimmed_s = -math.inf
@@ -273,7 +283,7 @@
         # Without a call for the usual case, as this runs several times for each request.
         has_room = (more_bytes <= 0 or self.held_bytes + more_bytes <= self._bound_bytes) and (
             more_descriptors <= 0
-            or self.descriptors + more_descriptors
+            or self.descriptors + self._closing_descriptors + more_descriptors
             <= self._budget.descriptors - self._other_descriptors
         )
         if not has_room and not self._make_room(holder, more_bytes, more_descriptors):
@@ -284,7 +294,8 @@
     def remove(self, holder: Holder) -> None:
         """Release what a connection holds, once it has ended."""
         self._closing_bytes -= holder.closing_bytes
-        holder.closing_bytes = 0
+        self._closing_descriptors -= holder.closing_descriptors
+        holder.closing_bytes = holder.closing_descriptors = 0
         self._release(holder)
 
     def _release(self, holder: Holder) -> None:
@@ -297,6 +308,8 @@
         """Close a connection for others."""
         holder.closing_bytes = holder.held_bytes
         self._closing_bytes += holder.closing_bytes
+        holder.closing_descriptors = holder.descriptors
+        self._closing_descriptors += holder.closing_descriptors
         self._release(holder)
         holder.close(reason)
         self._on_closed(reason)
@@ -319,7 +332,7 @@
     def _make_room(self, requester: Holder, more_bytes: int, more_descriptors: int) -> bool:
         missing_bytes, missing_descriptors = self._missing(more_bytes, more_descriptors)
         if missing_bytes <= 0 and missing_descriptors <= 0:
-            return True
+            return self._are_descriptors_free(more_descriptors)
         now_s = self.clock.monotonic_s()
         wanted = (requester.held_bytes + more_bytes, self._group_bytes(requester) + more_bytes)
         if now_s - self._searched_s >= SEARCH_INTERVAL_S:
@@ -334,10 +347,10 @@
         for holder, reason in self._candidates(requester, wanted, now_s):
             missing = self._missing(more_bytes + freed_bytes, more_descriptors + freed_descriptors)
             if max(missing) <= 0:
-                return True
+                return self._are_descriptors_free(more_descriptors)
             self._close(holder, reason)
         if max(self._missing(more_bytes, more_descriptors)) <= 0:
-            return True
+            return self._are_descriptors_free(more_descriptors)
         self._searched_s = now_s
         self._failed_search = (
             min(wanted[0], self._failed_search[0]),
@@ -345,6 +358,13 @@
         )
         return False
 
+    def _are_descriptors_free(self, more_descriptors: int) -> bool:
+        """Whether there is room for descriptors beside those of connections that are closing."""
+        if more_descriptors <= 0:
+            return True
+        late_descriptors = max(0, self._closing_descriptors - CLOSING_DESCRIPTORS)
+        return late_descriptors + self._missing(0, more_descriptors)[1] <= 0
+
     def _group_bytes(self, holder: Holder) -> int:
         return self._groups.larger_bytes(holder.address, holder.customer)
 
--- a/coltsfootfront/memory/budget.py
+++ b/coltsfootfront/memory/budget.py
@@ -34,11 +34,14 @@
 # Descriptors kept for the store, peers, listeners and idle connections to targets, of which more
 # are kept while more are open.
 OWN_DESCRIPTORS = 64
-# Connections that asyncio accepts before the account is asked, in one round of the event loop; with
-# its backlog, as asyncio has it, it would be 1,024.
-ACCEPTS_PER_ROUND = 64
-# Descriptors of such connections, and of those that were closed and are gone only in a later round.
-ACCEPT_DESCRIPTORS = 2 * ACCEPTS_PER_ROUND
+# Connections that asyncio accepts in one round of the event loop; with its backlog, as asyncio has
+# it, it would be 1,024.
+ACCEPTS_PER_ROUND = 24
+# Descriptors of accepted connections that the account does not count: it is asked two rounds later,
+# and one that it refuses is gone in the round after that.
+ACCEPT_DESCRIPTORS = 4 * ACCEPTS_PER_ROUND
+# Descriptors of connections that were closed for others and are gone only in a later round.
+CLOSING_DESCRIPTORS = 32
 MIN_DESCRIPTORS = 64
 # Part of a VM's memory that stays free, for what the process takes up between two readings of its
 # resident memory: a share, as one round of the event loop serves more connections on larger VMs.
@@ -74,7 +77,10 @@
         max(MIN_MEMORY_BYTES, memory_bytes - BASE_BYTES),
         max(
             MIN_DESCRIPTORS,
-            _usable_descriptors(max_descriptors) - OWN_DESCRIPTORS - ACCEPT_DESCRIPTORS,
+            _usable_descriptors(max_descriptors)
+            - OWN_DESCRIPTORS
+            - ACCEPT_DESCRIPTORS
+            - CLOSING_DESCRIPTORS,
         ),
         memory_bytes - max(MIN_RESIDENT_MARGIN_BYTES, int(memory_bytes * RESIDENT_MARGIN_SHARE)),
     )
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -1,6 +1,8 @@
 """Tests of the account of a router's memory, and of the limits on slow callers."""
 
 import asyncio
+import os
+import socket
 import unittest
 from unittest import mock
 
@@ -10,7 +12,9 @@
 from coltsfootfront.direct.routingconfig import CallerLimits
 from coltsfootfront.memory.account import SEARCH_INTERVAL_S, STALL_S, Account, Holder, Phase
 from coltsfootfront.memory.budget import (
+    ACCEPT_DESCRIPTORS,
     BASE_BYTES,
+    CLOSING_DESCRIPTORS,
     CONNECTION_BYTES,
     FILE_DESCRIPTORS,
     INCLUDED_HEAD_BYTES,
@@ -232,6 +236,18 @@
         self.assertEqual(5, self.account.descriptors)
         self.assertFalse(any(holder.is_open for holder in idle))
 
+    def test_descriptors_of_connections_that_are_being_closed(self) -> None:
+        """Guards against more new connections in a round than descriptors are free."""
+        self.account = Account(Budget(100 * MIB, 500), self.clock)
+        idle = [self._open(f"a{number}") for number in range(500)]
+        opened = [self.account.open("b", lambda reason: None) for _ in range(500)]
+        accepted = [holder for holder in opened if holder is not None]
+        self.assertLessEqual(len(accepted), CLOSING_DESCRIPTORS)
+        for holder in idle:
+            if not holder.is_open:
+                self.account.remove(holder)
+        self.assertIsNotNone(self.account.open("c", lambda reason: None))
+
     def test_resident_memory_bounds_what_is_underestimated(self) -> None:
         """Guards against a shape of requests that holds more than it is charged for."""
         resident = FakeResidentMemory(60 * MIB)
@@ -424,6 +440,23 @@
         self.assertGreater(counted[0], 400)
         self.assertEqual([counted[0]] * 3, counted)
 
+    async def test_descriptors_of_a_crowd_that_connects(self) -> None:
+        """Guards against descriptors of connections that are not counted yet, or not any more."""
+        budget = Budget(100 * MIB, 50)
+        self.server.account = Account(budget, SystemClock())
+        crowd = [socket.socket() for _ in range(700)]
+        before = most = len(os.listdir(callerserver.DESCRIPTORS_PATH))
+        for connection in crowd:
+            self.addCleanup(connection.close)
+            connection.setblocking(False)
+            connection.connect_ex(("127.0.0.1", self.port))
+        for _ in range(100):
+            await asyncio.sleep(0)
+            most = max(most, len(os.listdir(callerserver.DESCRIPTORS_PATH)))
+        self.assertGreater(most - before, budget.descriptors)
+        reserve = ACCEPT_DESCRIPTORS + CLOSING_DESCRIPTORS
+        self.assertLessEqual(most - before, budget.descriptors + reserve)
+
     async def test_request_without_room_is_refused_and_its_connection_released(self) -> None:
         """Guards against memory that stays charged for requests that were refused."""
         self.server.account = Account(Budget(2 * CONNECTION_BYTES, 10), SystemClock())
