--- a/coltsfootfront/memory/budget.py
+++ b/coltsfootfront/memory/budget.py
@@ -36,10 +36,10 @@
 OWN_DESCRIPTORS = 64
 # Connections that asyncio accepts in one round of the event loop; with its backlog, as asyncio has
 # it, it would be 1,024.
-ACCEPTS_PER_ROUND = 24
+ACCEPTS_PER_ROUND = 32
 # Descriptors of accepted connections that the account does not count: it is asked two rounds later,
-# and one that it refuses is gone in the round after that.
-ACCEPT_DESCRIPTORS = 4 * ACCEPTS_PER_ROUND
+# and one that it refuses is gone before the next ones are accepted in the round after that.
+ACCEPT_DESCRIPTORS = 3 * ACCEPTS_PER_ROUND
 # Descriptors of connections that were closed for others and are gone only in a later round.
 CLOSING_DESCRIPTORS = 32
 MIN_DESCRIPTORS = 64
