--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -55,7 +55,10 @@
 class Phase(enum.Enum):
     """What a connection is doing."""
 
+    NEW = "new"
+    """Nothing of its first request has been read yet."""
     IDLE = "idle"
+    """Its last request has ended."""
     RECEIVING = "receiving"
     """The head or the body of a request is incomplete, or discarded."""
     SERVING = "serving"
@@ -90,7 +93,7 @@
         self.customer = ""
         self.held_bytes = 0
         self.descriptors = 0
-        self.phase = Phase.IDLE
+        self.phase = Phase.NEW
         self.began_s = now_s
         """Time at which the request began to arrive."""
         self.progress_s = now_s
@@ -344,7 +347,7 @@
             freed_bytes = int(FREED_SHARE * self._budget.memory_bytes)
         if missing_descriptors > 0:
             freed_descriptors = int(FREED_SHARE * self._budget.descriptors)
-        for holder, reason in self._candidates(requester, wanted, now_s):
+        for holder, reason in self._candidates(requester, wanted, missing_descriptors > 0, now_s):
             missing = self._missing(more_bytes + freed_bytes, more_descriptors + freed_descriptors)
             if max(missing) <= 0:
                 return self._are_descriptors_free(more_descriptors)
@@ -372,26 +375,41 @@
         """Close connections until what the others hold keeps to the bound."""
         enough_bytes = self._bound_bytes - int(FREED_SHARE * self._budget.memory_bytes)
         self._next_closing_s = now_s + SEARCH_INTERVAL_S
-        for holder, reason in self._candidates(None, (0, 0), now_s):
+        for holder, reason in self._candidates(None, (0, 0), False, now_s):
             if self.held_bytes <= enough_bytes:
                 self._next_closing_s = now_s + RELEASE_S
                 return
             self._close(holder, reason)
 
     def _candidates(
-        self, requester: Holder | None, wanted: tuple[int, int], now_s: float
+        self,
+        requester: Holder | None,
+        wanted: tuple[int, int],
+        needs_descriptors: bool,
+        now_s: float,
     ) -> Iterator[tuple[Holder, str]]:
         """Connections that may be closed, in their order.
 
+        New ones are among the first to give up their descriptors, but give up memory to no other
+        connection: they hold little, and what they have sent may be waiting to be read.
+
         :param requester: for whom, None for all others.
         :param wanted: what the requester would hold, and its group.
         """
         others = [holder for holder in self._holders if holder is not requester]
+        new = [holder for holder in others if holder.phase is Phase.NEW]
+        new.sort(key=lambda holder: holder.progress_s)
         idle = [holder for holder in others if holder.phase is Phase.IDLE]
+        if needs_descriptors:
+            idle += new
         for holder in sorted(idle, key=lambda holder: holder.progress_s):
             yield holder, "idle"
         active = [holder for holder in others if holder.phase in (Phase.RECEIVING, Phase.WRITING)]
-        stalled = [holder for holder in active if now_s - holder.progress_s >= STALL_S]
+        stalled = [
+            holder
+            for holder in active + new
+            if holder.is_open and now_s - holder.progress_s >= STALL_S
+        ]
         for holder in sorted(stalled, key=lambda holder: holder.progress_s):
             yield holder, "stalled"
         slow = [
@@ -415,6 +433,8 @@
         ]
         for _, _, holder in sorted(greedy, key=lambda entry: entry[:2], reverse=True):
             yield holder, "greedy"
+        if requester is None:
+            yield from ((holder, "new") for holder in new if holder.is_open)
 
 
 def _is_much_less(wanted: tuple[int, int], failed: tuple[int, int]) -> bool:
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -196,6 +196,28 @@
         self.assertEqual(expected, self.closed)
         self.assertTrue(served.is_open)
 
+    def test_new_connections_are_not_closed_for_memory(self) -> None:
+        """Guards against a crowd that comes again and again, for which each new caller is closed
+        before its request is read."""
+        self.account = Account(Budget(10 * MIB, 1_000), self.clock)
+        for number in range(80):
+            self._open(f"a{number}", Phase.RECEIVING, 128 * KIB)
+        caller = self.account.open("b", lambda reason: self.closed.append(("b", reason)))
+        for _ in range(300):
+            self.account.open("a", lambda reason: None)
+        growing = self._open("a", Phase.RECEIVING)
+        self.account.change(growing, 5 * MIB, 1)
+        assert caller is not None
+        self.assertTrue(caller.is_open)
+        self.assertEqual({"greedy"}, {reason for _, reason in self.closed})
+
+    def test_new_connections_give_way_to_others_for_descriptors(self) -> None:
+        """Guards against connections that send nothing and keep out or displace those that do."""
+        receiving = self._open("a", Phase.RECEIVING, 128 * KIB)
+        for _ in range(50):
+            self.account.open("b", lambda reason: None)
+        self.assertTrue(receiving.is_open)
+
     def test_the_greediest_address_or_customer_gives_way(self) -> None:
         """Guards against one address or customer that takes the memory of all others."""
         for customer, address in (("", "a"), ("large", "")):
--- a/coltsfootfront/tests/test_system_caller_memory.py
+++ b/coltsfootfront/tests/test_system_caller_memory.py
@@ -161,7 +161,9 @@
     async def _send_again(self, pieces: Iterable[bytes]) -> None:
         """Send on a new connection whenever the router has closed the one before."""
         while True:
-            await self._send(pieces, reads=True)
+            connection = await self._send(pieces, reads=True)
+            # Otherwise the crowd ends when the test has used up its own descriptors.
+            connection.close()
             await asyncio.sleep(SLOW_INTERVAL_S)
 
     async def _run_crowd(self, crowd: Iterable[Iterable[bytes]], reads: bool = False) -> None:
