--- a/coltsfootfront/tests/test_system_caller_memory.py
+++ b/coltsfootfront/tests/test_system_caller_memory.py
@@ -8,6 +8,7 @@
 import itertools
 import os
 import re
+import signal
 import socket
 import tempfile
 import unittest
@@ -418,6 +419,39 @@
         for caller in callers:
             caller.cancel()
 
+    async def test_rare_framings(self) -> None:
+        """Guards against framings of which a part is not counted, or is not parsed in turns."""
+        chunked = head("/file/a", "POST", "Transfer-Encoding: chunked")
+        tiny_chunks = b"1\r\nx\r\n" * 20_000
+        shapes: list[list[bytes]] = [
+            sized_body(MAX_BODY_BYTES, 1, "Expect: 100-continue"),
+            [part.replace(b"HTTP/1.1", b"HTTP/1.0") for part in sized_body(SMALL_BODY_BYTES, 1)],
+            [chunked, (b"1;" + b"e" * 1_000 + b"\r\nx\r\n") * 2_000],
+            [chunked, b"1\r\nx\r\n0\r\n", *[b"X-Trailer: " + b"t" * 50 + b"\r\n"] * 5_000],
+            [chunked, (b"14\r\n" + b"x" * 20 + b"\r\n") * 10_000],
+            [chunked, *(tiny_chunks[begin : begin + 300] for begin in range(0, 60_000, 300))],
+        ]
+        await self._run_crowd(shapes * (self.slow_crowd // len(shapes)))
+        await self._check()
+
+    async def test_stop_beside_a_crowd(self) -> None:
+        """Guards against a stop that waits for callers that never end their requests."""
+        kinds: list[list[bytes]] = [
+            sized_body(SMALL_BODY_BYTES, 1),
+            chunked_body(1, 20_000, False),
+            [head()[:40]],
+            [],
+        ]
+        crowd = [self._send_again(pieces) for pieces in kinds * (self.slow_crowd // len(kinds))]
+        callers = [asyncio.create_task(caller) for caller in crowd]
+        await asyncio.sleep(CROWD_S)
+        self.router.signal(signal.SIGHUP)
+        await self._check()
+        self.router.signal(signal.SIGTERM)
+        self.assertEqual(0, await self.router.wait(ORDINARY_S))
+        for caller in callers:
+            caller.cancel()
+
     async def test_all_shapes_at_once(self) -> None:
         """Guards against bounds that each hold alone and not together."""
         for target in self.fleet.plain_targets:
