--- a/coltsfootfront/memory/account.py
+++ b/coltsfootfront/memory/account.py
@@ -9,7 +9,6 @@
 the process: a shape of requests that holds more than estimated lowers it.
 """
 
-import enum
 import math
 import sys
 from collections.abc import Callable, Iterator
@@ -25,15 +24,11 @@
     MIN_MEMORY_BYTES,
     Budget,
 )
+from coltsfootfront.memory.closingorder import GREEDY_SHARE, closing_order
 from coltsfootfront.memory.groups import GroupTotals
+from coltsfootfront.memory.holder import Holder
 from coltsfootfront.memory.resident import ResidentMemory
 
-# In a shortage, a connection without progress for this time is closed for others.
-STALL_S = 1.0
-# In a shortage, a request that has arrived more slowly is closed for others.
-SLOW_BYTES_PER_S = 16_384
-# In a shortage, a connection is closed for one that holds at most this share of its memory.
-GREEDY_SHARE = 0.5
 # Part of the budget that is free after connections have been closed, so that the next charge does
 # not search again.
 FREED_SHARE = 0.02
@@ -52,80 +47,6 @@
 log = logbook.Logger(__name__)
 
 
-class Phase(enum.Enum):
-    """What a connection is doing."""
-
-    NEW = "new"
-    """Nothing of its first request has been read yet."""
-    IDLE = "idle"
-    """Its last request has ended."""
-    RECEIVING = "receiving"
-    """The head or the body of a request is incomplete, or discarded."""
-    SERVING = "serving"
-    WRITING = "writing"
-    """The response is not read, or further requests wait behind the one that is served."""
-
-
-class Holder:
-    """One connection, and what it holds.
-
-    :param address: address of the other side, without its port.
-    :param close: closes the connection at once; called with the reason.
-    """
-
-    __slots__ = (
-        "_close",
-        "address",
-        "began_s",
-        "closing_bytes",
-        "closing_descriptors",
-        "customer",
-        "descriptors",
-        "held_bytes",
-        "is_open",
-        "phase",
-        "progress_s",
-        "received_bytes",
-    )
-
-    def __init__(self, address: str, close: Callable[[str], None], now_s: float) -> None:
-        self.address = address
-        self.customer = ""
-        self.held_bytes = 0
-        self.descriptors = 0
-        self.phase = Phase.NEW
-        self.began_s = now_s
-        """Time at which the request began to arrive."""
-        self.progress_s = now_s
-        """Time of the last byte that was received or read, or of the last change of the phase."""
-        self.received_bytes = 0
-        """Bytes of the request that have arrived."""
-        self.is_open = True
-        self.closing_bytes = 0
-        """What it held when it was closed for others, until its connection has ended."""
-        self.closing_descriptors = 0
-        """The same of its descriptors."""
-        self._close = close
-
-    def enter(self, phase: Phase, now_s: float) -> None:
-        """Record what the connection does from now on."""
-        if phase is not self.phase:
-            if phase is Phase.RECEIVING:
-                self.began_s, self.received_bytes = now_s, 0
-            self.phase = phase
-            self.progress_s = now_s
-
-    def close(self, reason: str) -> None:
-        """Close the connection."""
-        self.is_open = False
-        self._close(reason)
-
-    def rate(self, now_s: float) -> float:
-        """Bytes per second at which its request has arrived, infinite at its beginning."""
-        passed_s = now_s - self.began_s
-        return self.received_bytes / passed_s if passed_s >= STALL_S else math.inf
-
-
 class Account:
     """What the connections of one group hold, and its bound.
 
@@ -347,7 +268,9 @@
             freed_bytes = int(FREED_SHARE * self._budget.memory_bytes)
         if missing_descriptors > 0:
             freed_descriptors = int(FREED_SHARE * self._budget.descriptors)
-        for holder, reason in self._candidates(requester, wanted, missing_descriptors > 0, now_s):
+        for holder, reason in self._closing_order(
+            requester, wanted, missing_descriptors > 0, now_s
+        ):
             missing = self._missing(more_bytes + freed_bytes, more_descriptors + freed_descriptors)
             if max(missing) <= 0:
                 return self._are_descriptors_free(more_descriptors)
@@ -371,71 +294,27 @@
     def _group_bytes(self, holder: Holder) -> int:
         return self._groups.larger_bytes(holder.address, holder.customer)
 
+    def _closing_order(
+        self,
+        requester: Holder | None,
+        wanted: tuple[int, int],
+        needs_descriptors: bool,
+        now_s: float,
+    ) -> Iterator[tuple[Holder, str]]:
+        return closing_order(
+            self._holders, requester, wanted, needs_descriptors, self._group_bytes, now_s
+        )
+
     def _close_beyond_bound(self, now_s: float) -> None:
         """Close connections until what the others hold keeps to the bound."""
         enough_bytes = self._bound_bytes - int(FREED_SHARE * self._budget.memory_bytes)
         self._next_closing_s = now_s + SEARCH_INTERVAL_S
-        for holder, reason in self._candidates(None, (0, 0), False, now_s):
+        for holder, reason in self._closing_order(None, (0, 0), False, now_s):
             if self.held_bytes <= enough_bytes:
                 self._next_closing_s = now_s + RELEASE_S
                 return
             self._close(holder, reason)
 
-    def _candidates(
-        self,
-        requester: Holder | None,
-        wanted: tuple[int, int],
-        needs_descriptors: bool,
-        now_s: float,
-    ) -> Iterator[tuple[Holder, str]]:
-        """Connections that may be closed, in their order.
-
-        New ones are among the first to give up their descriptors, but give up memory to no other
-        connection: they hold little, and what they have sent may be waiting to be read.
-
-        :param requester: for whom, None for all others.
-        :param wanted: what the requester would hold, and its group.
-        """
-        others = [holder for holder in self._holders if holder is not requester]
-        new = [holder for holder in others if holder.phase is Phase.NEW]
-        new.sort(key=lambda holder: holder.progress_s)
-        idle = [holder for holder in others if holder.phase is Phase.IDLE]
-        if needs_descriptors:
-            idle += new
-        for holder in sorted(idle, key=lambda holder: holder.progress_s):
-            yield holder, "idle"
-        active = [holder for holder in others if holder.phase in (Phase.RECEIVING, Phase.WRITING)]
-        stalled = [
-            holder
-            for holder in active + new
-            if holder.is_open and now_s - holder.progress_s >= STALL_S
-        ]
-        for holder in sorted(stalled, key=lambda holder: holder.progress_s):
-            yield holder, "stalled"
-        slow = [
-            holder
-            for holder in active
-            if holder.is_open
-            and holder.phase is Phase.RECEIVING
-            and holder.rate(now_s) < SLOW_BYTES_PER_S
-        ]
-        for holder in sorted(slow, key=lambda holder: holder.rate(now_s)):
-            yield holder, "slow"
-        held = [
-            (self._group_bytes(holder), holder.held_bytes, holder)
-            for holder in active
-            if holder.is_open
-        ]
-        greedy = [
-            entry
-            for entry in held
-            if wanted[0] <= GREEDY_SHARE * entry[1] or wanted[1] <= GREEDY_SHARE * entry[0]
-        ]
-        for _, _, holder in sorted(greedy, key=lambda entry: entry[:2], reverse=True):
-            yield holder, "greedy"
-        if requester is None:
-            yield from ((holder, "new") for holder in new if holder.is_open)
-
 
 def _is_much_less(wanted: tuple[int, int], failed: tuple[int, int]) -> bool:
     """Whether a search may find connections that one for a larger requester has not found."""
--- a/coltsfootfront/memory/connection.py
+++ b/coltsfootfront/memory/connection.py
@@ -2,8 +2,7 @@
 
 Answers heads that do not end, bodies and chunks that arrive faster than they are used, pipelined
 requests, and responses that are not read. What has arrived is charged after it has been parsed, so
-that the account may be exceeded by one read from the socket, which is therefore limited. Input
-whose parsing takes long for its size waits for a turn.
+that the account may be exceeded by one read from the socket, which is therefore limited.
 """
 
 import asyncio
@@ -11,9 +10,7 @@
 import math
 from typing import Any
 
-from aiohttp import web
-
-from coltsfootfront.memory.account import Account, Holder, Phase
+from coltsfootfront.memory.account import Account
 from coltsfootfront.memory.budget import (
     CONNECTION_BYTES,
     FIELD_BYTES,
@@ -21,7 +18,9 @@
     body_memory_bytes,
     head_memory_bytes,
 )
-from coltsfootfront.memory.parsepacer import PacedConnection, ParsePacer
+from coltsfootfront.memory.holder import Holder, Phase
+from coltsfootfront.memory.pacedhandler import PacedRequestHandler
+from coltsfootfront.memory.parsepacer import ParsePacer
 from coltsfootfront.memory.reads import limit_reads
 
 # Largest read from the socket, and the size from which aiohttp's reader of a body stops reading at
@@ -42,13 +41,6 @@
 CHUNKED_BYTES = 65_536
 # What a response may leave unread before the next pipelined request is begun.
 MAX_UNREAD_BYTES = 262_144
-# Ends of lines in one read from which its parsing waits for a turn: fields of heads, and chunks,
-# each of which takes longer.
-MAX_HEAD_LINES = 256
-MAX_CHUNK_LINES = 64
-# What is parsed in one turn: 2 ms for chunks of one byte.
-TURN_BYTES = 2_048
-LINE_END = b"\r\n"
 
 REQUEST_TIMEOUT_HEAD = b"HTTP/1.1 408 Request Timeout\r\n"
 HEAD_TOO_LARGE_HEAD = b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -56,7 +48,7 @@
 CLOSING_FIELDS = b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 
 
-class ChargedConnection(web.RequestHandler, PacedConnection):
+class ChargedConnection(PacedRequestHandler):
     """Connection whose memory is charged to an account.
 
     :param account: what it is charged to.
@@ -79,14 +71,9 @@
         max_head_bytes: int,
         **options: Any,
     ) -> None:
-        super().__init__(manager, read_bufsize=READ_BYTES, **options)
+        super().__init__(manager, pacer, read_bufsize=READ_BYTES, **options)
         self._account = account
-        self._pacer = pacer
         self._max_head_bytes = max_head_bytes
-        self._unparsed = b""
-        """Input that waits for a turn; nothing is read from the socket meanwhile."""
-        self._has_turn = False
-        """Whether the connection waits for a turn, or has one."""
         self.holder: Holder | None = None
         self._last_body: Any = None
         """Body of the last request whose head is complete."""
@@ -126,7 +113,6 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc)
-        self._unparsed = b""
         if self.holder is not None:
             self._account.remove(self.holder)
 
@@ -139,84 +125,40 @@
     def data_received(self, data: bytes) -> None:
         if data:
             self._account.count_received(len(data))
-        holder = self.holder
-        if holder is None or not holder.is_open:
-            return
-        if self._unparsed and data:
-            self._unparsed += data
-        elif data and self._is_dear(data):
-            self._postpone(holder, data)
-        else:
-            self.parse(holder, data)
+        if not self.is_ended:
+            super().data_received(data)
 
-    def _postpone(self, holder: Holder, data: bytes) -> None:
-        """Let what has arrived wait for a turn."""
-        self._unparsed, self._is_arriving = data, True
-        if not self._is_serving:
-            holder.enter(Phase.RECEIVING, self._account.now_s())
+    def record_waiting(self) -> None:
+        self._is_arriving = True
+        if self.holder is not None and not self._is_serving:
+            self.holder.enter(Phase.RECEIVING, self._account.now_s())
         if not self._update():
             self._refuse_received()
-        if self.transport is not None:
-            self._pause_transport_reading()
-            self._request_turn()
-
-    def _is_dear(self, data: bytes) -> bool:
-        """Whether parsing takes long for the size."""
-        if not self._is_receiving_body():
-            return data.count(LINE_END) > MAX_HEAD_LINES
-        return self._has_chunked_body and data.count(LINE_END) > MAX_CHUNK_LINES
-
-    def _request_turn(self) -> None:
-        if not self._has_turn:
-            self._has_turn = True
-            self._pacer.add(self)
-
-    def parse_next(self) -> bool:
-        holder = self.holder
-        if self.transport is None or holder is None or not holder.is_open:
-            self._unparsed = b""
-        elif not self._reading_paused:
-            data, self._unparsed = self._unparsed[:TURN_BYTES], self._unparsed[TURN_BYTES:]
-            try:
-                self.parse(holder, data)
-            except Exception:
-                # As asyncio does when parsing fails within a read.
-                self._abort()
-                raise
-            if not self._unparsed and not self._reading_paused and not self._buffer_paused:
-                self._resume_transport_reading()
-        # While reading is paused, what has been parsed is used first.
-        self._has_turn = bool(self._unparsed) and not self._reading_paused
-        return self._has_turn
-
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        super().resume_reading(resume_parser)
-        if self._unparsed and not self._reading_paused:
-            self._request_turn()
-
-    def _resume_transport_reading(self) -> None:
-        if not self._unparsed:
-            super()._resume_transport_reading()
 
     @property
-    def is_waiting_for_turn(self) -> bool:
-        """Whether input has arrived that has not been parsed yet."""
-        return bool(self._unparsed)
+    def is_ended(self) -> bool:
+        return self.holder is None or not self.holder.is_open
 
-    def parse(self, holder: Holder, data: bytes) -> None:
-        """Parse and charge what has arrived; without any, go on with what aiohttp has left."""
+    @property
+    def is_receiving_chunks(self) -> bool:
+        return self._has_chunked_body
+
+    def parse(self, data: bytes) -> None:
+        holder = self.holder
+        if holder is None:
+            return
         if not data:
             messages = len(self._messages)
-            super().data_received(data)
+            self.feed_parser(data)
             self._record_messages(messages, 0)
-        elif self._is_receiving_body() and not self._messages:
+        elif self.is_receiving_body and not self._messages:
             self._receive_body(holder, data)
         else:
             self._receive_head(holder, data)
 
     def _receive_body(self, holder: Holder, data: bytes) -> None:
         messages = len(self._messages)
-        super().data_received(data)
+        self.feed_parser(data)
         if self.transport is None:
             return
         self._record_messages(messages, 0)
@@ -235,7 +177,7 @@
             self._refuse_received()
             return
         messages = len(self._messages)
-        super().data_received(data)
+        self.feed_parser(data)
         if self.transport is None:
             return
         if not self._record_messages(messages, self._head_bytes) and (
@@ -271,15 +213,15 @@
         return True
 
     def _record_received(self, holder: Holder, size_bytes: int, now_s: float) -> None:
-        if not self._is_serving or self._is_receiving_body():
+        if not self._is_serving or self.is_receiving_body:
             holder.enter(Phase.RECEIVING, now_s)
             holder.progress_s = now_s
             holder.received_bytes += size_bytes
         elif self._messages or self._head_bytes:
             holder.enter(Phase.WRITING, now_s)
 
-    def _is_receiving_body(self) -> bool:
-        """Whether the last request whose head is complete lacks the end of its body."""
+    @property
+    def is_receiving_body(self) -> bool:
         return self._last_body is not None and not self._last_body.is_eof()
 
     def _held_bytes(self) -> int:
@@ -321,12 +263,12 @@
 
     def _refuse_received(self) -> None:
         """Refuse what has just arrived and has no room."""
-        if self._is_serving and self._is_receiving_body() and not self._messages:
+        if self._is_serving and self.is_receiving_body and not self._messages:
             # The handler refuses the request, and what is left of the body is discarded.
             self._is_body_refused = True
             self.discard_body()
         elif self._is_serving:
-            self._abort()
+            self.abort()
         else:
             self.refuse_head(OVERLOADED_HEAD)
 
@@ -338,17 +280,13 @@
         if self.transport is None:
             return
         if self._is_serving or self._messages:
-            self._abort()
+            self.abort()
             return
         # A request whose handler has not begun yet must not run any more.
         self._is_refused = True
         self.transport.write(status_head + CLOSING_FIELDS)
         self.force_close()
 
-    def _abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
     def begin_request(self, declared_bytes: int | None, customer: str = "") -> bool:
         """Charge a request whose head is complete.
 
@@ -365,11 +303,11 @@
             self._request_head_bytes = head_memory_bytes(self._current_request.raw_headers)
         self._is_serving, self._declared_bytes = True, declared_bytes or 0
         self._is_discarding = self._is_body_refused = False
-        self._is_chunked = declared_bytes is None and self._is_receiving_body()
+        self._is_chunked = declared_bytes is None and self.is_receiving_body
         self._account.assign(holder, customer)
         if not self._update():
             return False
-        if not self._is_receiving_body():
+        if not self.is_receiving_body:
             self._enter_served(holder)
         elif declared_bytes is not None:
             self._limit_reads(BODY_READ_BYTES)
@@ -404,7 +342,7 @@
     def end_request(self) -> None:
         """Record that the request has been answered or refused."""
         self._is_serving, self._declared_bytes, self._request_head_bytes = False, 0, 0
-        self._is_discarding = self._is_receiving_body()
+        self._is_discarding = self.is_receiving_body
         self._is_chunked = self._is_chunked and self._is_discarding
         self._is_arriving = bool(
             self._is_discarding or self._messages or self._head_bytes or self._unparsed
@@ -444,7 +382,7 @@
         """Charge what is held now, after a discarded body or a response that nobody waited for."""
         if self._is_arriving and not (
             self._is_serving
-            or self._is_receiving_body()
+            or self.is_receiving_body
             or self._messages
             or self._head_bytes
             or self._unparsed
@@ -477,5 +415,5 @@
             return
         self._update()
         holder.progress_s = self._account.now_s()
-        if self._is_serving and not self._is_receiving_body():
+        if self._is_serving and not self.is_receiving_body:
             self._enter_served(holder)
--- a/coltsfootfront/memory/parsepacer.py
+++ b/coltsfootfront/memory/parsepacer.py
@@ -1,4 +1,4 @@
-"""Spreads the parsing of dear input over rounds of the event loop.
+"""Spreads the parsing of expensive input over rounds of the event loop.
 
 Answers a load of many connections that send chunks of a few bytes: parsing 16 kB of them takes
 some 10 ms, and a round of the event loop over a thousand such connections several seconds, in
--- a/coltsfootfront/platform/callerconnection.py
+++ b/coltsfootfront/platform/callerconnection.py
@@ -14,7 +14,6 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.timeouts import ReadTimeout
 from coltsfootfront.direct.unreadresponses import limit_send_buffer
-from coltsfootfront.memory.account import Holder
 from coltsfootfront.memory.connection import (
     BODY_READ_BYTES,
     REQUEST_TIMEOUT_HEAD,
@@ -78,8 +77,8 @@
         self._observer.on_data_received(self)
         super().data_received(data)
 
-    def parse(self, holder: Holder, data: bytes) -> None:
-        super().parse(holder, data)
+    def parse(self, data: bytes) -> None:
+        super().parse(data)
         self._end_broken_body()
 
     def _end_broken_body(self) -> None:
--- a/coltsfootfront/tests/test_memory.py
+++ b/coltsfootfront/tests/test_memory.py
@@ -10,7 +10,7 @@
 from coltsfootfront.common.errors import SettingsError
 from coltsfootfront.direct.callerrequest import CallerRequest, ResponseWriter
 from coltsfootfront.direct.routingconfig import CallerLimits
-from coltsfootfront.memory.account import SEARCH_INTERVAL_S, STALL_S, Account, Holder, Phase
+from coltsfootfront.memory.account import SEARCH_INTERVAL_S, Account
 from coltsfootfront.memory.budget import (
     ACCEPT_DESCRIPTORS,
     BASE_BYTES,
@@ -25,6 +25,7 @@
     caller_budget,
     head_memory_bytes,
 )
+from coltsfootfront.memory.holder import STALL_S, Holder, Phase
 from coltsfootfront.memory.limits import LOG_INTERVAL_S, LimitReport
 from coltsfootfront.memory.parsepacer import ROUND_S, PacedConnection, ParsePacer
 from coltsfootfront.memory.resident import ResidentMemory
