--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -42,8 +42,6 @@
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
 TARGET_PREFIX = "servers/"
-# Priorities that targets know, 0 is the most urgent.
-MAX_PRIORITY = 9
 # Routers tell each other builds by name.
 MAX_BUILD_CHARACTERS = 64
 # A target with more slots than any machine has attracts every request.
@@ -146,7 +144,7 @@
         has_prompt=bool(item.get("sticky")),
         timeout_s=read_number(item["timeout-ms"]) / 1000,
         latency_objective_s=read_number(item.get("target-latency-ms") or item["timeout-ms"]) / 1000,
-        priority=read_integer(item.get("priority", 0), high=MAX_PRIORITY),
+        priority=read_integer(item.get("priority", 0)),
         max_attempts=read_integer(item.get("max-attempts", 1)),
         allows_anonymous=bool(item.get("anonymous")),
         event_gap_objective_s=read_number(item.get("gap-aim-ms") or 0) / 1000,
@@ -210,7 +208,7 @@
     priority = tenant.get("priority")
     return Customer(
         name=read_text(tenant["name"]),
-        priority=read_integer(priority, high=MAX_PRIORITY) if priority is not None else None,
+        priority=read_integer(priority) if priority is not None else None,
         is_isolated=bool(tenant.get("isolated")),
         quota=_decode_quota(tenant),
     )
--- a/coltsfootfront/tests/test_platform_node.py
+++ b/coltsfootfront/tests/test_platform_node.py
@@ -122,6 +122,19 @@
         paths = {run.path for target in self.fleet.plain_targets for run in target.executions}
         self.assertEqual({"/look/a", "/file/a"}, paths)
 
+    async def test_version_with_ranks_above_those_of_targets_is_in_force(self) -> None:
+        """Guards against a withdrawn key that is accepted on beside a rank above 9 (CONFIG)."""
+        config = configuration(2, ("key-2",))
+        for route in config["routes"]:
+            route["priority"] = 10
+        config["tenants"][0]["priority"] = 2**31
+        self.fleet.store.put_json("op/config", config)
+        await self._until(lambda: self.node._forwarder.routing_config.number == 2)
+        self.assertEqual(401, (await self._send("/look/a"))[0])
+        for path in ("/ask/a", "/long/a", "/look/a"):
+            sent = await self._send(path, "POST", key="key-2", **PROMPT_HEADERS)
+            self.assertEqual(200, sent[0])
+
     async def test_other_routers_learn_the_capacity_of_the_link(self) -> None:
         """Guards against relays that are chosen without regard to their links."""
         await self._until(lambda: bool(self.node._peers._routers))
