--- a/coltsfootfront/common/errors.py
+++ b/coltsfootfront/common/errors.py
@@ -37,6 +37,7 @@
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
     NO_TARGET = "no_target"
+    UNREADABLE_CONFIGURATION = "unreadable_configuration"
     TARGET_LEAVING = "target_leaving"
     TARGET_WITHDRAWN = "target_withdrawn"
     WRONG_VERSION = "wrong_version"
@@ -84,6 +85,7 @@
     ErrorKind.OVERLOADED: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
     ErrorKind.QUARANTINED: ErrorResponse(503, retry_after_s=1.0),
     ErrorKind.NO_TARGET: ErrorResponse(503, retry_after_s=1.0),
+    ErrorKind.UNREADABLE_CONFIGURATION: ErrorResponse(503),
     ErrorKind.TARGET_LEAVING: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
     ErrorKind.TARGET_WITHDRAWN: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
     ErrorKind.WRONG_VERSION: ErrorResponse(503, retry_elsewhere=True, retry_after_s=1.0),
--- a/coltsfootfront/direct/explanation.py
+++ b/coltsfootfront/direct/explanation.py
@@ -134,7 +134,7 @@
             "refusal": self._find_refusal(question, config, route, customer, described),
             "services": [],
         }
-        if route is None:
+        if route is None or route.is_unreadable:
             return answer
         request = self._make_request(question, route)
         weights = sum(choice.weight for choice in route.weighted_services)
@@ -160,6 +160,9 @@
             return f"{occupancy.in_progress} requests are under way"
         if not config.number:
             return "no configuration is known yet"
+        unreadable = config.find_unreadable(question.host, route)
+        if unreadable:
+            return unreadable
         if route is None:
             return "no route for this host and path"
         if customer is None and config.requires_keys and not route.allows_anonymous:
--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -91,8 +91,13 @@
 UNKNOWN_BUILD_MESSAGE = "it is not known which target software began this stream"
 NO_TARGET_OF_BUILD_MESSAGE = "no target has the software that began this stream"
 QUARANTINE_MESSAGE = "targets have crashed on such requests"
+UNREADABLE_KEYS_MESSAGE = "the customer or its keys cannot be read in the configuration"
 # Refusals that a newer configuration may not give.
-CONFIGURED_REFUSALS = (ErrorKind.NOT_FOUND, ErrorKind.UNAUTHENTICATED)
+CONFIGURED_REFUSALS = (
+    ErrorKind.NOT_FOUND,
+    ErrorKind.UNAUTHENTICATED,
+    ErrorKind.UNREADABLE_CONFIGURATION,
+)
 # Targets that the attempts at one request, or at others with its digest, may crash; only a caller
 # sends it again.
 MAX_CRASHES_BY_ATTEMPTS = 2
@@ -269,11 +274,17 @@
         if not config.number:
             raise RefusedError(Failure(ErrorKind.NO_TARGET, "no configuration is known yet"))
         route = config.find_route(request.host, request.path)
+        unreadable = config.find_unreadable(request.host, route)
+        if unreadable:
+            raise RefusedError(Failure(ErrorKind.UNREADABLE_CONFIGURATION, unreadable))
         if route is None:
             raise RefusedError(Failure(ErrorKind.NOT_FOUND, "no route for this host and path"))
         customer = None
         if config.requires_keys and not route.allows_anonymous:
             customer = config.customers_by_key.get(request.api_key)
+            if customer is None and config.may_have_key(request.api_key):
+                failure = Failure(ErrorKind.UNREADABLE_CONFIGURATION, UNREADABLE_KEYS_MESSAGE)
+                raise RefusedError(failure)
             if customer is None:
                 raise RefusedError(Failure(ErrorKind.UNAUTHENTICATED, "unknown API key"))
         service = route.choose_service(self._generator)
--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -53,6 +53,8 @@
     :param max_attempts: number of targets that one request may be sent to.
     :param allows_anonymous: callers need no API key.
     :param event_gap_objective_s: objective for the time between events, in seconds; 0 when not set.
+    :param is_unreadable: nothing but its host and prefix could be read, so that its requests are
+        refused.
     """
 
     name: str
@@ -68,6 +70,7 @@
     max_attempts: int
     allows_anonymous: bool
     event_gap_objective_s: float = 0.0
+    is_unreadable: bool = False
 
     @property
     def event_timeout_s(self) -> float:
@@ -164,6 +167,25 @@
     header_s: float = 3.0
 
 
+def make_unreadable_route(name: str, host: str, prefix: str) -> Route:
+    """Create a route that takes its requests from those of shorter prefixes, and serves none."""
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        weighted_services=(),
+        retry_policy=RetryPolicy.ONCE,
+        is_stream=False,
+        has_prompt=False,
+        timeout_s=0.0,
+        latency_objective_s=0.0,
+        priority=0,
+        max_attempts=0,
+        allows_anonymous=False,
+        is_unreadable=True,
+    )
+
+
 def request_urgency(route: Route, customer: Customer | None) -> int:
     """Urgency of a request, 0 is the highest; the customer's goes before the route's."""
     if customer is not None and customer.priority is not None:
@@ -207,6 +229,8 @@
     :param number: version; grows with each change.
     :param customers_by_key: customer of each API key; empty when callers need no keys at all.
     :param customers: all customers by name, those without a key included.
+    :param unusable_keys: API keys of customers that could not be read.
+    :param has_unknown_keys: a customer may have further keys, which could not be read.
     :param shared_cache_scope: scope within which the customers that are not isolated share cached
         prompt parts.
     """
@@ -216,9 +240,13 @@
     services: dict[str, Service] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict)
     customers: dict[str, Customer] = field(default_factory=dict)
+    unusable_keys: set[str] = field(default_factory=set)
+    has_unknown_keys: bool = False
     shared_cache_scope: str = ""
     requires_keys: bool = False
     limits: CallerLimits = field(default_factory=CallerLimits)
+    _unlocated_hosts: set[str | None] = field(default_factory=set)
+    """Hosts of routes whose prefix could not be read; None for a host that could not either."""
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route of a host whose prefix is the longest that begins the path."""
@@ -232,6 +260,33 @@
             routes = self.routes[route.host] = HostRoutes()
         routes.add(route)
 
+    def add_unlocated_route(self, host: str | None) -> None:
+        """Add a route of an unknown prefix.
+
+        :param host: None if it is unknown as well.
+        """
+        self._unlocated_hosts.add(host)
+
+    def find_unreadable(self, host: str, route: Route | None) -> str:
+        """Why a request without a customer may be meant for a route that could not be read.
+
+        Requests with a key are served by the longest prefix that could be read: the key is as good
+        at any route. A route for everybody may stand before one that asks for a key.
+
+        :param route: route found for the request.
+        :returns: empty if it is not.
+        """
+        if route is not None and route.is_unreadable:
+            return "the route cannot be read in the configuration"
+        is_open = route is None or route.allows_anonymous
+        if is_open and not self._unlocated_hosts.isdisjoint((host, None)):
+            return "a route of this host cannot be read in the configuration"
+        return ""
+
+    def may_have_key(self, key: str) -> bool:
+        """Whether an API key that no customer has may be one of those that could not be read."""
+        return self.has_unknown_keys or key in self.unusable_keys
+
     def resumable_timeouts_s(self) -> dict[str, float]:
         """Longest timeout of the routes with resumable streams, for each service that has any."""
         timeouts_s: dict[str, float] = {}
--- a/coltsfootfront/tests/test_cache_scopes.py
+++ b/coltsfootfront/tests/test_cache_scopes.py
@@ -17,7 +17,7 @@
 from coltsfootfront.direct.routingconfig import Customer, RoutingConfig
 from coltsfootfront.direct.targetclient import Directive
 from coltsfootfront.direct.targetselection import compute_cache_salt
-from coltsfootfront.platform.decoder import decode_config
+from coltsfootfront.platform.configdecoder import decode_config
 from coltsfootfront.tests.direct_support import (
     MODEL,
     FakeResponse,
--- a/coltsfootfront/tests/test_routing_config.py
+++ b/coltsfootfront/tests/test_routing_config.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from coltsfootfront.direct.routingconfig import RoutingConfig
-from coltsfootfront.platform.decoder import decode_config
+from coltsfootfront.platform.configdecoder import decode_config
 from coltsfootfront.tests.direct_support import make_route
 from coltsfootfront_dev.platformfleet import ENGINE_SERVICE, configuration
 
@@ -15,7 +15,7 @@
 # Prints the processor time to decode 4,200 routes, and to look 1,000 paths up, in seconds.
 MEASURE_DECODING = """
 import json, time
-from coltsfootfront.platform.decoder import decode_config
+from coltsfootfront.platform.configdecoder import decode_config
 
 fields = {"host": "h.example", "service": "s", "kind": "stream", "timeout-ms": 3000}
 routes = [{"name": f"r{n}", "prefix": f"/r{n}/x/"} | fields for n in range(4200)]
