--- a/coltsfootfront/platform/decoder.py
+++ b/coltsfootfront/platform/decoder.py
@@ -30,8 +30,8 @@
 CONFIG_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
 TARGET_PREFIX = "servers/"
-# Routers tell each other builds by name.
-MAX_BUILD_CHARACTERS = 64
+# Routers tell each other builds by name. A name may end with the digest of an image.
+MAX_BUILD_CHARACTERS = 256
 # A target with more slots than any machine has attracts every request.
 MAX_SLOTS = 1_000_000
 
--- a/coltsfootfront/tests/test_joined_streams.py
+++ b/coltsfootfront/tests/test_joined_streams.py
@@ -72,6 +72,17 @@
         versions = {"t1": 1, "t333": 1, "t22": 2, "t4444": 2, "t55555": 2}
         self.assertEqual(versions[first], versions[second])
 
+    async def test_versions_with_long_names_are_told_apart(self) -> None:
+        """Guards against streams that end as a version's name has the digest of an image."""
+        names = ["registry/" + "x" * 40 + "@sha256:" + digit * 64 for digit in "ab"]
+        self.add(t1=names[0], t22=names[1], t333=names[0], t4444=names[1])
+        writer = FakeWriter()
+        await self.fixture.forwarder.serve(make_request("/s/x"), writer)
+        self.assertEqual(FIRST_EVENT + REST, writer.body)
+        first, second = (name for name, _ in self.asked)
+        versions = {"t1": 1, "t333": 1, "t22": 2, "t4444": 2}
+        self.assertEqual(versions[first], versions[second])
+
     async def test_broken_stream_without_another_target_of_its_version_is_ended_at_once(
         self,
     ) -> None:
