--- a/coltsfootfront/direct/forwarder.py
+++ b/coltsfootfront/direct/forwarder.py
@@ -89,6 +89,7 @@
 STOPPING_MESSAGE = "the router is stopping"
 OUTDATED_MESSAGE = "the configuration may be outdated and does not allow this request"
 UNKNOWN_BUILD_MESSAGE = "it is not known which target software began this stream"
+UNCONFIRMED_BUILD_MESSAGE = "nobody confirms that only one target software begins streams"
 NO_TARGET_OF_BUILD_MESSAGE = "no target has the software that began this stream"
 QUARANTINE_MESSAGE = "targets have crashed on such requests"
 UNREADABLE_KEYS_MESSAGE = "the customer or its keys cannot be read in the configuration"
@@ -309,6 +310,12 @@
             state.service, state.build = stream
             return
         metrics.CONNECTION_EVENTS.inc({"event": "take_up_refused"})
+        if stream is None and self._take_ups.may_find_later(state.service):
+            state.reason = UNCONFIRMED_BUILD_MESSAGE
+            wait_s = self._generator.uniform(MIN_OUTDATED_RETRY_AFTER_S, MAX_OUTDATED_RETRY_AFTER_S)
+            raise RefusedError(
+                Failure(ErrorKind.NO_TARGET, UNCONFIRMED_BUILD_MESSAGE, retry_after_s=wait_s)
+            )
         state.reason = UNKNOWN_BUILD_MESSAGE
         raise RefusedError(Failure(ErrorKind.NO_TARGET, UNKNOWN_BUILD_MESSAGE, may_retry=False))
 
--- a/coltsfootfront/direct/freshness.py
+++ b/coltsfootfront/direct/freshness.py
@@ -4,6 +4,7 @@
 is read says little: a process that was paused, or whose relay stopped answering, reads it late.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -39,11 +40,21 @@
     :param clock: time source.
     """
 
-    __slots__ = ("_clock", "_failures", "_known_s", "_paused_s", "_unserved_s", "check_pause")
+    __slots__ = (
+        "_clock",
+        "_complete_s",
+        "_failures",
+        "_known_s",
+        "_paused_s",
+        "_unserved_s",
+        "check_pause",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._known_s: float | None = None
+        self._complete_s = -math.inf
+        """Monotonic time before which the copy lacks no change, however late answers were read."""
         self._paused_s: float | None = None
         self._failures = 0
         self._unserved_s: float | None = None
@@ -54,6 +65,17 @@
         """Seconds since the copy was last known to lack nothing, None before it was read."""
         return None if self._known_s is None else self._clock.monotonic_s() - self._known_s
 
+    def is_complete_at(self, moment_s: float) -> bool:
+        """Whether the copy has every change that was acknowledged before a moment."""
+        return self._complete_s >= moment_s
+
+    def record_complete(self, sent_s: float) -> None:
+        """Record that the copy has all that the store had when a call reached it.
+
+        :param sent_s: monotonic time at which the call was sent.
+        """
+        self._complete_s = max(self._complete_s, sent_s)
+
     def record_pause(self) -> None:
         """Record that a pause of the process has ended."""
         self._paused_s = self._clock.monotonic_s()
--- a/coltsfootfront/direct/node.py
+++ b/coltsfootfront/direct/node.py
@@ -292,7 +292,6 @@
             self._store_era,
         )
         self._builds.is_first_start = settings.is_first_start
-        self._builds.max_copy_age_s = bounds.config_apply_s
         self._take_ups = TakeUps(clock, self._builds, self._gossip, self._peers)
         self._forwarder = self._build_forwarder()
         self._follower = Follower(store, self._peers, clock, "", self._handle_item, generator)
@@ -301,6 +300,7 @@
         self._peers.follower = self._follower
         self._peers.list_streams_to_share = self._take_ups.streams_to_share
         self._builds.copy_age_s = self._follower.freshness.age_s
+        self._builds.update_copy = self._follower.update
         lease_ttl_s = max(ORDERS_LEASE_S, settings.store.min_lease_ttl_s)
         lease = LeaseLock(store, clock, ORDERS_LEASE_KEY, lease_ttl_s)
         handover = HandoverRecord(
--- a/coltsfootfront/direct/peers.py
+++ b/coltsfootfront/direct/peers.py
@@ -63,6 +63,8 @@
 # for several peers. The former stands in responses with a position as well.
 COPY_AGE_HEADER = "Copy-Age-S"
 ITEMS_AGE_HEADER = "Items-Age-S"
+# Header of a copy that the sender has read from the store for this request.
+CURRENT_COPY_HEADER = "Copy-Is-Current"
 # Stands for the position of a peer of an earlier version, which does not tell it.
 UNTOLD_POSITION = Position(-1, -1)
 # Responses without changes are below this size.
@@ -206,6 +208,21 @@
             asked.add(self.announcer)
         return await self._read_newest(sorted(asked), after)
 
+    async def read_current_changes(self, after: Position) -> Changes | None:
+        asked = [
+            asyncio.create_task(self._request_changes(peer, after, must_be_current=True))
+            for peer in self._choose_peers(PEERS_QUERIED)
+        ]
+        try:
+            for reading in asyncio.as_completed(asked):
+                changes = await reading
+                if changes is not None:
+                    return changes
+            return None
+        finally:
+            for task in asked:
+                task.cancel()
+
     def _choose_peers(self, count: int) -> list[str]:
         """Choose peers at random, one of them in this data centre and one in this region.
 
@@ -316,17 +333,19 @@
         copies = [_decode_parts(response) for response in responses if response is not None]
         return max(copies, key=len, default=[])
 
-    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
-        has_answered = False
+    async def read_streams(
+        self, limit_s: float, receive: OnStreams, must_ask_all: bool = False
+    ) -> bool:
+        answered: set[str] = set()
 
         async def read(peer: str) -> None:
-            nonlocal has_answered
             response = await self._get(peer, STREAMS_PATH)
-            if response is not None:
-                has_answered = True
-                receive(_decode_streams(response))
+            streams = _decode_streams(response) if response is not None else None
+            if streams is not None:
+                answered.add(peer)
+                receive(streams)
 
-        peers = self._choose_peers(PEERS_QUERIED_AT_START)
+        peers = self.addresses() if must_ask_all else self._choose_peers(PEERS_QUERIED_AT_START)
         if not peers:
             return True
         reads = [asyncio.create_task(read(peer)) for peer in peers]
@@ -335,7 +354,7 @@
         finally:
             for task in reads:
                 task.cancel()
-        return has_answered
+        return len(answered) == len(peers) if must_ask_all else bool(answered)
 
     async def _request_changes(
         self,
@@ -343,13 +362,18 @@
         after: Position,
         wait_s: float = 0.0,
         on_progress: OnProgress | None = None,
+        must_be_current: bool = False,
     ) -> Changes | None:
         query = {"after": str(after.revision), "era": str(after.era)}
         query |= {"wait": str(wait_s)} if wait_s else {}
+        query |= {"current": "1"} if must_be_current else {}
         head_s = wait_s + RELAY_TIMEOUT_MARGIN_S if wait_s else REQUEST_TIMEOUT_S
         received = await self._receive(address, COPY_PATH, head_s, on_progress, **query)
         if received is None or received.status != HTTP_OK:
             return None
+        if must_be_current and CURRENT_COPY_HEADER not in received.headers:
+            # A peer of an earlier version sends the copy that it has.
+            return None
         try:
             return _decode_copy(received)
         except DecodingError as error:
@@ -390,6 +414,9 @@
             after, wait_s = _decode_query(request.query)
         except DecodingError as error:
             return web.Response(status=400, text=str(error))
+        must_be_current = "current" in request.query
+        if must_be_current and not await follower.update_from_store():
+            return web.Response(status=503)
         changes: Changes | None
         if wait_s is not None:
             changes = await follower.wait_for_changes(after, wait_s)
@@ -404,6 +431,8 @@
         response.headers[COPY_AGE_HEADER] = f"{changes.copy_age_s:.3f}"
         if changes.items_age_s is not None:
             response.headers[ITEMS_AGE_HEADER] = f"{changes.items_age_s:.3f}"
+        if must_be_current:
+            response.headers[CURRENT_COPY_HEADER] = "1"
         return response
 
     async def _handle_request(self, request: web.BaseRequest) -> web.Response:
@@ -460,14 +489,14 @@
     return body
 
 
-def _decode_streams(body: bytes) -> Streams:
+def _decode_streams(body: bytes) -> Streams | None:
     try:
         with decoding("streams"):
             rows = decode_each("streams", read_list(load_msgpack(body)), decode_begun)
             return [(key, stream) for stream, keys in rows for key in keys]
     except DecodingError as error:
         log.warning(event("streams_unreadable", reason=str(error)))
-        return []
+        return None
 
 
 def _decode_parts(body: bytes) -> list[CachedPartLocation]:
--- a/coltsfootfront/direct/servicebuilds.py
+++ b/coltsfootfront/direct/servicebuilds.py
@@ -10,7 +10,7 @@
 
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import logbook
@@ -28,7 +28,6 @@
 from coltsfootfront.common.logs import event
 from coltsfootfront.common.rendezvous import rank
 from coltsfootfront.direct.directory import Directory
-from coltsfootfront.direct.storefollower import DEFAULT_APPLY_LIMIT_S
 from coltsfootfront.keyvalue.store import Compare, Put, Store, Transaction
 
 log = logbook.Logger(__name__)
@@ -45,6 +44,10 @@
 LIFE_PER_TIMEOUT = 1.5
 
 
+async def _is_always_current(since_s: float) -> bool:
+    return True
+
+
 class _Record(NamedTuple):
     """Record in the store of the builds of one service.
 
@@ -114,8 +117,8 @@
         """Whether no router has run in this deployment before."""
         self.copy_age_s: Callable[[], float | None] = lambda: 0.0
         """Time since the copy of the store was known to lack nothing."""
-        self.max_copy_age_s = DEFAULT_APPLY_LIMIT_S
-        """Age up to which a copy is taken to have the record of a release."""
+        self.update_copy: Callable[[float], Awaitable[bool]] = _is_always_current
+        """Brings the copy of the store up to date as of a monotonic time; False if it cannot."""
         self.on_mixed: Callable[[str], None] = lambda service: None
         """Called with a service that has got a second build."""
 
@@ -143,10 +146,10 @@
             return None
         return record.only
 
-    def is_copy_young(self) -> bool:
-        """Whether the copy of the store has the record of any release of before this moment."""
-        age_s = self.copy_age_s()
-        return age_s is not None and age_s <= self.max_copy_age_s
+    def is_recorded(self, service: str) -> bool:
+        """Whether the store has a record of the service that no restore has made doubtful."""
+        record = self._observation(service).record
+        return record is not None and record.era == self._store_era()
 
     def may_begin(self, service: str, build: str) -> bool:
         """Whether streams may begin at a build: the store knows that it is not the only one."""
--- a/coltsfootfront/direct/storefollower.py
+++ b/coltsfootfront/direct/storefollower.py
@@ -21,6 +21,7 @@
 from coltsfootfront.common.decoding import describe
 from coltsfootfront.common.errors import ErrorKind, Failure
 from coltsfootfront.common.logs import event
+from coltsfootfront.direct.copyupdate import CopyUpdate
 from coltsfootfront.direct.freshness import UNKNOWN_BOUND, ChangeBound, Freshness
 from coltsfootfront.direct.transfers import OnProgress
 from coltsfootfront.keyvalue.store import KeyValue, Store
@@ -74,6 +75,11 @@
 REVALIDATION_TIMEOUT_S = 1.0
 # Time that the store has before the answer of a peer is taken instead; what peers say is older.
 STORE_PRECEDENCE_S = 0.5
+# The same for a copy that is brought up to date: the store answers in milliseconds.
+STORE_HEAD_START_S = 0.25
+# Time limit for bringing the copy up to date from the store, and from the store or through peers.
+STORE_UPDATE_TIMEOUT_S = 0.5
+UPDATE_TIMEOUT_S = 0.8
 # Who has confirmed a copy, for the log.
 FROM_STORE = "store"
 FROM_PEER = "peer"
@@ -194,6 +200,14 @@
         :returns: None if no peer answers.
         """
 
+    @abstractmethod
+    async def read_current_changes(self, after: Position) -> Changes | None:
+        """Read changes through a router that reads the store for this call.
+
+        :param after: position up to which this router's copy is complete.
+        :returns: changes up to the moment of the call or later; None if no peer reaches the store.
+        """
+
 
 Listener = Callable[[Item], None]
 
@@ -249,6 +263,8 @@
         self.is_restoring = False
         """Whether the listener is called for what a restore of the store has changed."""
         self.freshness = Freshness(clock)
+        self._store_update = CopyUpdate(clock, self.freshness, self._refresh_in_time)
+        self._update = CopyUpdate(clock, self.freshness, self._refresh_from_any)
         self.change_bound = UNKNOWN_BOUND
         """Earliest time of the changes that the listener is called for."""
         self.batch_delay_s = MIN_BATCH_DELAY_S
@@ -395,9 +411,18 @@
                 own_age_s=self.freshness.age_s(),
             )
         )
+        self._take_peer_changes(changes, asked, sent_s)
+        return True
+
+    def _take_peer_changes(self, changes: Changes, asked: Position, sent_s: float) -> bool:
+        """Apply the changes of a peer.
+
+        :param asked: position after which they were asked for.
+        :returns: False if they belong to another era.
+        """
         bound = self.freshness.bound(sent_s, changes.copy_age_s, changes.items_age_s)
         if not self._apply_changes(changes, "a peer", asked.era, bound):
-            return True
+            return False
         self.freshness.confirm(sent_s, changes.copy_age_s, ends_outage=False)
         if asked.revision or changes.is_full_copy:
             if not self.is_complete:
@@ -406,6 +431,54 @@
             self._overtaken.set()
         return True
 
+    async def update_from_store(self) -> bool:
+        """Bring the copy up to date from the store.
+
+        :returns: whether it has every change of before this call.
+        """
+        called_s = self._clock.monotonic_s()
+        return await self._store_update.wait(called_s, STORE_UPDATE_TIMEOUT_S)
+
+    async def update(self, since_s: float) -> bool:
+        """Bring the copy up to date from the store, or through a peer that reaches the store.
+
+        :param since_s: monotonic time before which no change may be missing.
+        :returns: whether none is.
+        """
+        return await self._update.wait(since_s, UPDATE_TIMEOUT_S)
+
+    async def _refresh_in_time(self) -> None:
+        try:
+            async with asyncio.timeout(STORE_UPDATE_TIMEOUT_S):
+                await self._refresh()
+        except TimeoutError:
+            log.info(event("copy_not_updated", revision=self.revision, reason="no answer in time"))
+
+    async def _refresh_from_any(self) -> None:
+        sources = [asyncio.create_task(self._refresh())]
+        try:
+            async with asyncio.timeout(UPDATE_TIMEOUT_S):
+                if not self._is_store_failing:
+                    await asyncio.wait(sources, timeout=STORE_HEAD_START_S)
+                    if sources[0].done() and sources[0].result() == FROM_STORE:
+                        return
+                sources.append(asyncio.create_task(self._refresh_through_peers()))
+                await self._first_answer(sources)
+        except TimeoutError:
+            log.info(event("copy_not_updated", revision=self.revision, reason="no answer in time"))
+        finally:
+            for source in sources:
+                source.cancel()
+
+    async def _refresh_through_peers(self) -> str:
+        asked = self.position
+        sent_s = self._clock.monotonic_s()
+        changes = await self._peers.read_current_changes(asked)
+        if changes is None or not self._take_peer_changes(changes, asked, sent_s):
+            return FROM_NOBODY
+        self.freshness.record_complete(sent_s)
+        return FROM_PEER
+
     def mark_stale(self) -> None:
         """Treat the copy as stale, after a pause, until the store or a peer has confirmed it."""
         self.freshness.record_pause()
@@ -489,6 +562,7 @@
             bound = self.freshness.bound(sent_s, changed.unwrap().copy_age_s)
             if self._apply_changes(changed.unwrap(), "store", era, bound):
                 self.freshness.confirm(sent_s, changed.unwrap().copy_age_s)
+                self.freshness.record_complete(sent_s)
                 return FROM_STORE
         if isinstance(changed, Success) or changed.failure().kind is ErrorKind.STALE_REVISION:
             sent_s = self._clock.monotonic_s()
@@ -658,6 +732,7 @@
             self.is_complete = False
             return None
         self.freshness.confirm(sent_s, changes.copy_age_s)
+        self.freshness.record_complete(sent_s)
         if changes.items:
             await self._clock.sleep(self.batch_delay_s)
         return None
@@ -731,6 +806,7 @@
         if snapshot.era == self.era:
             # Changes after its first page may be missing.
             self.freshness.confirm(sent_s, self._clock.monotonic_s() - sent_s)
+            self.freshness.record_complete(sent_s)
 
     def _load_snapshot(self, snapshot: Snapshot, bound: ChangeBound = UNKNOWN_BOUND) -> None:
         if snapshot.era < self.era:
--- a/coltsfootfront/direct/takeups.py
+++ b/coltsfootfront/direct/takeups.py
@@ -1,9 +1,10 @@
 """Finds the build at which a stream that a caller takes up again may go on."""
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import logbook
 
@@ -31,15 +32,29 @@
     """Reads which streams other routers know."""
 
     @abstractmethod
-    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
-        """Read the streams that a few peers know.
+    async def read_streams(
+        self, limit_s: float, receive: OnStreams, must_ask_all: bool = False
+    ) -> bool:
+        """Read the streams that a few peers know, or all of them.
 
         :param limit_s: peers that have not answered within this time are not waited for.
         :param receive: called with what each of them knows, as it arrives.
-        :returns: whether a peer has answered, or there is none.
+        :returns: whether a peer has answered, or each one if all are asked, or there is none.
         """
 
 
+class _Read(NamedTuple):
+    """A read of what peers know, which has ended.
+
+    :param begun_s: monotonic time at which it began.
+    :param has_answered: whether a peer has answered, or each one if all were asked.
+    """
+
+    begun_s: float
+    has_asked_all: bool
+    has_answered: bool
+
+
 class TakeUps:
     """Records which builds begin streams, and finds them again.
 
@@ -57,10 +72,8 @@
         self._gossip = gossip
         self._peers = peers
         self.table = StreamTable(clock, builds.life_s)
-        self._read_s: float | None = None
+        self._latest_read = _Read(-math.inf, False, False)
         self._reading: asyncio.Task[None] | None = None
-        self._have_peers_answered = False
-        """Whether the last read of what peers know had an answer."""
         self._received = asyncio.Event()
         """Set when a peer has answered, or the read of what peers know has ended."""
         builds.on_mixed = self._announce_own
@@ -93,15 +106,36 @@
         known = self.table.find(key)
         if known is not None:
             return known
-        only = self._find_only(service)
-        if only is not None and self._builds.is_copy_young():
-            return only
-        if only is None and not resumes:
-            return None
-        # A router that is cut off does not learn of a release; its peers do.
-        await self._read_peers(key)
+        arrived_s = self._clock.monotonic_s()
+        if self._find_only(service) is not None:
+            # Whatever began a stream that is taken up by now was in the store before.
+            is_current = await self._builds.update_copy(arrived_s)
+            only = self._find_only(service)
+            if only is not None and not (is_current and self._builds.is_recorded(service)):
+                return await self._find_by_all_peers(key, service, arrived_s)
+            if only is not None:
+                return self.table.find(key) or only
+        if resumes:
+            await self._read_peers(key, arrived_s)
+        return self.table.find(key)
+
+    def may_find_later(self, service: str) -> bool:
+        """Whether a build that was not found may be found at a later try, here or elsewhere.
+
+        That is the case while this router only lacks a confirmation of what it believes.
+        """
+        return self._find_only(service) is not None
+
+    async def _find_by_all_peers(
+        self, key: bytes, service: str, arrived_s: float
+    ) -> StreamBuild | None:
+        """Find a stream while the store cannot tell whether a service has a single build.
+
+        Each stream of another build is known to the router that began it.
+        """
+        have_all_answered = await self._read_peers(key, arrived_s, must_ask_all=True)
         known = self.table.find(key)
-        if known is not None or not self._have_peers_answered:
+        if known is not None or not have_all_answered:
             return known
         return self._find_only(service)
 
@@ -127,30 +161,47 @@
         for key, stream in self.table.own(service):
             self._gossip.queue_begun(key, stream)
 
-    async def _read_peers(self, key: bytes) -> None:
-        """Read what peers know, unless that was done just now, until a stream is found."""
-        now_s = self._clock.monotonic_s()
-        if self._reading is None:
-            if self._read_s is not None and now_s - self._read_s < MIN_READ_INTERVAL_S:
-                return
-            self._read_s = now_s
-            self._reading = asyncio.create_task(self._read_once())
-        while self._reading is not None and self.table.find(key) is None:
+    async def _read_peers(self, key: bytes, since_s: float, must_ask_all: bool = False) -> bool:
+        """Read what peers know, until a stream is found.
+
+        :param since_s: a read that began before this monotonic time is not enough.
+        :returns: whether the peers have answered.
+        """
+        while self.table.find(key) is None:
+            if self._reading is None:
+                latest = self._latest_read
+                if latest.begun_s >= since_s and latest.has_asked_all >= must_ask_all:
+                    return latest.has_answered
+                self._reading = asyncio.create_task(self._read_once(must_ask_all))
             await self._received.wait()
+        return True
 
-    async def _read_once(self) -> None:
+    async def _read_once(self, must_ask_all: bool) -> None:
+        pause_s = self._latest_read.begun_s + MIN_READ_INTERVAL_S - self._clock.monotonic_s()
+        if pause_s > 0:
+            await self._clock.sleep(pause_s)
         before = len(self.table)
+        begun_s = self._clock.monotonic_s()
         has_answered = False
         try:
-            has_answered = await self._peers.read_streams(READ_TIMEOUT_S, self._record_streams)
+            has_answered = await self._peers.read_streams(
+                READ_TIMEOUT_S, self._record_streams, must_ask_all
+            )
         finally:
-            self._have_peers_answered = has_answered
+            self._latest_read = _Read(begun_s, must_ask_all, has_answered)
             self._reading = None
             self._wake_waiting()
             if not has_answered:
                 metrics.CONNECTION_EVENTS.inc({"event": "streams_not_read"})
-            known = len(self.table)
-            log.info(event("streams_read", before=before, known=known, answered=has_answered))
+            log.info(
+                event(
+                    "streams_read",
+                    before=before,
+                    known=len(self.table),
+                    answered=has_answered,
+                    asked_all=must_ask_all,
+                )
+            )
 
     def _record_streams(self, streams: Streams) -> None:
         for key, stream in streams:
--- a/coltsfootfront/tests/direct_support.py
+++ b/coltsfootfront/tests/direct_support.py
@@ -267,7 +267,9 @@
 class NoPeerStreams(PeerStreams):
     """Streams of a router that is alone."""
 
-    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
+    async def read_streams(
+        self, limit_s: float, receive: OnStreams, must_ask_all: bool = False
+    ) -> bool:
         return True
 
 
--- a/coltsfootfront/tests/test_direct_state.py
+++ b/coltsfootfront/tests/test_direct_state.py
@@ -281,6 +281,9 @@
     async def read_peer_changes(self, after: Position) -> Changes | None:
         return self.changes
 
+    async def read_current_changes(self, after: Position) -> Changes | None:
+        return None
+
 
 def _value(key: str, value: bytes, revision: int) -> KeyValue:
     return KeyValue(key, value, revision, revision)
--- a/coltsfootfront/tests/test_stream_builds.py
+++ b/coltsfootfront/tests/test_stream_builds.py
@@ -1,15 +1,17 @@
 """Tests of what a router knows about the software that began a stream."""
 
+import asyncio
 import json
 import random
 import socket
 import time
 import unittest
+from unittest import mock
 
 from returns.result import Success
 
 from coltsfootfront.common.decoding import DecodingError
-from coltsfootfront.direct import gossip
+from coltsfootfront.direct import gossip, servicebuilds
 from coltsfootfront.direct.callerrequest import CallerRequest
 from coltsfootfront.direct.directory import Directory, Target
 from coltsfootfront.direct.gossip import Gossip
@@ -19,6 +21,7 @@
 from coltsfootfront.direct.servicebuilds import BUILDS_PREFIX, STAGGER_S, ServiceBuilds
 from coltsfootfront.direct.streambuilds import KEY_BYTES, StreamBuild, StreamTable, stream_key
 from coltsfootfront.direct.takeups import (
+    MIN_READ_INTERVAL_S,
     READ_TIMEOUT_S,
     OnStreams,
     PeerStreams,
@@ -33,6 +36,7 @@
     FakeResponse,
     FakeWriter,
     ForwarderFixture,
+    NoPeerStreams,
     make_config,
     make_entry,
     make_request,
@@ -46,6 +50,11 @@
 ROUTER = "own:1"
 
 
+async def nobody_answers(since_s: float) -> bool:
+    """Brings no copy of the store up to date."""
+    return False
+
+
 class RecordedGossip(Gossip):
     """Gossip whose queued streams can be delivered to another router."""
 
@@ -69,12 +78,16 @@
         self.streams: Streams = []
         self.reads = 0
         self.is_silent = False
+        self.is_one_silent = False
+        """Whether another peer does not answer."""
 
-    async def read_streams(self, limit_s: float, receive: OnStreams) -> bool:
+    async def read_streams(
+        self, limit_s: float, receive: OnStreams, must_ask_all: bool = False
+    ) -> bool:
         self.reads += 1
         if not self.is_silent:
             receive(self.streams)
-        return not self.is_silent
+        return not self.is_silent and not (must_ask_all and self.is_one_silent)
 
 
 class Router:
@@ -344,6 +357,7 @@
         await router.read_store()
         router.put("t1", "v1")
         router.builds.copy_age_s = lambda: 60.0
+        router.builds.update_copy = nobody_answers
         return router
 
     async def test_router_with_an_old_copy_asks_peers_before_it_relies_on_a_single_build(
@@ -357,6 +371,60 @@
         self.assertEqual(StreamBuild(SERVICE, "v2"), found)
         self.assertIsNone(await router.take_ups.find("c", "r2", SERVICE))
 
+    async def test_router_with_a_young_copy_brings_it_up_to_date_before_it_relies_on_it(
+        self,
+    ) -> None:
+        """Guards against a copy that is some moments behind a release (ORDER)."""
+        router = await self.make_outdated_router()
+        router.builds.copy_age_s = lambda: 0.1
+
+        async def read_store(since_s: float) -> bool:
+            router.put("t2", "v2")
+            return True
+
+        router.builds.update_copy = read_store
+        self.assertIsNone(await router.take_ups.find("c", "r1", SERVICE))
+        self.there.begin("r2", "v2")
+        router.peer.streams = self.there.take_ups.streams_to_share()
+        self.clock.advance(MIN_READ_INTERVAL_S)
+        found = await router.take_ups.find("c", "r2", SERVICE)
+        self.assertEqual(StreamBuild(SERVICE, "v2"), found)
+
+    async def test_answer_of_peers_to_an_earlier_take_up_says_nothing_of_a_later_one(self) -> None:
+        """Guards against a stream that began after peers were asked (ORDER)."""
+        router = await self.make_outdated_router()
+        self.assertIsNotNone(await router.take_ups.find("c", "r0", SERVICE))
+        self.clock.advance(0.4)
+        self.there.begin("r1", "v2")
+        router.peer.streams = self.there.take_ups.streams_to_share()
+        finding = asyncio.create_task(router.take_ups.find("c", "r1", SERVICE))
+        await asyncio.sleep(0.01)
+        self.clock.advance(MIN_READ_INTERVAL_S)
+        self.assertEqual(StreamBuild(SERVICE, "v2"), await finding)
+
+    async def test_one_silent_peer_leaves_it_open_whether_there_is_a_single_build(self) -> None:
+        """Guards against a peer that is out of step itself and speaks for all others (ORDER)."""
+        router = await self.make_outdated_router()
+        router.peer.is_one_silent = True
+        self.assertIsNone(await router.take_ups.find("c", "r1", SERVICE))
+        self.assertTrue(router.take_ups.may_find_later(SERVICE))
+
+    async def test_router_that_goes_by_its_own_sight_after_a_restore_asks_all_peers(self) -> None:
+        """Guards against a release that a restore has taken back, and its streams (ORDER)."""
+        router = await self.make_outdated_router()
+        router.builds.copy_age_s = lambda: 0.1
+        router.builds.update_copy = servicebuilds._is_always_current
+        self.clock.advance(router.builds.life_s)
+        router.put("t1", "v1")
+        self.assertIsNotNone(await router.take_ups.find("c", "r1", SERVICE))
+        self.assertEqual(0, router.peer.reads)
+        self.here.store.current_era = 1
+        self.assertEqual("v1", router.builds.only_build(SERVICE))
+        self.there.begin("r2", "v2")
+        router.peer.streams = self.there.take_ups.streams_to_share()
+        found = await router.take_ups.find("c", "r2", SERVICE)
+        self.assertEqual(StreamBuild(SERVICE, "v2"), found)
+
     async def test_old_copy_is_no_reason_to_refuse_while_peers_know_no_other_build(self) -> None:
         """Guards against take-ups refused in an outage of the store (LOST)."""
         router = await self.make_outdated_router()
@@ -448,6 +516,14 @@
         await self.routers[1].close()
         self.assertFalse(await self.routers[0].read_streams(READ_TIMEOUT_S, lambda streams: None))
 
+    async def test_all_peers_have_answered_only_if_each_one_has(self) -> None:
+        """Guards against the routers that began streams and are not among those that answer."""
+        for must_ask_all, expected in ((False, True), (True, False)):
+            answered = await self.routers[0].read_streams(
+                READ_TIMEOUT_S, lambda streams: None, must_ask_all
+            )
+            self.assertEqual(expected, answered)
+
 
 class TakenUpStreamTest(unittest.IsolatedAsyncioTestCase):
     """Take-ups by callers, at a router that knows the stream."""
@@ -489,6 +565,18 @@
             self.assertEqual(200, writer.status)
         self.assertEqual({"t1"}, set(self.asked))
 
+    async def test_take_up_that_nobody_confirms_may_come_back(self) -> None:
+        """Guards against a stream lost for good at a router that is only out of touch (LOST)."""
+        builds = self.fixture.builds
+        with mock.patch.object(builds, "only_build", return_value="v1"):
+            builds.update_copy = nobody_answers
+            with mock.patch.object(NoPeerStreams, "read_streams", return_value=False):
+                writer = await self.take_up("r1")
+        assert writer.failure is not None
+        self.assertEqual(503, writer.failure.error_response.status)
+        self.assertIsNotNone(writer.failure.effective_retry_after_s)
+        self.assertEqual([], self.asked)
+
     async def test_stream_whose_build_has_left_is_refused_at_once(self) -> None:
         """Guards against callers that wait, or return, for servers that never come back."""
         stream = StreamBuild("plain", "v0")
--- a/coltsfootfront/tests/test_system_joined_streams.py
+++ b/coltsfootfront/tests/test_system_joined_streams.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from coltsfootfront.common.rendezvous import rank
+from coltsfootfront.direct.peers import WATCHERS_PER_DATA_CENTRE
 from coltsfootfront_dev.clientstream import BUILD_DATA_FORMAT, ClientStream
 from coltsfootfront_dev.platformfleet import API_KEY, HOST, PlatformFleet
 from coltsfootfront_dev.platformrouters import PROCESS_TIMEOUT_S, RouterProcess, RouterProcesses
@@ -19,6 +21,10 @@
 # Until a router knows a new build and the store has recorded it.
 SETTLE_S = 2.5
 DEADLINE_MS = 8000
+# Callers break their streams off after this many events.
+BROKEN_AFTER_EVENTS = 3
+# Time for which a router is cut off, less than its copy of the store may be old (2.5 s).
+CUT_S = 2.2
 
 
 class Stream(ClientStream):
@@ -57,7 +63,13 @@
             target.event_data_format = BUILD_DATA_FORMAT.format(build=build)
             self.fleet.register(target)
 
-    async def request(self, stream: Stream, router: RouterProcess, request_id: str) -> None:
+    async def request(
+        self,
+        stream: Stream,
+        router: RouterProcess,
+        request_id: str,
+        break_after_events: int = EVENTS,
+    ) -> None:
         headers = {
             "Host": HOST,
             "X-Request-Id": request_id,
@@ -76,6 +88,9 @@
             stream.refusal = None
             async for chunk in response.content.iter_any():
                 stream.feed(chunk)
+                if len(stream.builds) >= break_after_events:
+                    response.close()
+                    return
 
     async def begin(self, number: int) -> Stream:
         """Run a stream until it ends or breaks off."""
@@ -119,6 +134,54 @@
         await asyncio.gather(*(self.take_up(stream, left or self.routers) for stream in broken))
         return broken
 
+    def find_watchers(self) -> list[RouterProcess]:
+        """Routers that read the store themselves."""
+        routers = {str(router.settings["listen"]["control"]): router for router in self.routers}
+        zone = self.routers[0].settings["zone"]
+        watchers = rank(zone.encode(), sorted(routers), WATCHERS_PER_DATA_CENTRE)
+        return [routers[address] for address in watchers]
+
+    async def break_and_take_up(
+        self, number: int, first: RouterProcess, second: RouterProcess
+    ) -> Stream:
+        """Begin a stream at a router, break it off, and take it up at once at another one."""
+        stream = Stream(f"s{number}")
+        try:
+            await self.request(stream, first, stream.name, BROKEN_AFTER_EVENTS)
+            await self.take_up(stream, [second, first])
+        except aiohttp.ClientError:
+            pass
+        return stream
+
+    async def test_router_cut_off_from_a_release_joins_no_stream(self) -> None:
+        """Guards against a router that relies on the only build it has heard of (ORDER)."""
+        old, new = self.fleet.engine_targets[:2], self.fleet.engine_targets[2:]
+        for target in new:
+            self.fleet.store.delete(f"servers/{target.name}")
+        await asyncio.sleep(SETTLE_S)
+        cut, first = self.find_watchers()
+        # Its copy is as young as can be.
+        self.fleet.register(old[0])
+        await asyncio.sleep(0.05)
+        cut.store_proxy.pause()
+        self.processes.set_gossip_loss(cut, 1.0)
+        await asyncio.sleep(0.1)
+        for target in new:
+            self.fleet.replace(target, "v2")
+        for target in old:
+            self.fleet.register(target, "draining")
+        tasks = []
+        for number in range(STREAMS):
+            tasks.append(asyncio.create_task(self.break_and_take_up(number, first, cut)))
+            await asyncio.sleep(CUT_S / STREAMS)
+        cut.store_proxy.resume()
+        self.processes.set_gossip_loss(cut, 0.0)
+        streams = await asyncio.gather(*tasks)
+        begun = [stream for stream in streams if "v2" in stream.builds[:1]]
+        self.assertGreater(len(begun), STREAMS / 2)
+        self.assertEqual([], [stream.name for stream in streams if stream.is_joined])
+        self.assertGreater(sum(stream.is_whole for stream in begun), 0.9 * len(begun))
+
     async def test_streams_are_not_joined_after_a_kill_of_all_routers(self) -> None:
         """Guards against take-ups at routers that know nothing of the time before (ORDER)."""
         self.set_builds("v1", "v1", "v2", "v2")
--- a/coltsfootfront_dev/soak.py
+++ b/coltsfootfront_dev/soak.py
@@ -378,7 +378,10 @@
     async def _release_software(self, end_s: float) -> None:
         """Replace one or two engines at a time by ones of a new version."""
         generator = self._release_random
+        out_of_step: asyncio.Task[None] | None = None
         while time.monotonic() < end_s:
+            if out_of_step is None or out_of_step.done():
+                out_of_step = asyncio.create_task(self._put_out_of_step(generator))
             self._builds += 1
             engines = self._fleet.engine_targets
             for target in generator.sample(engines, generator.randint(1, 2)):
@@ -388,6 +391,20 @@
                 self._fleet.replace(target, f"v{self._builds}")
                 self._interrupt(time.monotonic())
             await asyncio.sleep(generator.uniform(0.2, 3.0))
+        if out_of_step is not None:
+            await out_of_step
+
+    async def _put_out_of_step(self, generator: random.Random) -> None:
+        """Keep releases from a router that its callers and peers still reach."""
+        assert self._processes is not None
+        router = generator.choice(self._processes.routers)
+        begin_s = time.monotonic()
+        router.store_proxy.pause()
+        self._processes.set_gossip_loss(router, 1.0)
+        await asyncio.sleep(generator.uniform(0.3, 2.5))
+        router.store_proxy.resume()
+        self._processes.set_gossip_loss(router, 0.0)
+        self._monitor.excuse(router.name, begin_s)
 
     async def _change_configuration(self) -> None:
         self._write_configuration(self._added_routes)
