--- a/coltsfootfront/direct/routingconfig.py
+++ b/coltsfootfront/direct/routingconfig.py
@@ -268,12 +268,13 @@
         self._unlocated_hosts.add(host)
 
     def find_unreadable(self, host: str, route: Route | None) -> str:
-        """Why a request without a customer may be meant for a route that could not be read.
+        """Why a request is refused for a route that could not be read.
 
-        Requests with a key are served by the longest prefix that could be read: the key is as good
-        at any route. A route for everybody may stand before one that asks for a key.
+        A route without a prefix may have stood before one that admits callers without a key, or may
+        be the one that a path is found to lack. It does not matter for routes that ask for a key,
+        as keys are as good at any route.
 
-        :param route: route found for the request.
+        :param route: route found for the request, None if there is none.
         :returns: empty if it is not.
         """
         if route is not None and route.is_unreadable:
--- a/coltsfootfront/direct/takeups.py
+++ b/coltsfootfront/direct/takeups.py
@@ -170,7 +170,8 @@
         while self.table.find(key) is None:
             if self._reading is None:
                 latest = self._latest_read
-                if latest.begun_s >= since_s and latest.has_asked_all >= must_ask_all:
+                has_asked_enough = latest.has_asked_all or not must_ask_all
+                if latest.begun_s >= since_s and has_asked_enough:
                     return latest.has_answered
                 self._reading = asyncio.create_task(self._read_once(must_ask_all))
             await self._received.wait()
