--- a/coltsfootfront/tests/copy_fleet.py
+++ b/coltsfootfront/tests/copy_fleet.py
@@ -9,7 +9,8 @@
 from coltsfootfront.direct.registration import RouterEntry
 from coltsfootfront.direct.storefollower import Follower, Item
 from coltsfootfront.platform.store import PlatformStore
-from coltsfootfront_dev.platformfleet import HOST, free_ports
+from coltsfootfront_dev.platformfleet import HOST
+from coltsfootfront_dev.ports import PortReservations
 from coltsfootfront_dev.tcpproxy import LinkRate, TcpProxy
 
 CONFIG_KEY = "op/config"
@@ -155,6 +156,7 @@
     def __init__(self, store: str) -> None:
         self.routers: dict[str, LinkedRouter] = {}
         self._store = store
+        self._ports = PortReservations()
 
     async def add(
         self,
@@ -166,7 +168,7 @@
 
         :param address: peer address of the router that it replaces.
         """
-        address = address or f"127.0.0.1:{free_ports(1)[0]}"
+        address = address or f"127.0.0.1:{self._ports.reserve()}"
         entry = RouterEntry(address, data_centre, "east", bytes_per_s * 8 / 1e6)
         link = Link(bytes_per_s)
         added = LinkedRouter(entry, link, await link.connect(self._store), seed=len(self.routers))
@@ -186,3 +188,4 @@
         while self.routers:
             _, router = self.routers.popitem()
             await router.close()
+        self._ports.close()
--- a/coltsfootfront/tests/test_copy_update.py
+++ b/coltsfootfront/tests/test_copy_update.py
@@ -29,8 +29,8 @@
 )
 from coltsfootfront.tests.support import ManualClock
 from coltsfootfront.tests.test_direct_state import UNAVAILABLE, OnePeer, ScriptedStore, _value
-from coltsfootfront_dev.platformfleet import free_ports
 from coltsfootfront_dev.platformstore import PlatformStoreStandIn
+from coltsfootfront_dev.ports import PortReservations
 
 CALLERS = 20
 
@@ -133,7 +133,9 @@
         self.store.put_json("op/config", {"version": 1})
         self.link = Link(WIDE_LINK_BYTES_PER_S)
         self.addAsyncCleanup(self.link.close)
-        self.routers = [await self.add(port) for port in free_ports(2)]
+        ports = PortReservations()
+        self.addCleanup(ports.close)
+        self.routers = [await self.add(ports.reserve()) for _ in range(2)]
         self.cut, self.peer = self.routers
         for router in self.routers:
             await router.load()
