--- a/coltsfootfront/platform/configdecoder.py
+++ b/coltsfootfront/platform/configdecoder.py
@@ -42,7 +42,7 @@
 )
 from coltsfootfront.quotas.quota import Quota, QuotaUnit
 
-# Rank of a route whose rank cannot be read; no request of another route waits for it.
+# Rank of a route whose rank cannot be read: the least urgent one that targets tell apart.
 LEAST_URGENT = 9
 # Longest name of a route that is kept; a longer one keeps its beginning and a digest.
 MAX_ROUTE_NAME_LENGTH = 200
